--- /dev/null
+++ b/cmd/dotterelflow-standin/main.go
@@ -0,0 +1,4 @@
+// Command dotterelflow-standin plays the platform, model engines and plain services on loopback.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/control/table/names.go
@@ -0,0 +1,19 @@
+package table
+
+import (
+	"slices"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("table")
+
+func indexOf(names []string, text, what string) (int, error) {
+	i := slices.Index(names, text)
+	if i < 0 {
+		return 0, Error.New("unknown %s %q, want one of %v", what, text, names)
+	}
+
+	return i, nil
+}
--- /dev/null
+++ b/internal/wire/platform/client.go
@@ -0,0 +1,208 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+const (
+	defaultTimeout = 2 * time.Second
+	maxListBytes   = 64 << 20
+)
+
+// Options tune a Client. The zero value works.
+type Options struct {
+	Timeout time.Duration // bound of each call but Watch; zero means 2 s
+	Name    string        // sent as X-Client
+}
+
+// Client is the HTTP adapter to the platform. It is safe for concurrent use and never sends a call twice.
+type Client struct {
+	base    string
+	opts    Options
+	http    *http.Client
+	watcher *http.Client
+}
+
+// NewClient returns a Client of the platform at address, an ip:port.
+func NewClient(address string, opts Options) *Client {
+	if opts.Timeout == 0 {
+		opts.Timeout = defaultTimeout
+	}
+
+	return &Client{
+		base:    "http://" + address,
+		opts:    opts,
+		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}, Timeout: opts.Timeout},
+		watcher: &http.Client{Transport: &http.Transport{}},
+	}
+}
+
+// Get returns the object at key, with Version zero where there is none.
+func (c *Client) Get(ctx context.Context, key Key) (Object, error) {
+	var o Object
+
+	err := c.read(ctx, "/objects/"+string(key), &o)
+
+	return o, err
+}
+
+// Put writes value at key if its version is expect, and returns the new version.
+//
+// It fails with ErrConflict, ErrUnavailable or ErrTooLarge when nothing was written, and with
+// ErrUnknown when the write may have taken effect.
+func (c *Client) Put(ctx context.Context, key Key, expect Version, value []byte) (Version, error) {
+	var o Object
+
+	err := c.write(ctx, http.MethodPut, key, expect, value, &o)
+
+	return o.Version, err
+}
+
+// Delete removes the object at key if its version is expect. It fails as Put does.
+func (c *Client) Delete(ctx context.Context, key Key, expect Version) error {
+	var o Object
+
+	return c.write(ctx, http.MethodDelete, key, expect, nil, &o)
+}
+
+// List returns the objects whose keys start with prefix, ordered by key.
+func (c *Client) List(ctx context.Context, prefix string) ([]Object, error) {
+	var objects []Object
+
+	err := c.read(ctx, "/list?prefix="+url.QueryEscape(prefix), &objects)
+
+	return objects, err
+}
+
+// Hosts returns the platform's lagging list of hosts, ordered by address.
+func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
+	var hosts []Host
+
+	err := c.read(ctx, "/hosts", &hosts)
+
+	return hosts, err
+}
+
+// Watch delivers each later change below prefix; a deleted object arrives with Version zero.
+// The channel closes when ctx or the connection ends. A silent connection is not noticed here.
+func (c *Client) Watch(ctx context.Context, prefix string) (<-chan Object, error) {
+	r, err := c.request(ctx, http.MethodGet, "/watch?prefix="+url.QueryEscape(prefix), nil)
+	if err != nil {
+		return nil, err
+	}
+
+	resp, err := c.watcher.Do(r) //nolint:bodyclose // closed by the goroutine below
+	if err != nil {
+		return nil, unavailable(err)
+	}
+
+	if resp.StatusCode != http.StatusOK {
+		_ = resp.Body.Close()
+
+		return nil, ErrUnavailable
+	}
+
+	events := make(chan Object)
+
+	go func() {
+		defer close(events)
+		defer func() { _ = resp.Body.Close() }()
+
+		for dec := json.NewDecoder(resp.Body); ; {
+			var o Object
+			if dec.Decode(&o) != nil {
+				return
+			}
+
+			select {
+			case events <- o:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+
+	return events, nil
+}
+
+func (c *Client) request(ctx context.Context, method, path string, body io.Reader) (*http.Request, error) {
+	r, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+
+	r.Header.Set("X-Client", c.opts.Name)
+
+	return r, nil
+}
+
+func (c *Client) read(ctx context.Context, path string, into any) error {
+	r, err := c.request(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return err
+	}
+
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return unavailable(err)
+	}
+
+	defer func() { _ = resp.Body.Close() }()
+
+	if resp.StatusCode != http.StatusOK {
+		return ErrUnavailable
+	}
+
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(into); err != nil {
+		return unavailable(err)
+	}
+
+	return nil
+}
+
+func (c *Client) write(ctx context.Context, method string, key Key, expect Version, value []byte, into *Object) error {
+	if len(value) > MaxValueBytes {
+		return ErrTooLarge
+	}
+
+	r, err := c.request(ctx, method, "/objects/"+string(key), bytes.NewReader(value))
+	if err != nil {
+		return err
+	}
+
+	// Without GetBody the transport cannot send the write a second time on a new connection.
+	r.GetBody = nil
+	r.Header.Set("If-Match", strconv.FormatUint(uint64(expect), 10))
+
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return Error.Wrap(joined(ErrUnknown, err))
+	}
+
+	defer func() { _ = resp.Body.Close() }()
+
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusPreconditionFailed:
+		return ErrConflict
+	case http.StatusRequestEntityTooLarge:
+		return ErrTooLarge
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return ErrUnavailable
+	default:
+		return ErrUnknown
+	}
+
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(into); err != nil {
+		return Error.Wrap(joined(ErrUnknown, err))
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/wire/verdict/verdict.go
@@ -0,0 +1,153 @@
+package verdict
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Verdict says whether a request may have run on a target.
+type Verdict uint8
+
+const (
+	// MayHaveRun means that a target may have run the request. It is the zero value.
+	MayHaveRun Verdict = iota
+	// NotRun means that no target has run the request and that none will because of this attempt.
+	NotRun
+	// Ran means that a target ran the request.
+	Ran
+)
+
+var names = [...]string{MayHaveRun: "may-have-run", NotRun: "not-run", Ran: "ran"}
+
+// String returns the kebab-case name of v; an undefined value reads as "may-have-run".
+func (v Verdict) String() string {
+	if int(v) >= len(names) {
+		return names[MayHaveRun]
+	}
+
+	return names[v]
+}
+
+// Parse returns the Verdict named s. An unknown name yields MayHaveRun.
+func Parse(s string) Verdict {
+	for i, name := range names {
+		if s == name {
+			return Verdict(i)
+		}
+	}
+
+	return MayHaveRun
+}
+
+// MarshalText encodes v as its kebab-case name.
+func (v Verdict) MarshalText() ([]byte, error) {
+	return []byte(v.String()), nil
+}
+
+// UnmarshalText decodes a kebab-case name; an unknown name decodes as MayHaveRun.
+func (v *Verdict) UnmarshalText(text []byte) error {
+	*v = Parse(string(text))
+
+	return nil
+}
+
+// Code is a stable kebab-case reason for an Error, for example "overloaded".
+type Code string
+
+// Codes that callers see in the "code" member of a problem document.
+const (
+	CodeBadRequest   Code = "bad-request"
+	CodeUnauthorized Code = "unauthorized"
+	CodeNotFound     Code = "not-found"
+	CodeTooLarge     Code = "too-large"
+	CodeOverloaded   Code = "overloaded"
+	CodeLimit        Code = "account-limit"
+	CodeNoTarget     Code = "no-target"
+	CodeDeadline     Code = "deadline"
+	CodeQuarantined  Code = "quarantined"
+	CodeNoPlatform   Code = "platform-unavailable"
+	CodeKeyExpired   Code = "key-expired"
+	CodeKeyReused    Code = "key-reused"
+	CodeKeyRequired  Code = "key-required"
+	CodeTargetLost   Code = "target-lost"
+	CodeTruncated    Code = "truncated"
+	CodeStopping     Code = "stopping"
+	CodeInternal     Code = "internal"
+)
+
+// Error is a failure of a request together with its Verdict.
+//
+// RetryAfter is the time after which another try makes sense; zero means that none is suggested.
+// Err is the cause and may be nil.
+type Error struct {
+	Verdict    Verdict
+	Code       Code
+	Message    string
+	RetryAfter time.Duration
+	Err        error
+}
+
+// New returns an Error without a cause.
+func New(v Verdict, code Code, format string, args ...any) *Error {
+	return &Error{Verdict: v, Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Err != nil {
+		return fmt.Sprintf("%s (%s): %s: %v", e.Code, e.Verdict, e.Message, e.Err)
+	}
+
+	return fmt.Sprintf("%s (%s): %s", e.Code, e.Verdict, e.Message)
+}
+
+// Unwrap returns the cause, or nil.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// After returns a copy of e that suggests another try after d.
+func (e *Error) After(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+
+	return &c
+}
+
+// Because returns a copy of e with the cause err.
+func (e *Error) Because(err error) *Error {
+	c := *e
+	c.Err = err
+
+	return &c
+}
+
+// Of returns the Verdict of err: Ran for nil, that of the outermost Error in err's chain, else MayHaveRun.
+func Of(err error) Verdict {
+	if err == nil {
+		return Ran
+	}
+
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Verdict
+	}
+
+	return MayHaveRun
+}
+
+// From returns the outermost Error in err's chain, or a MayHaveRun Error of CodeInternal that wraps err.
+// It returns nil for a nil err.
+func From(err error) *Error {
+	if err == nil {
+		return nil
+	}
+
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+
+	return New(MayHaveRun, CodeInternal, "unexpected failure").Because(err)
+}
