Model a continuous-batching engine on virtual time

Ruled out: events per token (too many for a run of hours); streams share one progress counter instead, so cost grows with requests, not tokens. Change: internal/standin/batch with Submit, Advance, Next, Cancel, ChangeRole, Export, Load, CacheEvents.

--- /dev/null
+++ b/internal/standin/batch/batch_test.go
@@ -0,0 +1,165 @@
+package batch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/standin/batch"
+)
+
+var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// drain advances e from event to event until none is due.
+func drain(t *testing.T, e *batch.Engine) []batch.Event {
+	t.Helper()
+
+	var events []batch.Event
+
+	for range 1000 {
+		next := e.Next()
+		if next.IsZero() {
+			return events
+		}
+
+		events = append(events, e.Advance(next)...)
+	}
+
+	t.Fatal("engine does not come to rest")
+
+	return nil
+}
+
+func times(events []batch.Event, kind batch.EventType) map[table.RequestID]time.Duration {
+	got := make(map[table.RequestID]time.Duration)
+
+	for _, ev := range events {
+		if ev.Type == kind {
+			got[ev.Work.Request] = ev.At.Sub(start).Round(time.Millisecond)
+		}
+	}
+
+	return got
+}
+
+func TestUrgentPromptOvertakesAndKeepsProgress(t *testing.T) {
+	e := batch.New(start, batch.Options{Role: table.Prefill, PrefillRate: 1000})
+
+	require.NoError(t, e.Submit(at(0), batch.Work{Request: "patient", Urgency: table.Patient, Prefill: 1000, Decode: 1}))
+	require.NoError(t, e.Submit(at(500*time.Millisecond), batch.Work{Request: "urgent", Urgency: table.Urgent, Prefill: 200, Decode: 1}))
+
+	want := map[table.RequestID]time.Duration{"urgent": 700 * time.Millisecond, "patient": 1200 * time.Millisecond}
+	require.Equal(t, want, times(drain(t, e), batch.Finished))
+}
+
+func TestStreamsShareDecodeRateAndWaitForSlots(t *testing.T) {
+	e := batch.New(start, batch.Options{Role: table.Decode, DecodeRate: 100, StreamRate: 60, Slots: 2})
+
+	for _, id := range []table.RequestID{"a", "b", "c"} {
+		require.NoError(t, e.Submit(start, batch.Work{Request: id, Decode: 51, Offset: 1, Imported: true}))
+	}
+
+	got := times(drain(t, e), batch.Finished)
+	require.Equal(t, time.Second, got["a"])
+	require.Equal(t, time.Second, got["b"])
+	require.Equal(t, 1833*time.Millisecond, got["c"]) // alone at 60 tokens per second
+}
+
+func TestPrefillEngineHandsOver(t *testing.T) {
+	e := batch.New(start, batch.Options{Role: table.Prefill, PrefillRate: 1000})
+	require.NoError(t, e.Submit(start, batch.Work{Request: "a", Prefill: 500, Decode: 10}))
+
+	events := drain(t, e)
+	require.Len(t, events, 2)
+	require.Equal(t, batch.FirstToken, events[0].Type)
+	require.Equal(t, batch.PrefillDone, events[1].Type)
+	require.True(t, events[1].Work.Imported)
+	require.Equal(t, table.Tokens(1), events[1].Work.Offset)
+	require.Zero(t, e.InFlight())
+	require.ErrorIs(t, e.Submit(e.Next(), events[1].Work), batch.ErrRole)
+}
+
+func TestPrefixCacheIsBounded(t *testing.T) {
+	e := batch.New(start, batch.Options{Role: table.Prefill, PrefillRate: 1000, CacheTokens: 1000})
+
+	run := func(id table.RequestID, p batch.Prefix) table.Tokens {
+		now := start
+		if evs := e.Advance(start); len(evs) > 0 {
+			now = evs[len(evs)-1].At
+		}
+
+		require.NoError(t, e.Submit(now, batch.Work{Request: id, Prefill: 800, Decode: 1, Prefix: p, PrefixTokens: 600}))
+		events := drain(t, e)
+
+		return events[len(events)-1].Cached
+	}
+
+	require.Zero(t, run("a", 1))
+	require.Equal(t, table.Tokens(600), run("b", 1))
+	require.Zero(t, run("c", 2)) // evicts 1
+	require.Zero(t, run("d", 1))
+}
+
+func TestRoleChangeWaitsForWorkThenTakesTheEngineAway(t *testing.T) {
+	e := batch.New(start, batch.Options{Role: table.Decode, DecodeRate: 100, StreamRate: 50, ChangeTime: 5 * time.Second})
+	require.NoError(t, e.Submit(start, batch.Work{Request: "a", Decode: 101, Offset: 1, Imported: true}))
+	require.NoError(t, e.ChangeRole(start, table.Prefill))
+	require.NoError(t, e.ChangeRole(start, table.Prefill))
+	require.ErrorIs(t, e.ChangeRole(start, table.Mixed), batch.ErrChanging)
+	require.ErrorIs(t, e.Submit(start, batch.Work{Request: "b", Imported: true}), batch.ErrChanging)
+
+	events := drain(t, e)
+	require.Equal(t, map[table.RequestID]time.Duration{"a": 2 * time.Second}, times(events, batch.Finished))
+	require.Equal(t, map[table.RequestID]time.Duration{"": 7 * time.Second}, times(events, batch.RoleChanged))
+	require.Equal(t, table.Prefill, e.Role())
+}
+
+func TestExportedStreamGoesOnElsewhere(t *testing.T) {
+	opt := batch.Options{Role: table.Decode, DecodeRate: 100, StreamRate: 50}
+	a, b := batch.New(start, opt), batch.New(start, opt)
+	require.NoError(t, a.Submit(start, batch.Work{Request: "a", Decode: 101, Offset: 1, Imported: true}))
+
+	works := a.Export(at(time.Second))
+	require.Len(t, works, 1)
+	require.Equal(t, table.Tokens(51), works[0].Offset)
+	require.Zero(t, a.InFlight())
+
+	require.NoError(t, b.Submit(at(time.Second), works[0]))
+	require.Equal(t, 2*time.Second, times(drain(t, b), batch.Finished)["a"])
+}
+
+func TestCancelFreesTheSlot(t *testing.T) {
+	e := batch.New(start, batch.Options{DecodeRate: 10, StreamRate: 10, Slots: 1})
+	require.NoError(t, e.Submit(start, batch.Work{Request: "a", Decode: 100, Imported: true}))
+	require.NoError(t, e.Submit(start, batch.Work{Request: "b", Decode: 10, Imported: true}))
+	require.True(t, e.Cancel(at(time.Second), "a"))
+	require.False(t, e.Cancel(at(time.Second), "a"))
+	require.Equal(t, map[table.RequestID]time.Duration{"b": 2 * time.Second}, times(drain(t, e), batch.Finished))
+}
+
+func TestReportsLagAndCacheEventsHaveGaps(t *testing.T) {
+	e := batch.New(start, batch.Options{Role: table.Prefill, PrefillRate: 1000, CacheGap: 0.5, Seed: 1})
+
+	for i := range 20 {
+		id := table.RequestID(rune('a' + i))
+		require.NoError(t, e.Submit(start, batch.Work{Request: id, Prefill: 100, Decode: 1, Prefix: batch.Prefix(i + 1), PrefixTokens: 50}))
+	}
+
+	_, ok := e.Load(at(600 * time.Millisecond))
+	require.False(t, ok)
+
+	load, ok := e.Load(at(1300 * time.Millisecond))
+	require.True(t, ok)
+	require.Equal(t, at(500*time.Millisecond), load.At)
+	require.Equal(t, table.Tokens(1500), load.PrefillPending)
+
+	require.Empty(t, e.CacheEvents(at(2*time.Second)))
+	events := e.CacheEvents(at(10 * time.Second))
+	require.Greater(t, len(events), 4)
+	require.Less(t, len(events), 16)
+	require.Empty(t, e.CacheEvents(at(20*time.Second)))
+}
--- /dev/null
+++ b/internal/standin/batch/report.go
@@ -0,0 +1,69 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+// reports holds the load reports that are not yet superseded by a visible one.
+type reports struct {
+	next  time.Time // when to take the next one
+	taken []table.Load
+}
+
+// report takes a load report.
+func (e *Engine) report() {
+	load := table.Load{
+		Target:   e.opt.Target,
+		At:       e.now,
+		Running:  e.streams.Len(),
+		Queued:   e.prompts.Len() + e.waiting.Len(),
+		Role:     e.role,
+		Changing: e.changing,
+	}
+
+	for _, j := range e.prompts.jobs {
+		load.PrefillPending += table.Tokens(j.left)
+
+		if e.role == table.Mixed {
+			load.DecodePending += j.work.Decode - j.work.Offset
+		}
+	}
+
+	for _, j := range e.waiting.jobs {
+		load.DecodePending += j.work.Decode - j.work.Offset
+	}
+
+	for _, j := range e.streams.jobs {
+		load.DecodePending += table.Tokens(j.finish - e.served)
+	}
+
+	r := &e.reports
+	r.taken = append(r.taken, load)
+	r.next = r.next.Add(e.opt.ReportEvery)
+
+	for len(r.taken) > 1 && !r.taken[1].At.Add(e.opt.ReportLag).After(e.now) {
+		r.taken = r.taken[1:]
+	}
+}
+
+// Load returns the newest load report that is visible at now, and false before the first.
+func (e *Engine) Load(now time.Time) (table.Load, bool) {
+	e.run(now)
+
+	var (
+		load table.Load
+		ok   bool
+	)
+
+	for _, r := range e.reports.taken {
+		if r.At.Add(e.opt.ReportLag).After(now) {
+			break
+		}
+
+		load, ok = r, true
+	}
+
+	return load, ok
+}
