Propose role changes by the goodput that they gain

Ruled out: thresholds per data centre, which change roles where a neighbour has room. Gain within a horizon less the price of the change, by weights.

--- /dev/null
+++ b/internal/control/roles/propose.go
@@ -0,0 +1,248 @@
+package roles
+
+import (
+	"slices"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+// mixedRate is the part of its rate that a mixed engine gives to each of prefill and decode.
+const mixedRate = 0.4
+
+// maxStale is the part of a model's engines without a fresh report above which nothing is done.
+const maxStale = 1.0 / 3
+
+// Propose returns the role change that the authority of dc should order now, or false. Equal
+// inputs give equal results, and of several data centres with equal inputs at most one gets a
+// proposal for a model.
+func Propose(opt Options, in Input, dc table.DataCentre) (Proposal, bool) {
+	opt = opt.withDefaults()
+
+	var (
+		best  Proposal
+		found bool
+	)
+
+	for _, model := range models(in, dc) {
+		p, ok := propose(opt, in, dc, model)
+		if ok && (!found || p.Gain > best.Gain) {
+			best, found = p, true
+		}
+	}
+
+	return best, found
+}
+
+// models returns the models of the engines of dc in order of name.
+func models(in Input, dc table.DataCentre) []table.Model {
+	var names []table.Model
+
+	for i := range in.Engines {
+		if in.Engines[i].DataCentre == dc {
+			names = append(names, in.Engines[i].Model)
+		}
+	}
+
+	slices.Sort(names)
+
+	return slices.Compact(names)
+}
+
+func propose(opt Options, in Input, dc table.DataCentre, model table.Model) (Proposal, bool) {
+	f, ok := survey(opt, in, dc, model)
+	if !ok || f.changing >= opt.MaxChanging {
+		return Proposal{}, false
+	}
+
+	best := Proposal{}
+	found := false
+
+	for _, to := range []table.Role{table.Prefill, table.Decode} {
+		e, ok := f.candidate(to)
+		if !ok {
+			continue
+		}
+
+		gain := f.gain(e, to)
+		if gain > best.Gain {
+			best = Proposal{Target: e.Target, Role: to, Gain: gain}
+			found = e.DataCentre == dc
+		}
+	}
+
+	return best, found
+}
+
+// capacity is tokens per second.
+type capacity struct {
+	prefill, decode float64
+}
+
+// fleet is the state of one model over the data centres that count.
+type fleet struct {
+	opt      Options
+	in       Input
+	engines  []Engine // usable, with a fresh report, not in change
+	have     capacity
+	pending  capacity // that engines in change will add
+	changing int
+	work     Rate // requests and tokens over the horizon
+}
+
+// survey sums up what counts for dc and reports whether the data is good enough to act on.
+func survey(opt Options, in Input, dc table.DataCentre, model table.Model) (*fleet, bool) {
+	f := &fleet{opt: opt, in: in}
+	total, stale := 0, 0
+
+	for _, e := range in.Engines {
+		if e.Model != model || e.Unusable || opt.Local && e.DataCentre != dc {
+			continue
+		}
+
+		total++
+
+		switch {
+		case in.Now.Sub(e.Reported) > opt.StaleAfter:
+			stale++
+		case e.Changing:
+			f.changing++
+			f.pending = f.pending.add(e, e.Role)
+		default:
+			f.engines = append(f.engines, e)
+			f.have = f.have.add(e, e.Role)
+		}
+	}
+
+	if total == 0 || float64(stale) > maxStale*float64(total) {
+		return nil, false
+	}
+
+	known := false
+
+	for _, l := range in.Loads {
+		if l.Model != model || opt.Local && l.DataCentre != dc {
+			continue
+		}
+
+		if in.Now.Sub(l.At) > opt.StaleAfter {
+			return nil, false
+		}
+
+		known = true
+		f.work = f.work.Add(l.Rate.Scale(opt.Horizon.Seconds())).Add(l.Backlog)
+	}
+
+	return f, known && f.work.Requests > 0
+}
+
+// candidate returns the engine whose change to role costs least: of the data centre with most
+// engines of the other role, the one with least in flight that may change.
+func (f *fleet) candidate(to table.Role) (Engine, bool) {
+	counts := make(map[table.DataCentre]int)
+
+	for _, e := range f.engines {
+		if e.Role != to {
+			counts[e.DataCentre]++
+		}
+	}
+
+	var (
+		best  Engine
+		found bool
+	)
+
+	for _, e := range f.engines {
+		if e.Role == to || f.in.Now.Sub(e.Changed) < f.opt.Dwell {
+			continue
+		}
+
+		if !found || f.cheaper(e, best, counts) {
+			best, found = e, true
+		}
+	}
+
+	return best, found
+}
+
+func (f *fleet) cheaper(a, b Engine, counts map[table.DataCentre]int) bool {
+	if ca, cb := counts[a.DataCentre], counts[b.DataCentre]; ca != cb {
+		return ca > cb
+	}
+
+	if a.DataCentre != b.DataCentre {
+		return a.DataCentre < b.DataCentre
+	}
+
+	if a.Open != b.Open {
+		return a.Open < b.Open
+	}
+
+	return a.Target < b.Target
+}
+
+// gain returns by how many requests served within the horizon the change of e beats no change,
+// less its price, each by its weight.
+func (f *fleet) gain(e Engine, to table.Role) float64 {
+	horizon, away := f.opt.Horizon.Seconds(), f.opt.Away.Seconds()
+
+	stay := f.served(f.have.plus(f.pending).scale(horizon))
+	after := f.have.sub(e, e.Role).add(e, to).plus(f.pending)
+	during := f.have.sub(e, e.Role).plus(f.pending)
+
+	if during.prefill <= 0 || during.decode <= 0 {
+		return 0 // the last engine of its role
+	}
+
+	change := f.served(after.scale(horizon - away).plus(during.scale(away)))
+
+	perEngine := stay / horizon / float64(len(f.engines)+f.changing)
+	price := perEngine * away
+
+	return f.opt.Weights.Goodput*(change-stay) - f.opt.Weights.RoleChange*price
+}
+
+// served returns the requests of f.work that c tokens can serve.
+func (f *fleet) served(c capacity) float64 {
+	part := 1.0
+	c = c.scale(f.opt.Utilisation)
+
+	if f.work.Prefill > 0 {
+		part = min(part, c.prefill/f.work.Prefill)
+	}
+
+	if f.work.Decode > 0 {
+		part = min(part, c.decode/f.work.Decode)
+	}
+
+	return f.work.Requests * part
+}
+
+func (c capacity) plus(d capacity) capacity {
+	return capacity{prefill: c.prefill + d.prefill, decode: c.decode + d.decode}
+}
+
+func (c capacity) scale(k float64) capacity {
+	return capacity{prefill: c.prefill * k, decode: c.decode * k}
+}
+
+func (c capacity) add(e Engine, role table.Role) capacity {
+	return c.plus(rates(e, role))
+}
+
+func (c capacity) sub(e Engine, role table.Role) capacity {
+	return c.plus(rates(e, role).scale(-1))
+}
+
+// rates returns the tokens per second of e in role.
+func rates(e Engine, role table.Role) capacity {
+	prefill, decode := float64(e.PrefillRate), float64(e.DecodeRate)
+
+	switch role {
+	case table.Prefill:
+		return capacity{prefill: prefill}
+	case table.Decode:
+		return capacity{decode: decode}
+	default:
+		return capacity{prefill: prefill * mixedRate, decode: decode * mixedRate}
+	}
+}
--- /dev/null
+++ b/internal/control/roles/roles_test.go
@@ -0,0 +1,136 @@
+package roles_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/roles"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+var now = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+// input has two data centres of four engines, half prefill and half decode, and a demand that is
+// a multiple of what all engines of a role can do.
+func input(prefill, decode float64) roles.Input {
+	in := roles.Input{Now: now}
+
+	for i := range 8 {
+		in.Engines = append(in.Engines, roles.Engine{
+			Target:      table.TargetID(fmt.Sprint("e", i)),
+			DataCentre:  table.DataCentre(fmt.Sprint("dc", i/4)),
+			Model:       "m",
+			Role:        table.Role(1 + i%2),
+			PrefillRate: 1000,
+			DecodeRate:  100,
+			Reported:    now,
+			Open:        i,
+		})
+	}
+
+	for i := range 2 {
+		in.Loads = append(in.Loads, roles.Load{
+			Source: roles.Source{DataCentre: table.DataCentre(fmt.Sprint("dc", i)), Model: "m"},
+			At:     now,
+			Rate:   roles.Rate{Requests: 10, Prefill: prefill * 2000, Decode: decode * 200},
+		})
+	}
+
+	return in
+}
+
+func TestProposeFollowsTheMix(t *testing.T) {
+	p, ok := roles.Propose(roles.Options{}, input(1.3, 0.3), "dc0")
+	require.True(t, ok)
+	require.Equal(t, table.Prefill, p.Role)
+	require.Equal(t, table.TargetID("e1"), p.Target, "least in flight")
+	require.Positive(t, p.Gain)
+
+	p, ok = roles.Propose(roles.Options{}, input(0.3, 1.3), "dc0")
+	require.True(t, ok)
+	require.Equal(t, table.Decode, p.Role)
+}
+
+func TestProposeLeavesBe(t *testing.T) {
+	tests := map[string]struct {
+		spoil func(*roles.Input, *roles.Options)
+		dc    table.DataCentre
+	}{
+		"other data centre acts": {func(*roles.Input, *roles.Options) {}, "dc1"},
+		"unknown data centre":    {func(*roles.Input, *roles.Options) {}, "dc9"},
+		"stale demand":           {func(in *roles.Input, _ *roles.Options) { in.Loads[1].At = now.Add(-6 * time.Second) }, "dc0"},
+		"no demand known":        {func(in *roles.Input, _ *roles.Options) { in.Loads = nil }, "dc0"},
+		"stale engines": {func(in *roles.Input, _ *roles.Options) {
+			for i := range 3 {
+				in.Engines[i].Reported = time.Time{}
+			}
+		}, "dc0"},
+		"dwell": {func(in *roles.Input, _ *roles.Options) {
+			for i := range in.Engines {
+				in.Engines[i].Changed = now.Add(-30 * time.Second)
+			}
+		}, "dc0"},
+		"changes under way": {func(in *roles.Input, _ *roles.Options) {
+			in.Engines[0].Changing, in.Engines[4].Changing = true, true
+		}, "dc0"},
+		"change costs more than it gains": {func(_ *roles.Input, opt *roles.Options) { opt.Horizon = 11 * time.Second }, "dc0"},
+		"weight of changes":               {func(_ *roles.Input, opt *roles.Options) { opt.Weights.RoleChange = 100 }, "dc0"},
+		"balanced":                        {func(in *roles.Input, _ *roles.Options) { *in = input(0.7, 0.7) }, "dc0"},
+		"overloaded in both":              {func(in *roles.Input, _ *roles.Options) { *in = input(2, 2) }, "dc0"},
+	}
+
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			in, opt := input(1.3, 0.3), roles.Options{}
+			tt.spoil(&in, &opt)
+
+			p, ok := roles.Propose(opt, in, tt.dc)
+			require.False(t, ok, "%+v", p)
+		})
+	}
+}
+
+func TestProposeKeepsTheLastEngineOfARole(t *testing.T) {
+	in := input(1.3, 0)
+	in.Engines = in.Engines[:2]
+
+	_, ok := roles.Propose(roles.Options{}, in, "dc0")
+	require.False(t, ok)
+}
+
+// TestSpareCapacityElsewhereComesFirst has too little prefill in dc0 and enough in both together.
+func TestSpareCapacityElsewhereComesFirst(t *testing.T) {
+	in := input(0.7, 0.3)
+	in.Loads[0].Rate.Prefill, in.Loads[1].Rate.Prefill = 2800, 0
+
+	_, ok := roles.Propose(roles.Options{}, in, "dc0")
+	require.False(t, ok)
+
+	_, ok = roles.Propose(roles.Options{Local: true}, in, "dc0")
+	require.True(t, ok)
+}
+
+func TestDemand(t *testing.T) {
+	d := roles.NewDemand(roles.DemandOptions{Window: 10 * time.Second, Kinds: 1})
+	s := roles.Source{DataCentre: "dc0", Model: "m"}
+	require.Zero(t, d.Rate(now, s))
+
+	for i := range 1000 {
+		d.Admit(now.Add(time.Duration(i)*100*time.Millisecond), s, 50, 5)
+	}
+
+	got := d.Rate(now.Add(100*time.Second), s)
+	require.InDelta(t, 10, got.Requests, 0.2)
+	require.InDelta(t, 500, got.Prefill, 10)
+	require.InDelta(t, 50, got.Decode, 1)
+	require.Less(t, d.Rate(now.Add(200*time.Second), s).Requests, 0.01)
+
+	require.Equal(t, table.Tokens(50), d.Predict("a", "k", 100))
+	d.Learn("a", "k", 10)
+	require.Equal(t, table.Tokens(10), d.Predict("a", "k", 100))
+	d.Learn("a", "other", 20)
+	require.Equal(t, table.Tokens(50), d.Predict("a", "k", 100), "forgotten: one kind is kept")
+}
