--- /dev/null
+++ b/internal/measure/trace/deployment.go
@@ -0,0 +1,144 @@
+package trace
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+// Rates of each modelled engine.
+const (
+	PrefillRate table.Tokens = 2500 // prompt tokens per second
+	DecodeRate  table.Tokens = 400  // output tokens per second of the batch
+	StreamRate  table.Tokens = 40   // output tokens per second of one stream
+	Slots                    = 16   // streams
+)
+
+// ServiceName is the plain service of both deployments.
+const ServiceName table.ServiceName = "bookings"
+
+// ModelName is the model of both deployments.
+const ModelName table.Model = "assistant"
+
+const betweenTokens = 64 * time.Millisecond
+
+func serviceKind(name table.KindName, u table.Urgency, once bool, total time.Duration, rate float64) Kind {
+	return Kind{
+		Kind: table.Kind{
+			Name: name, Urgency: u, AtMostOnce: once, Service: ServiceName, Deadline: total,
+			Objective: table.Objective{Total: total, Good: 0.99},
+		},
+		PerSecond: rate,
+		Prompt:    Size{},
+		Output:    Size{Median: 1, Most: 1},
+	}
+}
+
+func modelKind(name table.KindName, u table.Urgency, o table.Objective, rate float64, prompt, output Size) Kind {
+	o.Good = 0.99
+
+	return Kind{
+		Kind: table.Kind{
+			Name: name, Urgency: u, Model: ModelName, Deadline: o.Total, MaxOutput: output.Most, Objective: o,
+		},
+		PerSecond: rate,
+		Prompt:    prompt,
+		Output:    output,
+	}
+}
+
+func (k Kind) withPrefixes(n int, tokens table.Tokens) Kind {
+	k.Prefixes, k.PrefixTokens = n, tokens
+
+	return k
+}
+
+func (k Kind) once() Kind {
+	k.AtMostOnce = true
+
+	return k
+}
+
+// Dombud returns the deployment of Dombud Inspekcje: house surveys, reports that must land.
+func Dombud() Deployment {
+	quick := table.Objective{FirstToken: 1700 * time.Millisecond, Total: 6 * time.Second}
+	steady := table.Objective{FirstToken: 4 * time.Second, BetweenTokens: betweenTokens, Total: time.Minute}
+	landing := table.Objective{Total: 10 * time.Minute}
+	grade := table.Objective{Total: 4 * time.Minute}
+
+	return Deployment{
+		Name:     "dombud",
+		Weights:  table.Weights{Goodput: 1, RoleChange: 0.5},
+		Centres:  centres([]int{5, 5, 4, 4}, []int{2, 2, 2, 2}, []int{1, 1, 1, 1}),
+		Distance: 1500 * time.Microsecond,
+		Client:   time.Millisecond,
+		Accounts: 8,
+		Kinds: []Kind{
+			modelKind("booking-check", table.Urgent, quick, 3.4, Size{350, 0.3, 1000}, Size{40, 0.3, 120}).withPrefixes(4, 200),
+			serviceKind("photo-acknowledgement", table.Urgent, false, 500*time.Millisecond, 5),
+			modelKind("defect-note", table.Ordinary, steady, 4.2, Size{900, 0.4, 3000}, Size{250, 0.4, 800}).withPrefixes(6, 400),
+			modelKind("report-draft", table.Patient, landing, 0.5, Size{6000, 0.3, 14000}, Size{1800, 0.3, 4000}).withPrefixes(8, 2000),
+			modelKind("severity-grade", table.Patient, grade, 2.6, Size{2500, 0.3, 6000}, Size{12, 0.2, 30}).once(),
+		},
+		Phases:  phases("report-draft", 4, "severity-grade", 4),
+		Prefill: 9,
+	}
+}
+
+// Qafzeh returns the deployment of Qafzeh Leisure Bookings: sessions, parties and school trips.
+func Qafzeh() Deployment {
+	quick := table.Objective{FirstToken: 1700 * time.Millisecond, Total: 6 * time.Second}
+	steady := table.Objective{FirstToken: 4 * time.Second, BetweenTokens: betweenTokens, Total: time.Minute}
+	landing := table.Objective{Total: 10 * time.Minute}
+
+	return Deployment{
+		Name:     "qafzeh",
+		Weights:  table.Weights{Goodput: 1, RoleChange: 4},
+		Centres:  centres([]int{6, 6, 6}, []int{3, 2, 2}, []int{1, 1, 1}),
+		Distance: 500 * time.Microsecond,
+		Client:   time.Millisecond,
+		Accounts: 8,
+		Kinds: []Kind{
+			serviceKind("slot-hold", table.Urgent, true, 500*time.Millisecond, 3),
+			serviceKind("deposit", table.Ordinary, true, 2*time.Second, 1),
+			modelKind("waiver-check", table.Urgent, quick, 3.5, Size{1200, 0.3, 3000}, Size{15, 0.3, 40}).withPrefixes(3, 500),
+			modelKind("parent-question", table.Ordinary, steady, 6, Size{300, 0.4, 1200}, Size{120, 0.5, 500}).withPrefixes(6, 150),
+			modelKind("party-request", table.Patient, landing, 1, Size{5000, 0.3, 12000}, Size{350, 0.3, 900}).withPrefixes(6, 1500),
+			modelKind("confirmation", table.Patient, landing, 1.6, Size{600, 0.3, 1500}, Size{700, 0.3, 1600}),
+		},
+		Phases:  phases("party-request", 5, "confirmation", 4),
+		Prefill: 8,
+	}
+}
+
+func centres(engines, hosts, services []int) []Centre {
+	var all []Centre
+
+	for i := range engines {
+		name := table.DataCentre(fmt.Sprint("dc-", i+1))
+		all = append(all, Centre{Name: name, Hosts: hosts[i], Engines: engines[i], Services: services[i]})
+	}
+
+	return all
+}
+
+// phases returns a day in short: a wave of each kind, a holiday peak with swings between the
+// two, engines drained and a data centre cut off.
+func phases(first table.KindName, firstBy float64, second table.KindName, secondBy float64) []Phase {
+	minute := func(n float64) time.Duration { return time.Duration(n * float64(time.Minute)) }
+	swing := map[table.KindName]float64{first: (firstBy + 1) / 2, second: (secondBy + 1) / 2}
+
+	return []Phase{
+		{Name: "calm", From: 0, To: minute(4)},
+		{Name: "wave of " + string(first), From: minute(4), To: minute(8), Wave: true, Kinds: map[table.KindName]float64{first: firstBy}},
+		{Name: "calm 2", From: minute(8), To: minute(13)},
+		{Name: "wave of " + string(second), From: minute(13), To: minute(17), Wave: true, Kinds: map[table.KindName]float64{second: secondBy}},
+		{Name: "calm 3", From: minute(17), To: minute(21)},
+		{Name: "holiday peak", From: minute(21), To: minute(28), Wave: true, All: 1.15, Kinds: swing, Swings: minute(1)},
+		{Name: "calm 4", From: minute(28), To: minute(31)},
+		{Name: "engines drained", From: minute(31), To: minute(35)},
+		{Name: "data centre cut", From: minute(35), To: minute(38)},
+		{Name: "calm 5", From: minute(38), To: minute(40)},
+	}
+}
--- /dev/null
+++ b/internal/measure/trace/generate.go
@@ -0,0 +1,162 @@
+package trace
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+// Generate returns the trace of d for seed. Equal arguments give equal traces.
+func Generate(d Deployment, seed int64) *Trace {
+	t := &Trace{
+		Deployment: d.Name,
+		Seed:       seed,
+		Length:     d.Phases[len(d.Phases)-1].To,
+		Phases:     d.Phases,
+	}
+
+	for i := range d.Kinds {
+		rng := rand.New(rand.NewSource(seed*1000 + int64(i)))
+		t.Arrivals = append(t.Arrivals, arrivals(d, i, rng)...)
+	}
+
+	slices.SortStableFunc(t.Arrivals, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
+
+	for i := range t.Arrivals {
+		t.Arrivals[i].Request = table.RequestID(fmt.Sprint("r", i))
+	}
+
+	t.Operations = operations(d, rand.New(rand.NewSource(seed*1000+999)))
+
+	return t
+}
+
+// EngineID returns the id of the nth engine of a data centre, counted from zero.
+func EngineID(dc table.DataCentre, n int) table.TargetID {
+	return table.TargetID(fmt.Sprintf("%s-engine-%d", dc, n+1))
+}
+
+// ServiceID returns the id of the nth service replica of a data centre, counted from zero.
+func ServiceID(dc table.DataCentre, n int) table.TargetID {
+	return table.TargetID(fmt.Sprintf("%s-service-%d", dc, n+1))
+}
+
+// arrivals draws a Poisson process by thinning one of the highest rate.
+func arrivals(d Deployment, kind int, rng *rand.Rand) []Arrival {
+	k := &d.Kinds[kind]
+	most := 0.0
+
+	for _, p := range d.Phases {
+		most = max(most, k.PerSecond*cmp.Or(p.All, 1)*cmp.Or(p.Kinds[k.Name], 1))
+	}
+
+	var all []Arrival
+
+	end := d.Phases[len(d.Phases)-1].To
+	at := time.Duration(0)
+
+	for {
+		at += time.Duration(rng.ExpFloat64() / most * float64(time.Second))
+		if at >= end {
+			return all
+		}
+
+		if rng.Float64()*most < k.PerSecond*factor(d.Phases, k.Name, at) {
+			all = append(all, arrival(d, kind, at, rng))
+		}
+	}
+}
+
+func arrival(d Deployment, kind int, at time.Duration, rng *rand.Rand) Arrival {
+	k := &d.Kinds[kind]
+	a := Arrival{
+		At:         at,
+		Account:    table.AccountID(fmt.Sprint("account-", 1+rng.Intn(d.Accounts))),
+		Kind:       kind,
+		DataCentre: d.Centres[rng.Intn(len(d.Centres))].Name,
+		Prefill:    k.Prompt.draw(rng),
+		Decode:     max(1, k.Output.draw(rng)),
+	}
+
+	if k.Prefixes > 0 {
+		a.Prefix = uint64(kind*1000 + 1 + rng.Intn(k.Prefixes))
+		a.PrefixTokens = min(k.PrefixTokens, a.Prefill)
+	}
+
+	return a
+}
+
+func (s Size) draw(rng *rand.Rand) table.Tokens {
+	n := float64(s.Median) * math.Exp(s.Spread*rng.NormFloat64())
+
+	return min(table.Tokens(n), s.Most)
+}
+
+// factor returns what the rate of kind at a time is multiplied by.
+func factor(phases []Phase, kind table.KindName, at time.Duration) float64 {
+	for _, p := range phases {
+		if at < p.From || at >= p.To {
+			continue
+		}
+
+		f := cmp.Or(p.All, 1)
+		if p.Swings == 0 {
+			return f * cmp.Or(p.Kinds[kind], 1)
+		}
+
+		names := slices.Sorted(maps.Keys(p.Kinds))
+		turn := int((at - p.From) / p.Swings)
+
+		if names[turn%len(names)] == kind {
+			f *= p.Kinds[kind]
+		}
+
+		return f
+	}
+
+	return 0
+}
+
+// operations drains three engines in the phase for it, of which two return, and cuts off a data
+// centre in the phase for that.
+func operations(d Deployment, rng *rand.Rand) []Operation {
+	var ops []Operation
+
+	for _, p := range d.Phases {
+		switch p.Name {
+		case "engines drained":
+			ops = append(ops, drains(d, p, rng)...)
+		case "data centre cut":
+			dc := d.Centres[rng.Intn(len(d.Centres))].Name
+			ops = append(ops, Operation{At: p.From, Action: Cut, DataCentre: dc}, Operation{At: p.To, Action: Heal, DataCentre: dc})
+		}
+	}
+
+	slices.SortStableFunc(ops, func(a, b Operation) int { return cmp.Compare(a.At, b.At) })
+
+	return ops
+}
+
+func drains(d Deployment, p Phase, rng *rand.Rand) []Operation {
+	const drained, withdrawn = 3, 1
+
+	var ops []Operation
+
+	for i, c := range rng.Perm(len(d.Centres))[:drained] {
+		dc := d.Centres[c]
+		id := EngineID(dc.Name, rng.Intn(dc.Engines))
+		ops = append(ops, Operation{At: p.From + time.Duration(i)*20*time.Second, Action: Drain, Target: id})
+
+		if i >= withdrawn {
+			ops = append(ops, Operation{At: p.To - time.Duration(i)*20*time.Second, Action: Return, Target: id})
+		}
+	}
+
+	return ops
+}
