Admit work by two resources, fair between accounts, refused early

Work is counted in prefill and decode tokens beside slots; each urgency has a lane with a guaranteed share; accounts share a lane by start-time fair queueing on the dominant resource; patient work nearing its latest start goes before ordinary.

--- /dev/null
+++ b/internal/control/admission/account.go
@@ -0,0 +1,59 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+// account is what one client account uses, over all urgencies.
+type account struct {
+	limits table.Limits
+	open   int
+	meter  meter
+}
+
+func (c *Controller) account(id table.AccountID) *account {
+	a, ok := c.accounts[id]
+	if !ok {
+		a = &account{}
+		c.accounts[id] = a
+	}
+
+	return a
+}
+
+func (a *account) weight() float64 {
+	if a.limits.Weight <= 0 {
+		return 1
+	}
+
+	return a.limits.Weight
+}
+
+func (a *account) rate() amounts {
+	return amounts{float64(a.limits.PrefillPerSecond), float64(a.limits.DecodePerSecond)}
+}
+
+// checkLimits refuses work beyond what the account itself may use.
+func (c *Controller) checkLimits(now time.Time, a *account, w *Work) Decision {
+	a.meter.drain(now, a.rate(), 1)
+
+	if a.limits.Open > 0 && a.open >= a.limits.Open {
+		held := time.Duration(c.lanes[w.Urgency].held.value * float64(time.Second))
+
+		return Decision{Code: verdict.CodeLimit, RetryAfter: spread(w.Request, held/time.Duration(a.open))}
+	}
+
+	need := amounts{float64(w.Prefill), float64(w.Decode)}
+	burst := c.opts.AccountBurst.Seconds()
+
+	if !a.meter.below(need, a.rate(), burst) {
+		wait := a.meter.excess(need, a.rate(), burst)
+
+		return Decision{Code: verdict.CodeLimit, RetryAfter: spread(w.Request, time.Duration(wait*float64(time.Second)))}
+	}
+
+	return Decision{Accepted: true}
+}
--- /dev/null
+++ b/internal/control/admission/controller.go
@@ -0,0 +1,311 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+// sweepEvery is the time between two sweeps, which forget idle accounts and renew estimates.
+const sweepEvery = time.Second
+
+// Controller holds the queues of one entry host for one pool of targets. It is not safe for
+// concurrent use.
+type Controller struct {
+	opts     Options
+	capacity Capacity
+	rate     amounts
+	total    meter
+	running  int
+	lanes    [table.UrgencyCount]*lane
+	items    map[table.RequestID]*item
+	accounts map[table.AccountID]*account
+	refused  []Refusal
+	seq      uint64
+	swept    time.Time
+}
+
+// New returns a Controller without capacity.
+func New(o Options) *Controller {
+	c := &Controller{
+		opts:     o.withDefaults(),
+		items:    make(map[table.RequestID]*item),
+		accounts: make(map[table.AccountID]*account),
+	}
+
+	for u := range c.lanes {
+		c.lanes[u] = newLane(table.Urgency(u))
+	}
+
+	return c
+}
+
+// SetCapacity states what this host may use from now on. Work that runs stays running; work that
+// the new capacity no longer carries in time is refused when its latest start comes.
+func (c *Controller) SetCapacity(capacity Capacity) {
+	if capacity == c.capacity {
+		return
+	}
+
+	c.capacity = capacity
+	c.rate = amounts{float64(capacity.PrefillPerSecond), float64(capacity.DecodePerSecond)}
+
+	for _, l := range c.lanes {
+		c.reestimate(l)
+	}
+}
+
+// reestimate restates cost and latest start of queued work by what is now known.
+func (c *Controller) reestimate(l *lane) {
+	l.cost = 0
+
+	for _, f := range l.flows {
+		f.cost = 0
+	}
+
+	for _, it := range l.due.items {
+		it.cost = c.cost(l, &it.work)
+		it.latestStart = c.latestStart(l, &it.work)
+		it.flow.cost += it.cost
+		l.cost += it.cost
+	}
+
+	l.reorder()
+}
+
+// SetAccount states the limits of an account from now on. The zero Limits set none, and let the
+// account be forgotten once it has no work.
+func (c *Controller) SetAccount(id table.AccountID, limits table.Limits) {
+	c.account(id).limits = limits
+}
+
+// Offer accepts w into its queue or refuses it. A refusal has had no effect. Work of a Request
+// that is already queued or running is accepted and not queued twice.
+func (c *Controller) Offer(now time.Time, w Work) Decision {
+	if _, ok := c.items[w.Request]; ok {
+		return Decision{Accepted: true}
+	}
+
+	w.Urgency %= table.UrgencyCount
+	if w.Arrived.IsZero() {
+		w.Arrived = now
+	}
+
+	c.drain(now)
+
+	a := c.account(w.Account)
+	if d := c.checkLimits(now, a, &w); !d.Accepted {
+		return d
+	}
+
+	l := c.lanes[w.Urgency]
+	it := &item{
+		work: w,
+		need: amounts{float64(w.Prefill), float64(w.Decode)},
+		cost: c.cost(l, &w),
+		flow: l.flow(w.Account, a.weight()),
+	}
+	it.latestStart = c.latestStart(l, &w)
+
+	if d := c.checkQueue(now, l, it); !d.Accepted {
+		return d
+	}
+
+	c.seq++
+	it.seq = c.seq
+	c.items[w.Request] = it
+	a.open++
+	a.meter.add(it.need)
+	l.push(it)
+
+	return Decision{Accepted: true}
+}
+
+// Next returns queued work that may start now, in order. The caller starts it and later calls Done
+// or Cancel for each.
+func (c *Controller) Next(now time.Time) []Grant {
+	c.drain(now)
+	c.expire(now)
+
+	if now.Sub(c.swept) >= sweepEvery {
+		c.sweep()
+		c.swept = now
+	}
+
+	var grants []Grant
+
+	for {
+		it := c.pick(now)
+		if it == nil {
+			return grants
+		}
+
+		c.start(now, it)
+		grants = append(grants, Grant{Work: it.work})
+	}
+}
+
+// pick returns the work that starts next, or nil: urgent work, then patient work that must start
+// soon, then ordinary and patient work.
+func (c *Controller) pick(now time.Time) *item {
+	patient := c.lanes[table.Patient]
+
+	if it := c.lanes[table.Urgent].next(); c.room(it) {
+		return it
+	}
+
+	if patient.len() > 0 && c.mustPromote(now, patient) && c.room(patient.due.items[0]) {
+		return patient.due.items[0]
+	}
+
+	if it := c.lanes[table.Ordinary].next(); c.room(it) {
+		return it
+	}
+
+	if it := patient.next(); c.room(it) {
+		return it
+	}
+
+	return nil
+}
+
+// mustPromote reports whether the first patient work has to go before ordinary work so that the
+// whole patient backlog starts in time.
+func (c *Controller) mustPromote(now time.Time, patient *lane) bool {
+	backlog := time.Duration(patient.cost / c.available(now, patient) * promotionMargin * float64(time.Second))
+	slack := patient.due.items[0].latestStart.Sub(now)
+
+	return slack <= max(minPromotion, backlog)
+}
+
+func (c *Controller) start(now time.Time, it *item) {
+	l := c.lanes[it.work.Urgency]
+	l.take(it)
+	l.rate.add(now, it.cost)
+	l.meter.add(it.need)
+	c.total.add(it.need)
+	c.running++
+	it.started = now
+}
+
+// Done ends running work and corrects the estimates by what it used. An unknown id has no effect.
+func (c *Controller) Done(now time.Time, id table.RequestID, used Usage) {
+	it, ok := c.items[id]
+	if !ok || it.started.IsZero() {
+		return
+	}
+
+	c.drain(now)
+
+	l := c.lanes[it.work.Urgency]
+	held := now.Sub(it.started).Seconds()
+	l.held.sample(held)
+
+	if used.Decode > 0 {
+		l.perToken.sample(held / float64(used.Decode))
+	}
+
+	correction := amounts{float64(used.Prefill) - it.need[prefill], float64(used.Decode) - it.need[decode]}
+	c.total.add(correction)
+	l.meter.add(correction)
+	c.account(it.work.Account).meter.add(correction)
+	c.finish(it)
+}
+
+// Cancel ends queued or running work whose caller went away. Running work keeps its charge, as its
+// tokens may have been used. An unknown id has no effect.
+func (c *Controller) Cancel(now time.Time, id table.RequestID) {
+	it, ok := c.items[id]
+	if !ok {
+		return
+	}
+
+	c.drain(now)
+
+	if it.started.IsZero() {
+		c.unqueue(it)
+
+		return
+	}
+
+	c.finish(it)
+}
+
+// finish gives back the slot of running work.
+func (c *Controller) finish(it *item) {
+	c.lanes[it.work.Urgency].running--
+	c.running--
+	c.account(it.work.Account).open--
+	delete(c.items, it.work.Request)
+}
+
+// unqueue takes back queued work with what its account was charged.
+func (c *Controller) unqueue(it *item) {
+	c.lanes[it.work.Urgency].remove(it)
+
+	a := c.account(it.work.Account)
+	a.open--
+	a.meter.add(amounts{-it.need[prefill], -it.need[decode]})
+	delete(c.items, it.work.Request)
+}
+
+// Expired returns the queued work that can no longer start in time, each once. Next never grants it.
+func (c *Controller) Expired(now time.Time) []Refusal {
+	c.drain(now)
+	c.expire(now)
+
+	refused := c.refused
+	c.refused = nil
+
+	return refused
+}
+
+func (c *Controller) expire(now time.Time) {
+	for _, l := range c.lanes {
+		for l.len() > 0 && now.After(l.due.items[0].latestStart) {
+			it := l.due.items[0]
+			c.unqueue(it)
+
+			d := Decision{Code: verdict.CodeOverloaded, RetryAfter: c.retryAfter(now, l, it)}
+			if !it.work.Deadline.IsZero() && !now.Before(it.work.Deadline) {
+				d.Code = verdict.CodeDeadline
+			}
+
+			c.refused = append(c.refused, Refusal{Work: it.work, Decision: d})
+		}
+	}
+}
+
+// Stats returns the numbers of queued and running work.
+func (c *Controller) Stats() Stats {
+	s := Stats{Accounts: len(c.accounts)}
+
+	for u, l := range c.lanes {
+		s.Queued[u] = l.len()
+		s.Running[u] = l.running
+	}
+
+	return s
+}
+
+func (c *Controller) drain(now time.Time) {
+	c.total.drain(now, c.rate, 1)
+
+	for u, l := range c.lanes {
+		l.meter.drain(now, c.rate, c.opts.Share[u])
+	}
+}
+
+func (c *Controller) sweep() {
+	for _, l := range c.lanes {
+		c.reestimate(l)
+		l.sweep()
+	}
+
+	for id, a := range c.accounts {
+		if a.open == 0 && a.limits == (table.Limits{}) {
+			delete(c.accounts, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/admission/options.go
@@ -0,0 +1,92 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+const (
+	defaultHorizon             = 250 * time.Millisecond
+	defaultAccountBurst        = 2 * time.Second
+	defaultMaxQueued           = 16384
+	defaultMaxQueuedPerAccount = 256
+	defaultUrgentWait          = 500 * time.Millisecond
+	defaultOrdinaryWait        = 4 * time.Second
+	defaultPatientWait         = 10 * time.Minute
+
+	defaultTokenTime = 32 * time.Millisecond
+
+	defaultUrgentShare   = 0.25
+	defaultOrdinaryShare = 0.10
+	defaultPatientShare  = 0.10
+
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 5 * time.Minute
+	noTargetRetry = 2 * time.Second
+
+	// smoothing is the time constant of the moving averages.
+	smoothing = 5 * time.Second
+	// minPromotion is the least time before its latest start at which patient work is promoted.
+	minPromotion = 2 * time.Second
+	// runTimeMargin scales the estimated run time of patient work, which must land.
+	runTimeMargin = 1.25
+	// promotionMargin scales the time that the patient backlog needs to the promotion window.
+	promotionMargin = 2.0
+	// minCost is the cost in seconds of work that uses no metered resource.
+	minCost = 1e-4
+)
+
+// Options set the bounds of a Controller. A zero field takes its default.
+type Options struct {
+	// Horizon is how far ahead of the targets' rate work may start.
+	Horizon time.Duration
+	// AccountBurst is the time over which an account's own token limits are averaged.
+	AccountBurst time.Duration
+	// MaxQueued bounds the queued work of one lane.
+	MaxQueued int
+	// MaxQueuedPerAccount bounds the queued work of one account in one lane.
+	MaxQueuedPerAccount int
+	// MaxWait bounds the time in the queue for work of an urgency; a work's own deadline may be
+	// nearer. Patient work that states a deadline is bound by that alone.
+	MaxWait [table.UrgencyCount]time.Duration
+	// TokenTime is the expected run time for each output token until work of the urgency has ended.
+	TokenTime time.Duration
+	// Share is the part of each resource that an urgency is sure of. The sum stays below 1.
+	Share [table.UrgencyCount]float64
+}
+
+func (o Options) withDefaults() Options {
+	o.Horizon = orDefault(o.Horizon, defaultHorizon)
+	o.AccountBurst = orDefault(o.AccountBurst, defaultAccountBurst)
+	o.MaxQueued = orDefault(o.MaxQueued, defaultMaxQueued)
+	o.MaxQueuedPerAccount = orDefault(o.MaxQueuedPerAccount, defaultMaxQueuedPerAccount)
+
+	o.TokenTime = orDefault(o.TokenTime, defaultTokenTime)
+
+	waits := [table.UrgencyCount]time.Duration{
+		table.Urgent:   defaultUrgentWait,
+		table.Ordinary: defaultOrdinaryWait,
+		table.Patient:  defaultPatientWait,
+	}
+	shares := [table.UrgencyCount]float64{
+		table.Urgent:   defaultUrgentShare,
+		table.Ordinary: defaultOrdinaryShare,
+		table.Patient:  defaultPatientShare,
+	}
+
+	for u := range table.UrgencyCount {
+		o.MaxWait[u] = orDefault(o.MaxWait[u], waits[u])
+		o.Share[u] = orDefault(o.Share[u], shares[u])
+	}
+
+	return o
+}
+
+func orDefault[T int | float64 | time.Duration](v, def T) T {
+	if v <= 0 {
+		return def
+	}
+
+	return v
+}
--- /dev/null
+++ b/internal/control/admission/property_test.go
@@ -0,0 +1,195 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/admission"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+// state is what a property test knows of one request.
+type state int
+
+const (
+	queued state = iota
+	running
+	ended
+)
+
+// Each accepted work ends exactly once, by a grant that is done or cancelled or by a refusal;
+// slots and limits hold throughout; nothing is kept at the end.
+func TestEachAcceptedWorkEndsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const openLimit = 5
+
+		c := admission.New(admission.Options{MaxQueued: 40, MaxQueuedPerAccount: 10})
+		slots := 0
+		now := epoch
+		works := map[table.RequestID]state{}
+		owner := map[table.RequestID]table.AccountID{}
+
+		count := func(want state) (n int) {
+			for _, s := range works {
+				if s == want {
+					n++
+				}
+			}
+
+			return n
+		}
+
+		collect := func() {
+			for _, r := range c.Expired(now) {
+				require.Equal(t, queued, works[r.Work.Request])
+				works[r.Work.Request] = ended
+			}
+
+			before := count(running)
+
+			for _, g := range c.Next(now) {
+				require.Equal(t, queued, works[g.Work.Request])
+				works[g.Work.Request] = running
+			}
+
+			if after := count(running); after > before {
+				require.LessOrEqual(t, after, slots)
+			}
+		}
+
+		c.SetAccount("limited", table.Limits{Open: openLimit})
+
+		for i := range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			collect()
+
+			switch rapid.IntRange(0, 6).Draw(t, "action") {
+			case 0, 1, 2:
+				w := admission.Work{
+					Request: table.RequestID(fmt.Sprint(i)),
+					Account: rapid.SampledFrom([]table.AccountID{"a", "b", "limited"}).Draw(t, "account"),
+					Urgency: table.Urgency(rapid.IntRange(0, 2).Draw(t, "urgency")),
+					Prefill: table.Tokens(rapid.IntRange(0, 2000).Draw(t, "prefill")),
+					Decode:  table.Tokens(rapid.IntRange(0, 2000).Draw(t, "decode")),
+					Arrived: now, Deadline: now.Add(time.Duration(rapid.IntRange(-1, 60).Draw(t, "s")) * time.Second),
+				}
+
+				if d := c.Offer(now, w); d.Accepted {
+					works[w.Request] = queued
+					owner[w.Request] = w.Account
+				} else {
+					require.NotEmpty(t, d.Code)
+				}
+			case 3:
+				slots = rapid.IntRange(0, 8).Draw(t, "slots")
+				c.SetCapacity(admission.Capacity{
+					PrefillPerSecond: table.Tokens(rapid.IntRange(0, 3000).Draw(t, "P")),
+					DecodePerSecond:  table.Tokens(rapid.IntRange(0, 3000).Draw(t, "D")),
+					Slots:            slots,
+				})
+			case 4, 5:
+				for id := range works {
+					if id == table.RequestID(fmt.Sprint(i/2)) && works[id] == running {
+						c.Done(now, id, admission.Usage{Decode: 10})
+						works[id] = ended
+					}
+				}
+			case 6:
+				id := table.RequestID(fmt.Sprint(rapid.IntRange(0, i).Draw(t, "cancelled")))
+				c.Cancel(now, id)
+
+				if _, ok := works[id]; ok {
+					works[id] = ended
+				}
+			}
+
+			open := 0
+
+			for id, s := range works {
+				if s != ended && owner[id] == "limited" {
+					open++
+				}
+			}
+
+			require.LessOrEqual(t, open, openLimit)
+			stats := c.Stats()
+			require.Equal(t, count(queued), stats.Queued[0]+stats.Queued[1]+stats.Queued[2])
+			require.Equal(t, count(running), stats.Running[0]+stats.Running[1]+stats.Running[2])
+		}
+
+		now = now.Add(time.Hour)
+		collect()
+		require.Zero(t, count(queued))
+
+		for id, s := range works {
+			if s == running {
+				c.Done(now, id, admission.Usage{})
+			}
+		}
+
+		c.Next(now.Add(time.Minute))
+		require.Equal(t, admission.Stats{Accounts: 1}, c.Stats())
+	})
+}
+
+// BenchmarkTick is one control tick of an entry host under overload with work of 5,600 accounts in
+// the queues: the offers, the grants and the ends of a tick's share of 6,100 requests a second.
+func BenchmarkTick(b *testing.B) {
+	const accounts = 5600
+
+	for _, hosts := range []int{8, 66, 330} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			c := admission.New(admission.Options{})
+			capacity := admission.Capacity{
+				PrefillPerSecond: table.Tokens(3_000_000 / hosts),
+				DecodePerSecond:  table.Tokens(1_200_000 / hosts),
+				Slots:            30_000/hosts + 4,
+			}
+			c.SetCapacity(capacity)
+			ids := make([]table.AccountID, accounts)
+
+			for i := range ids {
+				ids[i] = table.AccountID(fmt.Sprintf("account-%d", i))
+				c.SetAccount(ids[i], table.Limits{Weight: 1})
+			}
+
+			now := epoch
+			n := 0
+			offers := 6100 / 100 * 5 / 4
+			offer := func() {
+				n++
+				w := admission.Work{
+					Request: table.RequestID(fmt.Sprintf("r%d", n)), Account: ids[n%accounts],
+					Urgency: table.Urgency(n % table.UrgencyCount), Prefill: 500, Decode: 200,
+					Arrived: now, Deadline: now.Add(5 * time.Minute),
+				}
+				c.Offer(now, w)
+			}
+
+			for range accounts {
+				offer()
+			}
+
+			b.ReportAllocs()
+			b.ResetTimer()
+
+			for range b.N {
+				now = now.Add(tick)
+
+				for range (offers + hosts - 1) / hosts {
+					offer()
+				}
+
+				c.Expired(now)
+
+				for _, g := range c.Next(now) {
+					c.Done(now, g.Work.Request, admission.Usage{Prefill: 500, Decode: 200})
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/control/admission/room_test.go
@@ -0,0 +1,107 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/admission"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+// Urgent work starts in the tick in which it arrives, whatever other work has taken.
+func TestUrgentRoomIsReserved(t *testing.T) {
+	tests := []struct {
+		name  string
+		n     int
+		other admission.Work
+	}{
+		{"long answers hold the slots", 200, admission.Work{Urgency: table.Ordinary, Prefill: 1, Decode: 1}},
+		{"patient work holds the slots", 200, admission.Work{Urgency: table.Patient, Prefill: 1, Decode: 1}},
+		{"long prompts exceed the rate", 3, admission.Work{Urgency: table.Patient, Prefill: 60_000, Decode: 1}},
+		{"long answers exceed the rate", 3, admission.Work{Urgency: table.Ordinary, Prefill: 1, Decode: 12_000}},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := admission.New(admission.Options{MaxQueuedPerAccount: 1000})
+			c.SetCapacity(host)
+
+			for i := range tt.n {
+				w := tt.other
+				w.Request = table.RequestID(fmt.Sprint(i))
+				w.Arrived, w.Deadline = epoch, epoch.Add(time.Hour)
+				c.Offer(epoch, w)
+			}
+
+			require.NotEmpty(t, c.Next(epoch))
+
+			urgent := urgentCheck("app")
+			urgent.Request = "urgent"
+			urgent.Deadline = epoch.Add(2 * time.Second)
+			require.True(t, c.Offer(epoch, urgent).Accepted)
+			require.Equal(t, []admission.Grant{{Work: withArrival(urgent, epoch)}}, c.Next(epoch))
+		})
+	}
+}
+
+func withArrival(w admission.Work, at time.Time) admission.Work {
+	w.Arrived = at
+
+	return w
+}
+
+// Patient work that its guaranteed share alone would not land goes ahead of an overload of
+// ordinary work in time.
+func TestPatientBacklogIsPromoted(t *testing.T) {
+	f := newFleet(host)
+
+	for range 60 {
+		f.offer(patientReport("survey"), 90*time.Second)
+	}
+
+	f.forEach(120*time.Second, func(due func(float64) int) {
+		for range due(40) {
+			f.offer(ordinaryRewrite("site"), 8*time.Second)
+		}
+	})
+
+	report := f.result("report")
+	t.Logf("patient %s, ordinary %s", report.summary(), f.result("rewrite").summary())
+	require.Equal(t, 60, report.good)
+}
+
+// An account beyond its own limits is refused with the time until it is back under them; others
+// are not.
+func TestAccountLimits(t *testing.T) {
+	tests := []struct {
+		name   string
+		limits table.Limits
+	}{
+		{"open", table.Limits{Open: 4}},
+		{"prefill", table.Limits{PrefillPerSecond: 800}},
+		{"decode", table.Limits{DecodePerSecond: 80}},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(host)
+			f.c.SetAccount("app", tt.limits)
+
+			var refused admission.Decision
+
+			for range 5 {
+				refused = f.offer(urgentCheck("app"), 2*time.Second)
+			}
+
+			require.False(t, refused.Accepted)
+			require.EqualValues(t, "account-limit", refused.Code)
+			require.True(t, f.offer(urgentCheck("other"), 2*time.Second).Accepted)
+
+			f.forEach(refused.RetryAfter+time.Second, func(func(float64) int) {})
+			require.True(t, f.offer(urgentCheck("app"), 2*time.Second).Accepted)
+		})
+	}
+}
