Run traces through routing, roles and admission on virtual time

Change: internal/measure/experiment and internal/command/experiment. Each entry host has its own controller, view and demand. Demand counts prompts net of prefix hits, as learned by account and kind, and averages patient work over 120 s instead of 20 s, as its waves may be worked off later. Propose no longer refuses to restore a role that no engine has: roles_test.go:113: Should be true (TestProposeRestoresAMissingRole, before) Before that a data centre without decode engines left 35 requests hanging in 'no spill' (TestNothingIsLeftHanging: Should be zero, but was 35).

--- /dev/null
+++ b/internal/command/experiment/doc.go
@@ -0,0 +1,2 @@
+// Package experiment is the command "experiment" of dotterelflow.
+package experiment
--- a/internal/control/roles/demand.go
+++ b/internal/control/roles/demand.go
@@ -35,9 +35,17 @@
 
 // DemandOptions describe a Demand. A zero field takes its default.
 type DemandOptions struct {
-	Window time.Duration // time constant of the rates; 20 s by default
-	Kinds  int           // kinds of all accounts whose output is remembered; 16,384 by default
-	Learn  float64       // weight of the newest output in the prediction; 0.05 by default
+	Window  time.Duration // time constant of the rates; 30 s by default
+	Patient time.Duration // the same for patient work, which may wait; 120 s by default
+	Kinds   int           // kinds of all accounts whose output is remembered; 16,384 by default
+	Learn   float64       // weight of the newest output in the prediction; 0.05 by default
+}
+
+// Usage is what a finished request took.
+type Usage struct {
+	Prompt table.Tokens
+	Cached table.Tokens // of the prompt, from a prefix cache
+	Output table.Tokens
 }
 
 // kindKey names a kind of one account.
@@ -46,6 +54,18 @@
 	kind    table.KindName
 }
 
+// habit is what requests of a kind took in the mean.
+type habit struct {
+	output float64 // tokens
+	cached float64 // part of the prompt
+}
+
+// stream is a source of demand that is averaged over a window of its own.
+type stream struct {
+	Source
+	patient bool
+}
+
 // decayed is a sum that decays by the time constant of Demand.
 type decayed struct {
 	at  time.Time
@@ -54,70 +74,95 @@
 
 // Demand estimates what arrives at this entry host. Make it with NewDemand.
 type Demand struct {
-	opt     DemandOptions
-	rates   map[Source]*decayed
-	outputs *lru.Cache[kindKey, float64]
+	opt    DemandOptions
+	rates  map[stream]*decayed
+	habits *lru.Cache[kindKey, habit]
 }
 
 // NewDemand returns a Demand that has seen nothing.
 func NewDemand(opt DemandOptions) *Demand {
-	opt.Window = cmp.Or(opt.Window, 20*time.Second)
+	opt.Window = cmp.Or(opt.Window, 30*time.Second)
+	opt.Patient = cmp.Or(opt.Patient, 120*time.Second)
 	opt.Kinds = cmp.Or(opt.Kinds, 16_384)
 	opt.Learn = cmp.Or(opt.Learn, 0.05)
 
-	outputs, err := lru.New[kindKey, float64](max(1, opt.Kinds))
+	habits, err := lru.New[kindKey, habit](max(1, opt.Kinds))
 	if err != nil {
 		panic(err) // only for a size below 1
 	}
 
-	return &Demand{opt: opt, rates: make(map[Source]*decayed), outputs: outputs}
+	return &Demand{opt: opt, rates: make(map[stream]*decayed), habits: habits}
 }
 
-// Predict returns the output tokens to expect of a request. Until an output of the kind is known
-// it is half of the limit.
-func (d *Demand) Predict(account table.AccountID, kind table.KindName, limit table.Tokens) table.Tokens {
-	mean, ok := d.outputs.Get(kindKey{account, kind})
+// Predict returns the prompt tokens that a request will have to run and the output tokens that it
+// will give. Until a request of the kind has ended, no prefix hit and half of the limit are expected.
+func (d *Demand) Predict(account table.AccountID, kind table.KindName, prompt, limit table.Tokens) (prefill, decode table.Tokens) {
+	h, ok := d.habits.Get(kindKey{account, kind})
 	if !ok {
-		return (limit + 1) / 2
+		return prompt, (limit + 1) / 2
 	}
 
-	return table.Tokens(math.Ceil(mean))
+	return prompt - table.Tokens(h.cached*float64(prompt)), table.Tokens(math.Ceil(h.output))
 }
 
-// Learn notes the output tokens of a finished request.
-func (d *Demand) Learn(account table.AccountID, kind table.KindName, output table.Tokens) {
+// Learn notes what a finished request took.
+func (d *Demand) Learn(account table.AccountID, kind table.KindName, u Usage) {
 	k := kindKey{account, kind}
+	seen := habit{output: float64(u.Output), cached: float64(u.Cached) / float64(max(u.Prompt, 1))}
 
-	mean, ok := d.outputs.Get(k)
+	h, ok := d.habits.Get(k)
 	if !ok {
-		mean = float64(output)
+		h = seen
 	}
 
-	d.outputs.Add(k, mean+d.opt.Learn*(float64(output)-mean))
+	h.output += d.opt.Learn * (seen.output - h.output)
+	h.cached += d.opt.Learn * (seen.cached - h.cached)
+	d.habits.Add(k, h)
 }
 
-// Admit notes a request that was admitted at now.
-func (d *Demand) Admit(now time.Time, s Source, prefill, decode table.Tokens) {
-	x, ok := d.rates[s]
+// Admit notes a request that was admitted at now, with its predicted tokens.
+func (d *Demand) Admit(now time.Time, s Source, u table.Urgency, prefill, decode table.Tokens) {
+	k := stream{Source: s, patient: u == table.Patient}
+
+	x, ok := d.rates[k]
 	if !ok {
 		x = &decayed{at: now}
-		d.rates[s] = x
+		d.rates[k] = x
 	}
 
-	x.sum = x.sum.Scale(d.decay(x.at, now)).Add(Rate{Requests: 1, Prefill: float64(prefill), Decode: float64(decode)})
+	x.sum = x.sum.Scale(decay(now.Sub(x.at), d.window(k)))
+	x.sum = x.sum.Add(Rate{Requests: 1, Prefill: float64(prefill), Decode: float64(decode)})
 	x.at = now
 }
 
-// Rate returns the demand of s at now.
+// Rate returns the demand of s at now. Patient work is averaged over a longer time, as its waves
+// may be worked off later.
 func (d *Demand) Rate(now time.Time, s Source) Rate {
-	x, ok := d.rates[s]
-	if !ok {
-		return Rate{}
+	var sum Rate
+
+	for _, patient := range []bool{false, true} {
+		k := stream{Source: s, patient: patient}
+
+		x, ok := d.rates[k]
+		if !ok {
+			continue
+		}
+
+		window := d.window(k)
+		sum = sum.Add(x.sum.Scale(decay(now.Sub(x.at), window) / window.Seconds()))
+	}
+
+	return sum
+}
+
+func (d *Demand) window(k stream) time.Duration {
+	if k.patient {
+		return d.opt.Patient
 	}
 
-	return x.sum.Scale(d.decay(x.at, now) / d.opt.Window.Seconds())
+	return d.opt.Window
 }
 
-func (d *Demand) decay(from, to time.Time) float64 {
-	return math.Exp(-max(to.Sub(from).Seconds(), 0) / d.opt.Window.Seconds())
+func decay(age, window time.Duration) float64 {
+	return math.Exp(-max(age.Seconds(), 0) / window.Seconds())
 }
--- a/internal/control/roles/propose.go
+++ b/internal/control/roles/propose.go
@@ -189,7 +189,7 @@
 	after := f.have.sub(e, e.Role).add(e, to).plus(f.pending)
 	during := f.have.sub(e, e.Role).plus(f.pending)
 
-	if during.prefill <= 0 || during.decode <= 0 {
+	if during.prefill <= 0 && f.have.prefill > 0 || during.decode <= 0 && f.have.decode > 0 {
 		return 0 // the last engine of its role
 	}
 
--- a/internal/control/routing/ledger.go
+++ b/internal/control/routing/ledger.go
@@ -63,7 +63,7 @@
 	sentDecode  atomic.Int64
 
 	mu      sync.Mutex
-	samples []sample
+	samples []sample // oldest first
 }
 
 // amounts are requests and tokens on a target.
@@ -73,12 +73,12 @@
 
 // sample holds the totals sent by a time.
 type sample struct {
-	at   time.Time
+	at   int64 // nanoseconds since 1970
 	sent amounts
 }
 
-// sampleWindow is how long samples are kept; load reports older than it count as stale.
-const sampleWindow = 10 * time.Second
+// maxSamples bounds the samples kept; a load report older than the oldest counts all that was sent.
+const maxSamples = 32
 
 // Start counts a request that is being sent.
 func (f *Flight) Start(c Cost) {
@@ -109,23 +109,20 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	f.samples = append(f.samples, sample{at: now, sent: f.sent()})
-
-	for len(f.samples) > 1 && now.Sub(f.samples[0].at) > sampleWindow {
-		f.samples = f.samples[1:]
+	if len(f.samples) == maxSamples {
+		copy(f.samples, f.samples[1:])
+		f.samples = f.samples[:maxSamples-1]
 	}
 
-	var base amounts
+	f.samples = append(f.samples, sample{at: now.UnixNano(), sent: f.sent()})
 
-	for _, s := range f.samples {
-		if s.at.After(report) {
-			break
+	for i := len(f.samples) - 1; i >= 0; i-- {
+		if f.samples[i].at <= report.UnixNano() {
+			return f.samples[i].sent
 		}
-
-		base = s.sent
 	}
 
-	return base
+	return amounts{}
 }
 
 // since returns what was sent after base and may still be in flight.
--- a/internal/control/routing/view.go
+++ b/internal/control/routing/view.go
@@ -91,9 +91,10 @@
 // Build makes a View of the targets that may get new work. It keeps nothing of targets.
 func Build(opt Options, targets []Target) *View {
 	opt.Hosts = max(opt.Hosts, 1)
-	opt.StaleAfter = min(cmp.Or(opt.StaleAfter, defaultStaleAfter), sampleWindow)
+	opt.StaleAfter = cmp.Or(opt.StaleAfter, defaultStaleAfter)
 
 	v := &View{
+		entries:  make([]entry, 0, len(targets)),
 		index:    make(map[table.TargetID]int32, len(targets)),
 		groups:   make(map[groupKey]*group),
 		prefixes: opt.Prefixes,
@@ -170,11 +171,12 @@
 		prefillRate: float64(cmp.Or(t.PrefillRate, defaultRate)),
 		decodeRate:  float64(cmp.Or(t.DecodeRate, defaultRate)),
 		slots:       float64(cmp.Or(t.Slots, defaultSlots)),
-		flight:      &Flight{},
 		share:       1,
 	}
 
-	if opt.Ledger != nil {
+	if opt.Ledger == nil {
+		e.flight = &Flight{}
+	} else {
 		e.flight = opt.Ledger.Flight(t.ID)
 	}
 
@@ -203,7 +205,7 @@
 func (v *View) join(k groupKey, dc int, n int32) {
 	g, ok := v.groups[k]
 	if !ok {
-		g = &group{near: make([][]int32, len(v.centres))}
+		g = &group{all: make([]int32, 0, cap(v.entries)), near: make([][]int32, len(v.centres))}
 		v.groups[k] = g
 	}
 
--- /dev/null
+++ b/internal/measure/experiment/result.go
@@ -0,0 +1,296 @@
+package experiment
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/measure/trace"
+)
+
+const (
+	bucket     = 10 * time.Second // step of a timeline
+	histMax    = int64(15 * time.Minute / time.Microsecond)
+	histDigits = 3
+)
+
+// tally counts while a run goes on.
+type tally struct {
+	changes    int
+	away       time.Duration
+	refusals   int
+	bounced    int // refused by a target, as not run
+	mayHaveRun int
+	prefill    []int // engines by bucket
+	decode     []int
+}
+
+// sampleRoles notes the roles once in each bucket.
+func (t *tally) sampleRoles(s *sim) {
+	if int(s.now.Sub(epoch)/bucket) < len(t.prefill) {
+		return
+	}
+
+	prefill, decode := 0, 0
+
+	for _, u := range s.units {
+		switch {
+		case u.Type != table.Engine || u.engine.Changing() || u.Leaving:
+		case u.role == table.Prefill:
+			prefill++
+		default:
+			decode++
+		}
+	}
+
+	t.prefill = append(t.prefill, prefill)
+	t.decode = append(t.decode, decode)
+}
+
+// Count is how many of some requests were answered whole and within their objective.
+type Count struct {
+	Good  int `json:"good"`
+	Total int `json:"total"`
+}
+
+// Share returns the good part of c; of nothing all is good.
+func (c Count) Share() float64 {
+	if c.Total == 0 {
+		return 1
+	}
+
+	return float64(c.Good) / float64(c.Total)
+}
+
+func (c *Count) add(good bool) {
+	c.Total++
+
+	if good {
+		c.Good++
+	}
+}
+
+func (c *Count) merge(d Count) {
+	c.Good += d.Good
+	c.Total += d.Total
+}
+
+// Percentiles summarise durations in milliseconds.
+type Percentiles struct {
+	P50 float64 `json:"p50"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+}
+
+// Point is one step of a timeline.
+type Point struct {
+	At      float64 `json:"at"` // seconds from the start
+	Count   Count   `json:"count"`
+	Prefill int     `json:"prefill-engines"`
+	Decode  int     `json:"decode-engines"`
+	Mix     float64 `json:"mix"` // part of the arriving work that is prefill, in engine-seconds
+}
+
+// Result is what one run, or several of one policy, gave.
+type Result struct {
+	Policy      string                   `json:"policy"`
+	Variant     string                   `json:"variant,omitempty"`
+	Seeds       []int64                  `json:"seeds"`
+	All         Count                    `json:"all"`
+	Urgency     map[string]Count         `json:"urgency"`
+	Kinds       map[table.KindName]Count `json:"kinds"`
+	Phases      map[string]Count         `json:"phases"`
+	Urgent      map[string]Count         `json:"urgent-by-phase"`
+	LostPatient int                      `json:"lost-patient"` // not answered within their deadline
+	MayHaveRun  int                      `json:"may-have-run"`
+	Unfinished  int                      `json:"unfinished"` // still without an end when the run was over
+	Refusals    int                      `json:"refusals"`
+	Bounced     int                      `json:"bounced"`
+	RoleChanges int                      `json:"role-changes"`
+	EngineAway  float64                  `json:"engine-seconds-lost"`
+	FirstToken  Percentiles              `json:"first-token-ms"`    // of urgent and ordinary model work
+	Between     Percentiles              `json:"between-tokens-ms"` // of ordinary model work
+	Timeline    []Point                  `json:"timeline,omitempty"`
+
+	first, between *hdrhistogram.Histogram
+}
+
+func newResult(policy, variant string) *Result {
+	return &Result{
+		Policy:  policy,
+		Variant: variant,
+		Urgency: make(map[string]Count),
+		Kinds:   make(map[table.KindName]Count),
+		Phases:  make(map[string]Count),
+		Urgent:  make(map[string]Count),
+		first:   hdrhistogram.New(1, histMax, histDigits),
+		between: hdrhistogram.New(1, histMax, histDigits),
+	}
+}
+
+// result sums up a run that has ended.
+func (s *sim) result(policy string) *Result {
+	x := newResult(policy, s.variant.name)
+	x.Seeds = []int64{s.trace.Seed}
+	x.RoleChanges = s.tally.changes
+	x.EngineAway = s.tally.away.Seconds()
+	x.Refusals = s.tally.refusals
+	x.Bounced = s.tally.bounced
+	x.MayHaveRun = s.tally.mayHaveRun
+	x.Timeline = s.timeline()
+
+	for _, r := range s.requests {
+		x.add(r, s.phase(r))
+	}
+
+	x.summarise()
+
+	return x
+}
+
+func (s *sim) phase(r *request) string {
+	for _, p := range s.trace.Phases {
+		if r.arrival.At < p.To {
+			return p.Name
+		}
+	}
+
+	return ""
+}
+
+func (x *Result) add(r *request, phase string) {
+	good := r.good()
+	x.All.add(good)
+
+	if r.outcome == pending {
+		x.Unfinished++
+	}
+
+	count(x.Urgency, r.kind.Urgency.String(), good)
+	count(x.Kinds, r.kind.Name, good)
+	count(x.Phases, phase, good)
+
+	if r.kind.Urgency == table.Urgent {
+		count(x.Urgent, phase, good)
+	}
+
+	if r.kind.Urgency == table.Patient && !good {
+		x.LostPatient++
+	}
+
+	if r.pool == services || r.kind.Urgency == table.Patient || r.outcome != answered {
+		return
+	}
+
+	record(x.first, r.first.Sub(r.arrived))
+
+	if r.kind.Urgency == table.Ordinary && r.arrival.Decode > 1 {
+		record(x.between, r.betweenTokens())
+	}
+}
+
+func count[K comparable](m map[K]Count, k K, good bool) {
+	c := m[k]
+	c.add(good)
+	m[k] = c
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(d.Microseconds(), histMax)) // fails above the maximum only
+}
+
+// good reports whether r was answered whole and within its objective.
+func (r *request) good() bool {
+	if r.outcome != answered {
+		return false
+	}
+
+	o := r.kind.Objective
+	within := func(d, bound time.Duration) bool { return bound == 0 || d <= bound }
+
+	return within(r.finished.Sub(r.arrived), cmp.Or(o.Total, r.kind.Deadline)) &&
+		(r.pool == services || within(r.first.Sub(r.arrived), o.FirstToken)) &&
+		within(r.betweenTokens(), o.BetweenTokens)
+}
+
+// betweenTokens returns the mean time between output tokens.
+func (r *request) betweenTokens() time.Duration {
+	n := r.arrival.Decode - 1
+	if n <= 0 || r.pool == services {
+		return 0
+	}
+
+	return r.finished.Sub(r.first) / time.Duration(n)
+}
+
+func (x *Result) summarise() {
+	x.FirstToken = percentiles(x.first)
+	x.Between = percentiles(x.between)
+}
+
+func percentiles(h *hdrhistogram.Histogram) Percentiles {
+	ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+
+	return Percentiles{P50: ms(50), P95: ms(95), P99: ms(99)}
+}
+
+// merge adds the figures of another run of the same policy. The timeline stays that of the first.
+func (x *Result) merge(y *Result) {
+	x.Seeds = append(x.Seeds, y.Seeds...)
+	x.All.merge(y.All)
+	mergeCounts(x.Urgency, y.Urgency)
+	mergeCounts(x.Kinds, y.Kinds)
+	mergeCounts(x.Phases, y.Phases)
+	mergeCounts(x.Urgent, y.Urgent)
+	x.LostPatient += y.LostPatient
+	x.MayHaveRun += y.MayHaveRun
+	x.Unfinished += y.Unfinished
+	x.Refusals += y.Refusals
+	x.Bounced += y.Bounced
+	x.RoleChanges += y.RoleChanges
+	x.EngineAway += y.EngineAway
+	x.first.Merge(y.first)
+	x.between.Merge(y.between)
+	x.summarise()
+}
+
+func mergeCounts[K comparable](to, from map[K]Count) {
+	for k, c := range from {
+		sum := to[k]
+		sum.merge(c)
+		to[k] = sum
+	}
+}
+
+// timeline returns the run by buckets of arrival.
+func (s *sim) timeline() []Point {
+	points := make([]Point, int(s.trace.Length/bucket)+1)
+	work := make([]struct{ prefill, decode float64 }, len(points))
+
+	for _, r := range s.requests {
+		i := int(r.arrival.At / bucket)
+		points[i].Count.add(r.good())
+
+		if r.pool == engines {
+			work[i].prefill += float64(r.arrival.Prefill) / float64(trace.PrefillRate)
+			work[i].decode += float64(r.arrival.Decode) / float64(trace.DecodeRate)
+		}
+	}
+
+	for i := range points {
+		p := &points[i]
+		p.At = (time.Duration(i) * bucket).Seconds()
+
+		if sum := work[i].prefill + work[i].decode; sum > 0 {
+			p.Mix = work[i].prefill / sum
+		}
+
+		if i < len(s.tally.prefill) {
+			p.Prefill, p.Decode = s.tally.prefill[i], s.tally.decode[i]
+		}
+	}
+
+	return points
+}
