--- a/internal/measure/experiment/sim.go
+++ b/internal/measure/experiment/sim.go
@@ -14,7 +14,7 @@
 
 const (
 	hostEvery  = time.Second            // tick of each entry host
-	rolesEvery = time.Second            // tick of each authority
+	rolesEvery = 2 * time.Second        // tick of each authority
 	tail       = 11 * time.Minute       // after the last arrival, for what is still in flight
 	retryEvery = 100 * time.Millisecond // between attempts while no target is usable
 
@@ -177,7 +177,7 @@
 		next:   never,
 		engine: batch.New(s.now, batch.Options{
 			Target: t.ID, Role: role, PrefillRate: t.PrefillRate, DecodeRate: t.DecodeRate, StreamRate: stream,
-			Slots: t.Slots, CacheGap: 0.1, CacheTokens: 20_000, Seed: int64(len(s.units)) + s.trace.Seed,
+			Slots: t.Slots, CacheGap: 0.1, ReportEvery: time.Second, CacheTokens: 20_000, Seed: int64(len(s.units)) + s.trace.Seed,
 		}),
 	})
 }
