Write the request path: engine, service and caller wires, answers and dispatch

Change: stand-in engine and service, the wires to them, the callers' API, the answer buffer that many readers follow, and the runner that resumes or tries again as the verdict allows.

--- /dev/null
+++ b/internal/control/table/request.go
@@ -0,0 +1,27 @@
+package table
+
+import "time"
+
+// Request is one caller's request as admitted to an entry host. It does not change once built.
+type Request struct {
+	ID          RequestID
+	Account     AccountID
+	Kind        Kind
+	Key         string // idempotency key; empty for none
+	Path        string
+	ContentType string
+	Body        []byte
+	Prefill     Tokens // estimate of the prompt
+	Decode      Tokens // bound or estimate of the output
+	Prefix      uint64 // hash of the prompt's first part; zero for none
+	Fingerprint string // hash of account, kind and body
+	Arrived     time.Time
+	Deadline    time.Time
+
+	// Forwarded is set on a request that came from a peer; it is not forwarded again.
+	Forwarded bool
+	// Pinned names the only target that may serve the request; empty for any.
+	Pinned TargetID
+	// Resume is set when Pinned may already be running the request.
+	Resume bool
+}
--- /dev/null
+++ b/internal/entry/dispatch/runner.go
@@ -0,0 +1,309 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/phuslu/log"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
+	"github.com/dotterelflow/dotterelflow/internal/wire/engine"
+	"github.com/dotterelflow/dotterelflow/internal/wire/service"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+const (
+	maxTries     = 3
+	maxResumes   = 4
+	resumePause  = 100 * time.Millisecond
+	cancelBound  = time.Second
+	noTargetWait = 2 * time.Second
+)
+
+// Engines runs requests on model engines.
+type Engines interface {
+	Stream(ctx context.Context, t table.Target, req engine.Request, emit func(engine.Event) error) error
+	Cancel(ctx context.Context, t table.Target, id table.RequestID) error
+}
+
+// Services runs requests on plain services.
+type Services interface {
+	Call(ctx context.Context, t table.Target, req service.Request) (service.Answer, error)
+}
+
+// Peers runs requests in other data centres.
+type Peers interface {
+	Forward(ctx context.Context, dc table.DataCentre, t table.TargetID, req table.Request, ans *answers.Answer) error
+}
+
+// Router picks targets. Begin and End bracket the use of one.
+type Router interface {
+	Pick(req table.Request, tried []table.TargetID) (table.Target, bool)
+	Begin(t table.TargetID, req table.Request)
+	End(t table.TargetID, req table.Request, err error)
+}
+
+// Retries decides whether a failed request may be tried again.
+type Retries interface {
+	Allow(req table.Request, failed error) bool
+}
+
+// Observer learns of each failed attempt, for example to find requests that crash targets.
+type Observer interface {
+	TargetLost(req table.Request, t table.TargetID)
+}
+
+// Options are the parts that a Runner works with. Engines, Services and Router are required.
+type Options struct {
+	Clock      clockwork.Clock // nil means the real clock
+	Home       table.DataCentre
+	Engines    Engines
+	Services   Services
+	Peers      Peers    // nil means that no request is forwarded
+	Retries    Retries  // nil allows each retry that the verdict allows
+	Observer   Observer // nil means that nobody is told
+	Router     Router
+	Log        *log.Logger // nil means the default logger
+	TrySameFor int         // resumes of one stream; zero means 4
+}
+
+// Runner runs requests. It is safe for concurrent use.
+type Runner struct {
+	opts Options
+}
+
+// New returns a Runner.
+func New(opts Options) *Runner {
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
+
+	if opts.Log == nil {
+		opts.Log = &log.DefaultLogger
+	}
+
+	if opts.TrySameFor == 0 {
+		opts.TrySameFor = maxResumes
+	}
+
+	return &Runner{opts: opts}
+}
+
+// Run runs req, collects its answer in ans and finishes ans.
+//
+// The problem of ans is NotRun only if no attempt can have run. Run returns when ans is final;
+// it ends early when ctx does, and then cancels the work on the engine.
+func (r *Runner) Run(ctx context.Context, req table.Request, ans *answers.Answer) {
+	ctx, cancel := clockwork.WithDeadline(ctx, r.opts.Clock, req.Deadline)
+	defer cancel()
+
+	ans.Finish(r.run(ctx, req, ans))
+}
+
+func (r *Runner) run(ctx context.Context, req table.Request, ans *answers.Answer) *verdict.Error {
+	var (
+		tried  []table.TargetID
+		worst  = verdict.NotRun
+		latest *verdict.Error
+	)
+
+	for range maxTries {
+		t, ok := r.opts.Router.Pick(req, tried)
+		if !ok {
+			return final(worst, latest, noTarget(req))
+		}
+
+		tried = append(tried, t.ID)
+		err := r.attempt(ctx, req, t, ans)
+
+		if err == nil {
+			return nil
+		}
+
+		latest = verdict.From(err)
+		r.opts.Log.Warn().Str("request", string(req.ID)).Str("target", string(t.ID)).
+			Str("verdict", latest.Verdict.String()).Err(err).Msg("attempt failed")
+
+		if latest.Verdict != verdict.NotRun {
+			worst = verdict.MayHaveRun
+			r.lost(req, t, latest)
+		}
+
+		if ctx.Err() != nil {
+			return final(worst, nil, ended(ctx))
+		}
+
+		if latest.Code == verdict.CodeBadRequest || latest.Verdict == verdict.Ran {
+			return latest
+		}
+
+		if !r.mayRetry(req, latest, ans) {
+			break
+		}
+	}
+
+	return final(worst, latest, noTarget(req))
+}
+
+// mayRetry reports whether req may go to another target after err.
+func (r *Runner) mayRetry(req table.Request, err *verdict.Error, ans *answers.Answer) bool {
+	if err.Verdict != verdict.NotRun && req.Kind.AtMostOnce {
+		return false
+	}
+
+	// What a reader has seen cannot be taken back, and another engine would generate other words.
+	if !ans.Restart() {
+		return false
+	}
+
+	return r.opts.Retries == nil || r.opts.Retries.Allow(req, err)
+}
+
+func (r *Runner) lost(req table.Request, t table.Target, err *verdict.Error) {
+	if r.opts.Observer != nil && err.Code == verdict.CodeTargetLost {
+		r.opts.Observer.TargetLost(req, t.ID)
+	}
+}
+
+func (r *Runner) attempt(ctx context.Context, req table.Request, t table.Target, ans *answers.Answer) error {
+	r.opts.Router.Begin(t.ID, req)
+
+	err := r.use(ctx, req, t, ans)
+
+	r.opts.Router.End(t.ID, req, err)
+
+	return err
+}
+
+func (r *Runner) use(ctx context.Context, req table.Request, t table.Target, ans *answers.Answer) error {
+	if t.DataCentre != r.opts.Home && r.opts.Peers != nil {
+		return r.opts.Peers.Forward(ctx, t.DataCentre, t.ID, req, ans)
+	}
+
+	ans.SetMeta(answers.Meta{Target: t.ID})
+
+	if t.Type == table.Service {
+		return r.call(ctx, req, t, ans)
+	}
+
+	return r.stream(ctx, req, t, ans)
+}
+
+func (r *Runner) call(ctx context.Context, req table.Request, t table.Target, ans *answers.Answer) error {
+	answer, err := r.opts.Services.Call(ctx, t, service.Request{
+		ID: req.ID, Key: req.Key, Path: req.Path, ContentType: req.ContentType, Body: req.Body,
+	})
+	if err != nil {
+		return err
+	}
+
+	ans.SetMeta(answers.Meta{Status: answer.Status, ContentType: answer.ContentType, Target: t.ID})
+	ans.Append(answer.Body)
+
+	return nil
+}
+
+// stream runs req on the engine t and resumes it there when the stream breaks off.
+func (r *Runner) stream(ctx context.Context, req table.Request, t table.Target, ans *answers.Answer) error {
+	call := engine.Request{ID: req.ID, Path: req.Path, Body: req.Body, Urgency: req.Kind.Urgency, Resume: req.Resume}
+
+	var first error
+
+	for range r.opts.TrySameFor {
+		call.ResumeFrom = ans.Next()
+
+		err := r.opts.Engines.Stream(ctx, t, call, func(ev engine.Event) error {
+			ans.Append(ev.Data)
+
+			return nil
+		})
+		if err == nil {
+			return nil
+		}
+
+		if first == nil {
+			first = err
+		}
+
+		if ctx.Err() != nil {
+			r.cancel(t, req.ID)
+
+			return first
+		}
+
+		if verdict.Of(err) == verdict.NotRun && !call.Resume {
+			return err
+		}
+
+		if forgotten(err) {
+			break
+		}
+
+		call.Resume = true
+
+		if !r.pause(ctx) {
+			break
+		}
+	}
+
+	return verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "%s lost the request", t.ID).Because(first)
+}
+
+// forgotten reports whether the engine answered that it does not know the request.
+func forgotten(err error) bool {
+	var e *verdict.Error
+
+	return errors.As(err, &e) && e.Code == verdict.CodeNotFound
+}
+
+func (r *Runner) pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-r.opts.Clock.After(resumePause):
+		return true
+	}
+}
+
+// cancel stops the work on an engine after the caller has gone or the deadline has passed.
+func (r *Runner) cancel(t table.Target, id table.RequestID) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelBound)
+	defer cancel()
+
+	if err := r.opts.Engines.Cancel(ctx, t, id); err != nil {
+		r.opts.Log.Debug().Str("request", string(id)).Str("target", string(t.ID)).Err(err).Msg("cancel failed")
+	}
+}
+
+func noTarget(req table.Request) *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.CodeNoTarget, "no target can take kind %q now", req.Kind.Name).After(noTargetWait)
+}
+
+func ended(ctx context.Context) *verdict.Error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return verdict.New(verdict.NotRun, verdict.CodeDeadline, "the deadline has passed")
+	}
+
+	return verdict.New(verdict.NotRun, verdict.CodeStopping, "the request was cancelled").Because(context.Cause(ctx))
+}
+
+// final returns latest, or otherwise fallback, with a verdict no milder than worst.
+func final(worst verdict.Verdict, latest, fallback *verdict.Error) *verdict.Error {
+	if latest == nil {
+		latest = fallback
+	}
+
+	e := *latest
+	if worst != verdict.NotRun {
+		e.Verdict = worst
+	}
+
+	if e.RetryAfter == 0 && e.Verdict == verdict.NotRun {
+		e.RetryAfter = noTargetWait
+	}
+
+	return &e
+}
--- /dev/null
+++ b/internal/standin/service/server.go
@@ -0,0 +1,112 @@
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const maxBodyBytes = 1 << 20
+
+// Faults are the switches of a Server. The zero value means that all is well.
+type Faults struct {
+	Refuse     bool          `json:"refuse,omitempty"`      // answers 503 with the verdict not-run
+	LoseAnswer bool          `json:"lose-answer,omitempty"` // runs the request, then cuts the connection
+	Delay      time.Duration `json:"delay,omitempty"`
+}
+
+// Server is the stand-in service. The zero value works; it is safe for concurrent use.
+type Server struct {
+	mu         sync.Mutex
+	faults     Faults
+	executions map[string]int
+}
+
+// SetFaults replaces the fault switches.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.faults = f
+}
+
+// Executions returns how often each key was executed.
+func (s *Server) Executions() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	counts := make(map[string]int, len(s.executions))
+	for key, n := range s.executions {
+		counts[key] = n
+	}
+
+	return counts
+}
+
+// ServeHTTP runs a request, or answers GET /executions and PUT /faults.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.Method == http.MethodGet && r.URL.Path == "/executions":
+		writeJSON(w, s.Executions())
+	case r.Method == http.MethodPut && r.URL.Path == "/faults":
+		var f Faults
+		if json.NewDecoder(r.Body).Decode(&f) == nil {
+			s.SetFaults(f)
+		}
+	default:
+		s.execute(w, r)
+	}
+}
+
+func (s *Server) execute(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+
+		return
+	}
+
+	key := r.Header.Get("X-Request-Key")
+
+	s.mu.Lock()
+	f := s.faults
+	n := s.count(key, f)
+	s.mu.Unlock()
+
+	if f.Refuse {
+		w.Header().Set("X-Verdict", "not-run")
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+
+		return
+	}
+
+	time.Sleep(f.Delay)
+
+	if f.LoseAnswer {
+		panic(http.ErrAbortHandler)
+	}
+
+	writeJSON(w, map[string]any{"path": r.URL.Path, "key": key, "execution": n, "received": string(body)})
+}
+
+// count notes one execution of key; the caller holds mu.
+func (s *Server) count(key string, f Faults) int {
+	if f.Refuse {
+		return 0
+	}
+
+	if s.executions == nil {
+		s.executions = map[string]int{}
+	}
+
+	s.executions[key]++
+
+	return s.executions[key]
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/wire/caller/problem.go
@@ -0,0 +1,69 @@
+package caller
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+// Problem is the body of a failed call, as application/problem+json (RFC 9457) with the members
+// verdict, code and request-id.
+type Problem struct {
+	Type      string          `json:"type"`
+	Title     string          `json:"title"`
+	Status    int             `json:"status"`
+	Detail    string          `json:"detail"`
+	Verdict   verdict.Verdict `json:"verdict"`
+	Code      verdict.Code    `json:"code"`
+	RequestID string          `json:"request-id,omitempty"`
+}
+
+var statuses = map[verdict.Code]int{
+	verdict.CodeBadRequest:   http.StatusBadRequest,
+	verdict.CodeUnauthorized: http.StatusUnauthorized,
+	verdict.CodeNotFound:     http.StatusNotFound,
+	verdict.CodeTooLarge:     http.StatusRequestEntityTooLarge,
+	verdict.CodeKeyRequired:  http.StatusBadRequest,
+	verdict.CodeKeyReused:    http.StatusUnprocessableEntity,
+	verdict.CodeKeyExpired:   http.StatusUnprocessableEntity,
+	verdict.CodeLimit:        http.StatusTooManyRequests,
+	verdict.CodeQuarantined:  http.StatusUnprocessableEntity,
+	verdict.CodeDeadline:     http.StatusGatewayTimeout,
+	verdict.CodeTargetLost:   http.StatusBadGateway,
+	verdict.CodeTruncated:    http.StatusBadGateway,
+	verdict.CodeInternal:     http.StatusInternalServerError,
+}
+
+func newProblem(e *verdict.Error, requestID string) Problem {
+	status, ok := statuses[e.Code]
+	if !ok {
+		status = http.StatusServiceUnavailable
+	}
+
+	return Problem{
+		Type: "about:blank", Title: http.StatusText(status), Status: status,
+		Detail: e.Message, Verdict: e.Verdict, Code: e.Code, RequestID: requestID,
+	}
+}
+
+// writeProblem answers with e. Retry-After is in whole seconds, rounded up.
+func writeProblem(w http.ResponseWriter, e *verdict.Error, requestID string) {
+	p := newProblem(e, requestID)
+
+	w.Header().Set("Content-Type", "application/problem+json")
+
+	if e.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(retrySeconds(e.RetryAfter)))
+	}
+
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+func retrySeconds(d time.Duration) int {
+	return int(math.Ceil(d.Seconds()))
+}
