Read operators' documents and render them to the configuration

Operators need templates with checked parameters, and nothing read them.

Weighed: decoding straight to typed structs (a template's placeholder has no type to decode to); text templates over YAML (a value can change the structure, and lines are lost); a scalar that keeps its text and line and is parsed when an account is rendered. The last one was taken: each refusal names file, line and reason, and the same parser checks literals and parameters.

--- /dev/null
+++ b/internal/control/document/load.go
@@ -0,0 +1,73 @@
+package document
+
+import (
+	"os"
+
+	"github.com/dotterelflow/dotterelflow/internal/site/yamlfile"
+)
+
+// Load reads the files at paths into one Document and checks that it renders.
+// It fails with a *yamlfile.InvalidError for a refused file.
+func Load(paths ...string) (Document, error) {
+	var d Document
+
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return Document{}, Error.Wrap(err)
+		}
+
+		part, err := Parse(path, data)
+		if err != nil {
+			return Document{}, err
+		}
+
+		if err := d.add(part); err != nil {
+			return Document{}, err
+		}
+	}
+
+	_, err := d.Config()
+
+	return d, err
+}
+
+// Parse reads one file of the given name. References to other files are not checked; see
+// Document.Config.
+func Parse(name string, data []byte) (Document, error) {
+	var d Document
+
+	if err := yamlfile.Decode(name, data, &d); err != nil {
+		return Document{}, err
+	}
+
+	for i := range d.Templates {
+		d.Templates[i].file = name
+	}
+
+	for i := range d.Accounts {
+		d.Accounts[i].file = name
+	}
+
+	for i := range d.Targets {
+		d.Targets[i].file = name
+	}
+
+	return d, nil
+}
+
+func (d *Document) add(part Document) error {
+	if part.Deployment != nil {
+		if d.Deployment != nil {
+			return Error.New("two files state a deployment; keep one of them")
+		}
+
+		d.Deployment = part.Deployment
+	}
+
+	d.Templates = append(d.Templates, part.Templates...)
+	d.Accounts = append(d.Accounts, part.Accounts...)
+	d.Targets = append(d.Targets, part.Targets...)
+
+	return nil
+}
--- /dev/null
+++ b/internal/control/document/parameter.go
@@ -0,0 +1,112 @@
+package document
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/dotterelflow/dotterelflow/internal/site/yamlfile"
+)
+
+// check returns what is wrong with value as a value of p, or nil.
+func (p Parameter) check(value string) error {
+	switch p.Type {
+	case Duration:
+		return within(value, p, parseDuration)
+	case Integer:
+		return within(value, p, parseInteger)
+	case Share:
+		return within(value, p, parseShare)
+	case Choice:
+		if !slices.Contains(p.Choices, value) {
+			return Error.New("%q is not one of %s", value, strings.Join(p.Choices, ", "))
+		}
+
+		return nil
+	default:
+		_, err := parseText(value)
+
+		return err
+	}
+}
+
+// within checks that value parses and keeps the bounds of p, which parse.
+func within[T cmp.Ordered](value string, p Parameter, parse func(string) (T, error)) error {
+	v, err := parse(value)
+	if err != nil {
+		return err
+	}
+
+	if p.Min != nil {
+		if low, _ := parse(p.Min.text); v < low {
+			return Error.New("%q is less than the least value %s", value, p.Min)
+		}
+	}
+
+	if p.Max != nil {
+		if high, _ := parse(p.Max.text); v > high {
+			return Error.New("%q is more than the greatest value %s", value, p.Max)
+		}
+	}
+
+	return nil
+}
+
+// checkParameters checks the declarations of t.
+func (r *renderer) checkParameters(t Template) {
+	seen := map[string]bool{}
+
+	for _, p := range t.Parameters {
+		at := func(format string, args ...any) {
+			r.refuse(t.file, p.Name.line, "parameter "+p.Name.text+": "+format, args...)
+		}
+
+		if !yamlfile.IsName(p.Name.text) {
+			at("the name must be lower-case letters, digits, dots or hyphens")
+		}
+
+		if seen[p.Name.text] {
+			at("stated twice")
+		}
+
+		seen[p.Name.text] = true
+
+		if (p.Type == Choice) != (len(p.Choices) > 0) {
+			at("choices go with the type choice and only with it")
+		}
+
+		r.checkBounds(t, p)
+
+		if p.Default == nil {
+			continue
+		}
+
+		if err := p.check(p.Default.text); err != nil {
+			r.refuse(t.file, p.Default.line, "parameter %s: default: %s", p.Name, reason(err))
+		}
+	}
+}
+
+func (r *renderer) checkBounds(t Template, p Parameter) {
+	for _, bound := range []*Text{p.Min, p.Max} {
+		if bound == nil {
+			continue
+		}
+
+		if p.Type == Choice || p.Type == FreeText {
+			r.refuse(t.file, bound.line, "parameter %s: min and max go with duration, integer and share", p.Name)
+
+			continue
+		}
+
+		free := Parameter{Type: p.Type}
+		if err := free.check(bound.text); err != nil {
+			r.refuse(t.file, bound.line, "parameter %s: bound: %s", p.Name, reason(err))
+		}
+	}
+}
+
+// reason returns the text of err without its class.
+func reason(err error) string {
+	return strings.TrimPrefix(err.Error(), "document: ")
+}
--- /dev/null
+++ b/internal/control/document/render.go
@@ -0,0 +1,221 @@
+package document
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/site/yamlfile"
+)
+
+const maxProblems = 20
+
+// renderer collects what is wrong while it renders.
+type renderer struct {
+	problems  []yamlfile.Problem
+	templates map[string]Template
+}
+
+// Config renders d to the configuration that it states, with generation zero. It fails with a
+// *yamlfile.InvalidError that lists up to 20 problems.
+func (d Document) Config() (table.Config, error) {
+	r := &renderer{templates: map[string]Template{}}
+
+	for _, t := range d.Templates {
+		r.template(t)
+	}
+
+	cfg := table.Config{Accounts: make([]table.Account, 0, len(d.Accounts)), Targets: make([]table.Target, 0, len(d.Targets))}
+
+	if d.Deployment != nil {
+		cfg.Weights = table.Weights(d.Deployment.Weights)
+	}
+
+	accounts, keys := map[string]bool{}, map[string]bool{}
+
+	for _, a := range d.Accounts {
+		if accounts[a.ID.text] {
+			r.refuse(a.file, a.ID.line, "account %s is stated twice", a.ID)
+		}
+
+		accounts[a.ID.text] = true
+		cfg.Accounts = append(cfg.Accounts, r.account(a, keys))
+	}
+
+	targets, addresses := map[string]bool{}, map[string]bool{}
+
+	for _, t := range d.Targets {
+		r.unique(targets, t, t.ID, "id")
+		r.unique(addresses, t, t.Address, "address")
+		cfg.Targets = append(cfg.Targets, r.target(t))
+	}
+
+	if len(r.problems) > 0 {
+		return table.Config{}, &yamlfile.InvalidError{Problems: r.problems}
+	}
+
+	return cfg, nil
+}
+
+func (r *renderer) refuse(file string, line int, format string, args ...any) {
+	if len(r.problems) < maxProblems {
+		r.problems = append(r.problems, yamlfile.Problem{File: file, Line: line, Reason: fmt.Sprintf(format, args...)})
+	}
+}
+
+func (r *renderer) unique(seen map[string]bool, t Target, value Text, what string) {
+	if seen[value.text] {
+		r.refuse(t.file, value.line, "target %s: another target has the %s %s", t.ID, what, value)
+	}
+
+	seen[value.text] = true
+}
+
+// template checks t with a sample account, so that a template without accounts is checked too.
+func (r *renderer) template(t Template) {
+	if !yamlfile.IsName(t.Name.text) {
+		r.refuse(t.file, t.Name.line, "template %q: the name must be lower-case letters, digits, dots or hyphens", t.Name)
+	}
+
+	if _, ok := r.templates[t.Name.text]; ok {
+		r.refuse(t.file, t.Name.line, "template %s is stated twice", t.Name)
+	}
+
+	r.templates[t.Name.text] = t
+	r.checkParameters(t)
+	r.checkKinds(t)
+}
+
+func (r *renderer) checkKinds(t Template) {
+	seen := map[string]bool{}
+	known := map[string]bool{}
+
+	for _, p := range t.Parameters {
+		known[p.Name.text] = true
+	}
+
+	for _, k := range t.Kinds {
+		if !yamlfile.IsName(k.Name.text) {
+			r.refuse(t.file, k.Name.line, "kind %q: the name must be lower-case letters, digits, dots or hyphens", k.Name)
+		}
+
+		if seen[k.Name.text] {
+			r.refuse(t.file, k.Name.line, "kind %s is stated twice", k.Name)
+		}
+
+		seen[k.Name.text] = true
+
+		if (k.Model == nil) == (k.Service == nil) {
+			r.refuse(t.file, k.Name.line, "kind %s: state either a model or a service", k.Name)
+		}
+	}
+
+	s := &scope{r: r, file: t.file, where: "template " + t.Name.text, known: known}
+	s.build(t)
+}
+
+func (r *renderer) account(a Account, keys map[string]bool) table.Account {
+	if !yamlfile.IsName(a.ID.text) {
+		r.refuse(a.file, a.ID.line, "account %q: the id must be lower-case letters, digits, dots or hyphens", a.ID)
+	}
+
+	out := table.Account{ID: table.AccountID(a.ID.text)}
+
+	if len(a.KeyHashes) == 0 {
+		r.refuse(a.file, a.ID.line, "account %s: key-hashes is missing", a.ID)
+	}
+
+	for _, hash := range a.KeyHashes {
+		if !yamlfile.IsKeyHash(hash.text) {
+			r.refuse(a.file, hash.line, "account %s: a key hash must be the hex SHA-256 of a key: 64 lower-case hex digits", a.ID)
+		}
+
+		if keys[hash.text] {
+			r.refuse(a.file, hash.line, "account %s: the key hash is in use already", a.ID)
+		}
+
+		keys[hash.text] = true
+		out.KeyHashes = append(out.KeyHashes, hash.text)
+	}
+
+	t, ok := r.templates[a.Template.text]
+	if !ok {
+		r.refuse(a.file, a.Template.line, "account %s: there is no template %q; there are %s",
+			a.ID, a.Template, strings.Join(slices.Sorted(maps.Keys(r.templates)), ", "))
+
+		return out
+	}
+
+	s := &scope{r: r, file: t.file, where: "account " + a.ID.text, values: r.values(a, t)}
+	out.Kinds, out.Limits = s.build(t)
+
+	return out
+}
+
+// values returns the checked parameters of a, defaults included.
+func (r *renderer) values(a Account, t Template) map[string]Text {
+	values := map[string]Text{}
+
+	for _, p := range t.Parameters {
+		value, given := a.Parameters[p.Name.text]
+
+		switch {
+		case given:
+			if err := p.check(value.text); err != nil {
+				r.refuse(a.file, value.line, "account %s: parameter %s: %s", a.ID, p.Name, reason(err))
+			}
+
+			values[p.Name.text] = value
+		case p.Default != nil:
+			values[p.Name.text] = *p.Default
+		default:
+			r.refuse(a.file, a.ID.line, "account %s: parameter %s (%s) is missing", a.ID, p.Name, p.Type)
+		}
+	}
+
+	for _, name := range slices.Sorted(maps.Keys(a.Parameters)) {
+		if _, ok := values[name]; !ok {
+			r.refuse(a.file, a.Parameters[name].line, "account %s: template %s has no parameter %q", a.ID, t.Name, name)
+		}
+	}
+
+	return values
+}
+
+func (r *renderer) target(t Target) table.Target {
+	if !yamlfile.IsName(t.ID.text) {
+		r.refuse(t.file, t.ID.line, "target %q: the id must be lower-case letters, digits, dots or hyphens", t.ID)
+	}
+
+	if !yamlfile.IsAddress(t.Address.text) {
+		r.refuse(t.file, t.Address.line,
+			"target %s: address %q must be an IP number and a port, for example 127.0.0.1:9001; a host name is not taken", t.ID, t.Address)
+	}
+
+	out := table.Target{
+		ID:            table.TargetID(t.ID.text),
+		DataCentre:    table.DataCentre(t.DataCentre),
+		Address:       t.Address.text,
+		Model:         table.Model(t.Model),
+		Service:       table.ServiceName(t.Service),
+		ChecksFencing: t.ChecksFencing,
+		Slots:         t.Slots,
+		PrefillRate:   table.Tokens(t.PrefillRate),
+		DecodeRate:    table.Tokens(t.DecodeRate),
+		Leaving:       t.Leaving,
+	}
+
+	if t.Type == "service" {
+		out.Type = table.Service
+	}
+
+	if t.Role != "" {
+		if err := out.Role.UnmarshalText([]byte(t.Role)); err != nil {
+			r.refuse(t.file, t.ID.line, "target %s: %v", t.ID, err)
+		}
+	}
+
+	return out
+}
--- /dev/null
+++ b/internal/control/document/text.go
@@ -0,0 +1,68 @@
+package document
+
+import (
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+
+	"github.com/dotterelflow/dotterelflow/internal/site/yamlfile"
+)
+
+// placeholder starts a value of a template that a parameter replaces.
+const placeholder = "$"
+
+// Text is a scalar of a document as it was written, with its line where it was read from YAML.
+type Text struct {
+	text string
+	line int
+}
+
+// NewText returns a Text without a line.
+func NewText(s string) Text {
+	return Text{text: s}
+}
+
+// String returns the value as written.
+func (t Text) String() string {
+	return t.text
+}
+
+// MarshalText encodes t as it was written.
+func (t Text) MarshalText() ([]byte, error) {
+	return []byte(t.text), nil
+}
+
+// UnmarshalText takes any text.
+func (t *Text) UnmarshalText(text []byte) error {
+	*t = Text{text: string(text)}
+
+	return nil
+}
+
+// UnmarshalYAML takes a scalar and remembers its line.
+func (t *Text) UnmarshalYAML(node ast.Node) error {
+	if tag, ok := node.(*ast.MappingValueNode); ok {
+		node = tag.Value
+	}
+
+	line := node.GetToken().Position.Line
+
+	scalar, ok := node.(ast.ScalarNode)
+	if !ok {
+		return yamlfile.Refuse("", line, "want a single value here")
+	}
+
+	if literal, ok := node.(*ast.LiteralNode); ok {
+		*t = Text{text: strings.TrimSpace(literal.Value.Value), line: line}
+
+		return nil
+	}
+
+	*t = Text{text: scalar.GetToken().Value, line: line}
+
+	return nil
+}
+
+func (t Text) parameter() (name string, ok bool) {
+	return strings.CutPrefix(t.text, placeholder)
+}
