--- a/cmd/dotterelflow/main.go
+++ b/cmd/dotterelflow/main.go
@@ -1,4 +1,28 @@
 // Command dotterelflow is the entry host, its operator tools and its load and measurement tools.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/dotterelflow/dotterelflow/internal/command/demo"
+)
+
+func main() {
+	app := &cli.Command{
+		Name:                  "dotterelflow",
+		Usage:                 "serve model and application requests on a fixed fleet",
+		EnableShellCompletion: true,
+		Commands: []*cli.Command{
+			demo.Command(),
+		},
+	}
+
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "dotterelflow:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/command/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin holds the commands that run stand-ins as processes.
+package standin
--- /dev/null
+++ b/internal/entry/routes/router.go
@@ -0,0 +1,215 @@
+package routes
+
+import (
+	"errors"
+	"math/rand"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/routing"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+const (
+	pickTries   = 4
+	downFor     = 2 * time.Second // a target that could not be reached gets no work for this long
+	ledgerEvery = 64              // refreshes between clean-ups of the ledger
+)
+
+// Options are the parts that a Router works with. The zero value of all but Home works.
+type Options struct {
+	Clock clockwork.Clock // nil means the real clock
+	Home  table.DataCentre
+	Seed  int64
+}
+
+// Router picks targets for requests. Refresh belongs to the control goroutine; the other methods
+// are safe for concurrent use.
+type Router struct {
+	opts     Options
+	ledger   *routing.Ledger
+	prefixes *routing.Prefixes
+	view     atomic.Pointer[routing.View]
+	snapshot atomic.Pointer[table.Snapshot]
+	rngs     sync.Pool
+	seeds    atomic.Int64
+	rounds   int
+
+	mu   sync.Mutex
+	down map[table.TargetID]time.Time // no new work until then
+}
+
+// New returns a Router without targets.
+func New(opts Options) *Router {
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
+
+	r := &Router{
+		opts: opts, ledger: routing.NewLedger(), prefixes: routing.NewPrefixes(0),
+		down: map[table.TargetID]time.Time{},
+	}
+	r.rngs.New = func() any { return rand.New(rand.NewSource(opts.Seed + r.seeds.Add(1))) }
+
+	return r
+}
+
+// State is what a refresh knows beside the configuration.
+type State struct {
+	Hosts       int // live entry hosts, this one included
+	Loads       map[table.TargetID]table.Load
+	Leaving     func(table.TargetID) bool // targets that take no new work; nil means none
+	Unreachable map[table.DataCentre]bool
+}
+
+// Refresh publishes a new view of the targets of snapshot.
+func (r *Router) Refresh(snapshot *table.Snapshot, st State) {
+	now := r.opts.Clock.Now()
+	targets := make([]routing.Target, 0, len(snapshot.Targets))
+
+	for _, t := range snapshot.Targets {
+		if st.Leaving != nil && st.Leaving(t.ID) {
+			t.Leaving = true
+		}
+
+		targets = append(targets, routing.Target{Target: t, Load: st.Loads[t.ID], State: r.state(now, t, st)})
+	}
+
+	r.snapshot.Store(snapshot)
+	r.view.Store(routing.Build(routing.Options{
+		Now: now, Home: r.opts.Home, Hosts: max(st.Hosts, 1), Ledger: r.ledger, Prefixes: r.prefixes,
+	}, targets))
+
+	r.rounds++
+	if r.rounds%ledgerEvery == 0 {
+		r.ledger.Retain(func(id table.TargetID) bool { _, ok := snapshot.Target(id); return ok })
+	}
+}
+
+func (r *Router) state(now time.Time, t table.Target, st State) routing.State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if st.Unreachable[t.DataCentre] {
+		return routing.Unknown
+	}
+
+	until, ok := r.down[t.ID]
+	if ok && until.After(now) {
+		return routing.Unknown
+	}
+
+	delete(r.down, t.ID)
+
+	if st.Loads[t.ID].Changing {
+		return routing.Changing
+	}
+
+	return routing.Usable
+}
+
+// Pick chooses a target for req that is not among tried. It reports false if there is none.
+func (r *Router) Pick(req table.Request, tried []table.TargetID) (table.Target, bool) {
+	view, snapshot := r.view.Load(), r.snapshot.Load()
+	if view == nil {
+		return table.Target{}, false
+	}
+
+	if req.Pinned != "" {
+		if slices.Contains(tried, req.Pinned) {
+			return table.Target{}, false
+		}
+
+		return find(snapshot, req.Pinned)
+	}
+
+	q := routing.Request{
+		Model: req.Kind.Model, Service: req.Kind.Service, Urgency: req.Kind.Urgency,
+		Prefill: req.Prefill, Decode: req.Decode, Prefix: routing.Prefix(req.Prefix), PrefixTokens: req.Prefill,
+	}
+
+	rng, ok := r.rngs.Get().(*rand.Rand)
+	if !ok {
+		return table.Target{}, false
+	}
+
+	defer r.rngs.Put(rng)
+
+	for range pickTries {
+		if len(tried) > 0 {
+			q.Avoid = tried[len(tried)-1]
+		}
+
+		choice, ok := view.Pick(rng, q)
+		if !ok {
+			return table.Target{}, false
+		}
+
+		t, ok := find(snapshot, choice.Target)
+		if ok && r.usable(t, req) && !slices.Contains(tried, choice.Target) {
+			return t, true
+		}
+	}
+
+	return table.Target{}, false
+}
+
+// usable rules out a target that failed since the last refresh, and a second hop of a forwarded request.
+func (r *Router) usable(t table.Target, req table.Request) bool {
+	if req.Forwarded && t.DataCentre != r.opts.Home {
+		return false
+	}
+
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return !r.down[t.ID].After(r.opts.Clock.Now())
+}
+
+func find(snapshot *table.Snapshot, id table.TargetID) (table.Target, bool) {
+	t, ok := snapshot.Target(id)
+	if !ok {
+		return table.Target{}, false
+	}
+
+	return *t, true
+}
+
+// Begin counts the start of req on a target.
+func (r *Router) Begin(t table.TargetID, req table.Request) {
+	r.ledger.Flight(t).Start(cost(req))
+}
+
+// End counts the end of req on a target and takes note of how it went.
+func (r *Router) End(t table.TargetID, req table.Request, err error) {
+	r.ledger.Flight(t).End(cost(req))
+
+	if err == nil {
+		if req.Prefix != 0 {
+			r.prefixes.Add(routing.Prefix(req.Prefix), t)
+		}
+
+		return
+	}
+
+	var e *verdict.Error
+	if errors.As(err, &e) && e.Code == verdict.CodeTargetLost {
+		r.mu.Lock()
+		r.down[t] = r.opts.Clock.Now().Add(downFor)
+		r.mu.Unlock()
+	}
+}
+
+// Open returns the number of this host's requests in flight on a target.
+func (r *Router) Open(t table.TargetID) int {
+	return r.ledger.Flight(t).Open()
+}
+
+func cost(req table.Request) routing.Cost {
+	return routing.Cost{Prefill: req.Prefill, Decode: req.Decode}
+}
