--- a/internal/control/document/load.go
+++ b/internal/control/document/load.go
@@ -3,6 +3,8 @@
 import (
 	"os"
 
+	"github.com/goccy/go-yaml"
+
 	"github.com/dotterelflow/dotterelflow/internal/site/yamlfile"
 )
 
@@ -71,3 +73,10 @@
 
 	return nil
 }
+
+// YAML returns d as a file that Parse reads.
+func (d Document) YAML() ([]byte, error) {
+	data, err := yaml.MarshalWithOptions(d, yaml.IndentSequence(true))
+
+	return data, Error.Wrap(err)
+}
--- /dev/null
+++ b/internal/site/settings/settings.go
@@ -0,0 +1,110 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/site/yamlfile"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("settings")
+
+// Values that stand where a file states none.
+const (
+	DefaultLogLevel        = "info"
+	DefaultStopTimeout     = 2 * time.Minute
+	DefaultPlatformTimeout = 2 * time.Second
+)
+
+// Listen holds the addresses that a host listens on, each an IP number and a port.
+type Listen struct {
+	Caller   string `yaml:"caller" validate:"required,ip-port"`
+	Operator string `yaml:"operator" validate:"required,ip-port"`
+	Peer     string `yaml:"peer" validate:"required,ip-port"`
+	Metrics  string `yaml:"metrics,omitempty" validate:"omitempty,ip-port"` // empty: no metrics listener
+}
+
+// Settings are what one entry host knows at its start. Load fills in the defaults.
+type Settings struct {
+	ID         string           `yaml:"id" validate:"name"`
+	DataCentre table.DataCentre `yaml:"data-centre" validate:"name"`
+	Listen     Listen           `yaml:"listen" validate:"required"`
+	Platform   string           `yaml:"platform" validate:"required,ip-port"`
+	Peers      []string         `yaml:"peers,omitempty" validate:"max=1000,unique,dive,ip-port"`
+
+	// Either of the two is stated; after Load, OperatorKeyHash is set.
+	OperatorKeyFile string  `yaml:"operator-key-file,omitempty" validate:"required_without=OperatorKeyHash,excluded_with=OperatorKeyHash"`
+	OperatorKeyHash KeyHash `yaml:"operator-key-hash,omitempty" validate:"omitempty,key-hash"` // hex SHA-256
+
+	LogLevel        string   `yaml:"log-level,omitempty" validate:"omitempty,oneof=debug info warn error"`
+	StopTimeout     Duration `yaml:"stop-timeout,omitempty"`     // longest wait for streams after SIGTERM
+	PlatformTimeout Duration `yaml:"platform-timeout,omitempty"` // of one call to the platform
+}
+
+// Load reads the settings file at path, and the operator key file that it names. A relative
+// key file is sought beside the settings. It fails with a *yamlfile.InvalidError for a refused file.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, Error.Wrap(err)
+	}
+
+	s, err := Parse(path, data)
+	if err != nil {
+		return Settings{}, err
+	}
+
+	if s.OperatorKeyFile == "" {
+		return s, nil
+	}
+
+	file := s.OperatorKeyFile
+	if !filepath.IsAbs(file) {
+		file = filepath.Join(filepath.Dir(path), file)
+	}
+
+	key, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, yamlfile.Refuse(path, 0, "operator-key-file: %v", err)
+	}
+
+	text := strings.TrimSpace(string(key))
+	if len(text) < minKeyLength {
+		return Settings{}, yamlfile.Refuse(path, 0, "operator-key-file: the key in %s has fewer than %d characters", file, minKeyLength)
+	}
+
+	s.OperatorKeyHash = KeyHash(table.HashKey(text))
+
+	return s, nil
+}
+
+const minKeyLength = 16
+
+// Parse reads settings from data, without the operator key file. Name is the file that errors state.
+func Parse(name string, data []byte) (Settings, error) {
+	var s Settings
+
+	if err := yamlfile.Decode(name, data, &s); err != nil {
+		return Settings{}, err
+	}
+
+	if s.LogLevel == "" {
+		s.LogLevel = DefaultLogLevel
+	}
+
+	if s.StopTimeout == 0 {
+		s.StopTimeout = Duration(DefaultStopTimeout)
+	}
+
+	if s.PlatformTimeout == 0 {
+		s.PlatformTimeout = Duration(DefaultPlatformTimeout)
+	}
+
+	return s, nil
+}
--- a/internal/site/yamlfile/check.go
+++ b/internal/site/yamlfile/check.go
@@ -14,18 +14,19 @@
 const keyHashBytes = 32
 
 var (
-	rules   = newRules()
-	nameRun = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+	rules     = newRules()
+	nameRun   = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+	wordStart = regexp.MustCompile("([a-z])([A-Z])")
 )
 
 var reasons = map[string]string{
-	"required":        "is missing",
-	"required_if":     "is missing",
-	"required_unless": "is missing",
-	"ip-port":         "must be an IP number and a port, for example 127.0.0.1:8080; a host name is not taken",
-	"key-hash":        "must be the hex SHA-256 of a key: 64 hex digits",
-	"name":            "must be 1 to 63 lower-case letters, digits, dots or hyphens",
-	"unique":          "must not list a value twice",
+	"required":         "is missing",
+	"required_if":      "is missing",
+	"required_without": "is missing",
+	"ip-port":          "must be an IP number and a port, for example 127.0.0.1:8080; a host name is not taken",
+	"key-hash":         "must be the hex SHA-256 of a key: 64 hex digits",
+	"name":             "must be 1 to 63 lower-case letters, digits, dots or hyphens",
+	"unique":           "must not list a value twice",
 }
 
 // checker adapts the validator's rules to the decoder, which adds the line.
@@ -62,7 +63,10 @@
 
 	f := failed[0]
 
-	return violations{{field: f.StructField(), text: reason(f)}}
+	// An element of a list is named "Peers[1]"; the decoder knows the line of the list.
+	field, _, _ := strings.Cut(f.StructField(), "[")
+
+	return violations{{field: field, text: reason(f)}}
 }
 
 func reason(f validator.FieldError) string {
@@ -79,6 +83,8 @@
 		return f.Field() + " must be at most " + f.Param()
 	case "gt":
 		return f.Field() + " must be more than " + f.Param()
+	case "excluded_with":
+		return f.Field() + " does not go with " + kebab(f.Param())
 	case "excluded_unless":
 		return f.Field() + " goes only with " + strings.ToLower(f.Param())
 	default:
@@ -86,6 +92,11 @@
 	}
 }
 
+// kebab returns the name in YAML of a Go field.
+func kebab(field string) string {
+	return strings.ToLower(wordStart.ReplaceAllString(field, "$1-$2"))
+}
+
 func newRules() *validator.Validate {
 	v := validator.New(validator.WithRequiredStructEnabled())
 
--- a/internal/site/yamlfile/decode.go
+++ b/internal/site/yamlfile/decode.go
@@ -34,7 +34,7 @@
 
 	file, err := parser.Parse(tokens, 0)
 	if err != nil {
-		return refused(name, err)
+		return refused(name, 0, err)
 	}
 
 	var body ast.Node
@@ -54,7 +54,7 @@
 	}
 
 	if err := yaml.NodeToValue(body, into, yaml.Strict(), yaml.Validator(checker{})); err != nil {
-		return refused(name, err)
+		return refused(name, body.GetToken().Position.Line, err)
 	}
 
 	return nil
@@ -90,8 +90,8 @@
 	return nil, ""
 }
 
-// refused adds the file to err, and the line where the decoder knows it.
-func refused(name string, err error) error {
+// refused adds the file to err, and the line where the decoder knows it, else that of the document.
+func refused(name string, line int, err error) error {
 	var invalid *InvalidError
 	if errors.As(err, &invalid) {
 		return Refuse(name, invalid.Problems[0].Line, "%s", invalid.Problems[0].Reason)
@@ -99,7 +99,7 @@
 
 	var located yaml.Error
 	if !errors.As(err, &located) || located.GetToken() == nil {
-		return Refuse(name, 0, "%s", firstLine(err.Error()))
+		return Refuse(name, line, "%s", firstLine(err.Error()))
 	}
 
 	return Refuse(name, located.GetToken().Position.Line, "%s", firstLine(located.GetMessage()))
