--- a/internal/entry/answers/answer.go
+++ b/internal/entry/answers/answer.go
@@ -18,6 +18,7 @@
 // Answer collects the events of one request. It is safe for one writer and many readers.
 type Answer struct {
 	mu      sync.Mutex
+	first   uint64 // sequence number of events[0]
 	events  [][]byte
 	bytes   int
 	meta    Meta
@@ -32,6 +33,15 @@
 	return &Answer{changed: make(chan struct{})}
 }
 
+// NewFrom returns an Answer whose first event will have the sequence number first: the rest of an
+// answer of which somebody else holds the start.
+func NewFrom(first uint64) *Answer {
+	a := New()
+	a.first = first
+
+	return a
+}
+
 // Append adds the next event. It has no effect after Finish.
 func (a *Answer) Append(data []byte) {
 	a.mu.Lock()
@@ -67,7 +77,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	return uint64(len(a.events))
+	return a.first + uint64(len(a.events))
 }
 
 // Bytes returns the size of the events held.
@@ -176,12 +186,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	if from >= uint64(len(a.events)) {
+	if from < a.first || from >= a.first+uint64(len(a.events)) {
 		return nil, a.ended, a.changed
 	}
 
 	a.read = true
-	batch := a.events[from:]
+	batch := a.events[from-a.first:]
 
 	return batch, a.ended, a.changed
 }
--- /dev/null
+++ b/internal/entry/peers/forward.go
@@ -0,0 +1,147 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/members"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
+	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+// forwardTries bounds the peers that one request is forwarded through; each after the first one
+// resumes the answer.
+const forwardTries = 3
+
+// Forward runs req on the target t of the data centre dc through an entry host there and collects
+// the answer in ans. Its error is a *verdict.Error.
+func (n *Network) Forward(ctx context.Context, dc table.DataCentre, t table.TargetID, req table.Request, ans *answers.Answer) error {
+	var last *verdict.Error
+
+	for _, m := range n.hostsIn(dc) {
+		err := n.forwardTo(ctx, m, t, req, ans)
+		if err == nil {
+			return nil
+		}
+
+		last = verdict.From(err)
+		if last.Code != codePeerLost || ctx.Err() != nil {
+			return last
+		}
+
+		req.Resume = req.Resume || last.Verdict != verdict.NotRun
+	}
+
+	if last == nil {
+		return verdict.New(verdict.NotRun, verdict.CodeNoTarget, "no entry host of %s can be reached", dc)
+	}
+
+	return last
+}
+
+// codePeerLost marks a connection to a peer that ended before the answer did.
+const codePeerLost verdict.Code = "peer-lost"
+
+// hostsIn returns a few live hosts of dc in random order.
+func (n *Network) hostsIn(dc table.DataCentre) []members.Member {
+	var found []members.Member
+
+	for _, m := range n.Live() {
+		if m.DataCentre == dc && m.Ready && !m.Stopping {
+			found = append(found, m)
+		}
+	}
+
+	rand.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
+
+	return found[:min(len(found), forwardTries)]
+}
+
+func (n *Network) forwardTo(ctx context.Context, m members.Member, t table.TargetID, req table.Request, ans *answers.Answer) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	client, err := n.links.To(m.Address)
+	if err != nil {
+		return lost(m, verdict.NotRun, err)
+	}
+
+	stream, err := client.Forward(ctx, &peer.ForwardRequest{
+		RequestId: string(req.ID), Account: string(req.Account), Kind: string(req.Kind.Name), Key: req.Key,
+		Path: req.Path, Body: req.Body, ContentType: req.ContentType, Target: string(t),
+		DeadlineUnixMs: req.Deadline.UnixMilli(), From: ans.Next(), Resume: req.Resume,
+	})
+	if err != nil {
+		return lost(m, verdict.MayHaveRun, err)
+	}
+
+	return n.collect(m, stream, ans)
+}
+
+func lost(m members.Member, v verdict.Verdict, err error) *verdict.Error {
+	return verdict.New(v, codePeerLost, "entry host %s was lost", m.Host).Because(err)
+}
+
+// collect appends the events of stream to ans until the answer is whole.
+func (n *Network) collect(m members.Member, stream grpc.ServerStreamingClient[peer.AnswerEvent], ans *answers.Answer) error {
+	for {
+		ev, err := stream.Recv()
+
+		switch {
+		case errors.Is(err, io.EOF):
+			return lost(m, verdict.MayHaveRun, io.ErrUnexpectedEOF)
+		case status.Code(err) == codes.Canceled, status.Code(err) == codes.DeadlineExceeded:
+			return verdict.New(verdict.MayHaveRun, verdict.CodeDeadline, "the forwarded request was given up").Because(err)
+		case err != nil:
+			return lost(m, verdict.MayHaveRun, err)
+		case ev.GetProblem() != nil:
+			return ev.GetProblem().ToError()
+		}
+
+		if ev.GetStatus() != 0 || ev.GetTarget() != "" {
+			ans.SetMeta(answers.Meta{
+				Status: int(ev.GetStatus()), ContentType: ev.GetContentType(), Target: table.TargetID(ev.GetTarget()),
+			})
+		}
+
+		if ev.GetLast() {
+			return nil
+		}
+
+		if ev.GetSequence() == ans.Next() {
+			ans.Append(ev.GetData())
+		}
+	}
+}
+
+// Join follows the answer that host produces or holds for a keyed request and collects it in ans.
+// It fails with CodeNotFound when the host knows nothing of it.
+func (n *Network) Join(ctx context.Context, host table.HostID, account table.AccountID, key string, ans *answers.Answer) error {
+	m, alive := n.Member(host)
+	if !alive {
+		return verdict.New(verdict.MayHaveRun, codePeerLost, "entry host %s is not alive", host)
+	}
+
+	client, err := n.links.To(m.Address)
+	if err != nil {
+		return lost(m, verdict.MayHaveRun, err)
+	}
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	stream, err := client.Join(ctx, &peer.JoinRequest{Account: string(account), Key: key, From: ans.Next()})
+	if err != nil {
+		return lost(m, verdict.MayHaveRun, err)
+	}
+
+	return n.collect(m, stream, ans)
+}
--- /dev/null
+++ b/internal/entry/peers/network.go
@@ -0,0 +1,258 @@
+package peers
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/phuslu/log"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/members"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
+)
+
+const (
+	beatBound    = 700 * time.Millisecond
+	roundEvery   = 250 * time.Millisecond
+	seedInterval = 5 * time.Second
+)
+
+// Local is what the other parts of this host say and hear by heartbeat.
+type Local interface {
+	// Fill completes the digest of this host.
+	Fill(d *peer.Digest)
+	// Hear takes the digest of another host.
+	Hear(d *peer.Digest)
+}
+
+// Options are the parts of a Network. Host, DataCentre, Address and Local are required.
+type Options struct {
+	Clock      clockwork.Clock // nil means the real clock
+	Log        *log.Logger     // nil means the default logger
+	Host       table.HostID
+	DataCentre table.DataCentre
+	Address    string   // ip:port of the own peer API
+	Seeds      []string // ip:port of peers known from the start
+	Local      Local
+}
+
+// Network exchanges heartbeats with the other hosts. It is safe for concurrent use.
+type Network struct {
+	opts  Options
+	links peer.Links
+	done  chan struct{}
+
+	mu       sync.Mutex
+	members  *members.Table
+	sequence uint64
+	due      map[string]time.Time // next heartbeat by address
+	busy     map[string]bool      // heartbeat under way
+}
+
+// Start returns a Network that runs until ctx ends.
+func Start(ctx context.Context, opts Options) *Network {
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
+
+	if opts.Log == nil {
+		opts.Log = &log.DefaultLogger
+	}
+
+	n := &Network{
+		opts: opts, done: make(chan struct{}), members: members.New(opts.Host, opts.DataCentre),
+		due: map[string]time.Time{}, busy: map[string]bool{},
+	}
+
+	go n.run(ctx)
+
+	return n
+}
+
+// Done is closed once heartbeats have ended and the connections are closed.
+func (n *Network) Done() <-chan struct{} {
+	return n.done
+}
+
+func (n *Network) run(ctx context.Context) {
+	defer close(n.done)
+
+	var beats sync.WaitGroup
+
+	tick := n.opts.Clock.NewTicker(roundEvery)
+	defer tick.Stop()
+
+	for {
+		for _, address := range n.dueNow() {
+			beats.Go(func() { n.beat(ctx, address) })
+		}
+
+		select {
+		case <-ctx.Done():
+			beats.Wait()
+
+			if err := n.links.Close(); err != nil {
+				n.opts.Log.Debug().Err(err).Msg("closing peer connections")
+			}
+
+			return
+		case <-tick.Chan():
+		}
+	}
+}
+
+// dueNow returns the addresses whose heartbeat is due and marks them busy.
+func (n *Network) dueNow() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	now := n.opts.Clock.Now()
+	n.members.Forget(now)
+
+	wait := map[string]time.Duration{}
+	for _, seed := range n.opts.Seeds {
+		wait[seed] = seedInterval
+	}
+
+	for _, m := range n.members.Beat(now) {
+		wait[m.Address] = n.members.Period()
+	}
+
+	delete(wait, n.opts.Address)
+
+	var due []string
+
+	for address, period := range wait {
+		if n.busy[address] || n.due[address].After(now) {
+			continue
+		}
+
+		n.busy[address] = true
+		n.due[address] = now.Add(period)
+		due = append(due, address)
+	}
+
+	return due
+}
+
+// beat exchanges one heartbeat. After a failure it tries a new connection at once, since the old
+// one may have gone silent while the peer is well.
+func (n *Network) beat(ctx context.Context, address string) {
+	defer func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+
+		delete(n.busy, address)
+	}()
+
+	err := n.exchange(ctx, address)
+	if err == nil {
+		return
+	}
+
+	n.links.Drop(address)
+
+	if err = n.exchange(ctx, address); err != nil && ctx.Err() == nil {
+		n.links.Drop(address)
+		n.opts.Log.Debug().Str("peer", address).Err(err).Msg("heartbeat failed")
+	}
+}
+
+func (n *Network) exchange(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, beatBound)
+	defer cancel()
+
+	client, err := n.links.To(address)
+	if err != nil {
+		return err
+	}
+
+	reply, err := client.Heartbeat(ctx, n.digest())
+	if err != nil {
+		return err
+	}
+
+	n.hear(reply)
+
+	return nil
+}
+
+// digest returns the state of this host.
+func (n *Network) digest() *peer.Digest {
+	n.mu.Lock()
+	n.sequence++
+	d := &peer.Digest{
+		Host: string(n.opts.Host), Address: n.opts.Address, DataCentre: string(n.opts.DataCentre), Sequence: n.sequence,
+	}
+	n.mu.Unlock()
+
+	n.opts.Local.Fill(d)
+
+	return d
+}
+
+func (n *Network) hear(d *peer.Digest) {
+	n.mu.Lock()
+	n.members.Note(members.Member{
+		Host: table.HostID(d.GetHost()), Address: d.GetAddress(), DataCentre: table.DataCentre(d.GetDataCentre()),
+		Generation: table.Generation(d.GetGeneration()), Ready: d.GetReady(), Stopping: d.GetStopping(),
+		Sequence: d.GetSequence(), HeardAt: n.opts.Clock.Now(),
+	})
+	n.mu.Unlock()
+
+	n.opts.Local.Hear(d)
+}
+
+// Live returns the live members.
+func (n *Network) Live() []members.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.members.Live(n.opts.Clock.Now())
+}
+
+// Member returns what is known of host, and whether it is alive.
+func (n *Network) Member(host table.HostID) (m members.Member, alive bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	m, ok := n.members.Known(host)
+
+	return m, ok && n.members.Alive(m, n.opts.Clock.Now())
+}
+
+// Mine reports whether this host is among the n live hosts of its data centre that look after key.
+func (n *Network) Mine(key string, count int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.members.Mine(n.opts.Clock.Now(), key, count)
+}
+
+// Homes returns the number of live hosts in this data centre, this one included.
+func (n *Network) Homes() int {
+	homes := 1
+
+	for _, m := range n.Live() {
+		if m.DataCentre == n.opts.DataCentre && !m.Stopping {
+			homes++
+		}
+	}
+
+	return homes
+}
+
+// Reachable returns the data centres with a live host that can take forwarded requests.
+func (n *Network) Reachable() map[table.DataCentre]bool {
+	reachable := map[table.DataCentre]bool{n.opts.DataCentre: true}
+
+	for _, m := range n.Live() {
+		if m.Ready && !m.Stopping {
+			reachable[m.DataCentre] = true
+		}
+	}
+
+	return reachable
+}
--- /dev/null
+++ b/internal/entry/peers/server.go
@@ -0,0 +1,154 @@
+package peers
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
+	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+// Runner runs forwarded requests.
+type Runner interface {
+	Run(ctx context.Context, req table.Request, ans *answers.Answer)
+}
+
+// Held finds answers that this host produces or holds.
+type Held interface {
+	Find(id answers.ID) (*answers.Answer, bool)
+}
+
+// Services are the parts of this host that peers call. Snapshot, Runner and Held are required.
+type Services struct {
+	Snapshot func() *table.Snapshot
+	Runner   Runner
+	Held     Held
+	// Configuration returns the encoded configuration in force; nil serves none.
+	Configuration func() (table.Generation, []byte)
+	// Claim handles an encoded claim of another host; nil serves none.
+	Claim func(ctx context.Context, encoded []byte) ([]byte, error)
+	// Burn returns this host's encoded service-level counts; nil serves none.
+	Burn func() []byte
+}
+
+// Server serves the Peer protocol.
+type Server struct {
+	peer.UnimplementedPeerServer
+
+	network  *Network
+	services Services
+}
+
+// NewServer returns a Server that hears heartbeats for network and runs the rest on services.
+func NewServer(network *Network, services Services) *Server {
+	return &Server{network: network, services: services}
+}
+
+// Heartbeat implements peer.PeerServer.
+func (s *Server) Heartbeat(_ context.Context, d *peer.Digest) (*peer.Digest, error) {
+	s.network.hear(d)
+
+	return s.network.digest(), nil
+}
+
+// FetchConfiguration implements peer.PeerServer.
+func (s *Server) FetchConfiguration(_ context.Context, r *peer.FetchConfigurationRequest) (*peer.Configuration, error) {
+	if s.services.Configuration == nil {
+		return &peer.Configuration{}, nil
+	}
+
+	generation, encoded := s.services.Configuration()
+	if uint64(generation) <= r.GetNewerThan() {
+		return &peer.Configuration{}, nil
+	}
+
+	return &peer.Configuration{Generation: uint64(generation), Encoded: encoded}, nil
+}
+
+// Claim implements peer.PeerServer.
+func (s *Server) Claim(ctx context.Context, r *peer.ClaimRequest) (*peer.ClaimReply, error) {
+	if s.services.Claim == nil {
+		return &peer.ClaimReply{Problem: peer.FromError(verdict.New(verdict.NotRun, verdict.CodeInternal, "claims are not served"))}, nil
+	}
+
+	encoded, err := s.services.Claim(ctx, r.GetEncoded())
+
+	return &peer.ClaimReply{Encoded: encoded, Problem: peer.FromError(err)}, nil
+}
+
+// FetchBurn implements peer.PeerServer.
+func (s *Server) FetchBurn(context.Context, *peer.FetchBurnRequest) (*peer.Burn, error) {
+	if s.services.Burn == nil {
+		return &peer.Burn{}, nil
+	}
+
+	return &peer.Burn{Encoded: s.services.Burn()}, nil
+}
+
+// Join implements peer.PeerServer.
+func (s *Server) Join(r *peer.JoinRequest, stream grpc.ServerStreamingServer[peer.AnswerEvent]) error {
+	ans, ok := s.services.Held.Find(answers.ID{Account: table.AccountID(r.GetAccount()), Key: r.GetKey()})
+	if !ok {
+		return stream.Send(&peer.AnswerEvent{Problem: peer.FromError(
+			verdict.New(verdict.MayHaveRun, verdict.CodeNotFound, "this entry host does not hold the answer"))})
+	}
+
+	return send(stream, ans, r.GetFrom())
+}
+
+// Forward implements peer.PeerServer.
+func (s *Server) Forward(r *peer.ForwardRequest, stream grpc.ServerStreamingServer[peer.AnswerEvent]) error {
+	req, problem := s.request(r)
+	if problem != nil {
+		return stream.Send(&peer.AnswerEvent{Problem: peer.FromError(problem)})
+	}
+
+	ans := answers.NewFrom(r.GetFrom())
+
+	go s.services.Runner.Run(stream.Context(), req, ans)
+
+	return send(stream, ans, r.GetFrom())
+}
+
+func (s *Server) request(r *peer.ForwardRequest) (table.Request, *verdict.Error) {
+	snapshot := s.services.Snapshot()
+	if snapshot == nil {
+		return table.Request{}, verdict.New(verdict.NotRun, verdict.CodeStopping, "no configuration yet")
+	}
+
+	account, ok := snapshot.Account(table.AccountID(r.GetAccount()))
+	if !ok {
+		return table.Request{}, verdict.New(verdict.NotRun, verdict.CodeNoTarget, "client account %q is not known here yet", r.GetAccount())
+	}
+
+	kind, ok := account.Kinds[table.KindName(r.GetKind())]
+	if !ok {
+		return table.Request{}, verdict.New(verdict.NotRun, verdict.CodeNoTarget, "kind %q is not known here yet", r.GetKind())
+	}
+
+	return table.Request{
+		ID: table.RequestID(r.GetRequestId()), Account: account.ID, Kind: kind, Key: r.GetKey(), Path: r.GetPath(),
+		ContentType: r.GetContentType(), Body: r.GetBody(), Deadline: time.UnixMilli(r.GetDeadlineUnixMs()),
+		Forwarded: true, Pinned: table.TargetID(r.GetTarget()), Resume: r.GetResume(),
+	}, nil
+}
+
+// send passes ans on to a peer, and its problem if it does not end whole.
+func send(stream grpc.ServerStreamingServer[peer.AnswerEvent], ans *answers.Answer, from uint64) error {
+	err := ans.Read(stream.Context(), from, func(seq uint64, data []byte) error {
+		meta := ans.Meta()
+
+		return stream.Send(&peer.AnswerEvent{
+			Sequence: seq, Data: data, Status: uint32(max(meta.Status, 0)), ContentType: meta.ContentType, Target: string(meta.Target),
+		})
+	})
+	if err != nil {
+		return stream.Send(&peer.AnswerEvent{Problem: peer.FromError(err)})
+	}
+
+	return stream.Send(&peer.AnswerEvent{Last: true})
+}
--- a/internal/wire/engine/client.go
+++ b/internal/wire/engine/client.go
@@ -5,17 +5,15 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/wire/once"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
@@ -24,7 +22,6 @@
 	defaultLiveness = 5 * time.Second
 	maxEventBytes   = 1 << 20
 	maxReportBytes  = 1 << 20
-	connsPerTarget  = 64
 )
 
 // Options tune a Client. The zero value works.
@@ -54,16 +51,7 @@
 		opts.Liveness = defaultLiveness
 	}
 
-	dialer := &net.Dialer{Timeout: opts.Dial}
-
-	return &Client{
-		opts: opts,
-		http: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: connsPerTarget,
-			DisableCompression:  true,
-		}},
-	}
+	return &Client{opts: opts, http: once.NewClient(once.Options{DialTimeout: opts.Dial})}
 }
 
 // Stream runs or resumes req on the engine at t and passes each event to emit, in order, without
@@ -76,11 +64,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 
-	var sent atomic.Bool
-
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-
-	r, err := c.request(httptrace.WithClientTrace(ctx, trace), t, req)
+	r, err := c.request(ctx, t, req)
 	if err != nil {
 		return verdict.New(verdict.NotRun, verdict.CodeInternal, "cannot form the engine request").Because(err)
 	}
@@ -90,11 +74,7 @@
 
 	resp, err := c.http.Do(r)
 	if err != nil {
-		if !sent.Load() {
-			return verdict.New(verdict.NotRun, verdict.CodeTargetLost, "cannot connect to %s", t.ID).Because(err)
-		}
-
-		return verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "connection to %s lost", t.ID).Because(err)
+		return verdict.New(verdict.Of(err), verdict.CodeTargetLost, "no answer from %s", t.ID).Because(err)
 	}
 
 	defer func() { _ = resp.Body.Close() }()
@@ -114,8 +94,6 @@
 		return nil, Error.Wrap(err)
 	}
 
-	// Without GetBody the transport cannot replay the request on another connection.
-	r.GetBody = nil
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set("Accept", "text/event-stream")
 	r.Header.Set(HeaderRequestID, string(req.ID))
--- /dev/null
+++ b/internal/wire/peer/problem.go
@@ -0,0 +1,32 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+// FromError renders err for the wire; nil yields nil.
+func FromError(err error) *Problem {
+	e := verdict.From(err)
+	if e == nil {
+		return nil
+	}
+
+	return &Problem{
+		Verdict: e.Verdict.String(), Code: string(e.Code), Message: e.Message,
+		RetryAfterMs: e.RetryAfter.Milliseconds(),
+	}
+}
+
+// ToError returns the Error that p renders; nil yields nil.
+func (x *Problem) ToError() *verdict.Error {
+	if x == nil {
+		return nil
+	}
+
+	return &verdict.Error{
+		Verdict: verdict.Parse(x.GetVerdict()), Code: verdict.Code(x.GetCode()), Message: x.GetMessage(),
+		RetryAfter: time.Duration(x.GetRetryAfterMs()) * time.Millisecond,
+	}
+}
--- a/internal/wire/service/client.go
+++ b/internal/wire/service/client.go
@@ -4,15 +4,13 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/wire/once"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
@@ -36,7 +34,8 @@
 
 // Client calls services. It is safe for concurrent use and sends each request at most once.
 type Client struct {
-	http *http.Client
+	timeout time.Duration
+	http    *http.Client
 }
 
 // Request is one call of a service.
@@ -65,44 +64,28 @@
 		opts.Timeout = defaultTimeout
 	}
 
-	dialer := &net.Dialer{Timeout: opts.Dial}
-
-	// A fresh connection for each call keeps a refused connection distinct from a lost answer:
-	// a kept one that the service has closed would leave the verdict open.
-	return &Client{http: &http.Client{
-		Timeout:       opts.Timeout,
-		Transport:     &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	return &Client{timeout: opts.Timeout, http: once.NewClient(once.Options{DialTimeout: opts.Dial})}
 }
 
 // Call runs req on the service at t. The error is a *verdict.Error: NotRun when the service cannot
 // have taken the request, else MayHaveRun. An error status of the service is an answer, not an
 // error, unless it carries the verdict not-run.
 func (c *Client) Call(ctx context.Context, t table.Target, req Request) (Answer, error) {
-	var sent atomic.Bool
-
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
 
-	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace),
-		http.MethodPost, "http://"+t.Address+req.Path, bytes.NewReader(req.Body))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.Address+req.Path, bytes.NewReader(req.Body))
 	if err != nil {
 		return Answer{}, verdict.New(verdict.NotRun, verdict.CodeInternal, "cannot form the service request").Because(err)
 	}
 
-	// Without GetBody the transport cannot replay the request on another connection.
-	r.GetBody = nil
 	r.Header.Set("Content-Type", req.ContentType)
 	r.Header.Set(headerRequestID, string(req.ID))
 	r.Header.Set(headerKey, req.Key)
 
 	resp, err := c.http.Do(r)
-	if err != nil && !sent.Load() {
-		return Answer{}, verdict.New(verdict.NotRun, verdict.CodeTargetLost, "cannot connect to %s", t.ID).Because(err)
-	}
-
 	if err != nil {
-		return Answer{}, lost(t, err)
+		return Answer{}, verdict.New(verdict.Of(err), verdict.CodeTargetLost, "no answer from %s", t.ID).Because(err)
 	}
 
 	defer func() { _ = resp.Body.Close() }()
