--- a/internal/control/table/request.go
+++ b/internal/control/table/request.go
@@ -20,6 +20,8 @@
 
 	// Forwarded is set on a request that came from a peer; it is not forwarded again.
 	Forwarded bool
+	// Preferred names the target to try first; empty for none.
+	Preferred TargetID
 	// Pinned names the only target that may serve the request; empty for any.
 	Pinned TargetID
 	// Resume is set when Pinned may already be running the request.
--- a/internal/entry/answers/answer.go
+++ b/internal/entry/answers/answer.go
@@ -80,6 +80,14 @@
 	return a.first + uint64(len(a.events))
 }
 
+// Events returns the events so far. The caller must not change them.
+func (a *Answer) Events() [][]byte {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.events
+}
+
 // Bytes returns the size of the events held.
 func (a *Answer) Bytes() int {
 	a.mu.Lock()
--- a/internal/entry/requests/service.go
+++ b/internal/entry/requests/service.go
@@ -6,6 +6,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/phuslu/log"
 
+	"github.com/dotterelflow/dotterelflow/internal/control/claims"
+	"github.com/dotterelflow/dotterelflow/internal/control/ledger"
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
 	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
@@ -16,19 +18,47 @@
 	Run(ctx context.Context, req table.Request, ans *answers.Answer)
 }
 
+// Router names the target that a request would go to now.
+type Router interface {
+	Pick(req table.Request, tried []table.TargetID) (table.Target, bool)
+}
+
 // Admission lets a request start. Its error is a *verdict.Error with verdict NotRun. The returned
 // function must be called once, when the request has ended.
 type Admission interface {
 	Admit(ctx context.Context, req table.Request) (release func(*answers.Answer), err error)
 }
 
-// Options are the parts that a Service works with. Runner and Answers are required.
+// Claims keeps who runs a keyed request, and what it came to.
+type Claims interface {
+	Claim(ctx context.Context, req ledger.Request) (ledger.Outcome, error)
+	Finish(ctx context.Context, r claims.Record, res claims.Result) error
+	Abandon(ctx context.Context, r claims.Record) error
+}
+
+// Peers joins the answer of a keyed request that another entry host produces or holds.
+type Peers interface {
+	Join(ctx context.Context, host table.HostID, account table.AccountID, key string, ans *answers.Answer) error
+}
+
+// Quarantine refuses requests that have crashed targets. Its error is a *verdict.Error.
+type Quarantine interface {
+	Check(req table.Request) error
+}
+
+// Options are the parts that a Service works with. Runner, Router, Claims and Answers are required.
 type Options struct {
-	Clock     clockwork.Clock // nil means the real clock
-	Runner    Runner
-	Answers   *answers.Table
-	Admission Admission   // nil admits everything
-	Log       *log.Logger // nil means the default logger
+	Clock      clockwork.Clock // nil means the real clock
+	Host       table.HostID
+	Home       table.DataCentre
+	Runner     Runner
+	Router     Router
+	Claims     Claims
+	Answers    *answers.Table
+	Peers      Peers       // nil means that there are no other hosts
+	Admission  Admission   // nil admits everything
+	Quarantine Quarantine  // nil refuses nothing
+	Log        *log.Logger // nil means the default logger
 }
 
 // Service accepts requests. It is safe for concurrent use.
@@ -53,16 +83,12 @@
 // read. An error is a *verdict.Error and means that nothing was started.
 func (s *Service) Submit(ctx context.Context, req table.Request) (*answers.Answer, error) {
 	if req.Key == "" {
-		if req.Kind.AtMostOnce {
-			return nil, verdict.New(verdict.NotRun, verdict.CodeKeyRequired,
-				"kind %q runs at most once and needs an Idempotency-Key header", req.Kind.Name)
-		}
-
-		ans := answers.New()
-
-		go s.produce(ctx, req, ans)
+		return s.submitPlain(ctx, req)
+	}
 
-		return ans, nil
+	key, err := claims.ParseKey(req.Account, req.Key)
+	if err != nil && req.Kind.AtMostOnce {
+		return nil, err
 	}
 
 	id := answers.ID{Account: req.Account, Key: req.Key}
@@ -72,18 +98,43 @@
 		return nil, verdict.New(verdict.NotRun, verdict.CodeKeyReused, "the idempotency key was used with another request")
 	}
 
-	if started {
-		go s.produceKeyed(context.WithoutCancel(ctx), id, req, ans)
+	if !started {
+		return ans, nil
 	}
 
+	ctx = context.WithoutCancel(ctx)
+
+	go func() {
+		// A key that states no time cannot be claimed; it is known to this host alone.
+		if err != nil {
+			s.produce(ctx, req, ans)
+		} else {
+			s.produceClaimed(ctx, claimed{req: req, key: key, ans: ans})
+		}
+
+		s.hold(id, ans)
+	}()
+
 	return ans, nil
 }
 
-func (s *Service) produceKeyed(ctx context.Context, id answers.ID, req table.Request, ans *answers.Answer) {
-	s.produce(ctx, req, ans)
+func (s *Service) submitPlain(ctx context.Context, req table.Request) (*answers.Answer, error) {
+	if req.Kind.AtMostOnce {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeKeyRequired,
+			"kind %q runs at most once and needs a UUIDv7 in the Idempotency-Key header", req.Kind.Name)
+	}
+
+	ans := answers.New()
+
+	go s.produce(ctx, req, ans)
 
-	// A request that did not run may be sent again with the same key.
-	if _, problem := ans.Ended(); problem != nil && problem.Verdict == verdict.NotRun {
+	return ans, nil
+}
+
+// hold keeps an ended answer for callers that come back. A request that did not run, and one whose
+// end is not known here, is looked up again when it is sent again.
+func (s *Service) hold(id answers.ID, ans *answers.Answer) {
+	if _, problem := ans.Ended(); problem != nil {
 		s.opts.Answers.Forget(id)
 
 		return
@@ -92,7 +143,16 @@
 	s.opts.Answers.Ended(id)
 }
 
+// produce admits and runs req, and finishes ans.
 func (s *Service) produce(ctx context.Context, req table.Request, ans *answers.Answer) {
+	if s.opts.Quarantine != nil {
+		if err := s.opts.Quarantine.Check(req); err != nil {
+			ans.Finish(verdict.From(err))
+
+			return
+		}
+	}
+
 	if s.opts.Admission == nil {
 		s.opts.Runner.Run(ctx, req, ans)
 
@@ -110,3 +170,7 @@
 
 	s.opts.Runner.Run(ctx, req, ans)
 }
+
+func (s *Service) bounded(ctx context.Context, req table.Request) (context.Context, context.CancelFunc) {
+	return clockwork.WithDeadline(ctx, s.opts.Clock, req.Deadline)
+}
--- a/internal/entry/routes/router.go
+++ b/internal/entry/routes/router.go
@@ -128,6 +128,10 @@
 		return find(snapshot, req.Pinned)
 	}
 
+	if t, ok := find(snapshot, req.Preferred); ok && len(tried) == 0 && r.usable(t, req) {
+		return t, true
+	}
+
 	q := routing.Request{
 		Model: req.Kind.Model, Service: req.Kind.Service, Urgency: req.Kind.Urgency,
 		Prefill: req.Prefill, Decode: req.Decode, Prefix: routing.Prefix(req.Prefix), PrefixTokens: req.Prefill,
