Claim keyed requests in the object API

Cause: a request that may not repeat needs one owner across entry hosts and data centres, and one write per request does not fit the platform's budget.

Ruled out: an object per key (a write per request and a delete per key); one object per shard with pruning (the whole window is rewritten with each batch); pruning by the host's clock (a host whose clock is behind would claim a key whose record has gone).

Keys are UUIDv7; a shard has a ring of pages, each for the keys made in one span, so a page is reused by a later span after its keys left the window, and refuses keys of an earlier one whatever the clock says. Package ledger gathers the operations of a shard into one conditional update at a time, spaced, and settles unknown outcomes by reading and applying the same change again, which is idempotent by nonce. A claim whose caller stopped waiting is withdrawn, and its nonce is spent for good. Hosts with another layout of the claims refuse all keys.

An old key is refused as may-have-run, not as not-run: its record has gone, so nobody knows whether a request with it ran. A refusal of a caller that may have sent the key before (Request.Repeat) says may-have-run too, unless the record shows better.

Conclusion: the cases of a dying claimant, a lost answer, crossing repeats, an outage and an expired key each end in one execution or none.

--- /dev/null
+++ b/internal/control/claims/claims_test.go
@@ -0,0 +1,205 @@
+package claims_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/claims"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+func record(k claims.Key, nonce byte) claims.Record {
+	return claims.Record{Key: k, Fingerprint: 1, Nonce: claims.Nonce{nonce}, Claimant: "a", At: start.UTC()}
+}
+
+func TestParseKey(t *testing.T) {
+	v7, err := uuid.NewV7()
+	require.NoError(t, err)
+
+	k, err := claims.ParseKey("dombud", v7.String())
+	require.NoError(t, err)
+	require.WithinDuration(t, time.Now(), k.Time(), time.Minute)
+
+	for _, text := range []string{"", "grade-1", uuid.NewString(), "00000000-0000-7000-0000-000000000000"} {
+		_, err := claims.ParseKey("dombud", text)
+		require.Equal(t, verdict.NotRun, verdict.Of(err), text)
+	}
+}
+
+func TestRingCheck(t *testing.T) {
+	ring := claims.Ring{Window: 10 * time.Minute, Skew: 30 * time.Second}
+
+	tests := []struct {
+		name string
+		age  time.Duration
+		code verdict.Code
+		want verdict.Verdict
+	}{
+		{"new", 0, "", verdict.Ran},
+		{"within the window", 10 * time.Minute, "", verdict.Ran},
+		{"too old", 10*time.Minute + time.Millisecond, verdict.CodeKeyExpired, verdict.MayHaveRun},
+		{"ahead within the skew", -30 * time.Second, "", verdict.Ran},
+		{"ahead, another host may have taken it", -45 * time.Second, verdict.CodeBadRequest, verdict.MayHaveRun},
+		{"far ahead", -61 * time.Second, verdict.CodeBadRequest, verdict.NotRun},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			err := ring.Check(claims.KeyAt("dombud", start, 1), start.Add(tt.age))
+			require.Equal(t, tt.want, verdict.Of(err))
+
+			if err != nil {
+				require.Equal(t, tt.code, verdict.From(err).Code)
+			}
+		})
+	}
+}
+
+// TestPageReuse checks that a page serves a later span only after each of its keys has left the window.
+func TestPageReuse(t *testing.T) {
+	ring := claims.Ring{Shards: 1}.WithDefaults()
+	old := ring.Place(claims.KeyAt("dombud", start, 1))
+
+	for at := start; ; at = at.Add(time.Second) {
+		place := ring.Place(claims.KeyAt("dombud", at.Add(ring.Skew), 1))
+		if place.Object == old.Object && place.Bucket != old.Bucket {
+			require.Error(t, ring.Check(claims.KeyAt("dombud", start, 1), at))
+
+			break
+		}
+	}
+}
+
+// TestPage drives one key through operations; the digits are nonces.
+func TestPage(t *testing.T) {
+	const bucket = claims.Bucket(7)
+
+	k := claims.KeyAt("dombud", start, 1)
+	other := record(k, 2)
+	other.Fingerprint = 2
+	spent := func(n claims.Nonce) bool { return n == claims.Nonce{9} }
+
+	type op func(*claims.Page) claims.Change
+
+	claim := func(nonce byte) op {
+		return func(p *claims.Page) claims.Change { return p.Claim(bucket, record(k, nonce), spent) }
+	}
+	abandon := func(nonce byte) op {
+		return func(p *claims.Page) claims.Change { return p.Abandon(bucket, record(k, nonce)) }
+	}
+	finish := func(nonce byte) op {
+		return func(p *claims.Page) claims.Change {
+			return p.Finish(bucket, k, claims.Nonce{nonce}, claims.Result{Verdict: verdict.Ran, Status: 200})
+		}
+	}
+	reuse := func(p *claims.Page) claims.Change { return p.Claim(bucket, other, nil) }
+	late := func(p *claims.Page) claims.Change { return p.Claim(bucket-1, record(k, 3), nil) }
+	turn := func(p *claims.Page) claims.Change {
+		return p.Claim(bucket+1, record(claims.KeyAt("dombud", start, 2), 4), nil)
+	}
+
+	tests := []struct {
+		name    string
+		ops     []op
+		mine    bool
+		changed bool
+		fails   bool
+		state   claims.State
+	}{
+		{"first claim", []op{claim(1)}, true, true, false, claims.Claimed},
+		{"same nonce again", []op{claim(1), claim(1)}, true, false, false, claims.Claimed},
+		{"second claimant", []op{claim(1), claim(2)}, false, false, false, claims.Claimed},
+		{"another body", []op{claim(1), reuse}, false, false, true, claims.Claimed},
+		{"another body after withdrawal", []op{claim(1), abandon(1), reuse}, false, false, true, claims.Abandoned},
+		{"finished", []op{claim(1), finish(1)}, false, true, false, claims.Done},
+		{"finished twice", []op{claim(1), finish(1), finish(1)}, false, false, false, claims.Done},
+		{"finished under another nonce", []op{claim(1), finish(2)}, false, false, true, claims.Claimed},
+		{"claim of a finished one", []op{claim(1), finish(1), claim(2)}, false, false, false, claims.Done},
+		{"same nonce of a finished one", []op{claim(1), finish(1), claim(1)}, false, false, false, claims.Done},
+		{"takeover", []op{claim(1), abandon(1), claim(2)}, true, true, false, claims.Claimed},
+		{"takeover of a spent nonce", []op{claim(9), claim(2)}, true, true, false, claims.Claimed},
+		{"late claim after withdrawal", []op{abandon(1), claim(1)}, false, false, false, claims.Abandoned},
+		{"withdrawal under another nonce", []op{claim(1), abandon(2)}, false, false, true, claims.Claimed},
+		{"withdrawal of a finished one", []op{claim(1), finish(1), abandon(1)}, false, false, true, claims.Done},
+		{"finish after withdrawal", []op{claim(1), abandon(1), finish(1)}, false, false, true, claims.Abandoned},
+		{"key of an earlier span", []op{claim(1), late}, false, false, true, claims.Claimed},
+		{"finish after the page was reused", []op{claim(1), turn, finish(1)}, false, false, true, claims.Claimed},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var value []byte
+			var got claims.Change
+			var kept claims.Record
+
+			for _, do := range tt.ops {
+				p, err := claims.DecodePage(value)
+				require.NoError(t, err)
+
+				got = do(p)
+				kept, _ = p.Lookup(k)
+				value, err = p.Encode()
+				require.NoError(t, err)
+			}
+
+			require.Equal(t, tt.fails, got.Err != nil, got.Err)
+			require.Equal(t, tt.mine, got.Mine)
+			require.Equal(t, tt.changed, got.Changed)
+			require.Equal(t, tt.state, kept.State)
+		})
+	}
+}
+
+// TestPageStaysSmall fills a page until it refuses claims.
+func TestPageStaysSmall(t *testing.T) {
+	p, err := claims.DecodePage(nil)
+	require.NoError(t, err)
+
+	answer := make([]byte, claims.MaxAnswerBytes)
+	kept, n := 0, uint64(0)
+
+	for ; ; n++ {
+		r := record(claims.KeyAt("dombud", start, n), 1)
+
+		c := p.Claim(1, r, nil)
+		if c.Err != nil {
+			require.Equal(t, verdict.CodeOverloaded, verdict.From(c.Err).Code)
+
+			break
+		}
+
+		c = p.Finish(1, r.Key, r.Nonce, claims.Result{Verdict: verdict.Ran, Status: 200, Answer: answer})
+		require.NoError(t, c.Err)
+
+		if !c.Record.Result.Dropped {
+			kept++
+		}
+	}
+
+	value, err := p.Encode()
+	require.NoError(t, err)
+	require.Less(t, len(value), 1<<20)
+	require.Greater(t, n, uint64(500))
+	require.Greater(t, kept, 20)
+}
+
+func FuzzDecodePage(f *testing.F) {
+	f.Add([]byte(`{"bucket":1,"records":[{"key":{"account":"a"},"nonce":"00000000-0000-0000-0000-000000000001"}]}`))
+	f.Add([]byte(`{"records":[{},{}]}`))
+	f.Add([]byte(`[]`))
+
+	f.Fuzz(func(t *testing.T, value []byte) {
+		p, err := claims.DecodePage(value)
+		if err != nil {
+			return
+		}
+
+		c := p.Claim(1<<62, record(claims.KeyAt("dombud", start, 1), 1), nil)
+		require.Equal(t, c.Err == nil, c.Mine)
+	})
+}
--- /dev/null
+++ b/internal/control/claims/key.go
@@ -0,0 +1,91 @@
+package claims
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/zeebo/errs"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("claims")
+
+// keyVersion is the version of UUIDs that carry their time in milliseconds.
+const keyVersion = 7
+
+// Key is the idempotency key of one request of a client account.
+type Key struct {
+	Account table.AccountID `json:"account"`
+	ID      uuid.UUID       `json:"id"`
+}
+
+// ParseKey returns the Key that text, a UUIDv7, states for account. It fails with a NotRun *verdict.Error.
+func ParseKey(account table.AccountID, text string) (Key, error) {
+	id, err := uuid.Parse(text)
+	if err != nil {
+		return Key{}, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "idempotency key is not a UUID").Because(err)
+	}
+
+	if id.Version() != keyVersion || id.Variant() != uuid.RFC4122 {
+		return Key{}, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "idempotency key is not a UUIDv7")
+	}
+
+	return Key{Account: account, ID: id}, nil
+}
+
+// KeyAt returns the key of account with time at and random part n, of which the upper two bits are
+// dropped. It lets deterministic harnesses make keys; callers use a UUIDv7 of their library.
+func KeyAt(account table.AccountID, at time.Time, n uint64) Key {
+	var id uuid.UUID
+
+	binary.BigEndian.PutUint64(id[:8], uint64(at.UnixMilli())<<16)
+	binary.BigEndian.PutUint64(id[8:], n)
+	id[6] = keyVersion << 4
+	id[8] = id[8]&0x3f | 0x80
+
+	return Key{Account: account, ID: id}
+}
+
+// Time returns the time at which the key was made, to the millisecond.
+func (k Key) Time() time.Time {
+	var ms int64
+	for _, b := range k.ID[:6] {
+		ms = ms<<8 | int64(b)
+	}
+
+	return time.UnixMilli(ms)
+}
+
+func (k Key) hash() uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(k.Account))
+	_, _ = d.Write(k.ID[:])
+
+	return d.Sum64()
+}
+
+// Fingerprint tells the bodies of requests apart.
+type Fingerprint uint64
+
+// FingerprintOf returns the Fingerprint of a request's kind and body.
+func FingerprintOf(kind table.KindName, body []byte) Fingerprint {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(kind))
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(body)
+
+	return Fingerprint(d.Sum64())
+}
+
+// Nonce names one attempt to claim a key. It must be unique among all attempts.
+type Nonce = uuid.UUID
+
+// NewNonce returns a random Nonce.
+func NewNonce() Nonce {
+	return uuid.New()
+}
--- /dev/null
+++ b/internal/control/ledger/ledger_test.go
@@ -0,0 +1,452 @@
+package ledger_test
+
+import (
+	"context"
+	"encoding/binary"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/claims"
+	"github.com/dotterelflow/dotterelflow/internal/control/ledger"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	standin "github.com/dotterelflow/dotterelflow/internal/standin/platform"
+	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "300")
+	_ = flag.Set("rapid.nofailfile", "true")
+
+	os.Exit(m.Run())
+}
+
+// site is a platform with some ledgers on it, in virtual time.
+type site struct {
+	store   *standin.Store
+	views   []*standin.View
+	ledgers []*ledger.Ledger
+	keys    uint64
+	nonces  uint64
+}
+
+// newSite must be called in a synctest bubble.
+func newSite(n int, opts ledger.Options) *site {
+	s := &site{store: standin.NewStore(clockwork.NewRealClock())}
+
+	for i := range n {
+		v := s.store.View()
+		o := opts
+		o.Store = v
+		o.Host = host(i)
+		s.views = append(s.views, v)
+		s.ledgers = append(s.ledgers, ledger.New(o))
+	}
+
+	return s
+}
+
+func (s *site) close() {
+	for _, l := range s.ledgers {
+		l.Close()
+		<-l.Done()
+	}
+}
+
+func host(i int) table.HostID {
+	return table.HostID(fmt.Sprintf("host-%d", i))
+}
+
+func (s *site) key() claims.Key {
+	s.keys++
+
+	return claims.KeyAt("dombud", time.Now(), s.keys)
+}
+
+// request asks for k under a new nonce.
+func (s *site) request(k claims.Key) ledger.Request {
+	s.nonces++
+
+	var nonce claims.Nonce
+
+	binary.BigEndian.PutUint64(nonce[8:], s.nonces)
+
+	return ledger.Request{Key: k, Fingerprint: 1, Nonce: nonce}
+}
+
+func ran(answer string) claims.Result {
+	return claims.Result{Verdict: verdict.Ran, Status: 200, Answer: []byte(answer)}
+}
+
+// inBubble runs f on a site of n ledgers in virtual time.
+func inBubble(t *testing.T, n int, f func(t *testing.T, s *site)) {
+	t.Helper()
+
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(n, ledger.Options{})
+		f(t, s)
+		s.close()
+	})
+}
+
+func TestRepeatGetsAnswer(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, s *site) {
+		ctx := t.Context()
+		k := s.key()
+
+		first, err := s.ledgers[0].Claim(ctx, s.request(k))
+		require.NoError(t, err)
+		require.True(t, first.Mine)
+
+		repeat, err := s.ledgers[1].Claim(ctx, s.request(k))
+		require.NoError(t, err)
+		require.False(t, repeat.Mine)
+		require.Equal(t, claims.Claimed, repeat.Record.State)
+		require.Equal(t, host(0), repeat.Record.Claimant)
+
+		require.NoError(t, s.ledgers[0].Finish(ctx, first.Record, ran("grade 3")))
+
+		repeat, err = s.ledgers[1].Claim(ctx, s.request(k))
+		require.NoError(t, err)
+		require.False(t, repeat.Mine)
+		require.Equal(t, ran("grade 3"), repeat.Record.Result)
+
+		kept, ok, err := s.ledgers[1].Lookup(ctx, k)
+		require.NoError(t, err)
+		require.True(t, ok)
+		require.Equal(t, claims.Done, kept.State)
+	})
+}
+
+// TestRepeatsCross sends one key to several hosts at the same moment.
+func TestRepeatsCross(t *testing.T) {
+	inBubble(t, 5, func(t *testing.T, s *site) {
+		for _, l := range s.ledgers { // all have agreed on the ring
+			_, err := l.Claim(t.Context(), s.request(s.key()))
+			require.NoError(t, err)
+		}
+
+		time.Sleep(time.Second)
+
+		k := s.key()
+		mine := make(chan bool, len(s.ledgers))
+
+		for i, l := range s.ledgers {
+			s.views[i].SetFaults(standin.Faults{Delay: time.Duration(1+i%2) * time.Millisecond})
+
+			r := s.request(k)
+
+			go func() {
+				o, err := l.Claim(t.Context(), r)
+				mine <- err == nil && o.Mine
+			}()
+		}
+
+		held := 0
+
+		for range s.ledgers {
+			if <-mine {
+				held++
+			}
+		}
+
+		require.Equal(t, 1, held)
+	})
+}
+
+// TestClaimUnderFault claims a key while the claimant's platform is at fault; when all is well
+// again, a repeat through another host may run exactly where the first attempt does not.
+func TestClaimUnderFault(t *testing.T) {
+	tests := []struct {
+		name    string
+		faults  standin.Faults
+		lasting bool // the fault outlasts the claim
+		mine    bool
+		verdict verdict.Verdict
+		code    verdict.Code
+		within  time.Duration // virtual time to the answer
+	}{
+		{"down", standin.Faults{Down: true}, true, false, verdict.NotRun, verdict.CodeNoPlatform, time.Millisecond},
+		{"answer lost, then well", standin.Faults{LoseAnswer: true}, false, true, verdict.Ran, "", time.Second},
+		{"answer lost for long", standin.Faults{LoseAnswer: true}, true, true, verdict.Ran, "", time.Second},
+		{
+			"write late", standin.Faults{LoseAnswer: true, LateWrite: time.Second},
+			true, true, verdict.Ran, "", 2 * time.Second,
+		},
+		{
+			"write later than the wait", standin.Faults{LoseAnswer: true, LateWrite: 4 * time.Second},
+			true, false, verdict.NotRun, verdict.CodeNoPlatform, 2 * time.Second,
+		},
+		{
+			"slower than the wait", standin.Faults{Delay: 3 * time.Second},
+			true, false, verdict.NotRun, verdict.CodeNoPlatform, 2 * time.Second,
+		},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, 2, func(t *testing.T, s *site) {
+				_, err := s.ledgers[0].Claim(t.Context(), s.request(s.key())) // the ring is agreed on
+				require.NoError(t, err)
+
+				k := s.key()
+				s.views[0].SetFaults(tt.faults)
+
+				if !tt.lasting {
+					time.AfterFunc(100*time.Millisecond, func() { s.views[0].SetFaults(standin.Faults{}) })
+				}
+
+				begun := time.Now()
+				o, err := s.ledgers[0].Claim(t.Context(), s.request(k))
+
+				require.LessOrEqual(t, time.Since(begun), tt.within)
+				require.Equal(t, tt.verdict, verdict.Of(err), err)
+				require.Equal(t, tt.mine, o.Mine)
+
+				if err != nil {
+					require.Equal(t, tt.code, verdict.From(err).Code)
+					require.Positive(t, verdict.From(err).RetryAfter)
+				}
+
+				time.Sleep(10 * time.Second)
+				s.views[0].SetFaults(standin.Faults{})
+				time.Sleep(10 * time.Second)
+
+				repeat, err := s.ledgers[1].Claim(t.Context(), s.request(k))
+				require.NoError(t, err)
+				require.Equal(t, !tt.mine, repeat.Mine)
+			})
+		})
+	}
+}
+
+// TestClaimantDies lets the first claimant die at some point of the request's life.
+func TestClaimantDies(t *testing.T) {
+	tests := []struct {
+		name string
+		life func(ctx context.Context, l *ledger.Ledger, r claims.Record)
+		want claims.State
+		mine bool
+	}{
+		{"before dispatch", func(context.Context, *ledger.Ledger, claims.Record) {}, claims.Claimed, false},
+		{"after dispatch, result recorded", func(ctx context.Context, l *ledger.Ledger, r claims.Record) {
+			_ = l.Finish(ctx, r, ran("held"))
+		}, claims.Done, false},
+		{"after dispatch, result not recorded", func(ctx context.Context, l *ledger.Ledger, r claims.Record) {
+			ctx, cancel := context.WithTimeout(ctx, time.Millisecond)
+			defer cancel()
+
+			_ = l.Finish(ctx, r, ran("held"))
+		}, claims.Claimed, false},
+		{"after giving up", func(ctx context.Context, l *ledger.Ledger, r claims.Record) {
+			_ = l.Abandon(ctx, r)
+		}, claims.Claimed, true},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, 2, func(t *testing.T, s *site) {
+				k := s.key()
+				first := s.request(k)
+				first.Request = "request-1"
+				first.Target = "engine-1"
+
+				o, err := s.ledgers[0].Claim(t.Context(), first)
+				require.NoError(t, err)
+
+				tt.life(t.Context(), s.ledgers[0], o.Record)
+				s.ledgers[0].Close()
+
+				repeat, err := s.ledgers[1].Claim(t.Context(), s.request(k))
+				require.NoError(t, err)
+				require.Equal(t, tt.mine, repeat.Mine)
+				require.Equal(t, tt.want, repeat.Record.State)
+
+				if !tt.mine {
+					require.Equal(t, first.Request, repeat.Record.Request)
+					require.Equal(t, first.Target, repeat.Record.Target)
+				}
+			})
+		})
+	}
+}
+
+// TestForwardedClaim lets a host claim through another one whose answer is lost.
+func TestForwardedClaim(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, s *site) {
+		r := s.request(s.key())
+		r.Claimant = host(0)
+
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+
+		s.views[1].SetFaults(standin.Faults{LoseAnswer: true})
+
+		_, err := s.ledgers[1].Claim(ctx, r)
+		require.ErrorIs(t, err, ledger.ErrUnsettled)
+
+		o, err := s.ledgers[0].Claim(t.Context(), r)
+		require.NoError(t, err)
+		require.True(t, o.Mine)
+
+		time.Sleep(5 * time.Second) // the forwarding host must not take back what is not its own
+		require.ErrorIs(t, s.ledgers[1].Abandon(t.Context(), o.Record), ledger.ErrNotClaimant)
+
+		repeat, err := s.ledgers[2].Claim(t.Context(), s.request(r.Key))
+		require.NoError(t, err)
+		require.False(t, repeat.Mine)
+	})
+}
+
+// TestSpentNonceIsTakenOver brings the claim of a spent nonce onto the platform late, where its own host resolves it.
+func TestSpentNonceIsTakenOver(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, s *site) {
+		r := s.request(s.key())
+		r.Claimant = host(0)
+
+		o, err := s.ledgers[1].Claim(t.Context(), r)
+		require.NoError(t, err)
+		require.True(t, o.Mine)
+
+		s.views[0].SetFaults(standin.Faults{Down: true})
+
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+
+		require.Error(t, s.ledgers[0].Abandon(ctx, o.Record))
+		time.Sleep(2 * time.Minute)
+		s.views[0].SetFaults(standin.Faults{})
+
+		_, err = s.ledgers[0].Claim(t.Context(), r)
+		require.Equal(t, verdict.NotRun, verdict.Of(err))
+
+		repeat, err := s.ledgers[0].Claim(t.Context(), s.request(r.Key))
+		require.NoError(t, err)
+		require.True(t, repeat.Mine)
+	})
+}
+
+func TestPlatformOutForLong(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, s *site) {
+		s.views[0].SetFaults(standin.Faults{Down: true})
+		time.AfterFunc(5*time.Minute, func() { s.views[0].SetFaults(standin.Faults{}) })
+
+		patient := s.request(s.key())
+		patient.Patient = true
+
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+
+		_, err := s.ledgers[0].Claim(ctx, patient)
+		require.Equal(t, verdict.NotRun, verdict.Of(err))
+
+		repeat := s.request(patient.Key)
+		repeat.Repeat = true
+
+		_, err = s.ledgers[0].Claim(t.Context(), repeat)
+		require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+
+		patient = s.request(patient.Key)
+		patient.Patient = true
+
+		o, err := s.ledgers[0].Claim(t.Context(), patient)
+		require.NoError(t, err)
+		require.True(t, o.Mine)
+
+		time.Sleep(11 * time.Minute)
+
+		_, err = s.ledgers[0].Claim(t.Context(), s.request(patient.Key))
+		require.Equal(t, verdict.CodeKeyExpired, verdict.From(err).Code)
+		require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+	})
+}
+
+// TestClockBehind lets a host whose clock is far behind see a key that has left the window.
+func TestClockBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore(clockwork.NewRealClock())
+		ring := claims.Ring{Shards: 1}.WithDefaults()
+		ahead := ledger.New(ledger.Options{Store: store.View(), Host: "ahead", Ring: ring})
+		behind := ledger.New(ledger.Options{
+			Store: store.View(), Host: "behind", Ring: ring, Clock: clockwork.NewFakeClockAt(time.Now()),
+		})
+
+		k := claims.KeyAt("dombud", time.Now(), 1)
+		o, err := ahead.Claim(t.Context(), ledger.Request{Key: k, Nonce: claims.Nonce{1}})
+		require.NoError(t, err)
+		require.True(t, o.Mine)
+
+		time.Sleep(time.Duration(ring.Slots()) * ring.Span) // its page is used again
+
+		_, err = ahead.Claim(t.Context(), ledger.Request{Key: claims.KeyAt("dombud", time.Now(), 2), Nonce: claims.Nonce{2}})
+		require.NoError(t, err)
+
+		_, err = behind.Claim(t.Context(), ledger.Request{Key: k, Nonce: claims.Nonce{3}})
+		require.Equal(t, verdict.CodeKeyExpired, verdict.From(err).Code)
+		ahead.Close()
+		behind.Close()
+	})
+}
+
+// TestOtherRing refuses claims on a host whose settings lay them out differently.
+func TestOtherRing(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, s *site) {
+		_, err := s.ledgers[0].Claim(t.Context(), s.request(s.key()))
+		require.NoError(t, err)
+
+		other := ledger.New(ledger.Options{Store: s.store.View(), Host: "other", Ring: claims.Ring{Shards: 8}})
+		defer other.Close()
+
+		_, err = other.Claim(t.Context(), s.request(s.key()))
+		require.Equal(t, verdict.NotRun, verdict.Of(err))
+	})
+}
+
+func TestPreferred(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, s *site) {
+		l := s.ledgers[0]
+		peers := []table.HostID{host(0), host(1), host(2), host(3)}
+		moved, seen := 0, map[table.HostID]int{}
+
+		for range 200 {
+			k := s.key()
+			p := l.Preferred(k, peers)
+			seen[p]++
+
+			if q := l.Preferred(k, peers[:3]); q != p {
+				require.Equal(t, host(3), p)
+
+				moved++
+			}
+		}
+
+		require.Len(t, seen, 4)
+		require.Equal(t, seen[host(3)], moved)
+		require.Empty(t, l.Preferred(s.key(), nil))
+	})
+}
+
+func TestClose(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, s *site) {
+		s.views[0].SetFaults(standin.Faults{Down: true})
+
+		r := s.request(s.key())
+		r.Patient = true
+
+		time.AfterFunc(time.Second, s.ledgers[0].Close)
+
+		_, err := s.ledgers[0].Claim(t.Context(), r)
+		require.Equal(t, verdict.CodeStopping, verdict.From(err).Code)
+		require.Equal(t, verdict.NotRun, verdict.Of(err))
+	})
+}
+
+var _ ledger.Store = (*platform.Client)(nil)
--- /dev/null
+++ b/internal/control/ledger/options.go
@@ -0,0 +1,61 @@
+package ledger
+
+import (
+	"cmp"
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/claims"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
+)
+
+// Store is the part of the platform's object API that a Ledger uses. Its errors are those of
+// package platform; any other error of Put counts as an unknown outcome.
+type Store interface {
+	Get(ctx context.Context, key platform.Key) (platform.Object, error)
+	Put(ctx context.Context, key platform.Key, expect platform.Version, value []byte) (platform.Version, error)
+}
+
+const (
+	defaultSpacing    = 60 * time.Millisecond
+	defaultFinishLag  = 250 * time.Millisecond
+	defaultWait       = 2 * time.Second
+	defaultBackoff    = 250 * time.Millisecond
+	defaultAbandonFor = time.Minute
+	maxGapFactor      = 16      // growth of the spacing under conflicts
+	spentNonces       = 1 << 16 // nonces remembered as spent
+	cachedPages       = 64
+)
+
+// Options configure a Ledger. Store and Host are required; each other zero value works.
+type Options struct {
+	Store Store
+	Host  table.HostID
+	Clock clockwork.Clock // nil means the system's clock
+	Ring  claims.Ring     // equal on all hosts
+
+	Spacing    time.Duration // least time between the writes of one shard; zero means 60 ms
+	FinishLag  time.Duration // how long a result may wait for company; zero means 250 ms
+	Wait       time.Duration // bound of a claim that is not patient; zero means 2 s
+	Backoff    time.Duration // pause after a failure of the platform; zero means 250 ms
+	AbandonFor time.Duration // how long a withdrawal is tried in the background; zero means 1 min
+}
+
+func (o Options) withDefaults() Options {
+	o.Ring = o.Ring.WithDefaults()
+
+	if o.Clock == nil {
+		o.Clock = clockwork.NewRealClock()
+	}
+
+	o.Spacing = cmp.Or(o.Spacing, defaultSpacing)
+	o.FinishLag = cmp.Or(o.FinishLag, defaultFinishLag)
+	o.Wait = cmp.Or(o.Wait, defaultWait)
+	o.Backoff = cmp.Or(o.Backoff, defaultBackoff)
+	o.AbandonFor = cmp.Or(o.AbandonFor, defaultAbandonFor)
+
+	return o
+}
--- /dev/null
+++ b/internal/control/ledger/refusal.go
@@ -0,0 +1,35 @@
+package ledger
+
+import (
+	"errors"
+
+	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+// refused passes on a refusal of a page, or of the platform, with the verdict that is true for req.
+func refused(req Request, err error) error {
+	var e *verdict.Error
+
+	switch {
+	case errors.Is(err, platform.ErrUnavailable):
+		return refusal(req, verdict.CodeNoPlatform, "the platform can't be reached").Because(err).After(defaultBackoff)
+	case !errors.As(err, &e):
+		return refusal(req, verdict.CodeInternal, "the claim failed").Because(err)
+	case e.Code == verdict.CodeKeyReused:
+		return e
+	case e.Verdict == verdict.NotRun:
+		return refusal(req, e.Code, e.Message).Because(e.Err).After(e.RetryAfter)
+	default:
+		return e
+	}
+}
+
+// refusal returns NotRun, unless the caller may have sent the key before.
+func refusal(req Request, code verdict.Code, message string) *verdict.Error {
+	if req.Repeat {
+		return verdict.New(verdict.MayHaveRun, code, "%s; whether an earlier sending ran is not known", message)
+	}
+
+	return verdict.New(verdict.NotRun, code, "%s", message)
+}
--- a/internal/wire/once/transport.go
+++ b/internal/wire/once/transport.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -48,17 +49,9 @@
 
 // NewTransport returns a Transport with connections of its own.
 func NewTransport(opts Options) *Transport {
-	if opts.DialTimeout == 0 {
-		opts.DialTimeout = defaultDialTimeout
-	}
-
-	if opts.IdleTimeout == 0 {
-		opts.IdleTimeout = defaultIdleTimeout
-	}
-
-	if opts.IdlePerTarget == 0 {
-		opts.IdlePerTarget = defaultIdleConns
-	}
+	opts.DialTimeout = cmp.Or(opts.DialTimeout, defaultDialTimeout)
+	opts.IdleTimeout = cmp.Or(opts.IdleTimeout, defaultIdleTimeout)
+	opts.IdlePerTarget = cmp.Or(opts.IdlePerTarget, defaultIdleConns)
 
 	if opts.Dial == nil {
 		opts.Dial = (&net.Dialer{Timeout: opts.DialTimeout, KeepAlive: keepAlivePeriod}).DialContext
