--- a/cmd/dotterelflow/main.go
+++ b/cmd/dotterelflow/main.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/dotterelflow/dotterelflow/internal/command/demo"
+	"github.com/dotterelflow/dotterelflow/internal/command/entry"
 )
 
 func main() {
@@ -18,6 +19,7 @@
 		EnableShellCompletion: true,
 		Commands: []*cli.Command{
 			demo.Command(),
+			entry.Command(),
 		},
 	}
 
--- a/internal/command/demo/command.go
+++ b/internal/command/demo/command.go
@@ -44,7 +44,7 @@
 	var results []result
 
 	for _, name := range deployments {
-		s, err := newScene(name, filepath.Join(examples, name))
+		s, err := newScene(ctx, name, filepath.Join(examples, name))
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/command/entry/command.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/phuslu/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/entry/host"
+	"github.com/dotterelflow/dotterelflow/internal/site/logging"
+	"github.com/dotterelflow/dotterelflow/internal/site/settings"
+	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
+)
+
+// Command returns the entry command.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "entry",
+		Usage: "run an entry host",
+		Description: "Serves callers, operators and peers until SIGTERM or SIGINT; then it takes no new work, lets\n" +
+			"open streams end and exits 0. It keeps nothing on disk.\n\n" +
+			"Example: dotterelflow entry --settings examples/settings/entry-1.yaml\n\n" +
+			"Exit codes: 0 stopped as asked; 1 could not start, or streams outlived the stop timeout.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Required: true, Usage: "settings `FILE` of this host"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			s, err := settings.Load(cmd.String("settings"))
+			if err != nil {
+				return err
+			}
+
+			return run(ctx, s)
+		},
+	}
+}
+
+func run(ctx context.Context, s settings.Settings) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+
+	// Each run is a member of its own: a restarted host has none of the state that peers expect.
+	id := table.HostID(fmt.Sprintf("%s-%.8s", s.ID, uuid.NewString()))
+	logger := logging.New(os.Stderr, s.LogLevel, string(id))
+
+	h, err := host.Start(host.Options{
+		Log: logger, ID: id, DataCentre: s.DataCentre,
+		CallerAddress: s.Listen.Caller, PeerAddress: s.Listen.Peer, OperatorAddress: s.Listen.Operator,
+		OperatorKeyHash: string(s.OperatorKeyHash), Peers: s.Peers,
+		Platform:  platform.NewClient(s.Platform, platform.Options{Timeout: time.Duration(s.PlatformTimeout), Name: s.ID}),
+		StopBound: time.Duration(s.StopTimeout),
+	})
+	if err != nil {
+		return err
+	}
+
+	logger.Info().Str("data-centre", string(s.DataCentre)).Str("caller", h.CallerAddress()).
+		Str("operator", h.OperatorAddress()).Str("peer", h.PeerAddress()).Msg("entry host started")
+
+	<-ctx.Done()
+	logger.Info().Msg("stopping")
+
+	return stopped(h, logger)
+}
+
+func stopped(h *host.Host, logger *log.Logger) error {
+	err := h.Stop()
+	if err != nil {
+		logger.Error().Err(err).Msg("stopped with streams cut")
+
+		return err
+	}
+
+	logger.Info().Msg("stopped")
+
+	return nil
+}
--- /dev/null
+++ b/internal/command/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry holds the command that runs an entry host.
+package entry
--- a/internal/entry/dispatch/runner.go
+++ b/internal/entry/dispatch/runner.go
@@ -238,6 +238,10 @@
 			return err
 		}
 
+		if forgotten(err) && req.Resume {
+			return verdict.New(verdict.MayHaveRun, verdict.CodeNotFound, "%s does not know the request", t.ID).Because(err)
+		}
+
 		if forgotten(err) {
 			break
 		}
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -10,17 +10,24 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
 	"github.com/zeebo/errs"
+	"google.golang.org/grpc"
 
+	"github.com/dotterelflow/dotterelflow/internal/control/configuration"
+	"github.com/dotterelflow/dotterelflow/internal/control/ledger"
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
 	"github.com/dotterelflow/dotterelflow/internal/entry/admit"
 	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
 	"github.com/dotterelflow/dotterelflow/internal/entry/dispatch"
 	"github.com/dotterelflow/dotterelflow/internal/entry/loads"
+	"github.com/dotterelflow/dotterelflow/internal/entry/peers"
 	"github.com/dotterelflow/dotterelflow/internal/entry/requests"
 	"github.com/dotterelflow/dotterelflow/internal/entry/routes"
+	meters "github.com/dotterelflow/dotterelflow/internal/measure/metrics"
 	"github.com/dotterelflow/dotterelflow/internal/wire/caller"
 	"github.com/dotterelflow/dotterelflow/internal/wire/engine"
+	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
 	"github.com/dotterelflow/dotterelflow/internal/wire/service"
 )
 
@@ -32,39 +39,65 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	defaultStopBound  = 2 * time.Minute
+	stopNotice        = 300 * time.Millisecond // between not ready and the end of listening
 )
 
-// Configuration gives the configuration in force, or nil when there is none yet.
-type Configuration interface {
-	Current() *table.Snapshot
+// Platform is the platform's object API as an entry host uses it.
+type Platform interface {
+	Get(ctx context.Context, key platform.Key) (platform.Object, error)
+	Put(ctx context.Context, key platform.Key, expect platform.Version, value []byte) (platform.Version, error)
+	Delete(ctx context.Context, key platform.Key, expect platform.Version) error
+	List(ctx context.Context, prefix string) ([]platform.Object, error)
+	Watch(ctx context.Context, prefix string) (<-chan platform.Object, error)
+	Hosts(ctx context.Context) ([]platform.Host, error)
 }
 
-// Options say what a Host is and works with. Configuration and DataCentre are required.
+// Options say what a Host is and works with. DataCentre, ID, Platform and the addresses, each an
+// ip:port whose port may be 0, are required.
 type Options struct {
-	Clock         clockwork.Clock // nil means the real clock
-	Log           *log.Logger     // nil means the default logger
-	ID            table.HostID
-	DataCentre    table.DataCentre
-	CallerAddress string // ip:port of the callers' API
-	Configuration Configuration
-	StopBound     time.Duration // longest wait for streams on a stop; zero means 2 min
+	Clock           clockwork.Clock // nil means the real clock
+	Log             *log.Logger     // nil means the default logger
+	ID              table.HostID    // new for each run of a process
+	DataCentre      table.DataCentre
+	CallerAddress   string
+	PeerAddress     string
+	OperatorAddress string
+	OperatorKeyHash string // as table.HashKey returns it
+	Peers           []string
+	Platform        Platform
+	StopBound       time.Duration // longest wait for streams on a stop; zero means 2 min
 }
 
 // Host is one running entry host.
 type Host struct {
 	opts     Options
-	engines  *engine.Client
-	router   *routes.Router
-	loads    *loads.Table
-	admit    *admit.Loop
-	api      *caller.Server
-	server   *http.Server
-	listener net.Listener
+	registry metrics.Registry
+
+	engines *engine.Client
+	router  *routes.Router
+	loads   *loads.Table
+	admit   *admit.Loop
+	claims  *ledger.Ledger
+	config  *configuration.Runner
+	network *peers.Network
+
+	callers  *http.Server
+	operator *http.Server
+	peers    *grpc.Server
+	sockets  sockets
+
 	stopping atomic.Bool
 	cancel   context.CancelFunc
 	done     chan struct{}
 }
 
+// sockets are the listeners of a host.
+type sockets struct {
+	caller   net.Listener
+	operator net.Listener
+	peer     net.Listener
+}
+
 // Start runs a Host until Stop is called.
 func Start(opts Options) (*Host, error) {
 	if opts.Clock == nil {
@@ -79,64 +112,72 @@
 		opts.StopBound = defaultStopBound
 	}
 
+	h := &Host{opts: opts, registry: metrics.NewRegistry(), done: make(chan struct{})}
+
+	if err := h.listen(); err != nil {
+		h.sockets.close()
+
+		return nil, err
+	}
+
 	ctx, cancel := context.WithCancel(context.Background())
-	h := &Host{opts: opts, cancel: cancel, done: make(chan struct{})}
+	h.cancel = cancel
 
 	if err := h.build(ctx); err != nil {
 		cancel()
+		h.sockets.close()
 
 		return nil, err
 	}
 
+	h.serve()
+
 	go h.run(ctx)
 
 	return h, nil
 }
 
-func (h *Host) build(ctx context.Context) error {
-	h.engines = engine.NewClient(engine.Options{Clock: h.opts.Clock})
-	h.router = routes.New(routes.Options{Clock: h.opts.Clock, Home: h.opts.DataCentre, Seed: h.opts.Clock.Now().UnixNano()})
-	h.admit = admit.Start(admit.Options{Clock: h.opts.Clock})
-	h.loads = loads.Start(ctx, loads.Options{
-		Clock: h.opts.Clock, Engines: h.engines, Targets: h.targets,
-		Mine: func(t table.Target) bool { return t.DataCentre == h.opts.DataCentre },
-	})
-
-	runner := dispatch.New(dispatch.Options{
-		Clock: h.opts.Clock, Home: h.opts.DataCentre, Engines: h.engines,
-		Services: service.NewClient(service.Options{}), Router: h.router, Log: h.opts.Log,
-	})
-	taken := requests.New(requests.Options{
-		Clock: h.opts.Clock, Runner: runner, Answers: answers.NewTable(answers.Options{Clock: h.opts.Clock}),
-		Admission: h.admit, Log: h.opts.Log,
-	})
+func (h *Host) listen() error {
+	for _, s := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{h.opts.CallerAddress, &h.sockets.caller},
+		{h.opts.OperatorAddress, &h.sockets.operator},
+		{h.opts.PeerAddress, &h.sockets.peer},
+	} {
+		listener, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return Error.Wrap(err)
+		}
 
-	api, err := caller.NewServer(caller.Options{
-		Clock: h.opts.Clock, Requests: taken, Configuration: h.opts.Configuration, Ready: h.Ready, Log: h.opts.Log,
-	})
-	if err != nil {
-		return Error.Wrap(err)
+		*s.into = listener
 	}
 
-	h.api = api
-	h.server = &http.Server{Handler: api, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	h.listener, err = net.Listen("tcp", h.opts.CallerAddress)
-
-	return Error.Wrap(err)
+	return nil
 }
 
-func (h *Host) targets() []table.Target {
-	snapshot := h.opts.Configuration.Current()
-	if snapshot == nil {
-		return nil
+func (s *sockets) close() {
+	for _, listener := range []net.Listener{s.caller, s.operator, s.peer} {
+		if listener != nil {
+			_ = listener.Close()
+		}
 	}
-
-	return snapshot.Targets
 }
 
 // CallerAddress returns the ip:port on which callers are served.
 func (h *Host) CallerAddress() string {
-	return h.listener.Addr().String()
+	return h.sockets.caller.Addr().String()
+}
+
+// PeerAddress returns the ip:port on which peers are served.
+func (h *Host) PeerAddress() string {
+	return h.sockets.peer.Addr().String()
+}
+
+// OperatorAddress returns the ip:port on which operators are served.
+func (h *Host) OperatorAddress() string {
+	return h.sockets.operator.Addr().String()
 }
 
 // Ready returns nil when the host can serve, else an error that says what is missing.
@@ -145,7 +186,7 @@
 		return Error.New("stopping")
 	}
 
-	if h.opts.Configuration.Current() == nil {
+	if !h.config.Ready() {
 		return Error.New("no configuration yet, from neither the platform nor a peer")
 	}
 
@@ -157,54 +198,140 @@
 	return h.done
 }
 
+// build makes the parts and connects them.
+func (h *Host) build(ctx context.Context) error {
+	clock := h.opts.Clock
+	seed := clock.Now().UnixNano()
+
+	h.engines = engine.NewClient(engine.Options{Clock: clock})
+	h.router = routes.New(routes.Options{Clock: clock, Home: h.opts.DataCentre, Seed: seed})
+	h.admit = admit.Start(admit.Options{Clock: clock})
+	h.claims = ledger.New(ledger.Options{Store: h.opts.Platform, Host: h.opts.ID, Clock: clock})
+	h.network = peers.New(peers.Options{
+		Clock: clock, Log: h.opts.Log, Host: h.opts.ID, DataCentre: h.opts.DataCentre,
+		Address: h.PeerAddress(), Seeds: h.opts.Peers, Local: h,
+	})
+	h.config = configuration.Start(ctx, h.opts.Platform, h.network, clock, uint64(seed))
+	h.loads = loads.Start(ctx, loads.Options{
+		Clock: clock, Engines: h.engines, Targets: h.targets, Mine: h.polls,
+	})
+	h.network.Start(ctx)
+
+	held := answers.NewTable(answers.Options{Clock: clock})
+	runner := dispatch.New(dispatch.Options{
+		Clock: clock, Home: h.opts.DataCentre, Engines: h.engines, Services: service.NewClient(service.Options{}),
+		Peers: h.network, Router: h.router, Log: h.opts.Log,
+	})
+	taken := requests.New(requests.Options{
+		Clock: clock, Host: h.opts.ID, Home: h.opts.DataCentre, Runner: runner, Router: h.router,
+		Claims: h.claims, Answers: held, Peers: h.network, Admission: h.admit, Log: h.opts.Log,
+	})
+
+	h.peers = peers.NewGRPCServer(h.network, peers.Services{
+		Snapshot: h.config.Current, Runner: runner, Held: held, Configuration: h.exported,
+	})
+
+	return h.buildCallers(taken)
+}
+
+func (h *Host) buildCallers(taken *requests.Service) error {
+	calls := meters.NewCalls(h.registry)
+
+	api, err := caller.NewServer(caller.Options{
+		Clock: h.opts.Clock, Requests: taken, Configuration: h.config, Ready: h.Ready, Log: h.opts.Log,
+		Metrics: meters.Handler(h.registry),
+		Observe: func(o caller.Outcome) { calls.Ended(o.Request.Kind.Urgency, o.Problem, o.FirstToken, o.Total) },
+	})
+	if err != nil {
+		return Error.Wrap(err)
+	}
+
+	h.callers = &http.Server{Handler: api, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	h.operator = &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+
+	return nil
+}
+
+// serve begins to accept connections.
+func (h *Host) serve() {
+	for _, s := range []struct {
+		name  string
+		serve func() error
+	}{
+		{"caller", func() error { return h.callers.Serve(h.sockets.caller) }},
+		{"operator", func() error { return h.operator.Serve(h.sockets.operator) }},
+		{"peer", func() error { return h.peers.Serve(h.sockets.peer) }},
+	} {
+		go func() {
+			if err := s.serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				h.opts.Log.Error().Str("listener", s.name).Err(err).Msg("listener ended")
+			}
+		}()
+	}
+}
+
+// run is the control goroutine.
 func (h *Host) run(ctx context.Context) {
 	defer close(h.done)
 
-	go func() {
-		if err := h.server.Serve(h.listener); !errors.Is(err, http.ErrServerClosed) {
-			h.opts.Log.Error().Err(err).Msg("callers' listener ended")
-		}
-	}()
-
 	tick := h.opts.Clock.NewTicker(refreshEvery)
 	defer tick.Stop()
 
 	for {
+		changed := h.config.Changed()
 		h.refresh()
 
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.Chan():
+		case <-changed:
 		}
 	}
 }
 
-// refresh publishes what routing and admission need of the configuration and the loads.
-func (h *Host) refresh() {
-	snapshot := h.opts.Configuration.Current()
-	if snapshot == nil {
-		return
-	}
-
-	h.router.Refresh(snapshot, routes.State{Hosts: 1, Loads: h.loads.All()})
-	h.admit.SetConfig(snapshot, 1, func(table.Target) bool { return true })
-}
-
 // Stop makes the host not ready, waits until its callers' requests have ended, and ends it.
 func (h *Host) Stop() error {
 	h.stopping.Store(true)
 
+	// Balancers and peers see the change before connections are refused.
+	h.opts.Clock.Sleep(stopNotice)
+
 	ctx, cancel := context.WithTimeout(context.Background(), h.opts.StopBound)
 	defer cancel()
 
-	h.server.SetKeepAlivesEnabled(false)
-	err := h.server.Shutdown(ctx)
+	h.callers.SetKeepAlivesEnabled(false)
+
+	var group errs.Group
 
+	group.Add(h.callers.Shutdown(ctx))
+	group.Add(h.operator.Shutdown(ctx))
+	h.stopPeers(ctx)
 	h.admit.Stop()
+	h.claims.Close()
 	h.cancel()
-	<-h.done
-	<-h.loads.Done()
 
-	return Error.Wrap(err)
+	for _, done := range []<-chan struct{}{h.done, h.loads.Done(), h.network.Done(), h.config.Done(), h.claims.Done()} {
+		<-done
+	}
+
+	return Error.Wrap(group.Err())
+}
+
+// stopPeers waits for forwarded requests and joins, until ctx ends.
+func (h *Host) stopPeers(ctx context.Context) {
+	stopped := make(chan struct{})
+
+	go func() {
+		defer close(stopped)
+
+		h.peers.GracefulStop()
+	}()
+
+	select {
+	case <-stopped:
+	case <-ctx.Done():
+		h.peers.Stop()
+		<-stopped
+	}
 }
--- a/internal/entry/peers/forward.go
+++ b/internal/entry/peers/forward.go
@@ -145,3 +145,20 @@
 
 	return n.collect(m, stream, ans)
 }
+
+// Fetch returns the encoded configuration that host has in force.
+func (n *Network) Fetch(ctx context.Context, host table.HostID) ([]byte, error) {
+	m, alive := n.Member(host)
+	if !alive {
+		return nil, peer.Error.New("entry host %s is not alive", host)
+	}
+
+	client, err := n.links.To(m.Address)
+	if err != nil {
+		return nil, err
+	}
+
+	reply, err := client.FetchConfiguration(ctx, &peer.FetchConfigurationRequest{})
+
+	return reply.GetEncoded(), peer.Error.Wrap(err)
+}
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -51,8 +51,8 @@
 	busy     map[string]bool      // heartbeat under way
 }
 
-// Start returns a Network that runs until ctx ends.
-func Start(ctx context.Context, opts Options) *Network {
+// New returns a Network that knows no other host yet.
+func New(opts Options) *Network {
 	if opts.Clock == nil {
 		opts.Clock = clockwork.NewRealClock()
 	}
@@ -61,14 +61,15 @@
 		opts.Log = &log.DefaultLogger
 	}
 
-	n := &Network{
+	return &Network{
 		opts: opts, done: make(chan struct{}), members: members.New(opts.Host, opts.DataCentre),
 		due: map[string]time.Time{}, busy: map[string]bool{},
 	}
+}
 
+// Start begins to exchange heartbeats, until ctx ends.
+func (n *Network) Start(ctx context.Context) {
 	go n.run(ctx)
-
-	return n
 }
 
 // Done is closed once heartbeats have ended and the connections are closed.
--- a/internal/entry/peers/server.go
+++ b/internal/entry/peers/server.go
@@ -48,6 +48,11 @@
 	return &Server{network: network, services: services}
 }
 
+// NewGRPCServer returns a gRPC server that serves the Peer protocol.
+func NewGRPCServer(network *Network, services Services) *grpc.Server {
+	return peer.NewGRPCServer(NewServer(network, services))
+}
+
 // Heartbeat implements peer.PeerServer.
 func (s *Server) Heartbeat(_ context.Context, d *peer.Digest) (*peer.Digest, error) {
 	s.network.hear(d)
