Keep the configuration in the platform and follow it on each host

An accepted edit has to be in force on every reachable host within 5 s and never revert, with racing operators, lost answers, outages and silent watches; nothing did that.

Commit point: one object, config/head, with the generation, the key and version of each shard and the ids of the latest 256 edits. Shards are written under fresh keys, which hold the generation that they build on, and count only once the head refers to them.

A swing of unknown outcome is sent again with the same condition until the head has moved; then the edit's id in the head says what happened. Until then the edit is unsettled, never "not accepted". A raced edit of the same item, or of the template of an account, gets a conflict with the difference; edits of different items both stand.

--- /dev/null
+++ b/internal/control/configuration/contents.go
@@ -0,0 +1,172 @@
+package configuration
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/document"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+// maxExportBytes bounds a copy from a peer after decompression.
+const maxExportBytes = 64 << 20
+
+// Contents is one accepted configuration with the source that it was rendered from. It is
+// immutable and safe for concurrent use; a nil *Contents stands for generation zero.
+type Contents struct {
+	head     Head
+	shards   map[shardName]*shard
+	snapshot *table.Snapshot
+
+	exportOnce sync.Once
+	exported   []byte
+}
+
+// render checks that the shards make a configuration and indexes it for traffic.
+func render(head Head, shards map[shardName]*shard) (*Contents, error) {
+	cfg, err := joined(shards).Config()
+	if err != nil {
+		return nil, err
+	}
+
+	cfg.Generation = head.Generation
+
+	return &Contents{head: head, shards: shards, snapshot: table.NewSnapshot(cfg)}, nil
+}
+
+func joined(shards map[shardName]*shard) document.Document {
+	var d document.Document
+
+	for _, name := range slices.Sorted(maps.Keys(shards)) {
+		part := shards[name].doc
+
+		if part.Deployment != nil {
+			d.Deployment = part.Deployment
+		}
+
+		d.Templates = append(d.Templates, part.Templates...)
+		d.Accounts = append(d.Accounts, part.Accounts...)
+		d.Targets = append(d.Targets, part.Targets...)
+	}
+
+	return d
+}
+
+// Generation returns the generation of c.
+func (c *Contents) Generation() table.Generation {
+	if c == nil {
+		return 0
+	}
+
+	return c.head.Generation
+}
+
+// Snapshot returns the rendered configuration, or nil for a nil c.
+func (c *Contents) Snapshot() *table.Snapshot {
+	if c == nil {
+		return nil
+	}
+
+	return c.snapshot
+}
+
+// Item returns the item r unless there is none or it was deleted.
+func (c *Contents) Item(r Ref) (Item, bool) {
+	i, ok := c.find(r)
+
+	return i, ok && !i.Deleted
+}
+
+// Items returns the items of a kind, sorted by name.
+func (c *Contents) Items(kind Kind) []Item {
+	if c == nil {
+		return nil
+	}
+
+	var items []Item
+
+	for _, s := range c.shards {
+		for _, i := range s.Items {
+			if i.Kind == kind && !i.Deleted {
+				items = append(items, i)
+			}
+		}
+	}
+
+	slices.SortFunc(items, func(a, b Item) int { return compareRefs(a.Ref, b.Ref) })
+
+	return items
+}
+
+func (c *Contents) find(r Ref) (Item, bool) {
+	if c == nil {
+		return Item{}, false
+	}
+
+	s := c.shards[shardOf(r)]
+
+	at, ok := s.find(r)
+	if !ok {
+		return Item{}, false
+	}
+
+	return s.Items[at], true
+}
+
+type exportForm struct {
+	Head   Head                 `json:"head"`
+	Shards map[shardName]*shard `json:"shards"`
+}
+
+// Export returns c in the form that Import reads on a peer.
+func (c *Contents) Export() []byte {
+	c.exportOnce.Do(func() {
+		var b bytes.Buffer
+
+		w := gzip.NewWriter(&b)
+		// Writing to memory does not fail, and the form is made of what was decoded before.
+		_ = json.NewEncoder(w).Encode(exportForm{Head: c.head, Shards: c.shards})
+		_ = w.Close()
+
+		c.exported = b.Bytes()
+	})
+
+	return c.exported
+}
+
+// Import decodes a peer's Export. It fails for anything that is not a whole configuration.
+func Import(data []byte) (*Contents, error) {
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+
+	var form exportForm
+	if err := json.NewDecoder(io.LimitReader(r, maxExportBytes)).Decode(&form); err != nil {
+		return nil, Error.Wrap(err)
+	}
+
+	if len(form.Shards) != len(form.Head.Shards) {
+		return nil, Error.New("a copy with %d shards of %d", len(form.Shards), len(form.Head.Shards))
+	}
+
+	shards := make(map[shardName]*shard, len(form.Shards))
+
+	for name := range form.Head.Shards {
+		part := form.Shards[name]
+		if part == nil {
+			return nil, Error.New("a copy without shard %s", name)
+		}
+
+		if shards[name], err = newShard(part.Items); err != nil {
+			return nil, err
+		}
+	}
+
+	return render(form.Head, shards)
+}
--- /dev/null
+++ b/internal/control/configuration/diff.go
@@ -0,0 +1,180 @@
+package configuration
+
+import (
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/document"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+const (
+	maxListed = 20
+	maxCells  = 1 << 20 // of the table that a line diff needs
+)
+
+// Diff returns what e would change in c: a line diff of each item and the accounts and targets
+// whose rendered form changes. It fails as an edit fails that breaks a rule or is in conflict.
+func (c *Contents) Diff(e Edit) (string, error) {
+	if err := e.check(); err != nil {
+		return "", err
+	}
+
+	if err := c.conflicts(e); err != nil {
+		return "", err
+	}
+
+	next, _, err := c.with(e)
+	if err != nil {
+		return "", err
+	}
+
+	var b strings.Builder
+
+	for _, change := range e.Changes {
+		if d := c.diffItem(change); d != "" {
+			fmt.Fprintf(&b, "%s\n%s", change.Ref, d)
+		}
+	}
+
+	b.WriteString(effect(c.Snapshot(), next.Snapshot()))
+
+	return b.String(), nil
+}
+
+// effect lists the accounts and targets that differ between two snapshots.
+func effect(from, to *table.Snapshot) string {
+	if from == nil {
+		from = table.NewSnapshot(table.Config{})
+	}
+
+	accounts := changedNames(from.Accounts, to.Accounts, func(a table.Account) string { return string(a.ID) })
+	targets := changedNames(from.Targets, to.Targets, func(t table.Target) string { return string(t.ID) })
+
+	return fmt.Sprintf("effect: %s; %s\n", listed("client account", accounts), listed("target", targets))
+}
+
+func changedNames[T any](from, to []T, name func(T) string) []string {
+	before := make(map[string]T, len(from))
+	for _, v := range from {
+		before[name(v)] = v
+	}
+
+	changed := map[string]bool{}
+
+	for _, v := range to {
+		old, ok := before[name(v)]
+		if !ok || !reflect.DeepEqual(old, v) {
+			changed[name(v)] = true
+		}
+
+		delete(before, name(v))
+	}
+
+	for gone := range before {
+		changed[gone] = true
+	}
+
+	return slices.Sorted(maps.Keys(changed))
+}
+
+func listed(what string, names []string) string {
+	switch n := len(names); {
+	case n == 0:
+		return "no " + what + " changes"
+	case n > maxListed:
+		return fmt.Sprintf("%d %ss change: %s and others", n, what, strings.Join(names[:maxListed], ", "))
+	case n == 1:
+		return "1 " + what + " changes: " + names[0]
+	default:
+		return fmt.Sprintf("%d %ss change: %s", n, what, strings.Join(names, ", "))
+	}
+}
+
+// diffItem returns the line diff from the item in force to the one that change makes.
+func (c *Contents) diffItem(change Change) string {
+	current, _ := c.Item(change.Ref)
+
+	return lineDiff(current.YAML(), Item{Ref: change.Ref, Body: change.Body}.YAML())
+}
+
+// YAML returns the item as a file that an operator edits; it is empty for an item without Body.
+func (i Item) YAML() string {
+	var d document.Document
+
+	if len(i.Body) == 0 || i.into(&d) != nil {
+		return ""
+	}
+
+	text, err := d.YAML()
+	if err != nil {
+		return ""
+	}
+
+	return string(text)
+}
+
+// lineDiff marks the lines of a that are not in b with "-" and those of b not in a with "+",
+// along a longest common subsequence. It is empty where a equals b.
+func lineDiff(a, b string) string {
+	if a == b {
+		return ""
+	}
+
+	from, to := lines(a), lines(b)
+	if len(from)*len(to) > maxCells {
+		return fmt.Sprintf("- %d lines\n+ %d lines\n", len(from), len(to))
+	}
+
+	common := commonLengths(from, to)
+
+	var out strings.Builder
+
+	for i, j := 0, 0; i < len(from) || j < len(to); {
+		switch {
+		case i < len(from) && j < len(to) && from[i] == to[j]:
+			out.WriteString("  " + from[i] + "\n")
+			i++
+			j++
+		case j == len(to) || i < len(from) && common[i+1][j] >= common[i][j+1]:
+			out.WriteString("- " + from[i] + "\n")
+			i++
+		default:
+			out.WriteString("+ " + to[j] + "\n")
+			j++
+		}
+	}
+
+	return out.String()
+}
+
+func lines(s string) []string {
+	if s == "" {
+		return nil
+	}
+
+	return strings.Split(strings.TrimSuffix(s, "\n"), "\n")
+}
+
+// commonLengths returns the lengths of the longest common subsequences of the tails of a and b.
+func commonLengths(a, b []string) [][]int {
+	n := make([][]int, len(a)+1)
+	for i := range n {
+		n[i] = make([]int, len(b)+1)
+	}
+
+	for i := len(a) - 1; i >= 0; i-- {
+		for j := len(b) - 1; j >= 0; j-- {
+			if a[i] == b[j] {
+				n[i][j] = n[i+1][j+1] + 1
+			} else {
+				n[i][j] = max(n[i+1][j], n[i][j+1])
+			}
+		}
+	}
+
+	return n
+}
--- /dev/null
+++ b/internal/control/configuration/edit.go
@@ -0,0 +1,197 @@
+package configuration
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/document"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/site/yamlfile"
+)
+
+const maxChanges = 10_000
+
+// Edit is an operator's change, made against the generation Base.
+type Edit struct {
+	ID      EditID           `json:"id"`
+	Base    table.Generation `json:"base"`
+	Changes []Change         `json:"changes"`
+}
+
+// Conflict is an item that another edit has changed since the base of this one.
+type Conflict struct {
+	Ref
+
+	Generation table.Generation `json:"generation"` // that changed it
+	Diff       string           `json:"diff"`       // from the item in force to the refused one
+}
+
+// ConflictError says that an edit was refused because another one came first; nothing changed.
+type ConflictError struct {
+	Base       table.Generation
+	Generation table.Generation // in force
+	Conflicts  []Conflict       // empty where Base is too old to compare
+}
+
+// Error names the items in conflict.
+func (e *ConflictError) Error() string {
+	if len(e.Conflicts) == 0 {
+		return fmt.Sprintf("configuration: the edit is against generation %d, which is too old; generation %d is in force", e.Base, e.Generation)
+	}
+
+	names := make([]string, len(e.Conflicts))
+	for i, c := range e.Conflicts {
+		names[i] = c.String()
+	}
+
+	return fmt.Sprintf("configuration: another edit has changed %s since generation %d; generation %d is in force",
+		strings.Join(names, ", "), e.Base, e.Generation)
+}
+
+func (e Edit) check() error {
+	if !e.ID.Valid() {
+		return yamlfile.Refuse("", 0, "the edit id must have 8 to 64 letters, digits or hyphens")
+	}
+
+	if len(e.Changes) == 0 || len(e.Changes) > maxChanges {
+		return yamlfile.Refuse("", 0, "an edit has 1 to %d changes; this one has %d", maxChanges, len(e.Changes))
+	}
+
+	seen := map[Ref]bool{}
+
+	for _, c := range e.Changes {
+		if seen[c.Ref] {
+			return yamlfile.Refuse("", 0, "%s is changed twice", c.Ref)
+		}
+
+		seen[c.Ref] = true
+
+		if err := c.check(); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+// check refuses a body that is not the item that c names.
+func (c Change) check() error {
+	if !slices.Contains([]Kind{Deployment, Template, Account, Target}, c.Kind) {
+		return yamlfile.Refuse("", 0, "unknown kind of item %q", c.Kind)
+	}
+
+	if len(c.Body) == 0 {
+		return nil
+	}
+
+	var d document.Document
+	if err := (Item{Ref: c.Ref, Body: c.Body}).into(&d); err != nil {
+		return yamlfile.Refuse("", 0, "%s: %v", c.Ref, err)
+	}
+
+	bodies, err := ChangesOf(d)
+	if err != nil || len(bodies) != 1 || bodies[0].Ref != c.Ref {
+		return yamlfile.Refuse("", 0, "%s: the body is another item", c.Ref)
+	}
+
+	return nil
+}
+
+// conflicts returns the items of e that were changed in c after e's base. The template of a
+// changed account counts, because it decides what the change means.
+func (c *Contents) conflicts(e Edit) error {
+	g := c.Generation()
+
+	if e.Base > g {
+		return yamlfile.Refuse("", 0, "the edit is against generation %d; only %d is in force", e.Base, g)
+	}
+
+	failed := &ConflictError{Base: e.Base, Generation: g}
+
+	if c != nil && e.Base < c.head.oldestBase() {
+		return failed
+	}
+
+	touched := map[Ref]Change{}
+
+	for _, change := range e.Changes {
+		touched[change.Ref] = change
+
+		if template, ok := templateOf(change); ok {
+			if _, own := touched[template]; !own {
+				touched[template] = Change{Ref: template}
+			}
+		}
+	}
+
+	for _, r := range slices.SortedFunc(maps.Keys(touched), compareRefs) {
+		item, ok := c.find(r)
+		if !ok || item.Generation <= e.Base {
+			continue
+		}
+
+		failed.Conflicts = append(failed.Conflicts, Conflict{Ref: r, Generation: item.Generation, Diff: c.diffItem(touched[r])})
+	}
+
+	if len(failed.Conflicts) > 0 {
+		return failed
+	}
+
+	return nil
+}
+
+func templateOf(c Change) (Ref, bool) {
+	if c.Kind != Account || len(c.Body) == 0 {
+		return Ref{}, false
+	}
+
+	var d document.Document
+	if err := (Item{Ref: c.Ref, Body: c.Body}).into(&d); err != nil {
+		return Ref{}, false
+	}
+
+	return Ref{Kind: Template, Name: d.Accounts[0].Template.String()}, true
+}
+
+// with returns the contents after the changes of e, rendered and checked, and the names of the
+// shards that differ from those of c. The head still lacks their keys.
+func (c *Contents) with(e Edit) (*Contents, []shardName, error) {
+	var head Head
+
+	shards := map[shardName]*shard{}
+	refs := map[shardName]shardRef{}
+
+	if c != nil {
+		head = c.head
+		maps.Copy(refs, c.head.Shards)
+		maps.Copy(shards, c.shards)
+	}
+
+	head.Shards = refs
+	oldest := head.oldestBase()
+	head.Edits = head.withEdit(e.ID)
+	head.Generation++
+
+	byShard := map[shardName][]Change{}
+
+	for _, change := range e.Changes {
+		byShard[shardOf(change.Ref)] = append(byShard[shardOf(change.Ref)], change)
+	}
+
+	changed := slices.Sorted(maps.Keys(byShard))
+
+	for _, name := range changed {
+		s, err := shards[name].with(byShard[name], head.Generation, oldest)
+		if err != nil {
+			return nil, nil, err
+		}
+
+		shards[name] = s
+	}
+
+	next, err := render(head, shards)
+
+	return next, changed, err
+}
--- /dev/null
+++ b/internal/control/configuration/size_test.go
@@ -0,0 +1,141 @@
+package configuration_test
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/configuration"
+	standin "github.com/dotterelflow/dotterelflow/internal/standin/platform"
+	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
+)
+
+const (
+	designAccounts = 5600
+	designTargets  = 700
+	memoryBudget   = 32 << 20 // for control on an entry host, in bytes
+)
+
+// designSize returns an edit that fills an empty configuration to the size to design for.
+func designSize(t testing.TB) configuration.Edit {
+	t.Helper()
+
+	var targets strings.Builder
+
+	targets.WriteString("targets:\n")
+
+	for i := range designTargets {
+		fmt.Fprintf(&targets, "  - {id: engine-%d, type: engine, data-centre: dc-%d, address: \"127.0.0.1:%d\", model: m, slots: 16}\n", i, i%5, i+1)
+	}
+
+	texts := []string{template, targets.String()}
+	for i := range designAccounts {
+		texts = append(texts, account(fmt.Sprintf("account-%d", i), 8))
+	}
+
+	return edit(t, "0000", 0, texts...)
+}
+
+func TestDesignSize(t *testing.T) {
+	store := standin.NewStore(clockwork.NewRealClock())
+	_, err := editor(store.View()).Apply(t.Context(), designSize(t))
+	require.NoError(t, err)
+
+	objects, err := store.View().List(t.Context(), "config/")
+	require.NoError(t, err)
+
+	largest, total := 0, 0
+	for _, o := range objects {
+		total += len(o.Value)
+		largest = max(largest, len(o.Value))
+	}
+
+	require.Less(t, largest, platform.MaxValueBytes)
+
+	var before, after runtime.MemStats
+
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+
+	c, err := configuration.Read(t.Context(), store.View(), nil)
+	require.NoError(t, err)
+
+	size := len(c.Export())
+
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	require.Less(t, int(after.HeapAlloc-before.HeapAlloc), memoryBudget)
+	require.Len(t, c.Snapshot().Accounts, designAccounts)
+
+	head, err := store.View().Get(t.Context(), configuration.HeadKey)
+	require.NoError(t, err)
+	t.Logf("%d objects of %d B, head %d B, largest shard %d B, copy for a peer %d B, %d KB of heap",
+		len(objects), total, len(head.Value), largest, size, (after.HeapAlloc-before.HeapAlloc)>>10)
+}
+
+// BenchmarkFollowChange measures what an entry host spends on one change of an account at the
+// size to design for.
+func BenchmarkFollowChange(b *testing.B) {
+	store := standin.NewStore(clockwork.NewRealClock())
+	ed := editor(store.View())
+
+	g, err := ed.Apply(b.Context(), designSize(b))
+	require.NoError(b, err)
+
+	c, err := configuration.Read(b.Context(), store.View(), nil)
+	require.NoError(b, err)
+
+	for i := 0; b.Loop(); i++ {
+		b.StopTimer()
+
+		g, err = ed.Apply(b.Context(), edit(b, fmt.Sprintf("%06d", i), g, account("account-1", i)))
+		require.NoError(b, err)
+		b.StartTimer()
+
+		c, err = configuration.Read(b.Context(), store.View(), c)
+		require.NoError(b, err)
+		require.Equal(b, g, c.Generation())
+	}
+}
+
+// BenchmarkImport measures a start from a peer's copy at the size to design for.
+func BenchmarkImport(b *testing.B) {
+	store := standin.NewStore(clockwork.NewRealClock())
+	_, err := editor(store.View()).Apply(b.Context(), designSize(b))
+	require.NoError(b, err)
+
+	c, err := configuration.Read(b.Context(), store.View(), nil)
+	require.NoError(b, err)
+
+	for b.Loop() {
+		_, err := configuration.Import(c.Export())
+		require.NoError(b, err)
+	}
+}
+
+// FuzzImport checks that a hostile copy is refused, and that an accepted one survives a round trip.
+func FuzzImport(f *testing.F) {
+	store := standin.NewStore(clockwork.NewRealClock())
+	_, err := editor(store.View()).Apply(f.Context(), edit(f, "0000", 0, template, account("a", 1)))
+	require.NoError(f, err)
+
+	c, err := configuration.Read(f.Context(), store.View(), nil)
+	require.NoError(f, err)
+	f.Add(c.Export())
+	f.Add(c.Export()[:40])
+
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c, err := configuration.Import(data)
+		if err != nil {
+			return
+		}
+
+		again, err := configuration.Import(c.Export())
+		require.NoError(t, err)
+		require.Equal(t, c.Snapshot().Config, again.Snapshot().Config)
+	})
+}
--- a/internal/control/document/text.go
+++ b/internal/control/document/text.go
@@ -1,8 +1,10 @@
 package document
 
 import (
+	"regexp"
 	"strings"
 
+	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 
 	"github.com/dotterelflow/dotterelflow/internal/site/yamlfile"
@@ -11,6 +13,8 @@
 // placeholder starts a value of a template that a parameter replaces.
 const placeholder = "$"
 
+var plain = regexp.MustCompile(`^[A-Za-z0-9$]([A-Za-z0-9$%.:/-]*[A-Za-z0-9%])?$`)
+
 // Text is a scalar of a document as it was written, with its line where it was read from YAML.
 type Text struct {
 	text string
@@ -32,6 +36,15 @@
 	return []byte(t.text), nil
 }
 
+// MarshalYAML encodes t without quotes where it reads back without them.
+func (t Text) MarshalYAML() ([]byte, error) {
+	if plain.MatchString(t.text) {
+		return []byte(t.text), nil
+	}
+
+	return yaml.Marshal(t.text)
+}
+
 // UnmarshalText takes any text.
 func (t *Text) UnmarshalText(text []byte) error {
 	*t = Text{text: string(text)}
