Hold a crash-making request to two lost targets in a data centre

Each loss marks the fingerprints that ran on the target. A fingerprint with one loss runs once more, alone among suspects, only on the host that recorded the loss, once every entry host of the data centre has confirmed that it knows of it and has no run of its own left; a loss then puts it in quarantine.

Bound: max(2, k, p) targets; k = targets on which callers had it at once before the first loss was known, p = parts into which the hosts are cut, a silent host being one; plus one for each host that dies between a loss and its first digest.

--- /dev/null
+++ b/internal/control/quarantine/entry.go
@@ -0,0 +1,135 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+// Fingerprint names a request by what it asks for: account, kind and body.
+type Fingerprint [16]byte
+
+// Of returns the fingerprint of a request.
+func Of(account table.AccountID, kind table.KindName, body []byte) Fingerprint {
+	h := sha256.New()
+	h.Write([]byte(account))
+	h.Write([]byte{0})
+	h.Write([]byte(kind))
+	h.Write([]byte{0})
+	h.Write(body)
+
+	var f Fingerprint
+	copy(f[:], h.Sum(nil))
+
+	return f
+}
+
+// String returns f in hex.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// MarshalText encodes f in hex.
+func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
+
+// UnmarshalText decodes hex and fails on any other text or length.
+func (f *Fingerprint) UnmarshalText(text []byte) error {
+	if hex.DecodedLen(len(text)) != len(f) {
+		return Error.New("fingerprint of %d characters", len(text))
+	}
+
+	_, err := hex.Decode(f[:], text)
+
+	return Error.Wrap(err)
+}
+
+// Loss is one loss of a target while a fingerprint ran on it.
+type Loss struct {
+	Target table.TargetID `json:"target"`
+	Since  time.Time      `json:"since"`           // when the run began
+	At     time.Time      `json:"at"`              // when the loss was found
+	Trial  bool           `json:"trial,omitempty"` // the fingerprint ran as a trial
+}
+
+// Entry is what the hosts share of one fingerprint. Entries merge in any order and any number of
+// times to the same result.
+type Entry struct {
+	Fingerprint Fingerprint  `json:"fingerprint"`
+	Episode     uint64       `json:"episode"` // grows when losses begin anew after Cleared
+	Origin      table.HostID `json:"origin"`  // the only host that may try it again
+	Losses      []Loss       `json:"losses,omitempty"`
+	Cleared     bool         `json:"cleared,omitempty"`
+	Until       time.Time    `json:"until"`
+}
+
+// maxLosses is the number of losses that puts a fingerprint in quarantine.
+const maxLosses = 2
+
+// Quarantined reports whether no host may run e's fingerprint.
+func (e *Entry) Quarantined() bool {
+	return !e.Cleared && len(e.Losses) >= maxLosses
+}
+
+func (e *Entry) suspect() bool {
+	return !e.Cleared && len(e.Losses) == 1
+}
+
+// same reports whether a and b are one loss as two hosts saw it: both runs were on the target at
+// some common moment. A run that began on a target that had come back is a loss of its own.
+func (l Loss) same(other Loss) bool {
+	return l.Target == other.Target && l.Trial == other.Trial &&
+		l.Since.Before(other.At) && other.Since.Before(l.At)
+}
+
+// addLoss records l unless it is known and reports whether it is new.
+func (e *Entry) addLoss(l Loss) bool {
+	for i := range e.Losses {
+		if e.Losses[i].same(l) {
+			return false
+		}
+	}
+
+	if len(e.Losses) >= maxLosses {
+		return false
+	}
+
+	e.Losses = append(e.Losses, l)
+
+	return true
+}
+
+// merge joins other into e and reports whether e changed.
+func (e *Entry) merge(other Entry) bool {
+	if other.Episode < e.Episode {
+		return false
+	}
+
+	if other.Episode > e.Episode {
+		*e = other
+		e.Losses = append([]Loss(nil), other.Losses...)
+
+		return true
+	}
+
+	changed := false
+
+	if other.Cleared && !e.Cleared {
+		e.Cleared, e.Losses, changed = true, nil, true
+	}
+
+	if !e.Cleared {
+		for _, l := range other.Losses {
+			changed = e.addLoss(l) || changed
+		}
+	}
+
+	if other.Origin < e.Origin {
+		e.Origin, changed = other.Origin, true
+	}
+
+	if other.Until.After(e.Until) {
+		e.Until, changed = other.Until, true
+	}
+
+	return changed
+}
