--- a/internal/entry/dispatch/runner.go
+++ b/internal/entry/dispatch/runner.go
@@ -36,6 +36,7 @@
 
 // Peers runs requests in other data centres.
 type Peers interface {
+	// Forward fails with CodePeerLost when the entry hosts of dc cannot be reached or were lost.
 	Forward(ctx context.Context, dc table.DataCentre, t table.TargetID, req table.Request, ans *answers.Answer) error
 }
 
@@ -179,10 +180,31 @@
 }
 
 func (r *Runner) use(ctx context.Context, req table.Request, t table.Target, ans *answers.Answer) error {
-	if t.DataCentre != r.opts.Home && r.opts.Peers != nil {
-		return r.opts.Peers.Forward(ctx, t.DataCentre, t.ID, req, ans)
+	if t.DataCentre == r.opts.Home || r.opts.Peers == nil || req.Forwarded {
+		return r.direct(ctx, req, t, ans)
 	}
 
+	err := r.opts.Peers.Forward(ctx, t.DataCentre, t.ID, req, ans)
+
+	if !mayBeRunning(req, t, err) || ctx.Err() != nil {
+		return err
+	}
+
+	req.Resume = true
+
+	return r.direct(ctx, req, t, ans)
+}
+
+// mayBeRunning reports whether the engine t may be producing req's answer although the entry hosts
+// of its data centre are lost.
+func mayBeRunning(req table.Request, t table.Target, err error) bool {
+	e := verdict.From(err)
+
+	return e != nil && e.Code == verdict.CodePeerLost && t.Type == table.Engine && (req.Resume || e.Verdict != verdict.NotRun)
+}
+
+// direct runs req on the target itself.
+func (r *Runner) direct(ctx context.Context, req table.Request, t table.Target, ans *answers.Answer) error {
 	ans.SetMeta(answers.Meta{Target: t.ID})
 
 	if t.Type == table.Service {
--- a/internal/entry/peers/forward.go
+++ b/internal/entry/peers/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -33,7 +34,7 @@
 		}
 
 		last = verdict.From(err)
-		if last.Code != codePeerLost || ctx.Err() != nil {
+		if last.Code != verdict.CodePeerLost || ctx.Err() != nil {
 			return last
 		}
 
@@ -41,15 +42,12 @@
 	}
 
 	if last == nil {
-		return verdict.New(verdict.NotRun, verdict.CodeNoTarget, "no entry host of %s can be reached", dc)
+		return verdict.New(verdict.NotRun, verdict.CodePeerLost, "no entry host of %s can be reached", dc)
 	}
 
 	return last
 }
 
-// codePeerLost marks a connection to a peer that ended before the answer did.
-const codePeerLost verdict.Code = "peer-lost"
-
 // hostsIn returns a few live hosts of dc in random order.
 func (n *Network) hostsIn(dc table.DataCentre) []members.Member {
 	var found []members.Member
@@ -66,7 +64,7 @@
 }
 
 func (n *Network) forwardTo(ctx context.Context, m members.Member, t table.TargetID, req table.Request, ans *answers.Answer) error {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := n.whileAlive(ctx, m)
 	defer cancel()
 
 	client, err := n.links.To(m.Address)
@@ -83,19 +81,53 @@
 		return lost(m, verdict.MayHaveRun, err)
 	}
 
-	return n.collect(m, stream, ans)
+	return n.collect(ctx, m, stream, ans)
+}
+
+// aliveCheck is the time between two looks at whether the peer of an open stream is alive.
+const aliveCheck = 500 * time.Millisecond
+
+var errSilent = peer.Error.New("no heartbeat for too long")
+
+// whileAlive returns a context that ends with ctx or when m counts as lost, so that a stream from
+// a silent peer does not outlast the peer.
+func (n *Network) whileAlive(ctx context.Context, m members.Member) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+
+	go func() {
+		tick := n.opts.Clock.NewTicker(aliveCheck)
+		defer tick.Stop()
+
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.Chan():
+			}
+
+			if _, alive := n.Member(m.Host); !alive {
+				cancel(errSilent)
+
+				return
+			}
+		}
+	}()
+
+	return ctx, func() { cancel(nil) }
 }
 
 func lost(m members.Member, v verdict.Verdict, err error) *verdict.Error {
-	return verdict.New(v, codePeerLost, "entry host %s was lost", m.Host).Because(err)
+	return verdict.New(v, verdict.CodePeerLost, "entry host %s was lost", m.Host).Because(err)
 }
 
 // collect appends the events of stream to ans until the answer is whole.
-func (n *Network) collect(m members.Member, stream grpc.ServerStreamingClient[peer.AnswerEvent], ans *answers.Answer) error {
+func (n *Network) collect(ctx context.Context, m members.Member, stream grpc.ServerStreamingClient[peer.AnswerEvent], ans *answers.Answer) error {
 	for {
 		ev, err := stream.Recv()
 
 		switch {
+		case err != nil && errors.Is(context.Cause(ctx), errSilent):
+			return lost(m, verdict.MayHaveRun, errSilent)
 		case errors.Is(err, io.EOF):
 			return lost(m, verdict.MayHaveRun, io.ErrUnexpectedEOF)
 		case status.Code(err) == codes.Canceled, status.Code(err) == codes.DeadlineExceeded:
@@ -127,7 +159,7 @@
 func (n *Network) Join(ctx context.Context, host table.HostID, account table.AccountID, key string, ans *answers.Answer) error {
 	m, alive := n.Member(host)
 	if !alive {
-		return verdict.New(verdict.MayHaveRun, codePeerLost, "entry host %s is not alive", host)
+		return verdict.New(verdict.MayHaveRun, verdict.CodePeerLost, "entry host %s is not alive", host)
 	}
 
 	client, err := n.links.To(m.Address)
@@ -135,7 +167,7 @@
 		return lost(m, verdict.MayHaveRun, err)
 	}
 
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := n.whileAlive(ctx, m)
 	defer cancel()
 
 	stream, err := client.Join(ctx, &peer.JoinRequest{Account: string(account), Key: key, From: ans.Next()})
@@ -143,7 +175,7 @@
 		return lost(m, verdict.MayHaveRun, err)
 	}
 
-	return n.collect(m, stream, ans)
+	return n.collect(ctx, m, stream, ans)
 }
 
 // Fetch returns the encoded configuration that host has in force.
--- a/internal/entry/requests/keyed.go
+++ b/internal/entry/requests/keyed.go
@@ -41,7 +41,8 @@
 	out, err := s.opts.Claims.Claim(ctx, ledger.Request{
 		Key: c.key, Fingerprint: claims.FingerprintOf(c.req.Kind.Name, c.req.Body), Nonce: claims.NewNonce(),
 		Claimant: s.opts.Host, DataCentre: s.opts.Home, Request: c.req.ID, Target: c.req.Preferred,
-		Patient: c.req.Kind.Urgency == table.Patient, Repeat: age > freshKey || age < -freshKey,
+		// Only a request that must be claimed waits for the platform.
+		Patient: c.req.Kind.AtMostOnce && c.req.Kind.Urgency == table.Patient, Repeat: age > freshKey || age < -freshKey,
 	})
 
 	switch {
@@ -109,7 +110,7 @@
 // fromTarget tells the end of a joined request from a failure to reach the host that runs it.
 func fromTarget(code verdict.Code) bool {
 	switch code {
-	case verdict.CodeNotFound, "peer-lost", verdict.CodeInternal:
+	case verdict.CodeNotFound, verdict.CodePeerLost, verdict.CodeInternal:
 		return false
 	default:
 		return true
--- a/internal/wire/verdict/verdict.go
+++ b/internal/wire/verdict/verdict.go
@@ -71,6 +71,7 @@
 	CodeKeyReused    Code = "key-reused"
 	CodeKeyRequired  Code = "key-required"
 	CodeTargetLost   Code = "target-lost"
+	CodePeerLost     Code = "peer-lost"
 	CodeTruncated    Code = "truncated"
 	CodeStopping     Code = "stopping"
 	CodeInternal     Code = "internal"
