--- a/cmd/dotterelflow/fleet_test.go
+++ b/cmd/dotterelflow/fleet_test.go
@@ -286,18 +286,6 @@
 	require.NoError(t, err)
 }
 
-// fault sets the fault switches of a stand-in.
-func fault(t *testing.T, url, body string) {
-	t.Helper()
-
-	r, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
-	require.NoError(t, err)
-
-	resp, err := http.DefaultClient.Do(r)
-	require.NoError(t, err)
-	resp.Body.Close()
-}
-
 // call is a caller's request.
 type call struct {
 	host   *entryHost
