--- a/internal/control/configuration/edit.go
+++ b/internal/control/configuration/edit.go
@@ -195,3 +195,26 @@
 
 	return next, changed, err
 }
+
+// Without returns the document in force without the items that e changes.
+func (c *Contents) Without(e Edit) document.Document {
+	if c == nil {
+		return document.Document{}
+	}
+
+	touched := map[Ref]bool{}
+	for _, change := range e.Changes {
+		touched[change.Ref] = true
+	}
+
+	d := joined(c.shards)
+	if touched[Ref{Kind: Deployment, Name: string(Deployment)}] {
+		d.Deployment = nil
+	}
+
+	d.Templates = slices.DeleteFunc(d.Templates, func(t document.Template) bool { return touched[Ref{Template, t.Name.String()}] })
+	d.Accounts = slices.DeleteFunc(d.Accounts, func(a document.Account) bool { return touched[Ref{Account, a.ID.String()}] })
+	d.Targets = slices.DeleteFunc(d.Targets, func(t document.Target) bool { return touched[Ref{Target, t.ID.String()}] })
+
+	return d
+}
--- a/internal/control/document/load.go
+++ b/internal/control/document/load.go
@@ -24,7 +24,7 @@
 			return Document{}, err
 		}
 
-		if err := d.add(part); err != nil {
+		if err := d.Add(part); err != nil {
 			return Document{}, err
 		}
 	}
@@ -58,7 +58,8 @@
 	return d, nil
 }
 
-func (d *Document) add(part Document) error {
+// Add appends the items of part. It fails where both state a deployment.
+func (d *Document) Add(part Document) error {
 	if part.Deployment != nil {
 		if d.Deployment != nil {
 			return Error.New("two files state a deployment; keep one of them")
--- /dev/null
+++ b/internal/standin/operator/backend.go
@@ -0,0 +1,119 @@
+// Package operator is a small stand-in for the entry host behind the operators' API: its
+// configuration lives in a stand-in platform, its plans in memory.
+package operator
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/configuration"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/standin/platform"
+	"github.com/dotterelflow/dotterelflow/internal/wire/operator"
+)
+
+// Backend is an operator.Backend. It is safe for concurrent use.
+type Backend struct {
+	view  *platform.View
+	clock clockwork.Clock
+
+	mu    sync.Mutex
+	plans []operator.Plan
+	hosts []operator.Host
+}
+
+// NewBackend returns a Backend over a view of the platform.
+func NewBackend(view *platform.View, clock clockwork.Clock) *Backend {
+	return &Backend{view: view, clock: clock}
+}
+
+// SetHosts replaces the hosts that Status lists.
+func (b *Backend) SetHosts(hosts ...operator.Host) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.hosts = hosts
+}
+
+// Contents returns what the platform holds, or nil while it is out of reach.
+func (b *Backend) Contents() *configuration.Contents {
+	c, err := configuration.Read(context.Background(), b.view, nil)
+	if err != nil {
+		return nil
+	}
+
+	return c
+}
+
+// Apply makes an edit in the platform.
+func (b *Backend) Apply(ctx context.Context, e configuration.Edit) (table.Generation, error) {
+	return configuration.NewEditor(b.view, b.clock, nil).Apply(ctx, e)
+}
+
+// Status lists the hosts that were set, and the targets in force.
+func (b *Backend) Status(context.Context) (operator.Status, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	c := b.Contents()
+	s := operator.Status{Generation: c.Generation(), Hosts: slices.Clone(b.hosts)}
+
+	if snapshot := c.Snapshot(); snapshot != nil {
+		for _, t := range snapshot.Targets {
+			s.Targets = append(s.Targets, operator.Target{ID: t.ID, DataCentre: t.DataCentre, State: "serving", Role: t.Role})
+		}
+	}
+
+	return s, nil
+}
+
+// Plans returns the declared plans.
+func (b *Backend) Plans(context.Context) ([]operator.Plan, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return slices.Clone(b.plans), nil
+}
+
+// Declare keeps a plan unless its id is known.
+func (b *Backend) Declare(_ context.Context, p operator.Plan) (operator.Plan, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	if i := b.index(p.ID); i >= 0 {
+		return b.plans[i], nil
+	}
+
+	p.State = "declared"
+	p.Declared = b.clock.Now().UTC()
+	b.plans = append(b.plans, p)
+
+	return p, nil
+}
+
+// Cancel marks a plan as cancelled.
+func (b *Backend) Cancel(_ context.Context, id string) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	i := b.index(id)
+	if i < 0 {
+		return operator.ErrNotFound
+	}
+
+	b.plans[i].State = "cancelled"
+
+	return nil
+}
+
+// Burn returns an empty report.
+func (b *Backend) Burn(context.Context) (any, error) {
+	return map[string]any{"accounts": []string{}}, nil
+}
+
+func (b *Backend) index(id string) int {
+	return slices.IndexFunc(b.plans, func(p operator.Plan) bool { return p.ID == id })
+}
--- /dev/null
+++ b/internal/wire/operator/problem.go
@@ -0,0 +1,90 @@
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/zeebo/errs"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/configuration"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/site/yamlfile"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("operator")
+
+// ErrNotFound is returned by a Backend for a plan that it does not know.
+var ErrNotFound = errs.New("operator: not found")
+
+// Code is a stable reason for a problem.
+type Code string
+
+// Codes of problems.
+const (
+	CodeBadRequest   Code = "bad-request"
+	CodeUnauthorized Code = "unauthorized"
+	CodeNotFound     Code = "not-found"
+	CodeTooLarge     Code = "too-large"
+	CodeInvalid      Code = "invalid"      // nothing changed; Problems say where
+	CodeConflict     Code = "conflict"     // nothing changed; Conflicts show the difference
+	CodeNotAccepted  Code = "not-accepted" // nothing changed: the platform is out of reach
+	CodeUnsettled    Code = "unsettled"    // may come into force; send the same edit again
+	CodeInternal     Code = "internal"
+)
+
+// ProblemError is the body of an error answer.
+type ProblemError struct {
+	Title      string                   `json:"title"`
+	Status     int                      `json:"status"`
+	Code       Code                     `json:"code"`
+	Detail     string                   `json:"detail,omitempty"`
+	Problems   []yamlfile.Problem       `json:"problems,omitempty"`
+	Conflicts  []configuration.Conflict `json:"conflicts,omitempty"`
+	Generation table.Generation         `json:"generation,omitempty"` // in force, with a conflict
+}
+
+// Error returns the detail and the places that were refused.
+func (p *ProblemError) Error() string {
+	return fmt.Sprintf("%s: %s", p.Code, p.Detail)
+}
+
+func problem(status int, code Code, format string, args ...any) *ProblemError {
+	return &ProblemError{Title: http.StatusText(status), Status: status, Code: code, Detail: fmt.Sprintf(format, args...)}
+}
+
+// problemOf returns the answer to err.
+func problemOf(err error) *ProblemError {
+	var (
+		p        *ProblemError
+		invalid  *yamlfile.InvalidError
+		conflict *configuration.ConflictError
+		tooLarge *http.MaxBytesError
+	)
+
+	switch {
+	case errors.As(err, &p):
+		return p
+	case errors.As(err, &invalid):
+		p = problem(http.StatusUnprocessableEntity, CodeInvalid, "%v", err)
+		p.Problems = invalid.Problems
+	case errors.As(err, &conflict):
+		p = problem(http.StatusConflict, CodeConflict, "%v", err)
+		p.Conflicts, p.Generation = conflict.Conflicts, conflict.Generation
+	case errors.As(err, &tooLarge):
+		return problem(http.StatusRequestEntityTooLarge, CodeTooLarge, "the body has more than %d bytes", tooLarge.Limit)
+	case errors.Is(err, configuration.ErrNotAccepted):
+		return problem(http.StatusServiceUnavailable, CodeNotAccepted, "%v", err)
+	case errors.Is(err, configuration.ErrUnsettled):
+		return problem(http.StatusGatewayTimeout, CodeUnsettled, "%v", err)
+	case errors.Is(err, configuration.ErrEditReused):
+		return problem(http.StatusBadRequest, CodeBadRequest, "%v", err)
+	case errors.Is(err, ErrNotFound):
+		return problem(http.StatusNotFound, CodeNotFound, "%v", err)
+	default:
+		return problem(http.StatusInternalServerError, CodeInternal, "%v", err)
+	}
+
+	return p
+}
--- /dev/null
+++ b/internal/wire/operator/server.go
@@ -0,0 +1,198 @@
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/kataras/iris/v12"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/configuration"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+const (
+	maxBodyBytes   = 8 << 20
+	maxHeaderBytes = 16 << 10
+	headerTimeout  = 5 * time.Second
+	readTimeout    = 30 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxWait        = time.Minute
+	applyTimeout   = 15 * time.Second
+	confirmPause   = 100 * time.Millisecond
+)
+
+// Backend is what the entry host offers to operators. It is called from many goroutines.
+type Backend interface {
+	// Contents returns the configuration in force here, or nil before the first.
+	Contents() *configuration.Contents
+	// Apply makes an edit; see configuration.Editor.
+	Apply(ctx context.Context, e configuration.Edit) (table.Generation, error)
+	// Status returns what this host knows; its Hosts include this host.
+	Status(ctx context.Context) (Status, error)
+	// Plans returns the plans that are not done, and those done lately.
+	Plans(ctx context.Context) ([]Plan, error)
+	// Declare takes a checked plan. A plan with a known ID is not taken twice.
+	Declare(ctx context.Context, p Plan) (Plan, error)
+	// Cancel ends a plan. It fails with ErrNotFound for an unknown one.
+	Cancel(ctx context.Context, id string) error
+	// Burn returns the report on service-level burn, which is passed through as JSON.
+	Burn(ctx context.Context) (any, error)
+}
+
+// Options tune a Server. KeyHash is required.
+type Options struct {
+	KeyHash string          // hex SHA-256 of the operators' bearer key
+	Clock   clockwork.Clock // nil means the real one
+
+	ApplyTimeout time.Duration // of the tries of one edit; zero means 15 s
+}
+
+// Server serves the operators' API on a listener of its own.
+type Server struct {
+	http *http.Server
+	done chan struct{}
+}
+
+// Serve starts a Server on l, which it closes.
+func Serve(l net.Listener, b Backend, opts Options) (*Server, error) {
+	handler, err := Handler(b, opts)
+	if err != nil {
+		return nil, err
+	}
+
+	s := &Server{
+		http: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: headerTimeout,
+			ReadTimeout:       readTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+		},
+		done: make(chan struct{}),
+	}
+
+	go func() {
+		defer close(s.done)
+
+		_ = s.http.Serve(l)
+	}()
+
+	return s, nil
+}
+
+// Stop ends the listener and waits for running calls until ctx ends.
+func (s *Server) Stop(ctx context.Context) error {
+	return Error.Wrap(s.http.Shutdown(ctx))
+}
+
+// Done is closed when the listener has ended.
+func (s *Server) Done() <-chan struct{} {
+	return s.done
+}
+
+// Handler returns the API as an http.Handler.
+func Handler(b Backend, opts Options) (http.Handler, error) {
+	if opts.KeyHash == "" {
+		return nil, Error.New("no key hash is given")
+	}
+
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
+
+	if opts.ApplyTimeout == 0 {
+		opts.ApplyTimeout = applyTimeout
+	}
+
+	h := &handlers{backend: b, opts: opts}
+
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Configure(iris.WithoutServerError(iris.ErrServerClosed), iris.WithoutPathCorrectionRedirection)
+	app.UseRouter(h.authenticate)
+	app.OnErrorCode(iris.StatusNotFound, func(c iris.Context) {
+		h.fail(c, problem(iris.StatusNotFound, CodeNotFound, "there is no %s", c.Path()))
+	})
+	app.OnErrorCode(iris.StatusMethodNotAllowed, func(c iris.Context) {
+		h.fail(c, problem(iris.StatusMethodNotAllowed, CodeBadRequest, "%s does not take %s", c.Path(), c.Method()))
+	})
+
+	v1 := app.Party("/v1")
+	v1.Get("/items/{kind}", h.list)
+	v1.Get("/items/{kind}/{name}", h.item)
+	v1.Post("/edits", h.apply)
+	v1.Post("/diff", h.diff)
+	v1.Get("/plans", h.plans)
+	v1.Post("/plans", h.declare)
+	v1.Delete("/plans/{id}", h.cancel)
+	v1.Get("/status", h.status)
+	v1.Get("/burn", h.burn)
+
+	return app, Error.Wrap(app.Build())
+}
+
+type handlers struct {
+	backend Backend
+	opts    Options
+}
+
+// authenticate compares hashes in constant time, before anything else of a request is read.
+func (h *handlers) authenticate(c iris.Context) {
+	key, ok := strings.CutPrefix(c.GetHeader("Authorization"), "Bearer ")
+	if !ok || subtle.ConstantTimeCompare([]byte(table.HashKey(key)), []byte(h.opts.KeyHash)) != 1 {
+		c.Header("WWW-Authenticate", "Bearer")
+		h.fail(c, problem(http.StatusUnauthorized, CodeUnauthorized, "a valid operator key is needed"))
+
+		return
+	}
+
+	c.Next()
+}
+
+func (h *handlers) fail(c iris.Context, err error) {
+	p := problemOf(err)
+
+	c.StatusCode(p.Status)
+	h.write(c, "application/problem+json", p)
+	c.StopExecution()
+}
+
+func (h *handlers) answer(c iris.Context, v any, err error) {
+	if err != nil {
+		h.fail(c, err)
+
+		return
+	}
+
+	h.write(c, "application/json", v)
+}
+
+func (h *handlers) write(c iris.Context, contentType string, v any) {
+	c.Header("Content-Type", contentType)
+
+	// The status is sent by now; a caller that left sees no error.
+	_ = json.NewEncoder(c.ResponseWriter()).Encode(v)
+}
+
+// read decodes the body into v, which must match its fields.
+func (h *handlers) read(c iris.Context, v any) error {
+	dec := json.NewDecoder(http.MaxBytesReader(c.ResponseWriter(), c.Request().Body, maxBodyBytes))
+	dec.DisallowUnknownFields()
+
+	err := dec.Decode(v)
+	if err == nil {
+		return nil
+	}
+
+	if p := problemOf(err); p.Code == CodeTooLarge {
+		return p
+	}
+
+	return problem(http.StatusBadRequest, CodeBadRequest, "the body is not the JSON that is wanted: %v", err)
+}
