Add the operators' commands

template, account and target (list, show, apply, edit, diff, delete), plan (drain, replace, withdraw, role, list, cancel), status and settings check, as packages that the program mounts.

A shown item carries its generation in its first line, so an edit from a file that was shown earlier is found to be a raced one.

--- /dev/null
+++ b/internal/command/item/doc.go
@@ -0,0 +1,3 @@
+// Package item holds the commands template, account and target: list, show, apply, edit, diff and
+// delete.
+package item
--- /dev/null
+++ b/internal/command/item/edit.go
@@ -0,0 +1,294 @@
+package item
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"github.com/dotterelflow/dotterelflow/internal/command/remote"
+	"github.com/dotterelflow/dotterelflow/internal/control/configuration"
+	"github.com/dotterelflow/dotterelflow/internal/control/document"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/site/yamlfile"
+	"github.com/dotterelflow/dotterelflow/internal/wire/operator"
+)
+
+const (
+	defaultWait = 10 * time.Second
+	retryPause  = 500 * time.Millisecond
+)
+
+func (c commands) apply(ctx context.Context, cmd *cli.Command) error {
+	client, request, err := c.filesRequest(ctx, cmd)
+	if err != nil {
+		return remote.Fail(err)
+	}
+
+	return send(ctx, cmd, client, request)
+}
+
+// filesRequest returns the edit that puts what the command's files state.
+func (c commands) filesRequest(ctx context.Context, cmd *cli.Command) (*operator.Client, operator.EditRequest, error) {
+	client, err := remote.Connect(cmd)
+	if err != nil {
+		return nil, operator.EditRequest{}, err
+	}
+
+	request, err := c.fromFiles(ctx, cmd, client, cmd.Args().Slice())
+
+	return client, request, err
+}
+
+func (c commands) edit(ctx context.Context, cmd *cli.Command) error {
+	client, ref, err := c.named(cmd)
+	if err != nil {
+		return err
+	}
+
+	file, settings := cmd.String("file"), cmd.StringSlice("set")
+
+	switch {
+	case (file == "") == (len(settings) == 0):
+		return remote.Usage("give either --file FILE, from the command show, or --set PARAMETER=VALUE")
+	case file != "":
+		request, err := c.fromFiles(ctx, cmd, client, []string{file})
+		if err != nil {
+			return remote.Fail(err)
+		}
+
+		if err := c.only(request.Files[0], ref); err != nil {
+			return remote.Fail(err)
+		}
+
+		return send(ctx, cmd, client, request)
+	case c.kind != configuration.Account:
+		return remote.Usage("--set changes parameters of client accounts; use --file")
+	}
+
+	request, err := withParameters(ctx, cmd, client, ref, settings)
+	if err != nil {
+		return remote.Fail(err)
+	}
+
+	return send(ctx, cmd, client, request)
+}
+
+func (c commands) remove(ctx context.Context, cmd *cli.Command) error {
+	client, ref, err := c.named(cmd)
+	if err != nil {
+		return err
+	}
+
+	list, err := client.Item(ctx, ref)
+	if err != nil {
+		return remote.Fail(err)
+	}
+
+	request := operator.EditRequest{Base: list.Generation, Delete: []configuration.Ref{ref}}
+	if cmd.IsSet("base") {
+		request.Base = table.Generation(cmd.Uint64("base"))
+	}
+
+	return send(ctx, cmd, client, request)
+}
+
+// fromFiles returns the edit that puts what the files state. Its base is that of the flag, else
+// the oldest that a file states, else the newest generation.
+func (c commands) fromFiles(ctx context.Context, cmd *cli.Command, client *operator.Client, paths []string) (operator.EditRequest, error) {
+	var request operator.EditRequest
+
+	if len(paths) == 0 {
+		return request, remote.Usage("give one or more files; the command show prints one")
+	}
+
+	base, stated := table.Generation(cmd.Uint64("base")), cmd.IsSet("base")
+
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return request, remote.Usage("%v", err)
+		}
+
+		if _, err := document.Parse(path, data); err != nil {
+			return request, err
+		}
+
+		request.Files = append(request.Files, operator.File{Name: path, Text: string(data)})
+
+		if g, ok := baseOf(string(data)); ok && !cmd.IsSet("base") && (!stated || g < base) {
+			base, stated = g, true
+		}
+	}
+
+	if stated {
+		request.Base = base
+
+		return request, nil
+	}
+
+	list, err := client.Items(ctx, c.kind)
+	request.Base = list.Generation
+
+	return request, err
+}
+
+func baseOf(text string) (table.Generation, bool) {
+	line, _, _ := strings.Cut(text, "\n")
+
+	number, ok := strings.CutPrefix(line, basePrefix)
+	if !ok {
+		return 0, false
+	}
+
+	g, err := strconv.ParseUint(strings.TrimSpace(number), 10, 64)
+
+	return table.Generation(g), err == nil
+}
+
+// only refuses a file that states anything but ref.
+func (c commands) only(f operator.File, ref configuration.Ref) error {
+	d, err := document.Parse(f.Name, []byte(f.Text))
+	if err != nil {
+		return err
+	}
+
+	changes, err := configuration.ChangesOf(d)
+	if err != nil {
+		return err
+	}
+
+	if len(changes) != 1 || changes[0].Ref != ref {
+		return yamlfile.Refuse(f.Name, 0, "the file must state the %s and nothing else; apply takes any file", ref)
+	}
+
+	return nil
+}
+
+// withParameters returns the edit that sets parameters of the client account ref.
+func withParameters(ctx context.Context, cmd *cli.Command, client *operator.Client, ref configuration.Ref, settings []string) (operator.EditRequest, error) {
+	list, err := client.Item(ctx, ref)
+	if err != nil {
+		return operator.EditRequest{}, err
+	}
+
+	d, err := document.Parse(ref.String(), []byte(list.Items[0].YAML))
+	if err != nil {
+		return operator.EditRequest{}, err
+	}
+
+	a := &d.Accounts[0]
+	if a.Parameters == nil {
+		a.Parameters = map[string]document.Text{}
+	}
+
+	for _, s := range settings {
+		name, value, ok := strings.Cut(s, "=")
+		if !ok {
+			return operator.EditRequest{}, remote.Usage("--set %q is not PARAMETER=VALUE", s)
+		}
+
+		a.Parameters[name] = document.NewText(value)
+	}
+
+	text, err := d.YAML()
+	if err != nil {
+		return operator.EditRequest{}, err
+	}
+
+	request := operator.EditRequest{Base: list.Generation, Files: []operator.File{{Name: ref.String(), Text: string(text)}}}
+	if cmd.IsSet("base") {
+		request.Base = table.Generation(cmd.Uint64("base"))
+	}
+
+	return request, nil
+}
+
+// send makes the edit and, while its outcome is open, sends it again until --timeout is over.
+func send(ctx context.Context, cmd *cli.Command, client *operator.Client, request operator.EditRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("timeout"))
+	defer cancel()
+
+	request.Wait = operator.Duration(cmd.Duration("wait"))
+	request.ID = configuration.EditID(cmd.String("edit-id"))
+
+	// An edit that is sent again may have been accepted by the call before.
+	open := request.ID != ""
+	if !open {
+		request.ID = configuration.EditID(uuid.NewString())
+	}
+
+	for {
+		result, err := client.Apply(ctx, request)
+		if err == nil {
+			return report(cmd, request, result)
+		}
+
+		open = open || unsettled(err)
+
+		if !open || settled(err) {
+			return remote.Fail(err)
+		}
+
+		select {
+		case <-ctx.Done():
+			return cli.Exit(fmt.Sprintf("The edit is not settled: it may come into force. Run the command again with --edit-id %s --base %d.",
+				request.ID, request.Base), remote.ExitUnsettled)
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// unsettled reports whether the edit may have been accepted although err came back.
+func unsettled(err error) bool {
+	var p *operator.ProblemError
+	if errors.As(err, &p) {
+		return p.Code == operator.CodeUnsettled || p.Code == operator.CodeInternal
+	}
+
+	// Without a connection nothing was sent.
+	var dial *net.OpError
+
+	return !errors.As(err, &dial) || dial.Op != "dial"
+}
+
+// settled reports whether err rules out that this or an earlier call was accepted.
+func settled(err error) bool {
+	var p *operator.ProblemError
+
+	return errors.As(err, &p) && (p.Code == operator.CodeConflict || p.Code == operator.CodeInvalid)
+}
+
+// report prints an accepted edit.
+func report(cmd *cli.Command, request operator.EditRequest, result operator.EditResult) error {
+	err := remote.Print(cmd, result, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "Accepted as generation %d (edit %s).\n", result.Generation, request.ID)
+
+		if len(result.Unconfirmed) == 0 {
+			_, _ = fmt.Fprintln(w, "Every known host has it in force.")
+		}
+	})
+	if err != nil || len(result.Unconfirmed) == 0 || request.Wait == 0 {
+		return err
+	}
+
+	var b strings.Builder
+
+	b.WriteString("Accepted, but not confirmed in time by:\n")
+
+	for _, h := range result.Unconfirmed {
+		fmt.Fprintf(&b, "  %s (%s, %s) has generation %d\n", h.ID, h.DataCentre, h.Address, h.Generation)
+	}
+
+	b.WriteString("The edit is kept and reaches them when they can be reached. The command status shows them.")
+
+	return cli.Exit(b.String(), remote.ExitUnconfirmed)
+}
--- /dev/null
+++ b/internal/command/item/read.go
@@ -0,0 +1,76 @@
+package item
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/dotterelflow/dotterelflow/internal/command/remote"
+	"github.com/dotterelflow/dotterelflow/internal/control/configuration"
+	"github.com/dotterelflow/dotterelflow/internal/wire/operator"
+)
+
+// basePrefix starts the line by which a shown item carries its generation into an edit.
+const basePrefix = "# base-generation: "
+
+func (c commands) list(ctx context.Context, cmd *cli.Command) error {
+	client, err := remote.Connect(cmd)
+	if err != nil {
+		return err
+	}
+
+	list, err := client.Items(ctx, c.kind)
+	if err != nil {
+		return remote.Fail(err)
+	}
+
+	return remote.Print(cmd, list, func(w io.Writer) {
+		remote.Table(w, "NAME\tCHANGED IN", len(list.Items), func(w io.Writer, i int) {
+			_, _ = fmt.Fprintf(w, "%s\t%d\n", list.Items[i].Name, list.Items[i].Generation)
+		})
+	})
+}
+
+func (c commands) show(ctx context.Context, cmd *cli.Command) error {
+	client, ref, err := c.named(cmd)
+	if err != nil {
+		return err
+	}
+
+	list, err := client.Item(ctx, ref)
+	if err != nil {
+		return remote.Fail(err)
+	}
+
+	return remote.Print(cmd, list, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "%s%d\n%s", basePrefix, list.Generation, list.Items[0].YAML)
+	})
+}
+
+func (c commands) named(cmd *cli.Command) (*operator.Client, configuration.Ref, error) {
+	ref := configuration.Ref{Kind: c.kind, Name: cmd.Args().First()}
+
+	if cmd.Args().Len() != 1 {
+		return nil, ref, remote.Usage("give the name of one %s; the command list shows them", c.kind)
+	}
+
+	client, err := remote.Connect(cmd)
+
+	return client, ref, err
+}
+
+func (c commands) diff(ctx context.Context, cmd *cli.Command) error {
+	client, request, err := c.filesRequest(ctx, cmd)
+	if err != nil {
+		return remote.Fail(err)
+	}
+
+	result, err := client.Diff(ctx, request)
+	if err != nil {
+		return remote.Fail(err)
+	}
+
+	return remote.Print(cmd, result, func(w io.Writer) { _, _ = io.WriteString(w, result.Diff) })
+}
--- /dev/null
+++ b/internal/command/plan/plan.go
@@ -0,0 +1,140 @@
+// Package plan holds the command plan: planned changes of targets.
+package plan
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"github.com/dotterelflow/dotterelflow/internal/command/remote"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/wire/operator"
+)
+
+// Command returns the command plan.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:        "plan",
+		Usage:       "declare planned changes of targets",
+		Description: "Example: dotterelflow plan drain lodz-engine-1\n\n" + remote.ExitHelp,
+		Commands: []*cli.Command{
+			sub(string(operator.Drain), "stop new work on a target and wait until none runs", "TARGET", "lodz-engine-1", drain(operator.Drain), idFlag()),
+			sub(string(operator.Replace), "drain a target once another one serves in its place", "TARGET WITH", "lodz-engine-1 lodz-engine-2", replace, idFlag()),
+			sub(string(operator.Withdraw), "drain a target and take it out for good", "TARGET", "lodz-engine-1", drain(operator.Withdraw), idFlag()),
+			sub(string(operator.Role), "drain an engine and change its role", "TARGET ROLE", "lodz-engine-1 decode", role, idFlag()),
+			sub("list", "list the plans", "", "", list),
+			sub("cancel", "end a plan", "ID", "0b8e4a52-5f4e-4c1c-9f57-2f6d3b1a9c11", cancel),
+		},
+	}
+}
+
+func sub(name, usage, args, example string, action cli.ActionFunc, flags ...cli.Flag) *cli.Command {
+	return &cli.Command{
+		Name:        name,
+		Usage:       usage,
+		ArgsUsage:   args,
+		Description: "Example: dotterelflow plan " + name + " " + example + "\n\n" + remote.ExitHelp,
+		Flags:       append(remote.Flags(), flags...),
+		Action:      action,
+	}
+}
+
+func idFlag() cli.Flag {
+	return &cli.StringFlag{Name: "id", Usage: "`ID` of the plan, to send a declaration again whose answer was lost"}
+}
+
+func drain(action operator.Action) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		if cmd.Args().Len() != 1 {
+			return remote.Usage("give one target; the command target list shows them")
+		}
+
+		return declare(ctx, cmd, operator.Plan{Action: action})
+	}
+}
+
+func replace(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Args().Len() != 2 {
+		return remote.Usage("give the target and the one that takes its place")
+	}
+
+	return declare(ctx, cmd, operator.Plan{Action: operator.Replace, With: table.TargetID(cmd.Args().Get(1))})
+}
+
+func role(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Args().Len() != 2 {
+		return remote.Usage("give the engine and its new role: mixed, prefill or decode")
+	}
+
+	var to table.Role
+	if err := to.UnmarshalText([]byte(cmd.Args().Get(1))); err != nil {
+		return remote.Usage("%q is no role; give mixed, prefill or decode", cmd.Args().Get(1))
+	}
+
+	return declare(ctx, cmd, operator.Plan{Action: operator.Role, Role: &to})
+}
+
+func declare(ctx context.Context, cmd *cli.Command, p operator.Plan) error {
+	client, err := remote.Connect(cmd)
+	if err != nil {
+		return err
+	}
+
+	p.Target = table.TargetID(cmd.Args().First())
+
+	p.ID = cmd.String("id")
+	if p.ID == "" {
+		p.ID = uuid.NewString()
+	}
+
+	declared, err := client.Declare(ctx, p)
+	if err != nil {
+		return remote.Fail(fmt.Errorf("plan %s: %w", p.ID, err))
+	}
+
+	return remote.Print(cmd, declared, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "Plan %s: %s %s is %s.\n", declared.ID, declared.Action, declared.Target, declared.State)
+	})
+}
+
+func list(ctx context.Context, cmd *cli.Command) error {
+	client, err := remote.Connect(cmd)
+	if err != nil {
+		return err
+	}
+
+	plans, err := client.Plans(ctx)
+	if err != nil {
+		return remote.Fail(err)
+	}
+
+	return remote.Print(cmd, plans, func(w io.Writer) {
+		remote.Table(w, "ID\tACTION\tTARGET\tSTATE\tDETAIL", len(plans.Plans), func(w io.Writer, i int) {
+			p := plans.Plans[i]
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", p.ID, p.Action, p.Target, p.State, p.Detail)
+		})
+	})
+}
+
+func cancel(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Args().Len() != 1 {
+		return remote.Usage("give the id of one plan; the command plan list shows them")
+	}
+
+	client, err := remote.Connect(cmd)
+	if err != nil {
+		return err
+	}
+
+	id := cmd.Args().First()
+	if err := client.Cancel(ctx, id); err != nil {
+		return remote.Fail(err)
+	}
+
+	return remote.Print(cmd, map[string]string{"cancelled": id}, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "Plan %s is cancelled.\n", id)
+	})
+}
--- /dev/null
+++ b/internal/command/settings/settings.go
@@ -0,0 +1,70 @@
+// Package settings holds the command settings, which checks an entry host's settings file.
+package settings
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/dotterelflow/dotterelflow/internal/command/remote"
+	"github.com/dotterelflow/dotterelflow/internal/site/settings"
+)
+
+// Command returns the command settings.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:        "settings",
+		Usage:       "check settings of an entry host",
+		Description: "Example: dotterelflow settings check examples/settings/entry-1.yaml",
+		Commands: []*cli.Command{{
+			Name:      "check",
+			Usage:     "check settings files and print what they say",
+			ArgsUsage: "FILE...",
+			Description: "Example: dotterelflow settings check examples/settings/entry-1.yaml\n\n" +
+				"Exit codes: 0 each file is good; 2 wrong use, or a file is refused.",
+			Flags:  []cli.Flag{remote.FormatFlag()},
+			Action: check,
+		}},
+	}
+}
+
+// summary is what the command prints; the key stays out.
+type summary struct {
+	File       string `json:"file"`
+	ID         string `json:"id"`
+	DataCentre string `json:"data-centre"`
+	Caller     string `json:"caller"`
+	Operator   string `json:"operator"`
+	Peer       string `json:"peer"`
+	Platform   string `json:"platform"`
+	Peers      int    `json:"peers"`
+}
+
+func check(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Len() == 0 {
+		return remote.Usage("give one or more settings files")
+	}
+
+	var checked []summary
+
+	for _, path := range cmd.Args().Slice() {
+		s, err := settings.Load(path)
+		if err != nil {
+			return cli.Exit(fmt.Sprintf("%v\nMend the place above and check again.", err), remote.ExitRefused)
+		}
+
+		checked = append(checked, summary{
+			File: path, ID: s.ID, DataCentre: string(s.DataCentre), Caller: s.Listen.Caller, Operator: s.Listen.Operator,
+			Peer: s.Listen.Peer, Platform: s.Platform, Peers: len(s.Peers),
+		})
+	}
+
+	return remote.Print(cmd, checked, func(w io.Writer) {
+		for _, s := range checked {
+			_, _ = fmt.Fprintf(w, "%s: good: %s in %s, callers %s, operators %s, peers %s, platform %s, %d other hosts\n",
+				s.File, s.ID, s.DataCentre, s.Caller, s.Operator, s.Peer, s.Platform, s.Peers)
+		}
+	})
+}
--- /dev/null
+++ b/internal/command/status/status.go
@@ -0,0 +1,59 @@
+// Package status holds the command status.
+package status
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/dotterelflow/dotterelflow/internal/command/remote"
+)
+
+// Command returns the command status.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show hosts, targets and authorities as one entry host knows them",
+		Description: "Example: dotterelflow status --address 127.0.0.1:18012 --key-file operator.key\n\n" +
+			remote.ExitHelp,
+		Flags:  remote.Flags(),
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	client, err := remote.Connect(cmd)
+	if err != nil {
+		return err
+	}
+
+	s, err := client.Status(ctx)
+	if err != nil {
+		return remote.Fail(err)
+	}
+
+	return remote.Print(cmd, s, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "generation %d\n\n", s.Generation)
+
+		remote.Table(w, "HOST\tDATA CENTRE\tADDRESS\tGENERATION\tREADY", len(s.Hosts), func(w io.Writer, i int) {
+			h := s.Hosts[i]
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%t\n", h.ID, h.DataCentre, h.Address, h.Generation, h.Ready)
+		})
+
+		_, _ = fmt.Fprintln(w)
+
+		remote.Table(w, "TARGET\tDATA CENTRE\tSTATE\tROLE\tRUNNING\tQUEUED", len(s.Targets), func(w io.Writer, i int) {
+			t := s.Targets[i]
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\n", t.ID, t.DataCentre, t.State, t.Role, t.Running, t.Queued)
+		})
+
+		_, _ = fmt.Fprintln(w)
+
+		remote.Table(w, "AUTHORITY OF\tHOLDER\tFENCE", len(s.Authorities), func(w io.Writer, i int) {
+			a := s.Authorities[i]
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%d\n", a.DataCentre, a.Holder, a.Fence)
+		})
+	})
+}
--- a/internal/wire/operator/handlers.go
+++ b/internal/wire/operator/handlers.go
@@ -15,7 +15,10 @@
 	"github.com/dotterelflow/dotterelflow/internal/site/yamlfile"
 )
 
-const maxFiles = 100
+const (
+	maxFiles = 100
+	diffID   = "diff-only"
+)
 
 var kinds = []configuration.Kind{configuration.Deployment, configuration.Template, configuration.Account, configuration.Target}
 
@@ -137,6 +140,9 @@
 		return
 	}
 
+	// A diff is not kept, so its request needs no id.
+	e.ID = diffID
+
 	text, err := h.backend.Contents().Diff(e)
 	h.answer(c, DiffResult{Base: e.Base, Diff: text}, h.located(r, e, err))
 }
