Count service-level burn per account and kind, saved exactly once

A Ledger counts good and six causes in buckets of four widths for windows of 5 min, 1 h, 6 h and 3 days; ledgers add up. A Saver moves a host's counts every 5 min into 8 objects per data centre by conditional update; each object remembers each host's last flush, so a lost answer neither loses nor doubles. A host that is killed loses at most 5 min of its own counts, one that is stopped none.

--- /dev/null
+++ b/internal/measure/burn/burn_test.go
@@ -0,0 +1,260 @@
+package burn_test
+
+import (
+	"fmt"
+	"math/rand"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/measure/burn"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+var epoch = time.Date(2026, 1, 2, 0, 0, 0, 0, time.UTC)
+
+var grade = burn.Key{Account: "broker", Kind: "grade"}
+
+// traffic records a request every two seconds over [from, to), each nth bad; n of zero means none.
+func traffic(l *burn.Ledger, from, to time.Time, n int, bad burn.Event) {
+	i := 0
+
+	for now := from; now.Before(to); now = now.Add(2 * time.Second) {
+		i++
+
+		e := burn.Good
+		if n > 0 && i%n == 0 {
+			e = bad
+		}
+
+		l.Record(now, grade, e)
+	}
+}
+
+func TestBurnOverTheWindows(t *testing.T) {
+	day := epoch.Add(72 * time.Hour)
+
+	tests := []struct {
+		name  string
+		n     int           // each nth request is bad
+		last  time.Duration // for so long before the end
+		quiet time.Duration // then all are good for so long
+		state burn.State
+		least [4]float64
+		most  [4]float64
+	}{
+		{"all good", 0, 0, 0, burn.OK, [4]float64{}, [4]float64{}},
+		{"at the objective", 100, 72 * time.Hour, 0, burn.Slow, [4]float64{.5, .9, .9, .9}, [4]float64{1.5, 1.1, 1.1, 1.1}},
+		{"all bad for an hour", 1, time.Hour, 0, burn.Fast, [4]float64{99, 85, 13, 1}, [4]float64{100, 100, 17, 1.5}},
+		{"a tenth for six hours", 10, 6 * time.Hour, 0, burn.Steady, [4]float64{9, 9, 8.5, 0.7}, [4]float64{11, 11, 11, 1}},
+		{"an hour that is over", 1, time.Hour, 8 * time.Hour, burn.Recovering, [4]float64{0, 0, 0, 1}, [4]float64{0, 0, 0, 1.5}},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var l burn.Ledger
+
+			end := day.Add(-tt.quiet)
+			traffic(&l, epoch, end.Add(-tt.last), 0, burn.Good)
+			traffic(&l, end.Add(-tt.last), end, tt.n, burn.Late)
+			traffic(&l, end, day, 0, burn.Good)
+
+			r := l.Report(day.Add(-time.Second), burn.ReportOptions{})
+			require.Len(t, r.Series, 1)
+			require.Equal(t, tt.state.String(), r.Series[0].State.String())
+
+			for i, w := range r.Series[0].Windows {
+				require.GreaterOrEqual(t, w.Burn, tt.least[i], w.Span)
+				require.LessOrEqual(t, w.Burn, tt.most[i], w.Span)
+			}
+		})
+	}
+}
+
+// The start of the burn is found to the width of the finest bucket that reaches back to it.
+func TestSinceAndCauses(t *testing.T) {
+	end := epoch.Add(72 * time.Hour)
+
+	tests := []struct {
+		ago, width time.Duration
+	}{
+		{3 * time.Minute, time.Minute},
+		{40 * time.Minute, 10 * time.Minute},
+		{5 * time.Hour, time.Hour},
+		{48 * time.Hour, 12 * time.Hour},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.ago.String(), func(t *testing.T) {
+			var l burn.Ledger
+
+			began := end.Add(-tt.ago)
+			traffic(&l, epoch, began, 0, burn.Good)
+			traffic(&l, began, end, 3, burn.TargetLost)
+			l.Record(end, grade, burn.Refused)
+
+			s := l.Report(end, burn.ReportOptions{}).Series[0]
+			require.LessOrEqual(t, began.Sub(s.Since).Abs(), tt.width)
+			require.Equal(t, burn.TargetLost, s.Causes[0].Event)
+			require.Equal(t, burn.Cause{Event: burn.Refused, Count: 1}, s.Causes[1])
+		})
+	}
+}
+
+// Counts that several hosts took, encoded, merged in any order, give the report of one host that
+// took them all.
+func TestMergeIsAddition(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := make([]burn.Ledger, 4)
+		now := epoch
+
+		var all burn.Ledger
+
+		for range rapid.IntRange(0, 300).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3600).Draw(t, "s")) * time.Second)
+			k := burn.Key{Account: table.AccountID(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "account"))), Kind: "k"}
+			e := burn.Event(rapid.IntRange(0, 6).Draw(t, "event"))
+			all.Record(now, k, e)
+			hosts[rapid.IntRange(0, 3).Draw(t, "host")].Record(now, k, e)
+		}
+
+		var merged burn.Ledger
+
+		for _, i := range rapid.Permutation([]int{0, 1, 2, 3}).Draw(t, "order") {
+			data, err := hosts[i].Encode()
+			require.NoError(t, err)
+
+			l, err := burn.Decode(data)
+			require.NoError(t, err)
+			merged.Merge(l)
+		}
+
+		require.Equal(t, all.Report(now, burn.ReportOptions{}), merged.Report(now, burn.ReportOptions{}))
+	})
+}
+
+func TestEventOfARequest(t *testing.T) {
+	tests := []struct {
+		err            error
+		late, changing bool
+		want           burn.Event
+	}{
+		{nil, false, false, burn.Good},
+		{nil, false, true, burn.Good},
+		{nil, true, false, burn.Late},
+		{nil, true, true, burn.RoleChange},
+		{verdict.New(verdict.NotRun, verdict.CodeOverloaded, ""), false, false, burn.Refused},
+		{verdict.New(verdict.NotRun, verdict.CodeOverloaded, ""), false, true, burn.RoleChange},
+		{verdict.New(verdict.NotRun, verdict.CodeBadRequest, ""), false, false, burn.Good},
+		{verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, ""), false, true, burn.TargetLost},
+		{verdict.New(verdict.Ran, verdict.CodeTruncated, ""), false, false, burn.Cut},
+		{verdict.New(verdict.MayHaveRun, verdict.CodeInternal, ""), false, false, burn.MayHaveRun},
+		{fmt.Errorf("plain"), false, false, burn.MayHaveRun},
+	}
+
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.err, tt.late, tt.changing), func(t *testing.T) {
+			require.Equal(t, tt.want.String(), burn.Of(tt.err, tt.late, tt.changing).String())
+		})
+	}
+}
+
+// accounts is the number of client accounts of the size to design for.
+const accounts = 5600
+
+// fill records random events of n accounts with two kinds each at the given times.
+func fill(l *burn.Ledger, n int, times []time.Time) {
+	rnd := rand.New(rand.NewSource(1))
+
+	for _, now := range times {
+		for i := range n {
+			for _, kind := range []table.KindName{"booking-check", "report"} {
+				k := burn.Key{Account: table.AccountID(fmt.Sprintf("account-%04d", i)), Kind: kind}
+
+				for range 4 + rnd.Intn(4) {
+					l.Record(now, k, burn.Event(rnd.Intn(7)))
+				}
+			}
+		}
+	}
+}
+
+// span returns the times from d before end to end.
+func span(end time.Time, d, every time.Duration) (times []time.Time) {
+	for now := end.Add(-d); !now.After(end); now = now.Add(every) {
+		times = append(times, now)
+	}
+
+	return times
+}
+
+// allBuckets returns a time in each bucket of each window that ends at end.
+func allBuckets(end time.Time) []time.Time {
+	times := span(end, 72*time.Hour, 12*time.Hour)
+	times = append(times, span(end, 6*time.Hour, time.Hour)...)
+	times = append(times, span(end, time.Hour, 10*time.Minute)...)
+
+	return append(times, span(end, 5*time.Minute, time.Minute)...)
+}
+
+// A host keeps what it has not yet saved: one interval of all accounts stays well under the 32 MB
+// that a node may spend on control, and three days of it, kept while the platform is out, are
+// bounded too.
+func TestMemoryAtTheSizeToDesignFor(t *testing.T) {
+	tests := []struct {
+		name  string
+		times []time.Time
+		most  int
+	}{
+		{"one interval", span(epoch, 5*time.Minute, time.Minute), 8 << 20},
+		{"three days", allBuckets(epoch), 24 << 20},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var before, after runtime.MemStats
+
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+
+			var l burn.Ledger
+			fill(&l, accounts, tt.times)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+
+			used := int(after.HeapAlloc - before.HeapAlloc)
+			data, err := l.Encode()
+			require.NoError(t, err)
+			t.Logf("%d series: %.2f MB, %d B an account, encoded %.2f MB", l.Len(), float64(used)/1e6, used/accounts, float64(len(data))/1e6)
+			require.LessOrEqual(t, used, tt.most)
+			runtime.KeepAlive(&l)
+		})
+	}
+}
+
+func BenchmarkRecord(b *testing.B) {
+	var l burn.Ledger
+
+	fill(&l, accounts, span(epoch, 5*time.Minute, time.Minute))
+	b.ReportAllocs()
+	b.ResetTimer()
+
+	for range b.N {
+		l.Record(epoch, burn.Key{Account: "account-0001", Kind: "report"}, burn.Good)
+	}
+}
+
+func BenchmarkReport(b *testing.B) {
+	var l burn.Ledger
+
+	fill(&l, accounts, allBuckets(epoch))
+	b.ResetTimer()
+
+	for range b.N {
+		l.Report(epoch, burn.ReportOptions{})
+	}
+}
--- /dev/null
+++ b/internal/measure/burn/codec.go
@@ -0,0 +1,119 @@
+package burn
+
+import (
+	"bytes"
+	"cmp"
+	"compress/flate"
+	"encoding/gob"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+const (
+	// maxDecodedBytes bounds what an encoded ledger may unpack to.
+	maxDecodedBytes = 64 << 20
+	// flushMemory is how long an object remembers a host's last flush.
+	flushMemory = 24 * time.Hour
+)
+
+// wireSeries is a series in an encoded ledger.
+type wireSeries struct {
+	Account string
+	Kind    string
+	Buckets [windowCount][]bucket
+}
+
+// flushMark is the last flush of one host that an object holds.
+type flushMark struct {
+	Sequence uint64
+	At       int64 // Unix seconds
+}
+
+// stored is the value of a shared object, or of a ledger on the way between hosts.
+type stored struct {
+	Series  []wireSeries
+	Flushes map[string]flushMark
+}
+
+// Encode returns l as bytes for another host.
+func (l *Ledger) Encode() ([]byte, error) {
+	return encode(l, nil)
+}
+
+// Decode returns the ledger that Encode wrote. Damaged or oversized input is an error.
+func Decode(data []byte) (*Ledger, error) {
+	l, _, err := decode(data)
+
+	return l, err
+}
+
+func encode(l *Ledger, flushes map[string]flushMark) ([]byte, error) {
+	l.mu.Lock()
+	v := stored{Series: make([]wireSeries, 0, len(l.series)), Flushes: flushes}
+
+	for k, s := range l.series {
+		v.Series = append(v.Series, wireSeries{string(k.Account), string(k.Kind), *s})
+	}
+	l.mu.Unlock()
+
+	slices.SortFunc(v.Series, func(a, b wireSeries) int {
+		return cmp.Or(cmp.Compare(a.Account, b.Account), cmp.Compare(a.Kind, b.Kind))
+	})
+
+	var out bytes.Buffer
+
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+
+	if err := gob.NewEncoder(w).Encode(v); err != nil {
+		return nil, Error.Wrap(err)
+	}
+
+	if err := w.Close(); err != nil {
+		return nil, Error.Wrap(err)
+	}
+
+	return out.Bytes(), nil
+}
+
+func decode(data []byte) (*Ledger, map[string]flushMark, error) {
+	l := &Ledger{}
+	if len(data) == 0 {
+		return l, map[string]flushMark{}, nil
+	}
+
+	var v stored
+
+	r := io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxDecodedBytes)
+	if err := gob.NewDecoder(r).Decode(&v); err != nil {
+		return nil, nil, Error.Wrap(err)
+	}
+
+	for _, from := range v.Series {
+		s := l.at(Key{table.AccountID(from.Account), table.KindName(from.Kind)})
+
+		for w, list := range from.Buckets {
+			for i := range list {
+				s.add(w, list[i].Slot, &list[i].Counts)
+			}
+		}
+	}
+
+	if v.Flushes == nil {
+		v.Flushes = map[string]flushMark{}
+	}
+
+	return l, v.Flushes, nil
+}
+
+// forgetFlushes drops the marks of hosts that have long stopped.
+func forgetFlushes(flushes map[string]flushMark, now time.Time) {
+	oldest := now.Add(-flushMemory).Unix()
+	maps.DeleteFunc(flushes, func(_ string, m flushMark) bool { return m.At < oldest })
+}
--- /dev/null
+++ b/internal/measure/burn/saver_test.go
@@ -0,0 +1,175 @@
+package burn_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/measure/burn"
+	standin "github.com/dotterelflow/dotterelflow/internal/standin/platform"
+	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
+)
+
+const centre = table.DataCentre("dc")
+
+func newSaver(host string, clock clockwork.Clock, store burn.Store) (*burn.Saver, *burn.Ledger) {
+	l := &burn.Ledger{}
+	o := burn.SaverOptions{Host: table.HostID(host), DataCentre: centre, Clock: clock}
+
+	return burn.NewSaver(o, store, l), l
+}
+
+func total(t *testing.T, now time.Time, store burn.Store, pending ...*burn.Saver) uint64 {
+	t.Helper()
+
+	l, missing := burn.Load(t.Context(), store, 0, []table.DataCentre{centre})
+	require.Empty(t, missing)
+
+	for _, s := range pending {
+		l.Merge(s.Pending())
+	}
+
+	r := l.Report(now, burn.ReportOptions{})
+
+	return r.Good + r.Bad
+}
+
+// Each count arrives once, whatever fault the platform shows between; nothing is lost or doubled.
+func TestSavedCountsArriveOnce(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults standin.Faults
+	}{
+		{"well", standin.Faults{}},
+		{"down", standin.Faults{Down: true}},
+		{"answers lost after the write", standin.Faults{LoseAnswer: true}},
+		{"writes late and answers lost", standin.Faults{LoseAnswer: true, LateWrite: 30 * time.Second}},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClockAt(epoch)
+			store := standin.NewStore(clock)
+			view := store.View()
+			a, countsA := newSaver("a", clock, view)
+			b, countsB := newSaver("b", clock, store.View())
+
+			var want uint64
+
+			for round := range 6 {
+				for i := range 50 {
+					k := burn.Key{Account: table.AccountID(fmt.Sprint(i)), Kind: "k"}
+					countsA.Record(clock.Now(), k, burn.Good)
+					countsB.Record(clock.Now(), k, burn.Refused)
+
+					want += 2
+				}
+
+				view.SetFaults(standin.Faults{})
+
+				if round%2 == 1 {
+					view.SetFaults(tt.faults)
+				}
+
+				_ = a.Flush(t.Context())
+
+				require.NoError(t, b.Flush(t.Context()))
+				clock.Advance(time.Minute)
+			}
+
+			view.SetFaults(standin.Faults{})
+			require.NoError(t, a.Flush(t.Context()))
+			clock.Advance(time.Minute)
+			require.NoError(t, a.Flush(t.Context()))
+			require.Equal(t, want, total(t, clock.Now(), store.View()))
+			require.Zero(t, a.Pending().Len())
+		})
+	}
+}
+
+// A host that is killed loses what it counted since its last flush and no more; one that is
+// stopped loses nothing. The platform sees at most two calls for each shard and interval.
+func TestRestartLosesAtMostOneInterval(t *testing.T) {
+	const (
+		interval = 5 * time.Minute
+		shards   = 8
+	)
+
+	clock := clockwork.NewFakeClockAt(epoch)
+	store := standin.NewStore(clock)
+	view := store.View()
+	s, counts := newSaver("a", clock, view)
+	ctx, stop := context.WithCancel(t.Context())
+
+	go s.Run(ctx)
+
+	recorded := uint64(0)
+	flushes := 0
+
+	for second := range 1400 {
+		require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+		counts.Record(clock.Now(), burn.Key{Account: table.AccountID(fmt.Sprint(second % 40)), Kind: "k"}, burn.Good)
+
+		recorded++
+
+		clock.Advance(time.Second)
+
+		if (second+1)%int(interval/time.Second) == 0 {
+			flushes++
+			require.Eventually(t, func() bool { return s.Pending().Len() == 0 }, 5*time.Second, time.Millisecond)
+		}
+	}
+
+	killed := total(t, clock.Now(), store.View())
+	require.LessOrEqual(t, recorded-killed, uint64(interval/time.Second))
+	require.Equal(t, recorded, total(t, clock.Now(), store.View(), s))
+	require.LessOrEqual(t, view.Calls().Puts, flushes*shards)
+	require.LessOrEqual(t, view.Calls().Gets, flushes*shards)
+
+	stop()
+	<-s.Done()
+	require.Equal(t, recorded, total(t, clock.Now(), store.View()))
+}
+
+// The objects of a data centre at the size to design for, with three days of every account and
+// cause in each, stay under the platform's bound on a value.
+func TestObjectsStayUnderTheBound(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(epoch)
+	store := standin.NewStore(clock)
+	counts := &burn.Ledger{}
+	s := burn.NewSaver(burn.SaverOptions{DataCentre: centre, Shards: 1, Clock: clock}, store.View(), counts)
+
+	// One of the eight shards holds an eighth of the accounts.
+	fill(counts, accounts/8, allBuckets(epoch))
+	require.NoError(t, s.Flush(t.Context()))
+
+	o, err := store.View().Get(t.Context(), burn.ShardKey(centre, 0))
+	require.NoError(t, err)
+	t.Logf("%d bytes", len(o.Value))
+	require.Less(t, len(o.Value), platform.MaxValueBytes/2)
+	require.NotEmpty(t, o.Value)
+}
+
+func FuzzDecode(f *testing.F) {
+	var l burn.Ledger
+
+	l.Record(epoch, grade, burn.Late)
+
+	data, err := l.Encode()
+	require.NoError(f, err)
+	f.Add(data)
+	f.Add([]byte{})
+	f.Add([]byte("not a ledger"))
+
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		l, err := burn.Decode(data)
+		if err == nil {
+			l.Report(epoch, burn.ReportOptions{})
+		}
+	})
+}
