Serve operators from the entry host; count burn; bound retries by budget

Change: the host implements the operators' backend, merges burn counts of platform and peers for the report, and asks each account's retry budget. Conclusion: demo and process tests pass as before; plans are not served yet.

--- a/cmd/dotterelflow/main.go
+++ b/cmd/dotterelflow/main.go
@@ -10,6 +10,10 @@
 
 	"github.com/dotterelflow/dotterelflow/internal/command/demo"
 	"github.com/dotterelflow/dotterelflow/internal/command/entry"
+	"github.com/dotterelflow/dotterelflow/internal/command/item"
+	"github.com/dotterelflow/dotterelflow/internal/command/plan"
+	"github.com/dotterelflow/dotterelflow/internal/command/settings"
+	"github.com/dotterelflow/dotterelflow/internal/command/status"
 )
 
 func main() {
@@ -20,6 +24,12 @@
 		Commands: []*cli.Command{
 			demo.Command(),
 			entry.Command(),
+			settings.Command(),
+			item.Templates(),
+			item.Accounts(),
+			item.Targets(),
+			plan.Command(),
+			status.Command(),
 		},
 	}
 
--- a/internal/command/demo/scene.go
+++ b/internal/command/demo/scene.go
@@ -27,6 +27,7 @@
 const (
 	loopback    = "127.0.0.1:0"
 	enginesUsed = 2
+	operatorKey = "operator-key-of-the-demo"
 	readyPoll   = 20 * time.Millisecond
 	firstBeats  = 500 * time.Millisecond
 )
@@ -154,7 +155,8 @@
 		h, err := host.Start(host.Options{
 			ID: table.HostID(uuid.NewString()), DataCentre: t.DataCentre, Platform: client, Peers: seeds,
 			CallerAddress: loopback, PeerAddress: loopback, OperatorAddress: loopback,
-			Log: logging.New(io.Discard, "info", s.name),
+			OperatorKeyHash: table.HashKey(operatorKey),
+			Log:             logging.New(io.Discard, "info", s.name),
 		})
 		if err != nil {
 			return err
--- /dev/null
+++ b/internal/entry/host/backend.go
@@ -0,0 +1,91 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/configuration"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/wire/operator"
+)
+
+// staleLoad is the age at which a load report no longer tells how a target is.
+const staleLoad = 5 * time.Second
+
+// backend is what this host offers to operators.
+type backend struct {
+	host   *Host
+	editor *configuration.Editor
+}
+
+// Contents implements operator.Backend.
+func (b backend) Contents() *configuration.Contents {
+	return b.host.config.Contents()
+}
+
+// Apply implements operator.Backend.
+func (b backend) Apply(ctx context.Context, e configuration.Edit) (table.Generation, error) {
+	return b.editor.Apply(ctx, e)
+}
+
+// Status implements operator.Backend.
+func (b backend) Status(context.Context) (operator.Status, error) {
+	h := b.host
+
+	st := operator.Status{Generation: h.config.Generation(), Hosts: []operator.Host{{
+		ID: h.opts.ID, DataCentre: h.opts.DataCentre, Address: h.PeerAddress(),
+		Generation: h.config.Generation(), Ready: h.Ready() == nil, Heard: h.opts.Clock.Now(),
+	}}}
+
+	for _, m := range h.network.Live() {
+		st.Hosts = append(st.Hosts, operator.Host{
+			ID: m.Host, DataCentre: m.DataCentre, Address: m.Address, Generation: m.Generation,
+			Ready: m.Ready, Heard: m.HeardAt,
+		})
+	}
+
+	now, reports := h.opts.Clock.Now(), h.loads.All()
+
+	for _, t := range h.targets() {
+		st.Targets = append(st.Targets, targetStatus(now, t, reports[t.ID]))
+	}
+
+	return st, nil
+}
+
+func targetStatus(now time.Time, t table.Target, l table.Load) operator.Target {
+	st := operator.Target{
+		ID: t.ID, DataCentre: t.DataCentre, Role: t.Role, Running: l.Running, Queued: l.Queued, State: "in-service",
+	}
+
+	switch {
+	case t.Leaving:
+		st.State = "leaving"
+	case l.Changing:
+		st.State = "changing"
+	case t.Type == table.Engine && now.Sub(l.At) > staleLoad:
+		st.State = "silent"
+	}
+
+	return st
+}
+
+// Plans implements operator.Backend.
+func (b backend) Plans(context.Context) ([]operator.Plan, error) {
+	return nil, nil
+}
+
+// Declare implements operator.Backend.
+func (b backend) Declare(context.Context, operator.Plan) (operator.Plan, error) {
+	return operator.Plan{}, Error.New("plans are not served yet")
+}
+
+// Cancel implements operator.Backend.
+func (b backend) Cancel(context.Context, string) error {
+	return operator.ErrNotFound
+}
+
+// Burn implements operator.Backend.
+func (b backend) Burn(ctx context.Context) (any, error) {
+	return b.host.burn.report(ctx), nil
+}
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -27,6 +27,7 @@
 	meters "github.com/dotterelflow/dotterelflow/internal/measure/metrics"
 	"github.com/dotterelflow/dotterelflow/internal/wire/caller"
 	"github.com/dotterelflow/dotterelflow/internal/wire/engine"
+	"github.com/dotterelflow/dotterelflow/internal/wire/operator"
 	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
 	"github.com/dotterelflow/dotterelflow/internal/wire/service"
 )
@@ -80,6 +81,8 @@
 	claims  *ledger.Ledger
 	config  *configuration.Runner
 	network *peers.Network
+	burn    *burnCounts
+	budget  *budget
 
 	callers  *http.Server
 	operator *http.Server
@@ -217,10 +220,15 @@
 	})
 	h.network.Start(ctx)
 
+	h.burn = newBurnCounts(h)
+
+	go h.burn.saver.Run(ctx)
+
+	h.budget = newBudget(clock)
 	held := answers.NewTable(answers.Options{Clock: clock})
 	runner := dispatch.New(dispatch.Options{
 		Clock: clock, Home: h.opts.DataCentre, Engines: h.engines, Services: service.NewClient(service.Options{}),
-		Peers: h.network, Router: h.router, Log: h.opts.Log,
+		Peers: h.network, Router: h.router, Retries: h.budget, Log: h.opts.Log,
 	})
 	taken := requests.New(requests.Options{
 		Clock: clock, Host: h.opts.ID, Home: h.opts.DataCentre, Runner: runner, Router: h.router,
@@ -228,10 +236,27 @@
 	})
 
 	h.peers = peers.NewGRPCServer(h.network, peers.Services{
-		Snapshot: h.config.Current, Runner: runner, Held: held, Configuration: h.exported,
+		Snapshot: h.config.Current, Runner: runner, Held: held, Configuration: h.exported, Burn: h.burn.encoded,
 	})
 
-	return h.buildCallers(taken)
+	if err := h.buildCallers(taken); err != nil {
+		return err
+	}
+
+	return h.buildOperator()
+}
+
+func (h *Host) buildOperator() error {
+	handler, err := operator.Handler(
+		backend{host: h, editor: configuration.NewEditor(h.opts.Platform, h.opts.Clock, h.config.Contents)},
+		operator.Options{KeyHash: h.opts.OperatorKeyHash, Clock: h.opts.Clock})
+	if err != nil {
+		return Error.Wrap(err)
+	}
+
+	h.operator = &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+
+	return nil
 }
 
 func (h *Host) buildCallers(taken *requests.Service) error {
@@ -240,14 +265,17 @@
 	api, err := caller.NewServer(caller.Options{
 		Clock: h.opts.Clock, Requests: taken, Configuration: h.config, Ready: h.Ready, Log: h.opts.Log,
 		Metrics: meters.Handler(h.registry),
-		Observe: func(o caller.Outcome) { calls.Ended(o.Request.Kind.Urgency, o.Problem, o.FirstToken, o.Total) },
+		Observe: func(o caller.Outcome) {
+			calls.Ended(o.Request.Kind.Urgency, o.Problem, o.FirstToken, o.Total)
+			h.burn.observe(o)
+			h.budget.observe(o)
+		},
 	})
 	if err != nil {
 		return Error.Wrap(err)
 	}
 
 	h.callers = &http.Server{Handler: api, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	h.operator = &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 
 	return nil
 }
@@ -311,7 +339,7 @@
 	h.claims.Close()
 	h.cancel()
 
-	for _, done := range []<-chan struct{}{h.done, h.loads.Done(), h.network.Done(), h.config.Done(), h.claims.Done()} {
+	for _, done := range []<-chan struct{}{h.done, h.loads.Done(), h.network.Done(), h.config.Done(), h.claims.Done(), h.burn.saver.Done()} {
 		<-done
 	}
 
--- a/internal/entry/peers/forward.go
+++ b/internal/entry/peers/forward.go
@@ -194,3 +194,15 @@
 
 	return reply.GetEncoded(), peer.Error.Wrap(err)
 }
+
+// FetchBurn returns the encoded service-level counts of m.
+func (n *Network) FetchBurn(ctx context.Context, m members.Member) ([]byte, error) {
+	client, err := n.links.To(m.Address)
+	if err != nil {
+		return nil, err
+	}
+
+	reply, err := client.FetchBurn(ctx, &peer.FetchBurnRequest{})
+
+	return reply.GetEncoded(), peer.Error.Wrap(err)
+}
