Report service-level burn as text, JSON and one page with plots

Found while writing: the start of a burn was dated by single buckets, so with six requests a minute it was dated a minute ago after eight hours. Buckets are now judged in runs that hold enough requests for the objective to allow one to fail, and a coarse bucket only by what finer ones have not judged. Causes are counted over the window that the state rests on; over the shortest one they were 3 requests of 210.

Ruled out: a page with scripts (an operator opens it from a mail or a stick).

--- a/internal/measure/burn/burn_test.go
+++ b/internal/measure/burn/burn_test.go
@@ -105,6 +105,26 @@
 	}
 }
 
+// With few requests, most buckets hold no bad one though the burn goes on; it is dated all the same.
+func TestSinceWithFewRequests(t *testing.T) {
+	var l burn.Ledger
+
+	end := epoch.Add(72 * time.Hour)
+	began := end.Add(-5 * time.Hour)
+
+	for at, i := epoch, 0; at.Before(end); at, i = at.Add(10*time.Second), i+1 {
+		e := burn.Good
+		if i%12 == 0 && !at.Before(began) {
+			e = burn.Late
+		}
+
+		l.Record(at, grade, e)
+	}
+
+	s := l.Report(end.Add(-time.Second), burn.ReportOptions{}).Series[0]
+	require.LessOrEqual(t, began.Sub(s.Since).Abs(), time.Hour)
+}
+
 // Counts that several hosts took, encoded, merged in any order, give the report of one host that
 // took them all.
 func TestMergeIsAddition(t *testing.T) {
--- a/internal/measure/burn/report.go
+++ b/internal/measure/burn/report.go
@@ -72,12 +72,13 @@
 // Series is the burn of one kind of one client account.
 type Series struct {
 	Key
-	Objective float64   `json:"objective"` // share of requests that must be good
-	State     State     `json:"state"`
-	Since     time.Time `json:"since,omitzero"` // when the burn began, to the width of a bucket
-	Windows   []Window  `json:"windows"`        // shortest first
-	Causes    []Cause   `json:"causes,omitempty"`
-	History   []Point   `json:"history,omitempty"` // six hours by the hour, then the last hour
+	Objective float64       `json:"objective"` // share of requests that must be good
+	State     State         `json:"state"`
+	Since     time.Time     `json:"since,omitzero"` // when the burn began, to the width of a bucket
+	Windows   []Window      `json:"windows"`        // shortest first
+	Span      time.Duration `json:"span"`           // that Causes are counted over, in nanoseconds
+	Causes    []Cause       `json:"causes,omitempty"`
+	History   []Point       `json:"history,omitempty"` // six hours by the hour, then the last hour
 }
 
 // Window is the burn over one span. Burn is the share of bad requests divided by the share that the
@@ -89,7 +90,7 @@
 	Burn float64       `json:"burn"`
 }
 
-// Cause counts the bad requests of one kind of event in the shortest window that has any.
+// Cause counts the bad requests of one kind of event over the window that the state rests on.
 type Cause struct {
 	Event Event  `json:"event"`
 	Count uint64 `json:"count"`
@@ -181,26 +182,17 @@
 		}
 	}
 
-	for i, w := range windows {
-		var counts [eventCount]uint64
-
-		for _, b := range s[i] {
-			if b.Slot+w.buckets() > w.slot(now) {
-				for e, n := range b.Counts {
-					counts[e] += uint64(n)
-				}
-			}
-		}
-
-		win := newWindow(w.span, &counts, line.Objective)
-		line.Windows = append(line.Windows, win)
+	var counts [windowCount][eventCount]uint64
 
-		if len(line.Causes) == 0 {
-			line.Causes = causes(&counts)
-		}
+	for i, w := range windows {
+		counts[i] = sum(s[i], w, now)
+		line.Windows = append(line.Windows, newWindow(w.span, &counts[i], line.Objective))
 	}
 
 	line.State = state(line.Windows)
+	shown := stateWindow(line.State)
+	line.Span, line.Causes = windows[shown].span, causes(&counts[shown])
+
 	if line.State > OK {
 		line.Since = since(now, s, line.Objective)
 		line.History = history(now, s, line.Objective)
@@ -209,6 +201,33 @@
 	return line
 }
 
+// sum adds up the buckets of window w at now.
+func sum(list []bucket, w window, now time.Time) (counts [eventCount]uint64) {
+	for i := range list {
+		if list[i].Slot+w.buckets() <= w.slot(now) {
+			continue
+		}
+
+		for e, n := range list[i].Counts {
+			counts[e] += uint64(n)
+		}
+	}
+
+	return counts
+}
+
+// stateWindow returns the index of the long window that a state rests on.
+func stateWindow(s State) int {
+	switch s {
+	case Fast:
+		return 1
+	case Steady, Slow:
+		return 2
+	default:
+		return 3
+	}
+}
+
 func newWindow(span time.Duration, counts *[eventCount]uint64, objective float64) Window {
 	win := Window{Span: span, Good: counts[Good]}
 	for _, n := range counts[Good+1:] {
@@ -268,57 +287,3 @@
 		return OK
 	}
 }
-
-// since returns the start of the earliest bucket from which on no bucket with requests has kept the
-// objective, by the finest buckets that reach back far enough.
-func since(now time.Time, s *series, objective float64) time.Time {
-	begin := now
-
-	for w := range s {
-		broken := false
-
-		for _, b := range slices.Backward(s[w]) {
-			at := windows[w].start(b.Slot)
-			if !at.Before(begin) {
-				continue
-			}
-
-			if burnRate(uint64(b.Counts[Good]), b.bad(), objective) < slowBurn {
-				broken = true
-
-				break
-			}
-
-			begin = at
-		}
-
-		if broken {
-			return begin
-		}
-	}
-
-	return begin
-}
-
-// history returns the burn of the last six hours: by the hour, and by ten minutes in the last one.
-func history(now time.Time, s *series, objective float64) []Point {
-	var points []Point
-
-	fine := now.Add(-windows[1].span)
-
-	for w := 2; w >= 1; w-- {
-		for _, b := range s[w] {
-			at := windows[w].start(b.Slot)
-
-			if at.Before(now.Add(-windows[w].span-windows[w].width)) || w == 2 && !at.Before(fine) {
-				continue
-			}
-
-			points = append(points, Point{at, burnRate(uint64(b.Counts[Good]), b.bad(), objective)})
-		}
-	}
-
-	slices.SortStableFunc(points, func(a, b Point) int { return a.At.Compare(b.At) })
-
-	return points
-}
--- /dev/null
+++ b/internal/measure/burnreport/burnreport_test.go
@@ -0,0 +1,143 @@
+package burnreport_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"encoding/xml"
+	"errors"
+	"flag"
+	"io"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/measure/burn"
+	"github.com/dotterelflow/dotterelflow/internal/measure/burnreport"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+var end = time.Date(2026, 1, 5, 20, 0, 0, 0, time.UTC)
+
+// evening is a report with accounts in each state; names may be hostile.
+func evening(account table.AccountID) burn.Report {
+	var l burn.Ledger
+
+	record := func(k burn.Key, from, to time.Duration, each int, e burn.Event) {
+		i := 0
+
+		for at := end.Add(-from); at.Before(end.Add(-to)); at = at.Add(10 * time.Second) {
+			i++
+
+			if i%each == 0 {
+				l.Record(at, k, e)
+			} else {
+				l.Record(at, k, burn.Good)
+			}
+		}
+	}
+
+	portal := burn.Key{Account: account, Kind: "booking-check"}
+	record(portal, 24*time.Hour, 90*time.Minute, 1e9, burn.Good)
+	record(portal, 90*time.Minute, 0, 3, burn.TargetLost)
+	l.Record(end.Add(-time.Minute), portal, burn.Refused)
+
+	record(burn.Key{Account: "survey", Kind: "report"}, 8*time.Hour, 0, 12, burn.Refused)
+	record(burn.Key{Account: "venue", Kind: "waiver"}, 60*time.Hour, 0, 60, burn.Late)
+	record(burn.Key{Account: "parents", Kind: "question"}, 40*time.Hour, 30*time.Hour, 4, burn.RoleChange)
+	record(burn.Key{Account: "quiet", Kind: "photo"}, 40*time.Hour, 0, 1e9, burn.Good)
+
+	r := l.Report(end.Add(-time.Second), burn.ReportOptions{})
+	r.Silent = []table.HostID{"host-3"}
+
+	return r
+}
+
+func TestTextGolden(t *testing.T) {
+	tests := []struct {
+		golden string
+		report burn.Report
+	}{
+		{"testdata/evening.txt", evening("portal")},
+		{"testdata/calm.txt", burn.Report{At: end, Good: 1200, Accounts: 3}},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.golden, func(t *testing.T) {
+			var got bytes.Buffer
+
+			require.NoError(t, burnreport.Text(&got, tt.report))
+
+			if *update {
+				require.NoError(t, os.WriteFile(tt.golden, got.Bytes(), 0o644))
+			}
+
+			want, err := os.ReadFile(tt.golden)
+			require.NoError(t, err)
+			require.Equal(t, string(want), got.String())
+		})
+	}
+}
+
+func TestJSONKeepsTheReport(t *testing.T) {
+	var b bytes.Buffer
+
+	want := evening("portal")
+	require.NoError(t, burnreport.JSON(&b, want))
+
+	var got burn.Report
+
+	require.NoError(t, json.Unmarshal(b.Bytes(), &got))
+	require.Equal(t, want, got)
+}
+
+// The page loads nothing, shows both plots and the worst first, and no name of an account can
+// change its markup.
+func TestPage(t *testing.T) {
+	for _, account := range []table.AccountID{"portal", `</text><script>alert("1")</script>`, "a&b\x00\"'<"} {
+		t.Run(string(account), func(t *testing.T) {
+			var b bytes.Buffer
+
+			require.NoError(t, burnreport.HTML(&b, evening(account)))
+			html := b.String()
+
+			require.NotContains(t, html, "<script")
+			require.Equal(t, 2, strings.Count(html, "<svg"))
+			require.Less(t, strings.Index(html, "class=\"state fast\""), strings.Index(html, "class=\"state slow\""))
+
+			// Names of namespaces are no links.
+			body := regexp.MustCompile(`xmlns(:\w+)?="[^"]*"`).ReplaceAllString(html, "")
+			require.NotRegexp(t, `(?i)(src|href)=|url\(|https?://|@import`, body)
+
+			for _, svg := range regexp.MustCompile(`(?s)<svg.*?</svg>`).FindAllString(html, -1) {
+				requireWellFormed(t, svg)
+			}
+		})
+	}
+}
+
+func requireWellFormed(t *testing.T, text string) {
+	t.Helper()
+
+	for d := xml.NewDecoder(strings.NewReader(text)); ; {
+		_, err := d.Token()
+		if errors.Is(err, io.EOF) {
+			return
+		}
+
+		require.NoError(t, err)
+	}
+}
+
+func TestCalmPageHasNoPlots(t *testing.T) {
+	var b bytes.Buffer
+
+	require.NoError(t, burnreport.HTML(&b, burn.Report{At: end}))
+	require.NotContains(t, b.String(), "<svg")
+	require.Contains(t, b.String(), "Nothing to do.")
+}
--- /dev/null
+++ b/internal/measure/burnreport/plot.go
@@ -0,0 +1,180 @@
+package burnreport
+
+import (
+	"bytes"
+	"image/color"
+	"math"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	// The SVG canvas registers itself.
+	_ "gonum.org/v1/plot/vg/vgsvg"
+
+	"github.com/dotterelflow/dotterelflow/internal/measure/burn"
+)
+
+const (
+	plotWidth  = 22 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+	barWidth   = 14 * vg.Millimeter
+
+	historySeries = 6
+	causeSeries   = 8
+	nameLength    = 18
+)
+
+// drawHistory draws the burn of the worst series over the last hours.
+func drawHistory(list []burn.Series) ([]byte, error) {
+	p := plot.New()
+	p.Title.Text = "Burn rate of the worst request kinds, last six hours (UTC)"
+	p.Y.Label.Text = "burn rate"
+	p.Y.Min = 0
+	p.X.Tick.Marker = plot.TickerFunc(hourTicks)
+
+	for i, s := range list[:min(len(list), historySeries)] {
+		points := make(plotter.XYs, len(s.History))
+		for j, point := range s.History {
+			points[j] = plotter.XY{X: float64(point.At.Unix()), Y: point.Burn}
+		}
+
+		if len(points) == 0 {
+			continue
+		}
+
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+
+		line.StepStyle = plotter.PostStep
+		line.Color = plotutil.Color(i)
+		line.Width = vg.Points(2)
+		p.Add(line)
+		p.Legend.Add(name(s), line)
+	}
+
+	budget := plotter.NewFunction(func(float64) float64 { return 1 })
+	budget.Color = color.Gray{Y: 120}
+	budget.Dashes = plotutil.Dashes(1)
+	p.Add(budget)
+	p.Legend.Add("budget just used up", budget)
+	placeLegend(p)
+
+	return svg(p)
+}
+
+// hourTicks marks each full hour.
+func hourTicks(low, high float64) []plot.Tick {
+	const hour = 3600
+
+	var ticks []plot.Tick
+
+	for at := math.Ceil(low/hour) * hour; at <= high; at += hour {
+		label := time.Unix(int64(at), 0).UTC().Format("15:04")
+		ticks = append(ticks, plot.Tick{Value: at, Label: label})
+	}
+
+	return ticks
+}
+
+// placeLegend puts the legend above the data.
+func placeLegend(p *plot.Plot) {
+	const headroom = 1.5
+
+	p.Legend.Top = true
+	p.Legend.Left = true
+	p.Y.Max *= headroom
+}
+
+// drawCauses draws what the worst series missed their objective on account of.
+func drawCauses(list []burn.Series) ([]byte, error) {
+	list = list[:min(len(list), causeSeries)]
+	p := plot.New()
+	p.Title.Text = "Requests that missed their objective, by cause"
+	p.Y.Label.Text = "requests"
+	p.Y.Min = 0
+
+	var below *plotter.BarChart
+
+	for e := burn.Refused; e <= burn.RoleChange; e++ {
+		values := make(plotter.Values, len(list))
+		total := 0.0
+
+		for i, s := range list {
+			for _, c := range s.Causes {
+				if c.Event == e {
+					values[i] = float64(c.Count)
+					total += values[i]
+				}
+			}
+		}
+
+		if total == 0 {
+			continue
+		}
+
+		bars, err := plotter.NewBarChart(values, barWidth)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+
+		bars.Color = plotutil.Color(int(e))
+		bars.LineStyle.Width = 0
+
+		if below != nil {
+			bars.StackOn(below)
+		}
+
+		below = bars
+		p.Add(bars)
+		p.Legend.Add(e.String(), bars)
+	}
+
+	names := make([]string, len(list))
+	for i, s := range list {
+		names[i] = name(s)
+	}
+
+	p.NominalX(names...)
+	p.X.Min, p.X.Max = -0.5, float64(len(list))-0.5
+	placeLegend(p)
+
+	return svg(p)
+}
+
+func name(s burn.Series) string {
+	return short(string(s.Account)) + " / " + short(string(s.Kind))
+}
+
+func short(text string) string {
+	runes := []rune(clean(text))
+	if len(runes) > nameLength {
+		return string(runes[:nameLength]) + "…"
+	}
+
+	return string(runes)
+}
+
+// svg renders p without the XML header, which has no place within a page.
+func svg(p *plot.Plot) ([]byte, error) {
+	w, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+
+	var b bytes.Buffer
+	if _, err := w.WriteTo(&b); err != nil {
+		return nil, Error.Wrap(err)
+	}
+
+	_, image, ok := bytes.Cut(b.Bytes(), []byte("<svg"))
+	if !ok {
+		return nil, Error.New("plot without svg element")
+	}
+
+	return append([]byte("<svg"), image...), nil
+}
--- /dev/null
+++ b/internal/measure/burnreport/sentence.go
@@ -0,0 +1,163 @@
+package burnreport
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/dotterelflow/dotterelflow/internal/measure/burn"
+)
+
+const timeLayout = "Mon 2 Jan 15:04"
+
+// stateSentences say what each state means.
+var stateSentences = map[burn.State]string{
+	burn.Fast:       "Act now: at this rate the budget of three days is gone within five hours.",
+	burn.Steady:     "Act tonight: at this rate the budget of three days is gone within half a day.",
+	burn.Slow:       "Look into it: more requests fail than the objective allows.",
+	burn.Recovering: "It is over, but the budget of three days is used up.",
+	burn.OK:         "It keeps its objective.",
+}
+
+// causePhrases describe an event, and hints what to look at first.
+var (
+	causePhrases = map[burn.Event]string{
+		burn.Refused:    "refused without being run",
+		burn.Late:       "answered whole but too late",
+		burn.Cut:        "cut off in the middle of the answer",
+		burn.MayHaveRun: "ended with nobody knowing whether they ran",
+		burn.TargetLost: "ended because their target failed",
+		burn.RoleChange: "held up by targets that changed role",
+	}
+	hints = map[burn.Event]string{
+		burn.Refused:    "see whether the account's limits are too low for what it sends, or the targets too few",
+		burn.Late:       "see whether targets are away, or whether the kind is urgent enough",
+		burn.Cut:        "look for targets that restart, and for silent connections",
+		burn.MayHaveRun: "settle with the client which of them ran before they are sent again",
+		burn.TargetLost: "look at the targets' own logs and at the list of quarantined requests",
+		burn.RoleChange: "see how often roles change, and weigh role changes more if it is often",
+	}
+)
+
+// headline sums the report up in one sentence.
+func headline(r burn.Report) string {
+	var urgent, slow int
+
+	for _, s := range r.Series {
+		switch s.State {
+		case burn.Fast, burn.Steady:
+			urgent++
+		case burn.Slow:
+			slow++
+		}
+	}
+
+	switch {
+	case urgent > 0:
+		return fmt.Sprintf("%s to act on today, %s to look into.", count(urgent, "request kind"), count(slow, "more"))
+	case slow > 0:
+		return fmt.Sprintf("Nothing is urgent; %s to look into.", count(slow, "request kind"))
+	default:
+		return "All client accounts keep their objectives. Nothing to do."
+	}
+}
+
+func count(n int, what string) string {
+	if n == 1 || what == "more" {
+		return fmt.Sprintf("%d %s", n, what)
+	}
+
+	return fmt.Sprintf("%d %ss", n, what)
+}
+
+// totals states what the report rests on.
+func totals(r burn.Report) string {
+	return fmt.Sprintf("In three days %d client accounts sent %d requests, of which %d missed their objective.",
+		r.Accounts, r.Good+r.Bad, r.Bad)
+}
+
+// gaps states what the report lacks, or is empty.
+func gaps(r burn.Report) string {
+	var parts []string
+
+	if len(r.Missing) > 0 {
+		parts = append(parts, fmt.Sprintf("the saved counts of %v, which could not be read", r.Missing))
+	}
+
+	if len(r.Silent) > 0 {
+		parts = append(parts, fmt.Sprintf("the last minutes of %s that gave no answer",
+			count(len(r.Silent), "entry host")))
+	}
+
+	if r.Omitted > 0 {
+		parts = append(parts, fmt.Sprintf("%d request kinds that do better", r.Omitted))
+	}
+
+	if len(parts) == 0 {
+		return ""
+	}
+
+	return "Not in this report: " + strings.Join(parts, "; ") + "."
+}
+
+// shownWindow returns the window that the series' state and causes rest on.
+func shownWindow(s burn.Series) burn.Window {
+	for _, w := range s.Windows {
+		if w.Span == s.Span {
+			return w
+		}
+	}
+
+	return burn.Window{Span: s.Span}
+}
+
+// sentences describe one series.
+func sentences(s burn.Series) []string {
+	w := shownWindow(s)
+	lines := []string{
+		stateSentences[s.State],
+		fmt.Sprintf("%d of %d requests missed the objective in the last %s; it allows %.3g in 100.",
+			w.Bad, w.Good+w.Bad, spanName(w.Span), (1-s.Objective)*100),
+	}
+
+	if s.State > burn.Recovering && !s.Since.IsZero() {
+		lines = append(lines, fmt.Sprintf("It has gone on since about %s.", s.Since.UTC().Format(timeLayout)))
+	}
+
+	if len(s.Causes) > 0 {
+		var causes []string
+		for _, c := range s.Causes {
+			causes = append(causes, fmt.Sprintf("%d were %s", c.Count, causePhrases[c.Event]))
+		}
+
+		lines = append(lines, "Of these, "+strings.Join(causes, ", ")+".", "First "+hints[s.Causes[0].Event]+".")
+	}
+
+	return lines
+}
+
+func spanName(d time.Duration) string {
+	switch {
+	case d >= 24*time.Hour:
+		return fmt.Sprintf("%d days", d/(24*time.Hour))
+	case d > time.Hour:
+		return fmt.Sprintf("%d hours", d/time.Hour)
+	case d == time.Hour:
+		return "hour"
+	default:
+		return fmt.Sprintf("%d minutes", d/time.Minute)
+	}
+}
+
+// burning returns the series that are worth a reader's time.
+func burning(r burn.Report) []burn.Series {
+	var list []burn.Series
+
+	for _, s := range r.Series {
+		if s.State > burn.OK {
+			list = append(list, s)
+		}
+	}
+
+	return list
+}
