Report the slowest follower; fuzz the operators' bodies

TestInForceAndNeverOlder asserts the stated 5 s; it now also logs the slowest time from acceptance to force on a host that reached the platform, or a peer that did, all the while.

--- a/internal/control/configuration/fleet_test.go
+++ b/internal/control/configuration/fleet_test.go
@@ -54,6 +54,7 @@
 	accepted map[table.Generation]time.Time
 	newest   table.Generation
 	nextBeat time.Time
+	slowest  time.Duration // from acceptance to force, on a host that was reachable all the while
 }
 
 func newFleet(t require.TestingT, n int) *fleet {
@@ -235,6 +236,12 @@
 	for i, h := range f.hosts {
 		g := h.runner.Generation()
 		require.GreaterOrEqual(f.t, g, h.newest, "%s went back to an older generation", h.id)
+		for n := h.newest + 1; n <= g; n++ {
+			if d := time.Since(f.accepted[n]); d <= f.reachableFor(i) {
+				f.slowest = max(f.slowest, d)
+			}
+		}
+
 		h.newest = g
 
 		if f.reachableFor(i) >= inForce {
--- a/internal/control/configuration/runner_test.go
+++ b/internal/control/configuration/runner_test.go
@@ -28,6 +28,8 @@
 
 func TestInForceAndNeverOlder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		var slowest time.Duration
+
 		rapid.Check(bubbleTB{t}, func(rt *rapid.T) {
 			f := newFleet(rapidTB{TB: t, rt: rt}, hostCount)
 			defer f.stopAll()
@@ -63,7 +65,11 @@
 			})
 
 			f.run(inForce)
+
+			slowest = max(slowest, f.slowest)
 		})
+
+		t.Logf("slowest to be in force on a reachable host: %v", slowest)
 	})
 }
 
--- a/internal/wire/operator/operator_test.go
+++ b/internal/wire/operator/operator_test.go
@@ -274,3 +274,37 @@
 		})
 	}
 }
+
+// FuzzEdit checks that any body gets an answer of its own and that none changes the key.
+func FuzzEdit(f *testing.F) {
+	view := platform.NewStore(clockwork.NewRealClock()).View()
+	backend := standin.NewBackend(view, clockwork.NewRealClock())
+
+	handler, err := operator.Handler(backend, operator.Options{KeyHash: table.HashKey(key), ApplyTimeout: 300 * time.Millisecond})
+	require.NoError(f, err)
+
+	f.Add("/v1/edits", `{"id": "edit-0001", "files": [{"name": "f", "text": "deployment: {name: d}"}]}`)
+	f.Add("/v1/diff", `{"files": [{"name": "f", "text": "targets: [{id: [a]}]"}]}`)
+	f.Add("/v1/edits", `{"id": "edit-0002", "base": 18446744073709551615, "delete": [{"kind": "account", "name": ""}]}`)
+	f.Add("/v1/plans", `{"id": "plan-0001", "action": "role", "target": "x", "role": "mixed"}`)
+
+	f.Fuzz(func(t *testing.T, path, body string) {
+		if path != "/v1/edits" && path != "/v1/diff" && path != "/v1/plans" {
+			return
+		}
+
+		r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+		r.Header.Set("Authorization", "Bearer "+key)
+
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+
+		want := "application/json"
+		if w.Code != http.StatusOK {
+			want = "application/problem+json"
+		}
+
+		require.NotEqual(t, http.StatusInternalServerError, w.Code, "%s", w.Body)
+		require.Equal(t, want, w.Header().Get("Content-Type"))
+	})
+}
