Keep claims within the write budget when hosts don't forward

Cause: one host per shard keeps to the budget by its spacing (16 shards / 64 ms = 250 writes/s of 300), but in a partition each side has its own. Eight hosts that all claimed for themselves at 300 requests/s wrote over budget, met a conflict on most writes, and refused claims ("the claim was not confirmed in time"). The stateful test found two more: a forwarded claim that took effect after its claimant was told of another holder stayed "claimed" by a host that knew nothing of it; and a claimant that withdrew before it said "not run" could be overtaken by a crossing sending.

Ruled out: doubling the spacing at each conflict (trial: it starves the hosts that lose, claims refused at 300 requests/s).

Change: a page counts its writes; a host that sees foreign ones spaces its own by their share, and reads before it writes. A claim that isn't held spends its nonce. Abandon's contract says that the caller is told first. Pages keep records encoded until they are asked for, as a page is read and written whole.

TestForwardedClaimComesLate without the spent nonce: FAIL, "Should be true".

--- a/internal/control/claims/claims_test.go
+++ b/internal/control/claims/claims_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/claims"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
@@ -142,7 +143,8 @@
 				require.NoError(t, err)
 
 				got = do(p)
-				kept, _ = p.Lookup(k)
+				kept, _, err = p.Lookup(k)
+				require.NoError(t, err)
 				value, err = p.Encode()
 				require.NoError(t, err)
 			}
@@ -155,6 +157,21 @@
 	}
 }
 
+// TestClaimNamesNextTarget claims again under the same nonce when another target is to be tried.
+func TestClaimNamesNextTarget(t *testing.T) {
+	p, err := claims.DecodePage(nil)
+	require.NoError(t, err)
+
+	r := record(claims.KeyAt("dombud", start, 1), 1)
+
+	for _, r.Target = range []table.TargetID{"engine-1", "engine-2"} {
+		c := p.Claim(1, r, nil)
+		require.True(t, c.Mine)
+		require.True(t, c.Changed)
+		require.Equal(t, r.Target, c.Record.Target)
+	}
+}
+
 // TestPageStaysSmall fills a page until it refuses claims.
 func TestPageStaysSmall(t *testing.T) {
 	p, err := claims.DecodePage(nil)
@@ -188,9 +205,58 @@
 	require.Greater(t, kept, 20)
 }
 
+// BenchmarkPage claims and finishes a key on a page of 500 others, encoding it after each.
+func BenchmarkPage(b *testing.B) {
+	p, err := claims.DecodePage(nil)
+	require.NoError(b, err)
+
+	for n := range uint64(500) {
+		p.Claim(1, record(claims.KeyAt("dombud", start, n), 1), nil)
+	}
+
+	_, err = p.Encode()
+	require.NoError(b, err)
+	b.ReportAllocs()
+
+	for n := 0; b.Loop(); n++ {
+		k := claims.KeyAt("dombud", start, 500)
+
+		if c := p.Claim(1, record(k, byte(n)), func(claims.Nonce) bool { return true }); !c.Mine {
+			b.Fatal(c)
+		}
+
+		value, err := p.Encode()
+		if err != nil {
+			b.Fatal(err)
+		}
+
+		b.SetBytes(int64(len(value)))
+	}
+}
+
+func BenchmarkDecodePage(b *testing.B) {
+	p, err := claims.DecodePage(nil)
+	require.NoError(b, err)
+
+	for n := range uint64(500) {
+		p.Claim(1, record(claims.KeyAt("dombud", start, n), 1), nil)
+	}
+
+	value, err := p.Encode()
+	require.NoError(b, err)
+	b.SetBytes(int64(len(value)))
+
+	for b.Loop() {
+		if _, err := claims.DecodePage(value); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 func FuzzDecodePage(f *testing.F) {
-	f.Add([]byte(`{"bucket":1,"records":[{"key":{"account":"a"},"nonce":"00000000-0000-0000-0000-000000000001"}]}`))
-	f.Add([]byte(`{"records":[{},{}]}`))
+	f.Add([]byte(`{"bucket":1,"keys":["a/018bcfe5-6800-7000-8000-000000000001"],"records":[{"state":1}]}`))
+	f.Add([]byte(`{"keys":["dombud/018bcfe5-6800-7000-8000-000000000001"],"records":[{}]}`))
+	f.Add([]byte(`{"keys":["a","a"],"records":[{}]}`))
 	f.Add([]byte(`[]`))
 
 	f.Fuzz(func(t *testing.T, value []byte) {
@@ -199,7 +265,12 @@
 			return
 		}
 
-		c := p.Claim(1<<62, record(claims.KeyAt("dombud", start, 1), 1), nil)
-		require.Equal(t, c.Err == nil, c.Mine)
+		for _, bucket := range []claims.Bucket{0, 1, 1 << 62} {
+			c := p.Claim(bucket, record(claims.KeyAt("dombud", start, 1), 1), nil)
+			require.False(t, c.Err != nil && c.Mine)
+
+			_, err = p.Encode()
+			require.NoError(t, err)
+		}
 	})
 }
--- a/internal/control/claims/key.go
+++ b/internal/control/claims/key.go
@@ -51,6 +51,11 @@
 	return Key{Account: account, ID: id}
 }
 
+// String returns the account and the UUID, joined by a slash.
+func (k Key) String() string {
+	return string(k.Account) + "/" + k.ID.String()
+}
+
 // Time returns the time at which the key was made, to the millisecond.
 func (k Key) Time() time.Time {
 	var ms int64
--- a/internal/control/claims/page.go
+++ b/internal/control/claims/page.go
@@ -20,52 +20,61 @@
 // Page holds the claims of one shard whose keys were made in one span. It is not safe for concurrent use.
 type Page struct {
 	bucket  Bucket
-	records []Record
-	index   map[Key]int
-	bytes   int
+	writes  int
+	entries []entry
+	index   map[string]int
+	bytes   int // bound of the encoded size
 }
 
-type pageDocument struct {
-	Bucket  Bucket   `json:"bucket"`
-	Records []Record `json:"records"`
-}
-
-// DecodePage returns the Page that value encodes; an empty value is an empty page.
+// DecodePage returns the Page that value encodes; an empty value is an empty page. It leaves the
+// records encoded until they are asked for.
 func DecodePage(value []byte) (*Page, error) {
-	p := &Page{index: map[Key]int{}}
-	if len(value) == 0 {
-		return p, nil
+	var doc pageDocument
+
+	if len(value) > 0 {
+		if err := json.Unmarshal(value, &doc); err != nil {
+			return nil, Error.Wrap(err)
+		}
 	}
 
-	var doc pageDocument
-	if err := json.Unmarshal(value, &doc); err != nil {
-		return nil, Error.Wrap(err)
+	if len(doc.Keys) != len(doc.Records) {
+		return nil, Error.New("page has %d keys and %d records", len(doc.Keys), len(doc.Records))
 	}
 
-	p.bucket = doc.Bucket
+	p := &Page{bucket: doc.Bucket, writes: doc.Writes, index: make(map[string]int, len(doc.Keys))}
 
-	for i := range doc.Records {
-		p.insert(doc.Records[i])
+	for i, key := range doc.Keys {
+		p.insert(entry{key: key, encoded: doc.Records[i]})
 	}
 
 	return p, nil
 }
 
-// Encode returns the form of p that DecodePage reads.
+// Encode returns the form of p that DecodePage reads, to be written once.
 func (p *Page) Encode() ([]byte, error) {
-	value, err := json.Marshal(pageDocument{Bucket: p.bucket, Records: p.records})
+	p.writes++
+
+	value, err := encode(p.bucket, p.writes, p.entries, p.bytes)
+	if err == nil {
+		p.bytes = len(value)
+	}
 
-	return value, Error.Wrap(err)
+	return value, err
+}
+
+// Writes returns how often the object of p was written.
+func (p *Page) Writes() int {
+	return p.writes
 }
 
 // Lookup returns the record of k, if the page keeps it.
-func (p *Page) Lookup(k Key) (Record, bool) {
-	r := p.find(k)
+func (p *Page) Lookup(k Key) (Record, bool, error) {
+	r, err := p.find(k)
 	if r == nil {
-		return Record{}, false
+		return Record{}, false, err
 	}
 
-	return *r, true
+	return *r, true, nil
 }
 
 // Change says what an operation did to a Page.
@@ -86,9 +95,11 @@
 
 	r.State = Claimed
 	r.Result = Result{}
-	held := p.find(r.Key)
+	held, err := p.find(r.Key)
 
 	switch {
+	case err != nil:
+		return Change{Err: err}
 	case held == nil:
 		return p.add(r)
 	case held.Fingerprint != r.Fingerprint:
@@ -96,7 +107,7 @@
 	case held.Nonce == r.Nonce:
 		return p.repeat(held, r)
 	case held.State == Abandoned, held.State == Claimed && void != nil && void(held.Nonce):
-		p.replace(held, r)
+		p.replace(r)
 
 		return Change{Changed: true, Mine: true, Record: r}
 	default:
@@ -110,12 +121,13 @@
 		return Change{Record: *held}
 	}
 
-	moved := r.Target != held.Target
-	if moved {
-		p.replace(held, r)
+	if r.Target == held.Target {
+		return Change{Mine: true, Record: *held}
 	}
 
-	return Change{Changed: moved, Mine: true, Record: *held}
+	p.replace(r)
+
+	return Change{Changed: true, Mine: true, Record: r}
 }
 
 func (p *Page) add(r Record) Change {
@@ -123,16 +135,18 @@
 		return Change{Err: verdict.New(verdict.NotRun, verdict.CodeOverloaded, "no room for a further claim")}
 	}
 
-	p.insert(r)
+	p.insert(newEntry(r))
 
 	return Change{Changed: true, Mine: r.State == Claimed, Record: r}
 }
 
 // Finish records res for the claim that nonce holds. It drops an answer that is too large to keep.
 func (p *Page) Finish(bucket Bucket, k Key, nonce Nonce, res Result) Change {
-	held := p.find(k)
+	held, err := p.find(k)
 
 	switch {
+	case err != nil:
+		return Change{Err: err}
 	case p.bucket != bucket, held == nil, held.Nonce != nonce, held.State == Abandoned:
 		return Change{Err: ErrOtherNonce}
 	case held.State == Done:
@@ -143,7 +157,7 @@
 	done := *held
 	done.State = Done
 	done.Result = res.trimmed(room)
-	p.replace(held, done)
+	p.replace(done)
 
 	return Change{Changed: true, Record: done}
 }
@@ -157,9 +171,11 @@
 
 	r.State = Abandoned
 	r.Result = Result{}
-	held := p.find(r.Key)
+	held, err := p.find(r.Key)
 
 	switch {
+	case err != nil:
+		return Change{Err: err}
 	case held == nil:
 		return p.add(r)
 	case held.Nonce != r.Nonce || held.State == Done:
@@ -168,7 +184,7 @@
 		return Change{Record: *held}
 	}
 
-	p.replace(held, r)
+	p.replace(r)
 
 	return Change{Changed: true, Record: r}
 }
@@ -180,28 +196,32 @@
 	}
 
 	if bucket > p.bucket {
-		*p = Page{bucket: bucket, index: map[Key]int{}}
+		*p = Page{bucket: bucket, writes: p.writes, index: map[string]int{}}
 	}
 
 	return nil
 }
 
-func (p *Page) find(k Key) *Record {
-	i, ok := p.index[k]
+// find returns the record of k, or nil.
+func (p *Page) find(k Key) (*Record, error) {
+	i, ok := p.index[k.String()]
 	if !ok {
-		return nil
+		return nil, nil
 	}
 
-	return &p.records[i]
+	return p.entries[i].decode()
 }
 
-func (p *Page) insert(r Record) {
-	p.index[r.Key] = len(p.records)
-	p.records = append(p.records, r)
-	p.bytes += r.size()
+func (p *Page) insert(e entry) {
+	p.index[e.key] = len(p.entries)
+	p.entries = append(p.entries, e)
+	p.bytes += e.size()
 }
 
-func (p *Page) replace(held *Record, r Record) {
-	p.bytes += r.size() - held.size()
-	*held = r
+// replace puts r in the place of the record of the same key.
+func (p *Page) replace(r Record) {
+	e := &p.entries[p.index[r.Key.String()]]
+	p.bytes -= e.size()
+	*e = newEntry(r)
+	p.bytes += e.size()
 }
--- a/internal/control/claims/record.go
+++ b/internal/control/claims/record.go
@@ -54,12 +54,12 @@
 	Result      Result           `json:"result,omitzero"`
 }
 
-// recordBytes bounds the encoded size of a Record without its answer and names.
+// recordBytes bounds the encoded size of a Record and its key without its answer and names.
 const recordBytes = 400
 
 // size bounds the encoded size of r, in bytes.
 func (r *Record) size() int {
-	names := len(r.Key.Account) + len(r.Claimant) + len(r.DataCentre) + len(r.Request) + len(r.Target)
+	names := 2*len(r.Key.Account) + len(r.Claimant) + len(r.DataCentre) + len(r.Request) + len(r.Target)
 
 	return recordBytes + names + (len(r.Result.Answer)+2)/3*4
 }
--- a/internal/control/ledger/lane.go
+++ b/internal/control/ledger/lane.go
@@ -14,22 +14,25 @@
 // errStopping resolves what a closed ledger can't write.
 var errStopping = verdict.New(verdict.NotRun, verdict.CodeStopping, "the host is stopping")
 
-// lane is the queue of one shard. The ledger's mutex guards it, but for pages, which only the
-// lane's goroutine uses. The goroutine runs while there are operations.
+// lane is the queue of one shard. The ledger's mutex guards it, but for pages and shared, which only
+// the lane's goroutine uses. The goroutine runs while there are operations.
 type lane struct {
 	queue   []*operation
 	running bool
 	wake    chan struct{}
 	next    time.Time     // earliest next write
-	gap     time.Duration // spacing in force, grown by conflicts
+	gap     time.Duration // spacing in force, which grows with the number of hosts that write
 	down    time.Time     // until when claims that are not patient are refused at once
 	pages   *lru.Cache[platform.Key, cached]
+	shared  int // for how many more reads other hosts are taken to write, too
 }
 
-// cached is a page as last read or written.
+// cached is a page as last read or written. After a conflict it has no page.
 type cached struct {
 	page    *claims.Page
 	version platform.Version
+	writes  int       // of the page when it was cached
+	at      time.Time // when it was cached
 }
 
 func (l *Ledger) newLane() *lane {
--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -38,6 +38,8 @@
 	Request     table.RequestID
 	Target      table.TargetID
 
+	Forwarded bool // an unsettled claim under Nonce was asked for through another host
+
 	Patient bool // waits for the platform until its context ends
 	Repeat  bool // the caller may have sent the key before: a refusal that can't rule out an earlier run says MayHaveRun
 }
@@ -130,7 +132,7 @@
 
 	if c.Err != nil {
 		if own {
-			l.withdraw(o)
+			l.withdraw(o, req.Forwarded)
 		}
 
 		return Outcome{}, refused(req, c.Err)
@@ -140,6 +142,10 @@
 		return Outcome{}, refusal(req, verdict.CodeInternal, "the attempt was abandoned")
 	}
 
+	if !c.Mine && own {
+		l.spent.Add(req.Nonce, struct{}{}) // a forwarded claim may still come, and nobody would dispatch it
+	}
+
 	return Outcome{Mine: c.Mine, Record: c.Record}, nil
 }
 
@@ -149,7 +155,7 @@
 		return ErrUnsettled
 	}
 
-	l.withdraw(o)
+	l.withdraw(o, req.Forwarded)
 
 	return refusal(req, verdict.CodeNoPlatform, "the claim was not confirmed in time").After(l.opts.Backoff)
 }
@@ -167,7 +173,8 @@
 }
 
 // Abandon gives up the claim of r, whose request no target ran and none will. From this call on,
-// no Claim under r.Nonce succeeds here. When ctx ends first, the withdrawal goes on in the background.
+// no Claim under r.Nonce succeeds here, and a repeat may run the request at any moment: the claimant
+// tells its caller "not run" before, while that holds. When ctx ends first, the withdrawal goes on in the background.
 // It fails with ErrNotClaimant for the claim of another host, which alone knows whether it dispatched.
 func (l *Ledger) Abandon(ctx context.Context, r claims.Record) error {
 	if r.Claimant != l.opts.Host {
@@ -201,9 +208,7 @@
 		return claims.Record{}, false, err
 	}
 
-	r, ok := p.Lookup(k)
-
-	return r, ok, nil
+	return p.Lookup(k)
 }
 
 // Preferred returns the peer that gathers the claims of k's shard, by rendezvous hashing; it
@@ -280,12 +285,13 @@
 	return c.Err
 }
 
-// withdraw spends the nonce of a claim that failed, and takes the claim back where it may be on the platform.
-func (l *Ledger) withdraw(o *operation) {
+// withdraw spends the nonce of a claim that failed, and takes the claim back where it may be on
+// the platform; sent says that it may be there through another host.
+func (l *Ledger) withdraw(o *operation, sent bool) {
 	l.spent.Add(o.record.Nonce, struct{}{})
 
 	l.mu.Lock()
-	sent := o.inFlight || o.uncertain
+	sent = sent || o.inFlight || o.uncertain
 	l.mu.Unlock()
 
 	if !sent {
--- a/internal/control/ledger/ledger_test.go
+++ b/internal/control/ledger/ledger_test.go
@@ -334,6 +334,31 @@
 	})
 }
 
+// TestForwardedClaimComesLate lets a claim that was forwarded take effect after its claimant was
+// told that another host holds the key.
+func TestForwardedClaimComesLate(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, s *site) {
+		first, err := s.ledgers[1].Claim(t.Context(), s.request(s.key()))
+		require.NoError(t, err)
+
+		late := s.request(first.Record.Key)
+		late.Claimant = host(0)
+
+		o, err := s.ledgers[0].Claim(t.Context(), late)
+		require.NoError(t, err)
+		require.False(t, o.Mine)
+
+		require.NoError(t, s.ledgers[1].Abandon(t.Context(), first.Record))
+
+		_, err = s.ledgers[1].Claim(t.Context(), late)
+		require.NoError(t, err)
+
+		repeat, err := s.ledgers[0].Claim(t.Context(), s.request(late.Key))
+		require.NoError(t, err)
+		require.True(t, repeat.Mine)
+	})
+}
+
 func TestPlatformOutForLong(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, s *site) {
 		s.views[0].SetFaults(standin.Faults{Down: true})
--- a/internal/control/ledger/options.go
+++ b/internal/control/ledger/options.go
@@ -20,12 +20,13 @@
 }
 
 const (
-	defaultSpacing    = 60 * time.Millisecond
+	defaultSpacing    = 64 * time.Millisecond
 	defaultFinishLag  = 250 * time.Millisecond
 	defaultWait       = 2 * time.Second
 	defaultBackoff    = 250 * time.Millisecond
 	defaultAbandonFor = time.Minute
-	maxGapFactor      = 16      // growth of the spacing under conflicts
+	maxWriters        = 16      // other hosts' share in a shard that the spacing allows for
+	sharedFor         = 32      // reads without a foreign write until a shard counts as this host's
 	spentNonces       = 1 << 16 // nonces remembered as spent
 	cachedPages       = 64
 )
@@ -37,7 +38,7 @@
 	Clock clockwork.Clock // nil means the system's clock
 	Ring  claims.Ring     // equal on all hosts
 
-	Spacing    time.Duration // least time between the writes of one shard; zero means 60 ms
+	Spacing    time.Duration // least time between the writes of one shard; zero means 64 ms
 	FinishLag  time.Duration // how long a result may wait for company; zero means 250 ms
 	Wait       time.Duration // bound of a claim that is not patient; zero means 2 s
 	Backoff    time.Duration // pause after a failure of the platform; zero means 250 ms
--- a/internal/control/ledger/write.go
+++ b/internal/control/ledger/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/claims"
 	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
@@ -18,7 +19,7 @@
 	object := batch[0].place.Object
 	held, known := ln.pages.Get(object)
 
-	if known {
+	if held.page != nil && ln.shared == 0 {
 		changes, changed := l.apply(held.page, batch)
 		if changed {
 			l.put(ln, object, held, batch, changes)
@@ -33,8 +34,8 @@
 		}
 	}
 
-	// What the cached page already shows may have moved on since: read it.
-	held, err := l.read(object)
+	// What the cached page shows may have moved on since: read it.
+	fresh, err := l.read(object)
 	if err != nil {
 		ln.pages.Remove(object)
 		l.failed(ln, batch, err)
@@ -42,6 +43,12 @@
 		return
 	}
 
+	if known {
+		l.adjust(ln, fresh.writes-held.writes, l.clock.Since(held.at))
+	}
+
+	held = fresh
+
 	changes, changed := l.apply(held.page, batch)
 	if changed {
 		l.put(ln, object, held, batch, changes)
@@ -72,7 +79,11 @@
 
 	page, err := claims.DecodePage(o.Value)
 
-	return cached{page: page, version: o.Version}, err
+	if err != nil {
+		return cached{}, err
+	}
+
+	return cached{page: page, version: o.Version, writes: page.Writes(), at: l.clock.Now()}, nil
 }
 
 // apply makes the changes of batch on page and reports whether it has to be written.
@@ -101,8 +112,7 @@
 	version, err := l.opts.Store.Put(l.ctx, object, held.version, value)
 
 	if err == nil {
-		ln.pages.Add(object, cached{page: held.page, version: version})
-		l.eased(ln)
+		ln.pages.Add(object, cached{page: held.page, version: version, writes: held.page.Writes(), at: l.clock.Now()})
 		l.resolve(batch, changes)
 
 		return
@@ -113,6 +123,7 @@
 
 	switch {
 	case errors.Is(err, platform.ErrConflict):
+		ln.pages.Add(object, cached{writes: held.writes, at: held.at})
 		l.conflicted(ln, batch)
 	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrTooLarge):
 		l.failed(ln, batch, err)
@@ -130,20 +141,35 @@
 	}
 }
 
-// eased brings the spacing back towards its setting after a write that met no other writer.
-func (l *Ledger) eased(ln *lane) {
+// adjust sets the spacing after others wrote the page so many times since this host last saw it,
+// so that all together keep to the budget of one. While there are others, the lane reads before it writes.
+func (l *Ledger) adjust(ln *lane, others int, since time.Duration) {
+	ln.shared = max(0, ln.shared-1)
+
+	if others > 0 {
+		ln.shared = sharedFor
+	}
+
+	gap := l.opts.Spacing * time.Duration(1+max(0, others))
+
+	// After an idle time the others' rate counts, not their number of writes.
+	if free := since - l.opts.Spacing*time.Duration(others); free > 0 {
+		gap = min(gap, time.Duration(float64(l.opts.Spacing)*float64(since)/float64(free)))
+	}
+
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	ln.gap = max(l.opts.Spacing, ln.gap/2)
+	ln.gap = min(gap, l.opts.Spacing*maxWriters)
 }
 
-// conflicted tries batch again on the page as another host left it, and makes room for that host.
+// conflicted tries batch again on the page as another host left it.
 func (l *Ledger) conflicted(ln *lane, batch []*operation) {
+	ln.shared = sharedFor
+
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	ln.gap = min(ln.gap*2, l.opts.Spacing*maxGapFactor)
 	l.requeue(ln, batch, l.clock.Now())
 }
 
