Hold crash-making requests: connect the quarantine to traffic, loads and peers

Ruled out: holding a target-lost answer until all peers know of the loss; a final answer goes out at once, so the loss is pushed to the peers instead. Change: suspects.Guard asks one table per model before each run on an engine, learns the fate of a cut target from the boot id of its load reports, and rides on heartbeats. A report from before the cut proved a crashed engine alive; only an answer to a question put after the cut does now.

--- a/cmd/dotterelflow/main.go
+++ b/cmd/dotterelflow/main.go
@@ -12,6 +12,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/command/entry"
 	"github.com/dotterelflow/dotterelflow/internal/command/item"
 	"github.com/dotterelflow/dotterelflow/internal/command/plan"
+	"github.com/dotterelflow/dotterelflow/internal/command/report"
 	"github.com/dotterelflow/dotterelflow/internal/command/settings"
 	"github.com/dotterelflow/dotterelflow/internal/command/status"
 )
@@ -30,6 +31,7 @@
 			item.Targets(),
 			plan.Command(),
 			status.Command(),
+			report.Command(),
 		},
 	}
 
--- a/internal/control/admission/work.go
+++ b/internal/control/admission/work.go
@@ -34,7 +34,15 @@
 		return nil
 	}
 
-	return verdict.New(verdict.NotRun, d.Code, "refused by admission").After(d.RetryAfter)
+	return verdict.New(verdict.NotRun, d.Code, "%s", reasons[d.Code]).After(d.RetryAfter)
+}
+
+// reasons tell a caller why its work was refused.
+var reasons = map[verdict.Code]string{
+	verdict.CodeLimit:      "the limits of this client account leave no room for the request now",
+	verdict.CodeOverloaded: "the request would not start in time behind the work that waits",
+	verdict.CodeDeadline:   "the request cannot end within its deadline; allow more time or ask for fewer tokens",
+	verdict.CodeNoTarget:   "no target can take the request now",
 }
 
 // Grant says that queued work may start now.
--- a/internal/control/table/entity.go
+++ b/internal/control/table/entity.go
@@ -141,5 +141,6 @@
 	PrefillPending Tokens
 	DecodePending  Tokens
 	Role           Role
-	Changing       bool // an order is being carried out
+	Changing       bool   // an order is being carried out
+	Boot           string // names the run of the target's process; empty where it tells none
 }
--- /dev/null
+++ b/internal/entry/host/answers_test.go
@@ -0,0 +1,184 @@
+package host_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/standin/engine"
+	"github.com/dotterelflow/dotterelflow/internal/standin/service"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+func TestAnswersAreWholeWhateverTheEngineSends(t *testing.T) {
+	for name, f := range map[string]engine.Faults{
+		"cut":        {CutAfter: 7},
+		"gap":        {Gap: 7},
+		"crossed":    {Cross: true},
+		"duplicated": {Duplicate: true},
+		"silent":     {SilentAfter: 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			s := newSite(t, 1, engine.Options{})
+			h := s.addHost(t, "a")
+			s.engines[0].SetFaults(f)
+
+			for _, c := range []call{
+				{kind: "note", prompt: "a crack", tokens: 40, stream: true},
+				{kind: "note", prompt: "a damp wall", tokens: 40},
+				{kind: "grade", prompt: "a loose tile", tokens: 40, key: newKey()},
+			} {
+				out := c.send(t, h)
+				require.True(t, out.whole, "%+v: %+v", c, out)
+				require.Equal(t, c.want(), out.text)
+			}
+
+			for id, n := range s.engines[0].Runs() {
+				require.Equal(t, 1, n, "request %s", id)
+			}
+		})
+	}
+}
+
+func TestAccountsDoNotShareKeys(t *testing.T) {
+	s := newSite(t, 1, engine.Options{})
+	h := s.addHost(t, "a")
+	key := newKey()
+
+	mine := call{kind: "grade", prompt: "mine", tokens: 5, key: key}.send(t, h)
+	other := call{kind: "grade", prompt: "other", tokens: 5, key: key, bearer: "other-key"}.send(t, h)
+
+	require.Equal(t, engine.Answer("mine", 5), mine.text)
+	require.Equal(t, engine.Answer("other", 5), other.text)
+
+	reused := call{kind: "grade", prompt: "changed", tokens: 5, key: key}.send(t, h)
+	require.Equal(t, verdict.CodeKeyReused, reused.problem.Code)
+}
+
+func TestCallerGoneCancelsOnlyWorkWithoutKey(t *testing.T) {
+	s := newSite(t, 1, engine.Options{TokenTime: 5 * time.Millisecond})
+	h := s.addHost(t, "a")
+	key := newKey()
+
+	for _, c := range []call{
+		{kind: "report", prompt: "dropped", tokens: 900, stream: true},
+		{kind: "report", prompt: "kept", tokens: 200, stream: true, key: key},
+	} {
+		resp, err := http.DefaultClient.Do(c.request(t.Context(), h.CallerAddress()))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		resp.Body.Close()
+	}
+
+	// Only the keyed request goes on.
+	require.Eventually(t, func() bool { return s.engines[0].Open() <= 1 }, settleBound, pollEvery)
+
+	c := call{kind: "report", prompt: "kept", tokens: 200, stream: true, key: key}
+	out := c.send(t, h)
+	require.True(t, out.whole)
+	require.Equal(t, c.want(), out.text)
+
+	c.last = "99"
+	rest := c.send(t, h)
+	require.True(t, rest.whole)
+	require.Equal(t, c.want()[len(engine.Answer("kept", 100)):], rest.text)
+	require.Len(t, s.engines[0].Runs(), 2)
+}
+
+func TestRefusalsAreTrue(t *testing.T) {
+	s := newSite(t, 1, engine.Options{})
+	h := s.addHost(t, "a")
+
+	s.services[0].SetFaults(service.Faults{Refuse: true})
+
+	key := newKey()
+	out := call{kind: "hold", prompt: "court 3", key: key}.send(t, h)
+	require.Equal(t, verdict.NotRun, out.problem.Verdict)
+	require.NotEmpty(t, out.retry)
+	require.Empty(t, s.services[0].Executions())
+
+	// The same key runs once the service takes it.
+	s.services[0].SetFaults(service.Faults{})
+	require.True(t, call{kind: "hold", prompt: "court 3", key: key}.send(t, h).whole)
+	require.Equal(t, map[string]int{key: 1}, s.services[0].Executions())
+
+	// An execution whose answer was lost is never called not-run, and never repeated.
+	s.services[0].SetFaults(service.Faults{LoseAnswer: true})
+
+	lost := newKey()
+	for range 3 {
+		out = call{kind: "hold", prompt: "court 4", key: lost}.send(t, h)
+		require.Equal(t, verdict.MayHaveRun, out.problem.Verdict)
+	}
+
+	require.Equal(t, 1, s.services[0].Executions()[lost])
+}
+
+func TestConcurrentRepeatsRunOnce(t *testing.T) {
+	s := newSite(t, 2, engine.Options{})
+	first, second := s.addHost(t, "a"), s.addHost(t, "a")
+
+	for range 5 {
+		key := newKey()
+
+		var wg sync.WaitGroup
+
+		for i := range 8 {
+			wg.Go(func() {
+				h := first
+				if i%2 == 1 {
+					h = second
+				}
+
+				out, err := call{kind: "hold", prompt: "court 3", key: key}.do(t.Context(), h)
+				if err != nil || !out.whole {
+					t.Errorf("got %+v, %v", out, err)
+				}
+			})
+		}
+
+		wg.Wait()
+		require.Equal(t, 1, s.services[0].Executions()[key])
+	}
+}
+
+func TestCrashMakingRequestLosesAtMostTwoEngines(t *testing.T) {
+	s := newSite(t, 4, engine.Options{TokenTime: 10 * time.Millisecond, Restart: 300 * time.Millisecond})
+	hosts := []int{0, 1}
+
+	s.addHost(t, "a")
+	s.addHost(t, "a")
+
+	var innocents sync.WaitGroup
+
+	for i := range 8 {
+		innocents.Go(func() {
+			c := call{kind: "note", prompt: "beside " + string(rune('a'+i)), tokens: 100}
+
+			out, err := c.do(t.Context(), s.hosts[i%2])
+			if err != nil || out.text != c.want() {
+				t.Errorf("innocent request: got %+v, %v", out, err)
+			}
+		})
+	}
+
+	// Its caller sends it again through the other host, as soon as it is answered.
+	for i := range 6 {
+		out := call{kind: "note", prompt: engine.CrashMark, tokens: 10}.send(t, s.hosts[hosts[i%2]])
+		require.False(t, out.whole)
+	}
+
+	innocents.Wait()
+
+	crashes := 0
+	for _, e := range s.engines {
+		crashes += e.Crashes()
+	}
+
+	require.LessOrEqual(t, crashes, 2)
+}
--- a/internal/entry/host/digest.go
+++ b/internal/entry/host/digest.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dotterelflow/dotterelflow/internal/control/quarantine"
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
 	"github.com/dotterelflow/dotterelflow/internal/entry/routes"
 	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
@@ -23,7 +24,11 @@
 
 // polls reports whether this host asks t for its load.
 func (h *Host) polls(t table.Target) bool {
-	return t.DataCentre == h.opts.DataCentre && h.network.Mine(string(t.ID), pollersPerTarget)
+	if t.DataCentre != h.opts.DataCentre {
+		return false
+	}
+
+	return h.network.Mine(string(t.ID), pollersPerTarget) || h.guard.Doubted(t.ID)
 }
 
 // exported returns the configuration in force for a peer.
@@ -32,16 +37,20 @@
 }
 
 // Fill implements peers.Local.
-func (h *Host) Fill(d *peer.Digest) {
+func (h *Host) Fill(to table.HostID, d *peer.Digest) {
 	d.Generation = uint64(h.config.Generation())
 	d.Ready = h.Ready() == nil
 	d.Stopping = h.stopping.Load()
 
+	if m, alive := h.network.Member(to); alive && m.DataCentre == h.opts.DataCentre {
+		d.Suspects = h.suspectsFor(to)
+	}
+
 	for _, l := range h.loads.Mine() {
 		d.Loads = append(d.Loads, &peer.Load{
 			Target: string(l.Target), AtUnixMs: l.At.UnixMilli(), Running: uint32(max(l.Running, 0)),
 			Queued: uint32(max(l.Queued, 0)), PrefillPending: uint64(max(l.PrefillPending, 0)),
-			DecodePending: uint64(max(l.DecodePending, 0)), Role: uint32(l.Role), Changing: l.Changing,
+			DecodePending: uint64(max(l.DecodePending, 0)), Role: uint32(l.Role), Changing: l.Changing, Boot: l.Boot,
 		})
 	}
 }
@@ -50,11 +59,18 @@
 func (h *Host) Hear(d *peer.Digest) {
 	h.config.PeerGeneration(table.HostID(d.GetHost()), table.Generation(d.GetGeneration()))
 
+	if d.GetDataCentre() == string(h.opts.DataCentre) && len(d.GetSuspects()) > 0 {
+		if err := h.guard.Merge(table.HostID(d.GetHost()), d.GetSuspects()); err != nil {
+			h.opts.Log.Warn().Str("peer", d.GetHost()).Err(err).Msg("unreadable digest of suspects")
+		}
+	}
+
 	for _, l := range d.GetLoads() {
 		h.loads.Note(table.Load{
 			Target: table.TargetID(l.GetTarget()), At: time.UnixMilli(l.GetAtUnixMs()), Running: int(l.GetRunning()),
 			Queued: int(l.GetQueued()), PrefillPending: table.Tokens(l.GetPrefillPending()),
 			DecodePending: table.Tokens(l.GetDecodePending()), Role: table.Role(l.GetRole()), Changing: l.GetChanging(),
+			Boot: l.GetBoot(),
 		})
 	}
 }
@@ -76,7 +92,57 @@
 	}
 
 	hosts := 1 + len(h.network.Live())
+	loads := h.loads.All()
 
-	h.router.Refresh(snapshot, routes.State{Hosts: hosts, Loads: h.loads.All(), Unreachable: unreachable})
+	h.router.Refresh(snapshot, routes.State{Hosts: hosts, Loads: loads, Unreachable: unreachable, Reserved: h.guard.Reserved})
+	h.routed.Store(true)
+	h.guard.Tick(func(model table.Model) quarantine.View { return h.viewOf(snapshot, model, loads) })
 	h.admit.SetConfig(snapshot, hosts, func(t table.Target) bool { return reachable[t.DataCentre] })
 }
+
+func (h *Host) suspectsFor(to table.HostID) []byte {
+	encoded, err := h.guard.Export(to)
+	if err != nil {
+		h.opts.Log.Warn().Err(err).Msg("cannot encode the digest of suspects")
+
+		return nil
+	}
+
+	return encoded
+}
+
+// viewOf returns what this host sees of its data centre's engines for a model.
+func (h *Host) viewOf(snapshot *table.Snapshot, model table.Model, loads map[table.TargetID]table.Load) quarantine.View {
+	v := quarantine.View{Hosts: []table.HostID{h.opts.ID}}
+
+	for _, m := range h.network.Live() {
+		if m.DataCentre == h.opts.DataCentre {
+			v.Hosts = append(v.Hosts, m.Host)
+		}
+	}
+
+	now := h.opts.Clock.Now()
+
+	for _, t := range snapshot.Targets {
+		l := loads[t.ID]
+		if t.Model != model || t.DataCentre != h.opts.DataCentre || t.Leaving || l.Changing || now.Sub(l.At) > staleLoad {
+			continue
+		}
+
+		v.Candidates = append(v.Candidates, quarantine.Candidate{Target: t.ID, Running: l.Running})
+	}
+
+	return v
+}
+
+// reported passes a load report on to the guard.
+func (h *Host) reported(l table.Load, asked time.Time) {
+	snapshot := h.config.Current()
+	if snapshot == nil || l.Boot == "" {
+		return
+	}
+
+	if t, ok := snapshot.Target(l.Target); ok && t.DataCentre == h.opts.DataCentre {
+		h.guard.Heard(t.Model, t.ID, l.Boot, asked)
+	}
+}
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -24,6 +24,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/entry/peers"
 	"github.com/dotterelflow/dotterelflow/internal/entry/requests"
 	"github.com/dotterelflow/dotterelflow/internal/entry/routes"
+	"github.com/dotterelflow/dotterelflow/internal/entry/suspects"
 	meters "github.com/dotterelflow/dotterelflow/internal/measure/metrics"
 	"github.com/dotterelflow/dotterelflow/internal/wire/caller"
 	"github.com/dotterelflow/dotterelflow/internal/wire/engine"
@@ -66,6 +67,7 @@
 	OperatorKeyHash string // as table.HashKey returns it
 	Peers           []string
 	Platform        Platform
+	Liveness        time.Duration // silence after which an engine's stream counts as lost; zero means 5 s
 	StopBound       time.Duration // longest wait for streams on a stop; zero means 2 min
 }
 
@@ -83,12 +85,14 @@
 	network *peers.Network
 	burn    *burnCounts
 	budget  *budget
+	guard   *suspects.Guard
 
 	callers  *http.Server
 	operator *http.Server
 	peers    *grpc.Server
 	sockets  sockets
 
+	routed   atomic.Bool // a configuration has reached routing and admission
 	stopping atomic.Bool
 	cancel   context.CancelFunc
 	done     chan struct{}
@@ -189,13 +193,31 @@
 		return Error.New("stopping")
 	}
 
-	if !h.config.Ready() {
+	if !h.config.Ready() || !h.routed.Load() {
 		return Error.New("no configuration yet, from neither the platform nor a peer")
 	}
 
 	return nil
 }
 
+// Generation returns the configuration generation in force here, or zero before the first.
+func (h *Host) Generation() table.Generation {
+	return h.config.Generation()
+}
+
+// Peers returns the number of live peers that have said that they are ready.
+func (h *Host) Peers() int {
+	ready := 0
+
+	for _, m := range h.network.Live() {
+		if m.Ready {
+			ready++
+		}
+	}
+
+	return ready
+}
+
 // Done is closed once the host has stopped.
 func (h *Host) Done() <-chan struct{} {
 	return h.done
@@ -206,17 +228,20 @@
 	clock := h.opts.Clock
 	seed := clock.Now().UnixNano()
 
-	h.engines = engine.NewClient(engine.Options{Clock: clock})
+	h.engines = engine.NewClient(engine.Options{Clock: clock, Liveness: h.opts.Liveness})
 	h.router = routes.New(routes.Options{Clock: clock, Home: h.opts.DataCentre, Seed: seed})
 	h.admit = admit.Start(admit.Options{Clock: clock})
 	h.claims = ledger.New(ledger.Options{Store: h.opts.Platform, Host: h.opts.ID, Clock: clock})
+	h.guard = suspects.New(suspects.Options{
+		Clock: clock, Self: h.opts.ID, OnLoss: func(table.TargetID) { h.network.BeatNow() },
+	})
 	h.network = peers.New(peers.Options{
 		Clock: clock, Log: h.opts.Log, Host: h.opts.ID, DataCentre: h.opts.DataCentre,
 		Address: h.PeerAddress(), Seeds: h.opts.Peers, Local: h,
 	})
 	h.config = configuration.Start(ctx, h.opts.Platform, h.network, clock, uint64(seed))
 	h.loads = loads.Start(ctx, loads.Options{
-		Clock: clock, Engines: h.engines, Targets: h.targets, Mine: h.polls,
+		Clock: clock, Engines: h.engines, Targets: h.targets, Mine: h.polls, OnReport: h.reported,
 	})
 	h.network.Start(ctx)
 
@@ -228,11 +253,11 @@
 	held := answers.NewTable(answers.Options{Clock: clock})
 	runner := dispatch.New(dispatch.Options{
 		Clock: clock, Home: h.opts.DataCentre, Engines: h.engines, Services: service.NewClient(service.Options{}),
-		Peers: h.network, Router: h.router, Retries: h.budget, Log: h.opts.Log,
+		Peers: h.network, Router: h.router, Retries: h.budget, Guard: h.guard, Log: h.opts.Log,
 	})
 	taken := requests.New(requests.Options{
 		Clock: clock, Host: h.opts.ID, Home: h.opts.DataCentre, Runner: runner, Router: h.router,
-		Claims: h.claims, Answers: held, Peers: h.network, Admission: h.admit, Log: h.opts.Log,
+		Claims: h.claims, Answers: held, Peers: h.network, Admission: h.admit, Quarantine: h.guard, Log: h.opts.Log,
 	})
 
 	h.peers = peers.NewGRPCServer(h.network, peers.Services{
--- /dev/null
+++ b/internal/entry/host/site_test.go
@@ -0,0 +1,280 @@
+package host_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/configuration"
+	"github.com/dotterelflow/dotterelflow/internal/control/document"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/entry/host"
+	"github.com/dotterelflow/dotterelflow/internal/standin/engine"
+	"github.com/dotterelflow/dotterelflow/internal/standin/fleet"
+	standinplatform "github.com/dotterelflow/dotterelflow/internal/standin/platform"
+	"github.com/dotterelflow/dotterelflow/internal/standin/service"
+	"github.com/dotterelflow/dotterelflow/internal/wire/caller"
+)
+
+const (
+	loopback    = "127.0.0.1:0"
+	settleBound = 20 * time.Second
+	pollEvery   = 20 * time.Millisecond
+	liveness    = 1500 * time.Millisecond
+)
+
+// site is a platform, targets and entry hosts in this process, on loopback.
+type site struct {
+	store    *standinplatform.Store
+	engines  []*engine.Server
+	servers  []*fleet.Server // of the engines
+	services []*service.Server
+	doc      document.Document
+	hosts    []*host.Host
+	views    []*standinplatform.View
+}
+
+const siteForm = `
+templates:
+  - name: desk
+    kinds:
+      - {name: report, urgency: patient, model: m, deadline: 1m, max-output: 4000}
+      - {name: note, model: m, deadline: 20s}
+      - {name: grade, urgency: patient, at-most-once: true, model: m, deadline: 20s}
+      - {name: hold, urgency: urgent, at-most-once: true, service: s, deadline: 5s}
+accounts:
+  - {id: desk, template: desk, key-hashes: [%s]}
+  - {id: other, template: desk, key-hashes: [%s]}
+`
+
+// newSite runs engines and one service in the data centre a.
+func newSite(t *testing.T, engines int, opts engine.Options) *site {
+	t.Helper()
+
+	s := &site{store: standinplatform.NewStore(clockwork.NewRealClock())}
+	text := fmt.Sprintf(siteForm, table.HashKey("desk-key"), table.HashKey("other-key")) + "targets:\n"
+
+	for i := range engines {
+		e := engine.NewServer(opts)
+		server := serve(t, e)
+		s.engines = append(s.engines, e)
+		s.servers = append(s.servers, server)
+		text += fmt.Sprintf("  - {id: engine-%d, type: engine, data-centre: a, address: %s, model: m, role: mixed, "+
+			"slots: 16, prefill-rate: 16000, decode-rate: 1200}\n", i+1, server.Address())
+	}
+
+	svc := &service.Server{}
+	s.services = append(s.services, svc)
+	text += fmt.Sprintf("  - {id: service-1, type: service, data-centre: a, address: %s, service: s, slots: 64}\n", serve(t, svc).Address())
+
+	doc, err := document.Parse("site.yaml", []byte(text))
+	require.NoError(t, err)
+
+	s.doc = doc
+	s.apply(t, doc)
+
+	return s
+}
+
+func serve(t *testing.T, handler http.Handler) *fleet.Server {
+	t.Helper()
+
+	server, err := fleet.Serve(loopback, handler)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = server.Close() })
+
+	return server
+}
+
+func (s *site) apply(t *testing.T, doc document.Document) table.Generation {
+	t.Helper()
+
+	changes, err := configuration.ChangesOf(doc)
+	require.NoError(t, err)
+
+	editor := configuration.NewEditor(s.store.View(), clockwork.NewRealClock(), nil)
+	current := table.Generation(0)
+
+	if len(s.hosts) > 0 {
+		current = s.hosts[0].Generation()
+	}
+
+	g, err := editor.Apply(t.Context(), configuration.Edit{
+		ID: configuration.EditID(uuid.NewString()), Base: current, Changes: changes,
+	})
+	require.NoError(t, err)
+
+	return g
+}
+
+// addHost runs an entry host in dc and waits until it is ready and known to the others.
+func (s *site) addHost(t *testing.T, dc table.DataCentre) *host.Host {
+	t.Helper()
+
+	var seeds []string
+	for _, h := range s.hosts {
+		seeds = append(seeds, h.PeerAddress())
+	}
+
+	view := s.store.View()
+	h, err := host.Start(host.Options{
+		ID: table.HostID(uuid.NewString()), DataCentre: dc, Platform: view, Peers: seeds,
+		CallerAddress: loopback, PeerAddress: loopback, OperatorAddress: loopback,
+		OperatorKeyHash: table.HashKey("operator-key"),
+		Log:             &log.Logger{Level: log.ErrorLevel, Writer: log.IOWriter{Writer: t.Output()}},
+		StopBound:       settleBound,
+		Liveness:        liveness,
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = h.Stop() })
+
+	s.hosts = append(s.hosts, h)
+	s.views = append(s.views, view)
+	others := len(s.hosts) - 1
+
+	require.Eventually(t, func() bool { return h.Ready() == nil && h.Peers() >= others }, settleBound, pollEvery)
+
+	return h
+}
+
+// call is a caller's request.
+type call struct {
+	kind   string
+	key    string // idempotency key
+	bearer string // "desk-key" if empty
+	prompt string
+	tokens int
+	stream bool
+	last   string // Last-Event-ID
+}
+
+type outcome struct {
+	status  int
+	text    string
+	whole   bool
+	retry   string
+	problem caller.Problem
+}
+
+func (c call) request(ctx context.Context, address string) *http.Request {
+	path := "/v1/completions"
+	body, _ := json.Marshal(map[string]any{"model": "m", "prompt": c.prompt, "max_tokens": c.tokens, "stream": c.stream})
+
+	if c.kind == "hold" {
+		path, body = "/v1/services/s/hold", []byte(c.prompt)
+	}
+
+	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if c.bearer == "" {
+		c.bearer = "desk-key"
+	}
+
+	r.Header.Set("Authorization", "Bearer "+c.bearer)
+	r.Header.Set(caller.HeaderKind, c.kind)
+
+	if c.key != "" {
+		r.Header.Set(caller.HeaderKey, c.key)
+	}
+
+	if c.last != "" {
+		r.Header.Set(caller.HeaderResume, c.last)
+	}
+
+	return r
+}
+
+func (c call) do(ctx context.Context, h *host.Host) (outcome, error) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+	resp, err := client.Do(c.request(ctx, h.CallerAddress()))
+	if err != nil {
+		return outcome{}, err
+	}
+
+	defer resp.Body.Close()
+
+	return c.read(resp)
+}
+
+func (c call) read(resp *http.Response) (outcome, error) {
+	out := outcome{status: resp.StatusCode, retry: resp.Header.Get("Retry-After")}
+
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return out, err
+	}
+
+	switch {
+	case resp.StatusCode != http.StatusOK:
+		return out, json.Unmarshal(body, &out.problem)
+	case c.kind == "hold":
+		out.text, out.whole = string(body), true
+	case c.stream:
+		out.text, out.whole = streamed(body)
+	default:
+		out.text, out.whole = text(body), true
+	}
+
+	return out, nil
+}
+
+func (c call) send(t *testing.T, h *host.Host) outcome {
+	t.Helper()
+
+	out, err := c.do(t.Context(), h)
+	require.NoError(t, err)
+
+	return out
+}
+
+// want is the whole answer that a stand-in engine gives.
+func (c call) want() string {
+	return engine.Answer(c.prompt, c.tokens)
+}
+
+func text(body []byte) string {
+	var chunk struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+
+	if json.Unmarshal(body, &chunk) != nil || len(chunk.Choices) == 0 {
+		return ""
+	}
+
+	return chunk.Choices[0].Text
+}
+
+// streamed joins the events of a stream and reports whether it ended whole.
+func streamed(body []byte) (string, bool) {
+	var joined string
+
+	for line := range bytes.Lines(body) {
+		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte("data: "))
+
+		switch {
+		case !ok:
+		case string(data) == "[DONE]":
+			return joined, true
+		default:
+			joined += text(data)
+		}
+	}
+
+	return joined, false
+}
+
+func newKey() string {
+	return uuid.Must(uuid.NewV7()).String()
+}
--- a/internal/entry/loads/table.go
+++ b/internal/entry/loads/table.go
@@ -31,6 +31,9 @@
 	Mine func(table.Target) bool
 	// Targets returns the targets of the configuration in force.
 	Targets func() []table.Target
+	// OnReport is called with each newer report and the time at which this host asked for it, zero
+	// for one that a peer told; nil means that nobody wants it.
+	OnReport func(l table.Load, asked time.Time)
 }
 
 // Table holds the newest load report of each target. It is safe for concurrent use.
@@ -116,26 +119,42 @@
 }
 
 func (t *Table) ask(ctx context.Context, target table.Target) {
+	asked := t.opts.Clock.Now()
+
 	report, err := t.opts.Engines.Load(ctx, target)
 	if err != nil {
 		return // the old report grows stale, which routing sees by its time
 	}
 
-	t.Note(table.Load{
+	t.note(table.Load{
 		Target: target.ID, At: report.At, Running: report.Running, Queued: report.Queued,
 		PrefillPending: report.PrefillPending, DecodePending: report.DecodePending,
-		Role: report.Role, Changing: report.Changing,
-	})
+		Role: report.Role, Changing: report.Changing, Boot: report.Boot,
+	}, asked)
 }
 
-// Note takes a load report; an older one than the last of its target has no effect.
+// Note takes a load report that a peer told; an older one than the last of its target has no effect.
 func (t *Table) Note(l table.Load) {
+	t.note(l, time.Time{})
+}
+
+func (t *Table) note(l table.Load, asked time.Time) {
+	if t.newer(l) && t.opts.OnReport != nil {
+		t.opts.OnReport(l, asked)
+	}
+}
+
+func (t *Table) newer(l table.Load) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	if l.At.After(t.loads[l.Target].At) {
-		t.loads[l.Target] = l
+	if !l.At.After(t.loads[l.Target].At) {
+		return false
 	}
+
+	t.loads[l.Target] = l
+
+	return true
 }
 
 // All returns a copy of the newest reports.
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -21,8 +21,8 @@
 
 // Local is what the other parts of this host say and hear by heartbeat.
 type Local interface {
-	// Fill completes the digest of this host.
-	Fill(d *peer.Digest)
+	// Fill completes the digest of this host for the host to, which is empty when not known yet.
+	Fill(to table.HostID, d *peer.Digest)
 	// Hear takes the digest of another host.
 	Hear(d *peer.Digest)
 }
@@ -43,6 +43,8 @@
 	opts  Options
 	links peer.Links
 	done  chan struct{}
+	// urgent wakes the loop before its next round.
+	urgent chan struct{}
 
 	mu       sync.Mutex
 	members  *members.Table
@@ -62,7 +64,7 @@
 	}
 
 	return &Network{
-		opts: opts, done: make(chan struct{}), members: members.New(opts.Host, opts.DataCentre),
+		opts: opts, done: make(chan struct{}), urgent: make(chan struct{}, 1), members: members.New(opts.Host, opts.DataCentre),
 		due: map[string]time.Time{}, busy: map[string]bool{},
 	}
 }
@@ -100,6 +102,7 @@
 
 			return
 		case <-tick.Chan():
+		case <-n.urgent:
 		}
 	}
 }
@@ -170,7 +173,7 @@
 		return err
 	}
 
-	reply, err := client.Heartbeat(ctx, n.digest())
+	reply, err := client.Heartbeat(ctx, n.digest(n.hostAt(address)))
 	if err != nil {
 		return err
 	}
@@ -180,8 +183,31 @@
 	return nil
 }
 
+// hostAt returns the live host whose peer API is at address, or "".
+func (n *Network) hostAt(address string) table.HostID {
+	for _, m := range n.Live() {
+		if m.Address == address {
+			return m.Host
+		}
+	}
+
+	return ""
+}
+
+// BeatNow makes all heartbeats due at once, to tell the peers what cannot wait.
+func (n *Network) BeatNow() {
+	n.mu.Lock()
+	clear(n.due)
+	n.mu.Unlock()
+
+	select {
+	case n.urgent <- struct{}{}:
+	default:
+	}
+}
+
 // digest returns the state of this host.
-func (n *Network) digest() *peer.Digest {
+func (n *Network) digest(to table.HostID) *peer.Digest {
 	n.mu.Lock()
 	n.sequence++
 	d := &peer.Digest{
@@ -189,7 +215,7 @@
 	}
 	n.mu.Unlock()
 
-	n.opts.Local.Fill(d)
+	n.opts.Local.Fill(to, d)
 
 	return d
 }
--- a/internal/entry/peers/server.go
+++ b/internal/entry/peers/server.go
@@ -57,7 +57,7 @@
 func (s *Server) Heartbeat(_ context.Context, d *peer.Digest) (*peer.Digest, error) {
 	s.network.hear(d)
 
-	return s.network.digest(), nil
+	return s.network.digest(table.HostID(d.GetHost())), nil
 }
 
 // FetchConfiguration implements peer.PeerServer.
--- a/internal/entry/routes/router.go
+++ b/internal/entry/routes/router.go
@@ -65,6 +65,7 @@
 	Loads       map[table.TargetID]table.Load
 	Leaving     func(table.TargetID) bool // targets that take no new work; nil means none
 	Unreachable map[table.DataCentre]bool
+	Reserved    func(table.Model, table.TargetID) bool // kept for a request that runs alone; nil means none
 }
 
 // Refresh publishes a new view of the targets of snapshot.
@@ -99,6 +100,10 @@
 		return routing.Unknown
 	}
 
+	if st.Reserved != nil && t.Model != "" && st.Reserved(t.Model, t.ID) {
+		return routing.Quarantined
+	}
+
 	until, ok := r.down[t.ID]
 	if ok && until.After(now) {
 		return routing.Unknown
@@ -184,6 +189,11 @@
 	return *t, true
 }
 
+// Target returns the target id of the configuration in force.
+func (r *Router) Target(id table.TargetID) (table.Target, bool) {
+	return find(r.snapshot.Load(), id)
+}
+
 // Begin counts the start of req on a target.
 func (r *Router) Begin(t table.TargetID, req table.Request) {
 	r.ledger.Flight(t).Start(cost(req))
--- /dev/null
+++ b/internal/entry/suspects/guard.go
@@ -0,0 +1,293 @@
+package suspects
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/quarantine"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+// askEvery is the time between two requests for a trial by one waiting request.
+const askEvery = 200 * time.Millisecond
+
+// Options are the parts of a Guard. Self is required.
+type Options struct {
+	Clock      clockwork.Clock // nil means the real clock
+	Self       table.HostID
+	Quarantine quarantine.Options // Self is filled in
+	// OnLoss is called, without a lock held, when a target was found lost; nil means nobody asks.
+	OnLoss func(table.TargetID)
+}
+
+// Guard decides which requests may run on engines. It is safe for concurrent use.
+type Guard struct {
+	opts Options
+
+	mu      sync.Mutex
+	tables  map[table.Model]*quarantine.Table
+	boots   map[table.TargetID]string    // run of the target's process at the last report
+	cuts    map[table.TargetID]time.Time // last run that a target broke off, until its fate is known
+	waiting map[quarantine.Fingerprint]chan table.TargetID
+}
+
+// New returns a Guard that suspects nothing.
+func New(opts Options) *Guard {
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
+
+	opts.Quarantine.Self = opts.Self
+
+	return &Guard{
+		opts: opts, tables: map[table.Model]*quarantine.Table{}, boots: map[table.TargetID]string{}, cuts: map[table.TargetID]time.Time{},
+		waiting: map[quarantine.Fingerprint]chan table.TargetID{},
+	}
+}
+
+// of returns the table of a model; the caller holds mu.
+func (g *Guard) of(model table.Model) *quarantine.Table {
+	t, ok := g.tables[model]
+	if !ok {
+		t = quarantine.New(g.opts.Quarantine)
+		g.tables[model] = t
+	}
+
+	return t
+}
+
+func fingerprintOf(req table.Request) quarantine.Fingerprint {
+	return quarantine.Of(req.Account, req.Kind.Name, req.Body)
+}
+
+// Check refuses a request that may run on no target now. Its error is a *verdict.Error.
+func (g *Guard) Check(req table.Request) error {
+	if req.Kind.Model == "" {
+		return nil
+	}
+
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return asError(g.of(req.Kind.Model).Check(g.opts.Clock.Now(), fingerprintOf(req)))
+}
+
+// asError keeps a nil *verdict.Error from becoming a non-nil error.
+func asError(r quarantine.Ruling) error {
+	if e := r.Error(); e != nil {
+		return e
+	}
+
+	return nil
+}
+
+// Begin waits until req may run and returns the target to run it on: the given one, or another one
+// on which it runs alone. Its error is a *verdict.Error. Each success must be followed by Ended.
+func (g *Guard) Begin(ctx context.Context, req table.Request, target table.TargetID) (table.TargetID, error) {
+	f := fingerprintOf(req)
+
+	for {
+		granted, ruling := g.begin(req.Kind.Model, f, target)
+
+		switch ruling.Action {
+		case quarantine.Run:
+			return target, nil
+		case quarantine.Wait:
+		default:
+			return "", asError(ruling)
+		}
+
+		select {
+		case trial := <-granted:
+			return trial, nil
+		case <-g.opts.Clock.After(askEvery):
+		case <-ctx.Done():
+			g.leave(req.Kind.Model, f, granted)
+
+			return "", verdict.New(verdict.NotRun, verdict.CodeQuarantined, "the request waited for a try of its own").Because(context.Cause(ctx))
+		}
+	}
+}
+
+func (g *Guard) begin(model table.Model, f quarantine.Fingerprint, target table.TargetID) (chan table.TargetID, quarantine.Ruling) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	granted, ok := g.waiting[f]
+	if ok && len(granted) > 0 {
+		return granted, quarantine.Ruling{Action: quarantine.Wait}
+	}
+
+	ruling := g.of(model).Begin(g.opts.Clock.Now(), f, target)
+
+	if ruling.Action == quarantine.Wait && !ok {
+		granted = make(chan table.TargetID, 1)
+		g.waiting[f] = granted
+	}
+
+	return granted, ruling
+}
+
+// leave gives back a trial that was granted to a request that no longer waits.
+func (g *Guard) leave(model table.Model, f quarantine.Fingerprint, granted chan table.TargetID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	delete(g.waiting, f)
+
+	select {
+	case trial := <-granted:
+		g.of(model).Ended(g.opts.Clock.Now(), f, trial, quarantine.Cancelled)
+	default:
+	}
+}
+
+// Ended records the end of a run that Begin allowed. A nil err is a whole answer.
+func (g *Guard) Ended(ctx context.Context, req table.Request, target table.TargetID, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	end, now := endOf(ctx, err), g.opts.Clock.Now()
+	if end == quarantine.Cut {
+		g.cuts[target] = now
+	}
+
+	g.of(req.Kind.Model).Ended(now, fingerprintOf(req), target, end)
+}
+
+// Doubted reports whether target broke off a run and has not answered since.
+func (g *Guard) Doubted(target table.TargetID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	_, cut := g.cuts[target]
+
+	return cut
+}
+
+func endOf(ctx context.Context, err error) quarantine.End {
+	e := verdict.From(err)
+
+	switch {
+	case e == nil:
+		return quarantine.Whole
+	case ctx.Err() != nil:
+		return quarantine.Cancelled
+	case e.Verdict == verdict.NotRun && e.Code == verdict.CodeTargetLost:
+		return quarantine.Cancelled
+	case e.Code == verdict.CodeTargetLost, e.Code == verdict.CodeTruncated:
+		return quarantine.Cut
+	default:
+		return quarantine.Whole
+	}
+}
+
+// Heard takes a load report that this host asked for at asked, or that a peer told (zero). A target
+// that answers a question put after the cut, in the same run of its process, was not lost; one that
+// answers in another run was. Anything else, such as a report from before the cut, proves nothing.
+func (g *Guard) Heard(model table.Model, target table.TargetID, boot string, asked time.Time) {
+	lost := g.heard(model, target, boot, asked)
+
+	if lost && g.opts.OnLoss != nil {
+		g.opts.OnLoss(target)
+	}
+}
+
+func (g *Guard) heard(model table.Model, target table.TargetID, boot string, asked time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	last, known := g.boots[target]
+	cut, doubted := g.cuts[target]
+	g.boots[target] = boot
+
+	if !known {
+		return false
+	}
+
+	if last == boot {
+		if doubted && asked.After(cut) {
+			delete(g.cuts, target)
+			g.of(model).Alive(target)
+		}
+
+		return false
+	}
+
+	delete(g.cuts, target)
+
+	return len(g.of(model).Lost(g.opts.Clock.Now(), target)) > 0
+}
+
+// Tick advances the tables and starts the trials whose time has come. View returns what is seen of
+// the targets that serve a model.
+func (g *Guard) Tick(view func(table.Model) quarantine.View) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	now := g.opts.Clock.Now()
+
+	for model, t := range g.tables {
+		t.Tick(now)
+
+		for _, trial := range t.Trials(now, view(model)) {
+			g.grant(t, trial)
+		}
+	}
+}
+
+// grant passes a trial to the request that waits for it; the caller holds mu.
+func (g *Guard) grant(t *quarantine.Table, trial quarantine.Trial) {
+	granted, ok := g.waiting[trial.Fingerprint]
+	if !ok {
+		t.Ended(g.opts.Clock.Now(), trial.Fingerprint, trial.Target, quarantine.Cancelled)
+
+		return
+	}
+
+	delete(g.waiting, trial.Fingerprint)
+	granted <- trial.Target
+}
+
+// Reserved reports whether target is kept for a request that runs alone.
+func (g *Guard) Reserved(model table.Model, target table.TargetID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.of(model).Reserved(target)
+}
+
+// Export returns the encoded digest for a peer of the same data centre.
+func (g *Guard) Export(to table.HostID) ([]byte, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	digests := make(map[table.Model]quarantine.Digest, len(g.tables))
+	for model, t := range g.tables {
+		digests[model] = t.Export(to)
+	}
+
+	return json.Marshal(digests)
+}
+
+// Merge takes in the encoded digest of a peer of the same data centre.
+func (g *Guard) Merge(from table.HostID, encoded []byte) error {
+	var digests map[table.Model]quarantine.Digest
+	if err := json.Unmarshal(encoded, &digests); err != nil {
+		return quarantine.Error.Wrap(err)
+	}
+
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	for model, d := range digests {
+		g.of(model).Merge(g.opts.Clock.Now(), from, d)
+	}
+
+	return nil
+}
--- a/internal/wire/engine/message.go
+++ b/internal/wire/engine/message.go
@@ -52,4 +52,5 @@
 	DecodePending  table.Tokens `json:"decode-pending"`
 	Role           table.Role   `json:"role"`
 	Changing       bool         `json:"changing"`
+	Boot           string       `json:"boot"` // names the run of the engine's process
 }
