Write and delete shards side by side; take heartbeats cheaply

Each heartbeat ran a whole tick over all peers. Now only one with a newer generation does. BenchmarkHeartbeat, a second of ticks and of heartbeats of 330 hosts: before 6.73 ms, after 0.232 ms. Ruled out: checking all peers for news at each heartbeat, 2.03 ms.

--- a/internal/control/configuration/editor.go
+++ b/internal/control/configuration/editor.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
 	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
@@ -38,6 +39,8 @@
 	longestWait = 800 * time.Millisecond
 	maxTries    = 64 // of one edit; the caller's context usually ends earlier
 	sweepEvery  = 32 // generations between two searches for orphans
+
+	sweepTimeout = time.Second
 )
 
 // Editor makes edits. It is safe for concurrent use, also by many hosts at once.
@@ -150,20 +153,32 @@
 
 // writeShards writes the changed shards under fresh keys and enters them in next's head.
 func (a *attempt) writeShards(ctx context.Context, next *Contents, changed []shardName) error {
-	for _, name := range changed {
-		value, err := next.shards[name].encode()
-		if err != nil {
-			return err
-		}
+	refs := make([]shardRef, len(changed))
 
-		key := freshKey(next.head.Generation-1, a.edit.ID, name)
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelCalls)
+
+	for i, name := range changed {
+		group.Go(func() error {
+			value, err := next.shards[name].encode()
+			if err != nil {
+				return err
+			}
+
+			key := freshKey(next.head.Generation-1, a.edit.ID, name)
+			version, err := a.writeShard(ctx, key, value)
+			refs[i] = shardRef{Key: key, Version: version}
 
-		version, err := a.writeShard(ctx, key, value)
-		if err != nil {
 			return err
-		}
+		})
+	}
+
+	if err := group.Wait(); err != nil {
+		return err
+	}
 
-		next.head.Shards[name] = shardRef{Key: key, Version: version}
+	for i, name := range changed {
+		next.head.Shards[name] = refs[i]
 	}
 
 	return nil
@@ -216,28 +231,55 @@
 }
 
 // sweep deletes the shards that next replaced and, now and then, those of edits that failed. It
-// makes one try: what stays is found by a later sweep.
+// makes one short try: what stays is found by a later sweep.
 func (ed *Editor) sweep(ctx context.Context, current, next *Contents) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	timer := ed.clock.AfterFunc(sweepTimeout, cancel)
+	defer timer.Stop()
+
+	var group errgroup.Group
+
+	group.SetLimit(parallelCalls)
+
+	for _, ref := range ed.leaving(ctx, current, next) {
+		group.Go(func() error {
+			_ = ed.store.Delete(ctx, ref.Key, ref.Version)
+
+			return nil
+		})
+	}
+
+	_ = group.Wait()
+}
+
+// leaving returns the shards that no head from next on refers to, as far as they are known.
+func (ed *Editor) leaving(ctx context.Context, current, next *Contents) []shardRef {
+	var refs []shardRef
+
 	for name, ref := range current.refs() {
 		if next.head.Shards[name] != ref {
-			_ = ed.store.Delete(ctx, ref.Key, ref.Version)
+			refs = append(refs, ref)
 		}
 	}
 
 	if next.head.Generation%sweepEvery != 0 {
-		return
+		return refs
 	}
 
 	objects, err := ed.store.List(ctx, shardPrefix)
 	if err != nil {
-		return
+		return refs
 	}
 
 	for _, o := range objects {
 		if next.head.orphaned(o.Key) {
-			_ = ed.store.Delete(ctx, o.Key, o.Version)
+			refs = append(refs, shardRef{Key: o.Key, Version: o.Version})
 		}
 	}
+
+	return refs
 }
 
 func (c *Contents) refs() map[shardName]shardRef {
--- a/internal/control/configuration/follower.go
+++ b/internal/control/configuration/follower.go
@@ -142,6 +142,11 @@
 		p := f.peers[e.Host]
 		p.generation, p.heard = e.Generation, now
 		f.peers[e.Host] = p
+
+		// Heartbeats are many; one without news can wait for the next tick.
+		if f.current != nil && e.Generation <= f.current.Generation() {
+			return nil
+		}
 	case PeerFetched:
 		f.fetching = false
 
@@ -248,7 +253,7 @@
 		return true
 	}
 
-	return max(f.newestHeard(), f.head.Generation) > f.current.Generation()
+	return f.head.Generation > f.current.Generation() || f.newestHeard() > f.current.Generation()
 }
 
 func (f *Follower) watch(now time.Time) []Action {
--- a/internal/control/configuration/read.go
+++ b/internal/control/configuration/read.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	parallelReads = 8
+	parallelCalls = 8
 	maxHeadReads  = 4
 )
 
@@ -68,7 +68,7 @@
 	)
 
 	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(parallelReads)
+	group.SetLimit(parallelCalls)
 
 	for name, ref := range head.Shards {
 		if known != nil && known.head.Shards[name] == ref {
--- a/internal/control/configuration/size_test.go
+++ b/internal/control/configuration/size_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/configuration"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
 	standin "github.com/dotterelflow/dotterelflow/internal/standin/platform"
 	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
 )
@@ -102,6 +105,34 @@
 	}
 }
 
+// BenchmarkHeartbeat measures a second of heartbeats of 330 hosts, with its ticks.
+func BenchmarkHeartbeat(b *testing.B) {
+	const hosts, ticks = 330, 10
+
+	now := time.Unix(0, 0)
+	f := configuration.NewFollower(now, rand.New(rand.NewPCG(1, 1)))
+	c, err := configuration.Read(b.Context(), standin.NewStore(clockwork.NewRealClock()).View(), nil)
+	require.NoError(b, err)
+
+	ids := make([]table.HostID, hosts)
+	for i := range ids {
+		ids[i] = table.HostID(fmt.Sprintf("host-%d", i))
+	}
+
+	f.Handle(now, configuration.PlatformRead{Contents: c})
+
+	for b.Loop() {
+		for _, id := range ids {
+			f.Handle(now, configuration.PeerHeard{Host: id})
+		}
+
+		for range ticks {
+			now = now.Add(time.Second / ticks)
+			f.Tick(now)
+		}
+	}
+}
+
 // BenchmarkImport measures a start from a peer's copy at the size to design for.
 func BenchmarkImport(b *testing.B) {
 	store := standin.NewStore(clockwork.NewRealClock())
