--- a/internal/control/configuration/editor_test.go
+++ b/internal/control/configuration/editor_test.go
@@ -297,6 +297,25 @@
 	})
 }
 
+// TestSlowPlatform makes an edit that touches every shard while each call takes a second.
+func TestSlowPlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		view := standin.NewStore(clockwork.NewRealClock()).View()
+		view.SetFaults(standin.Faults{Delay: time.Second})
+
+		texts := []string{template}
+		for i := range 1000 {
+			texts = append(texts, account(fmt.Sprintf("account-%d", i), 1))
+		}
+
+		ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
+		defer cancel()
+
+		_, err := editor(view).Apply(ctx, edit(t, "0000", 0, texts...))
+		require.NoError(t, err)
+	})
+}
+
 // TestOldBaseIsRefused covers an edit id that the head no longer keeps.
 func TestOldBaseIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
