Claim through the host that gathers a shard's claims

Cause: forwarding a claim safely needs care in each caller: one nonce for both ways, a bound on the other host, a check that the answer is that of the request, and the nonce spent where the claim isn't held. A survivor that recorded may-have-run for a host it took for dead would have hidden the result that a merely paused host records later.

Change: Ledger.ClaimThrough does the sequence over a Forwarder. A result that says no more than may-have-run gives way to a definite one. Tests are split by subject.

Conclusion: the wire between peers has one call to carry.

--- a/internal/control/claims/claims_test.go
+++ b/internal/control/claims/claims_test.go
@@ -98,6 +98,9 @@
 			return p.Finish(bucket, k, claims.Nonce{nonce}, claims.Result{Verdict: verdict.Ran, Status: 200})
 		}
 	}
+	giveUp := func(p *claims.Page) claims.Change {
+		return p.Finish(bucket, k, claims.Nonce{1}, claims.Result{Verdict: verdict.MayHaveRun})
+	}
 	reuse := func(p *claims.Page) claims.Change { return p.Claim(bucket, other, nil) }
 	late := func(p *claims.Page) claims.Change { return p.Claim(bucket-1, record(k, 3), nil) }
 	turn := func(p *claims.Page) claims.Change {
@@ -119,6 +122,9 @@
 		{"another body after withdrawal", []op{claim(1), abandon(1), reuse}, false, false, true, claims.Abandoned},
 		{"finished", []op{claim(1), finish(1)}, false, true, false, claims.Done},
 		{"finished twice", []op{claim(1), finish(1), finish(1)}, false, false, false, claims.Done},
+		{"finished after a survivor gave up", []op{claim(1), giveUp, finish(1)}, false, true, false, claims.Done},
+		{"survivor gives up a finished one", []op{claim(1), finish(1), giveUp}, false, false, false, claims.Done},
+		{"claim of one given up", []op{claim(1), giveUp, claim(2)}, false, false, false, claims.Done},
 		{"finished under another nonce", []op{claim(1), finish(2)}, false, false, true, claims.Claimed},
 		{"claim of a finished one", []op{claim(1), finish(1), claim(2)}, false, false, false, claims.Done},
 		{"same nonce of a finished one", []op{claim(1), finish(1), claim(1)}, false, false, false, claims.Done},
--- a/internal/control/claims/page.go
+++ b/internal/control/claims/page.go
@@ -141,6 +141,7 @@
 }
 
 // Finish records res for the claim that nonce holds. It drops an answer that is too large to keep.
+// A result that says no more than MayHaveRun, as a survivor records it, gives way to a definite one.
 func (p *Page) Finish(bucket Bucket, k Key, nonce Nonce, res Result) Change {
 	held, err := p.find(k)
 
@@ -149,7 +150,7 @@
 		return Change{Err: err}
 	case p.bucket != bucket, held == nil, held.Nonce != nonce, held.State == Abandoned:
 		return Change{Err: ErrOtherNonce}
-	case held.State == Done:
+	case held.Final():
 		return Change{Record: *held}
 	}
 
--- a/internal/control/claims/record.go
+++ b/internal/control/claims/record.go
@@ -16,7 +16,7 @@
 const (
 	// Claimed means that the claimant, and nobody else, may dispatch the request.
 	Claimed State = iota
-	// Done means that the Result is known; it never changes again.
+	// Done means that there is a Result; a definite one never changes again.
 	Done
 	// Abandoned means that the request was not dispatched and won't be under this nonce; a repeat may claim it.
 	Abandoned
@@ -54,6 +54,11 @@
 	Result      Result           `json:"result,omitzero"`
 }
 
+// Final reports whether r never changes again while it is kept.
+func (r *Record) Final() bool {
+	return r.State == Done && r.Result.Verdict != verdict.MayHaveRun
+}
+
 // recordBytes bounds the encoded size of a Record and its key without its answer and names.
 const recordBytes = 400
 
--- /dev/null
+++ b/internal/control/ledger/forward.go
@@ -0,0 +1,47 @@
+package ledger
+
+import (
+	"context"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+// Forwarder asks the ledger of another host for a claim.
+type Forwarder interface {
+	// Claim calls Ledger.Claim on the host to and passes on its outcome.
+	Claim(ctx context.Context, to table.HostID, req Request) (Outcome, error)
+}
+
+// ClaimThrough claims req.Key for the ledger's own host through the host to, which gathers the
+// claims of the key's shard. Where that fails, it claims by itself under the same nonce.
+// Its outcome and failures are those of Claim.
+func (l *Ledger) ClaimThrough(ctx context.Context, f Forwarder, to table.HostID, req Request) (Outcome, error) {
+	req.Claimant = l.opts.Host
+
+	if to == "" || to == l.opts.Host || l.isSpent(req.Nonce) {
+		return l.Claim(ctx, req)
+	}
+
+	o, ok := l.forward(ctx, f, to, req)
+	if !ok {
+		req.Forwarded = true
+
+		return l.Claim(ctx, req)
+	}
+
+	return l.held(req, o)
+}
+
+func (l *Ledger) forward(ctx context.Context, f Forwarder, to table.HostID, req Request) (Outcome, bool) {
+	ctx, cancel := clockwork.WithTimeout(ctx, l.clock, l.opts.ForwardWait)
+	defer cancel()
+
+	o, err := f.Claim(ctx, to, req)
+	if err != nil || o.Record.Key != req.Key {
+		return Outcome{}, false
+	}
+
+	return o, o.Mine == (o.Record.Nonce == req.Nonce)
+}
--- /dev/null
+++ b/internal/control/ledger/forward_test.go
@@ -0,0 +1,142 @@
+package ledger_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/ledger"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	standin "github.com/dotterelflow/dotterelflow/internal/standin/platform"
+)
+
+// TestForwardedClaim lets a host claim through another one whose answer is lost.
+func TestForwardedClaim(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, s *site) {
+		r := s.request(s.key())
+		r.Claimant = host(0)
+
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+
+		s.views[1].SetFaults(standin.Faults{LoseAnswer: true})
+
+		_, err := s.ledgers[1].Claim(ctx, r)
+		require.ErrorIs(t, err, ledger.ErrUnsettled)
+
+		o, err := s.ledgers[0].Claim(t.Context(), r)
+		require.NoError(t, err)
+		require.True(t, o.Mine)
+
+		time.Sleep(5 * time.Second) // the forwarding host must not take back what is not its own
+		require.ErrorIs(t, s.ledgers[1].Abandon(t.Context(), o.Record), ledger.ErrNotClaimant)
+
+		repeat, err := s.ledgers[2].Claim(t.Context(), s.request(r.Key))
+		require.NoError(t, err)
+		require.False(t, repeat.Mine)
+	})
+}
+
+// TestClaimThrough claims through a host that answers well, not at all, or with another request's answer.
+func TestClaimThrough(t *testing.T) {
+	tests := []struct {
+		name    string
+		faults  standin.Faults // of the other host
+		crossed bool
+		reads   bool // the own ledger had to ask the platform
+	}{
+		{"well", standin.Faults{}, false, false},
+		{"cut from the platform", standin.Faults{Down: true}, false, true},
+		{"answer late", standin.Faults{Delay: time.Second}, false, true},
+		{"answer lost", standin.Faults{LoseAnswer: true, LateWrite: 100 * time.Millisecond}, false, true},
+		{"answer crossed", standin.Faults{}, true, true},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, 3, func(t *testing.T, s *site) {
+				s.views[1].SetFaults(tt.faults)
+
+				var f ledger.Forwarder = through{s.ledgers[1]}
+				if tt.crossed {
+					f = crossed{s.ledgers[1], s.request(s.key())}
+				}
+
+				r := s.request(s.key())
+				o, err := s.ledgers[0].ClaimThrough(t.Context(), f, host(1), r)
+				require.NoError(t, err)
+				require.True(t, o.Mine)
+				require.Equal(t, r.Nonce, o.Record.Nonce)
+				require.Equal(t, host(0), o.Record.Claimant)
+				require.Equal(t, tt.reads, s.views[0].Calls().Gets > 0)
+
+				time.Sleep(5 * time.Second)
+
+				repeat, err := s.ledgers[2].Claim(t.Context(), s.request(r.Key))
+				require.NoError(t, err)
+				require.False(t, repeat.Mine)
+			})
+		})
+	}
+}
+
+// crossed answers with the claim of another request.
+type crossed struct {
+	l     *ledger.Ledger
+	other ledger.Request
+}
+
+func (f crossed) Claim(ctx context.Context, _ table.HostID, _ ledger.Request) (ledger.Outcome, error) {
+	return f.l.Claim(ctx, f.other)
+}
+
+// TestForwardedClaimComesLate lets a claim that was forwarded take effect after its claimant was
+// told that another host holds the key.
+func TestForwardedClaimComesLate(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, s *site) {
+		first, err := s.ledgers[1].Claim(t.Context(), s.request(s.key()))
+		require.NoError(t, err)
+
+		late := s.request(first.Record.Key)
+		late.Claimant = host(0)
+
+		o, err := s.ledgers[0].Claim(t.Context(), late)
+		require.NoError(t, err)
+		require.False(t, o.Mine)
+
+		require.NoError(t, s.ledgers[1].Abandon(t.Context(), first.Record))
+
+		_, err = s.ledgers[1].Claim(t.Context(), late)
+		require.NoError(t, err)
+
+		repeat, err := s.ledgers[0].Claim(t.Context(), s.request(late.Key))
+		require.NoError(t, err)
+		require.True(t, repeat.Mine)
+	})
+}
+
+func TestPreferred(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, s *site) {
+		l := s.ledgers[0]
+		peers := []table.HostID{host(0), host(1), host(2), host(3)}
+		moved, seen := 0, map[table.HostID]int{}
+
+		for range 200 {
+			k := s.key()
+			p := l.Preferred(k, peers)
+			seen[p]++
+
+			if q := l.Preferred(k, peers[:3]); q != p {
+				require.Equal(t, host(3), p)
+
+				moved++
+			}
+		}
+
+		require.Len(t, seen, 4)
+		require.Equal(t, seen[host(3)], moved)
+		require.Empty(t, l.Preferred(s.key(), nil))
+	})
+}
--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -138,15 +138,27 @@
 		return Outcome{}, refused(req, c.Err)
 	}
 
-	if c.Mine && own && l.isSpent(req.Nonce) {
-		return Outcome{}, refusal(req, verdict.CodeInternal, "the attempt was abandoned")
+	outcome := Outcome{Mine: c.Mine, Record: c.Record}
+	if !own {
+		return outcome, nil
 	}
 
-	if !c.Mine && own {
-		l.spent.Add(req.Nonce, struct{}{}) // a forwarded claim may still come, and nobody would dispatch it
+	return l.held(req, outcome)
+}
+
+// held passes on the outcome of the own host's claim, unless its nonce was spent meanwhile.
+func (l *Ledger) held(req Request, o Outcome) (Outcome, error) {
+	if !o.Mine {
+		l.spent.Add(req.Nonce, struct{}{}) // a claim under way elsewhere may still come, and nobody would dispatch it
+
+		return o, nil
+	}
+
+	if l.isSpent(req.Nonce) {
+		return Outcome{}, refusal(req, verdict.CodeInternal, "the attempt was abandoned")
 	}
 
-	return Outcome{Mine: c.Mine, Record: c.Record}, nil
+	return o, nil
 }
 
 // unsettled refuses a claim whose caller stopped waiting.
--- a/internal/control/ledger/ledger_test.go
+++ b/internal/control/ledger/ledger_test.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
-	"flag"
-	"fmt"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,88 +11,11 @@
 
 	"github.com/dotterelflow/dotterelflow/internal/control/claims"
 	"github.com/dotterelflow/dotterelflow/internal/control/ledger"
-	"github.com/dotterelflow/dotterelflow/internal/control/table"
 	standin "github.com/dotterelflow/dotterelflow/internal/standin/platform"
 	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "300")
-	_ = flag.Set("rapid.nofailfile", "true")
-
-	os.Exit(m.Run())
-}
-
-// site is a platform with some ledgers on it, in virtual time.
-type site struct {
-	store   *standin.Store
-	views   []*standin.View
-	ledgers []*ledger.Ledger
-	keys    uint64
-	nonces  uint64
-}
-
-// newSite must be called in a synctest bubble.
-func newSite(n int, opts ledger.Options) *site {
-	s := &site{store: standin.NewStore(clockwork.NewRealClock())}
-
-	for i := range n {
-		v := s.store.View()
-		o := opts
-		o.Store = v
-		o.Host = host(i)
-		s.views = append(s.views, v)
-		s.ledgers = append(s.ledgers, ledger.New(o))
-	}
-
-	return s
-}
-
-func (s *site) close() {
-	for _, l := range s.ledgers {
-		l.Close()
-		<-l.Done()
-	}
-}
-
-func host(i int) table.HostID {
-	return table.HostID(fmt.Sprintf("host-%d", i))
-}
-
-func (s *site) key() claims.Key {
-	s.keys++
-
-	return claims.KeyAt("dombud", time.Now(), s.keys)
-}
-
-// request asks for k under a new nonce.
-func (s *site) request(k claims.Key) ledger.Request {
-	s.nonces++
-
-	var nonce claims.Nonce
-
-	binary.BigEndian.PutUint64(nonce[8:], s.nonces)
-
-	return ledger.Request{Key: k, Fingerprint: 1, Nonce: nonce}
-}
-
-func ran(answer string) claims.Result {
-	return claims.Result{Verdict: verdict.Ran, Status: 200, Answer: []byte(answer)}
-}
-
-// inBubble runs f on a site of n ledgers in virtual time.
-func inBubble(t *testing.T, n int, f func(t *testing.T, s *site)) {
-	t.Helper()
-
-	synctest.Test(t, func(t *testing.T) {
-		s := newSite(n, ledger.Options{})
-		f(t, s)
-		s.close()
-	})
-}
-
 func TestRepeatGetsAnswer(t *testing.T) {
 	inBubble(t, 2, func(t *testing.T, s *site) {
 		ctx := t.Context()
@@ -279,33 +198,6 @@
 	}
 }
 
-// TestForwardedClaim lets a host claim through another one whose answer is lost.
-func TestForwardedClaim(t *testing.T) {
-	inBubble(t, 3, func(t *testing.T, s *site) {
-		r := s.request(s.key())
-		r.Claimant = host(0)
-
-		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
-		defer cancel()
-
-		s.views[1].SetFaults(standin.Faults{LoseAnswer: true})
-
-		_, err := s.ledgers[1].Claim(ctx, r)
-		require.ErrorIs(t, err, ledger.ErrUnsettled)
-
-		o, err := s.ledgers[0].Claim(t.Context(), r)
-		require.NoError(t, err)
-		require.True(t, o.Mine)
-
-		time.Sleep(5 * time.Second) // the forwarding host must not take back what is not its own
-		require.ErrorIs(t, s.ledgers[1].Abandon(t.Context(), o.Record), ledger.ErrNotClaimant)
-
-		repeat, err := s.ledgers[2].Claim(t.Context(), s.request(r.Key))
-		require.NoError(t, err)
-		require.False(t, repeat.Mine)
-	})
-}
-
 // TestSpentNonceIsTakenOver brings the claim of a spent nonce onto the platform late, where its own host resolves it.
 func TestSpentNonceIsTakenOver(t *testing.T) {
 	inBubble(t, 2, func(t *testing.T, s *site) {
@@ -334,31 +226,6 @@
 	})
 }
 
-// TestForwardedClaimComesLate lets a claim that was forwarded take effect after its claimant was
-// told that another host holds the key.
-func TestForwardedClaimComesLate(t *testing.T) {
-	inBubble(t, 2, func(t *testing.T, s *site) {
-		first, err := s.ledgers[1].Claim(t.Context(), s.request(s.key()))
-		require.NoError(t, err)
-
-		late := s.request(first.Record.Key)
-		late.Claimant = host(0)
-
-		o, err := s.ledgers[0].Claim(t.Context(), late)
-		require.NoError(t, err)
-		require.False(t, o.Mine)
-
-		require.NoError(t, s.ledgers[1].Abandon(t.Context(), first.Record))
-
-		_, err = s.ledgers[1].Claim(t.Context(), late)
-		require.NoError(t, err)
-
-		repeat, err := s.ledgers[0].Claim(t.Context(), s.request(late.Key))
-		require.NoError(t, err)
-		require.True(t, repeat.Mine)
-	})
-}
-
 func TestPlatformOutForLong(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, s *site) {
 		s.views[0].SetFaults(standin.Faults{Down: true})
@@ -435,30 +302,6 @@
 	})
 }
 
-func TestPreferred(t *testing.T) {
-	inBubble(t, 1, func(t *testing.T, s *site) {
-		l := s.ledgers[0]
-		peers := []table.HostID{host(0), host(1), host(2), host(3)}
-		moved, seen := 0, map[table.HostID]int{}
-
-		for range 200 {
-			k := s.key()
-			p := l.Preferred(k, peers)
-			seen[p]++
-
-			if q := l.Preferred(k, peers[:3]); q != p {
-				require.Equal(t, host(3), p)
-
-				moved++
-			}
-		}
-
-		require.Len(t, seen, 4)
-		require.Equal(t, seen[host(3)], moved)
-		require.Empty(t, l.Preferred(s.key(), nil))
-	})
-}
-
 func TestClose(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, s *site) {
 		s.views[0].SetFaults(standin.Faults{Down: true})
--- a/internal/control/ledger/load_test.go
+++ b/internal/control/ledger/load_test.go
@@ -65,7 +65,6 @@
 
 			h := rng.Intn(loadHosts)
 			r := s.request(s.key())
-			r.Claimant = host(h)
 
 			size := loadHosts / groups
 			first := h / size * size
@@ -78,7 +77,7 @@
 					time.Sleep(forwardTime)
 				}
 
-				o, err := s.ledgers[via].Claim(t.Context(), r)
+				o, err := claimThrough(s.ledgers[h], s.ledgers[via], r)
 
 				mu.Lock()
 				defer mu.Unlock()
--- a/internal/control/ledger/options.go
+++ b/internal/control/ledger/options.go
@@ -23,6 +23,7 @@
 	defaultSpacing    = 64 * time.Millisecond
 	defaultFinishLag  = 250 * time.Millisecond
 	defaultWait       = 2 * time.Second
+	defaultForward    = 300 * time.Millisecond
 	defaultBackoff    = 250 * time.Millisecond
 	defaultAbandonFor = time.Minute
 	maxWriters        = 16      // other hosts' share in a shard that the spacing allows for
@@ -38,11 +39,12 @@
 	Clock clockwork.Clock // nil means the system's clock
 	Ring  claims.Ring     // equal on all hosts
 
-	Spacing    time.Duration // least time between the writes of one shard; zero means 64 ms
-	FinishLag  time.Duration // how long a result may wait for company; zero means 250 ms
-	Wait       time.Duration // bound of a claim that is not patient; zero means 2 s
-	Backoff    time.Duration // pause after a failure of the platform; zero means 250 ms
-	AbandonFor time.Duration // how long a withdrawal is tried in the background; zero means 1 min
+	Spacing     time.Duration // least time between the writes of one shard; zero means 64 ms
+	FinishLag   time.Duration // how long a result may wait for company; zero means 250 ms
+	Wait        time.Duration // bound of a claim that is not patient; zero means 2 s
+	ForwardWait time.Duration // bound of a claim through another host; zero means 300 ms
+	Backoff     time.Duration // pause after a failure of the platform; zero means 250 ms
+	AbandonFor  time.Duration // how long a withdrawal is tried in the background; zero means 1 min
 }
 
 func (o Options) withDefaults() Options {
@@ -55,6 +57,7 @@
 	o.Spacing = cmp.Or(o.Spacing, defaultSpacing)
 	o.FinishLag = cmp.Or(o.FinishLag, defaultFinishLag)
 	o.Wait = cmp.Or(o.Wait, defaultWait)
+	o.ForwardWait = cmp.Or(o.ForwardWait, defaultForward)
 	o.Backoff = cmp.Or(o.Backoff, defaultBackoff)
 	o.AbandonFor = cmp.Or(o.AbandonFor, defaultAbandonFor)
 
--- /dev/null
+++ b/internal/control/ledger/plan_test.go
@@ -0,0 +1,78 @@
+package ledger_test
+
+import (
+	"time"
+
+	"pgregory.net/rapid"
+
+	standin "github.com/dotterelflow/dotterelflow/internal/standin/platform"
+)
+
+// life is what becomes of a request whose claim is held.
+type life int
+
+const (
+	finishes life = iota
+	refusedByTarget
+	diesBeforeDispatch
+	diesBeforeResult
+)
+
+// step is one event of a drawn history, after a wait.
+type step struct {
+	wait   time.Duration
+	host   int
+	faults *standin.Faults // set: the host's platform turns so
+	kill   bool            // set: the host is replaced
+	key    int             // else: a sending of this key
+	via    int             // through this host first, unless it is host
+	life   life
+	pause  time.Duration // between the claim and the dispatch
+	work   time.Duration // of the target
+	pat    bool
+}
+
+var drawMillis = func(t *rapid.T, name string, limit int) time.Duration {
+	return time.Duration(rapid.IntRange(0, limit).Draw(t, name)) * time.Millisecond
+}
+
+var drawFaults = rapid.Custom(func(t *rapid.T) standin.Faults {
+	f := standin.Faults{}
+
+	switch rapid.IntRange(0, 5).Draw(t, "fault") {
+	case 0:
+		f.Down = true
+	case 1:
+		f.LoseAnswer = true
+	case 2:
+		f.LoseAnswer = true
+		f.LateWrite = time.Millisecond + drawMillis(t, "late", 5000)
+	case 3:
+		f.Delay = drawMillis(t, "delay", 3000)
+	}
+
+	return f
+})
+
+var drawStep = rapid.Custom(func(t *rapid.T) step {
+	s := step{
+		wait:  drawMillis(t, "wait", 1500),
+		host:  rapid.IntRange(0, planHosts-1).Draw(t, "host"),
+		key:   rapid.IntRange(0, planKeys-1).Draw(t, "key"),
+		via:   rapid.IntRange(0, planHosts-1).Draw(t, "via"),
+		life:  life(rapid.IntRange(0, 3).Draw(t, "life")),
+		pause: drawMillis(t, "pause", 4000),
+		work:  drawMillis(t, "work", 1000),
+		pat:   rapid.Bool().Draw(t, "patient"),
+	}
+
+	switch rapid.IntRange(0, 9).Draw(t, "event") {
+	case 0, 1, 2:
+		f := drawFaults.Draw(t, "faults")
+		s.faults = &f
+	case 3:
+		s.kill = true
+	}
+
+	return s
+})
--- a/internal/control/ledger/property_test.go
+++ b/internal/control/ledger/property_test.go
@@ -23,75 +23,6 @@
 	planKeys  = 4
 )
 
-// life is what becomes of a request whose claim is held.
-type life int
-
-const (
-	finishes life = iota
-	refusedByTarget
-	diesBeforeDispatch
-	diesBeforeResult
-)
-
-// step is one event of a drawn history, after a wait.
-type step struct {
-	wait   time.Duration
-	host   int
-	faults *standin.Faults // set: the host's platform turns so
-	kill   bool            // set: the host is replaced
-	key    int             // else: a sending of this key
-	via    int             // through this host first, unless it is host
-	life   life
-	pause  time.Duration // between the claim and the dispatch
-	work   time.Duration // of the target
-	pat    bool
-}
-
-var drawMillis = func(t *rapid.T, name string, limit int) time.Duration {
-	return time.Duration(rapid.IntRange(0, limit).Draw(t, name)) * time.Millisecond
-}
-
-var drawFaults = rapid.Custom(func(t *rapid.T) standin.Faults {
-	f := standin.Faults{}
-
-	switch rapid.IntRange(0, 5).Draw(t, "fault") {
-	case 0:
-		f.Down = true
-	case 1:
-		f.LoseAnswer = true
-	case 2:
-		f.LoseAnswer = true
-		f.LateWrite = time.Millisecond + drawMillis(t, "late", 5000)
-	case 3:
-		f.Delay = drawMillis(t, "delay", 3000)
-	}
-
-	return f
-})
-
-var drawStep = rapid.Custom(func(t *rapid.T) step {
-	s := step{
-		wait:  drawMillis(t, "wait", 1500),
-		host:  rapid.IntRange(0, planHosts-1).Draw(t, "host"),
-		key:   rapid.IntRange(0, planKeys-1).Draw(t, "key"),
-		via:   rapid.IntRange(0, planHosts-1).Draw(t, "via"),
-		life:  life(rapid.IntRange(0, 3).Draw(t, "life")),
-		pause: drawMillis(t, "pause", 4000),
-		work:  drawMillis(t, "work", 1000),
-		pat:   rapid.Bool().Draw(t, "patient"),
-	}
-
-	switch rapid.IntRange(0, 9).Draw(t, "event") {
-	case 0, 1, 2:
-		f := drawFaults.Draw(t, "faults")
-		s.faults = &f
-	case 3:
-		s.kill = true
-	}
-
-	return s
-})
-
 // world runs a history and notes what goes wrong.
 type world struct {
 	ring  claims.Ring
@@ -194,15 +125,14 @@
 	epoch := w.epochs[s.host]
 	l, via := w.ledgers[s.host], w.ledgers[s.via]
 	r := ledger.Request{
-		Key:      w.keys[s.key],
-		Nonce:    claims.Nonce{1, w.nonces},
-		Claimant: w.name(s.host),
-		Patient:  s.pat,
-		Repeat:   id > 0,
+		Key:     w.keys[s.key],
+		Nonce:   claims.Nonce{1, w.nonces},
+		Patient: s.pat,
+		Repeat:  id > 0,
 	}
 	w.mu.Unlock()
 
-	o, err := claimVia(l, via, r)
+	o, err := claimThrough(l, via, r)
 	if !w.alive(s, epoch) {
 		return
 	}
@@ -214,27 +144,48 @@
 		w.answer(s, id, o.Record.Result.Verdict)
 	case !o.Mine:
 		w.answer(s, id, verdict.MayHaveRun)
+		w.giveUp(l, o.Record)
 	default:
 		w.live(s, id, epoch, l, o.Record)
 	}
 }
 
-func claimVia(l, via *ledger.Ledger, r ledger.Request) (ledger.Outcome, error) {
-	if via != l {
-		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-		defer cancel()
+// through reaches one ledger of a site.
+type through struct{ *ledger.Ledger }
 
-		if o, err := via.Claim(ctx, r); err == nil {
-			return o, nil
-		}
+func (f through) Claim(ctx context.Context, _ table.HostID, r ledger.Request) (ledger.Outcome, error) {
+	return f.Ledger.Claim(ctx, r)
+}
 
-		r.Forwarded = true
+func claimThrough(l, via *ledger.Ledger, r ledger.Request) (ledger.Outcome, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+
+	if via == l {
+		return l.Claim(ctx, r)
 	}
 
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	return l.ClaimThrough(ctx, through{via}, "another host", r)
+}
+
+// giveUp records for a claimant that was replaced that its request may have run.
+func (w *world) giveUp(l *ledger.Ledger, r claims.Record) {
+	w.mu.Lock()
+	gone := true
+
+	for i := range planHosts {
+		gone = gone && w.name(i) != r.Claimant
+	}
+	w.mu.Unlock()
+
+	if !gone {
+		return
+	}
+
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 
-	return l.Claim(ctx, r)
+	_ = l.Finish(ctx, r, claims.Result{Verdict: verdict.MayHaveRun})
 }
 
 // live goes on with a request whose claim is held.
--- a/internal/control/ledger/write.go
+++ b/internal/control/ledger/write.go
@@ -60,10 +60,10 @@
 	l.resolve(batch, changes)
 }
 
-// final reports whether a page that is out of date answers batch well, since a claim that is done stays so.
+// final reports whether a page that is out of date answers batch well, since a definite result stays so.
 func final(batch []*operation, changes []claims.Change) bool {
 	for i, o := range batch {
-		if o.kind != claim || changes[i].Err != nil || changes[i].Record.State != claims.Done {
+		if o.kind != claim || changes[i].Err != nil || !changes[i].Record.Final() {
 			return false
 		}
 	}
