--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -88,6 +88,9 @@
 // Claim claims req.Key for req.Nonce. Unless it returns an Outcome that is Mine, the claimant must
 // not dispatch under the nonce, now or later.
 //
+// Until it dispatches, the claimant may claim again under the nonce, one call at a time, to name
+// another target. Once it has dispatched it must not: a failure would withdraw the claim.
+//
 // Failures are a *verdict.Error, or ErrUnsettled for a claim on behalf of another host. After a
 // failure of a claim of its own, the ledger withdraws the nonce in the background.
 func (l *Ledger) Claim(ctx context.Context, req Request) (Outcome, error) {
