Refuse claims at once while the platform is silent

Cause: behind a connection that swallows everything each keyed request waited the full 2 s for its refusal, one after the other. Change: a call without an answer for 500 ms counts as an outage for the claims that come after it. Patient ones still wait. TestPlatformSilent before: FAIL, "Should be zero, but was 2s"; now passes. Conclusion: the first claim waits up to 2 s, the others nothing.

--- a/internal/control/ledger/lane.go
+++ b/internal/control/ledger/lane.go
@@ -22,6 +22,7 @@
 	wake    chan struct{}
 	next    time.Time     // earliest next write
 	gap     time.Duration // spacing in force, which grows with the number of hosts that write
+	since   time.Time     // when the batch under way was taken; zero for none
 	down    time.Time     // until when claims that are not patient are refused at once
 	pages   *lru.Cache[platform.Key, cached]
 	shared  int // for how many more reads other hosts are taken to write, too
@@ -60,7 +61,7 @@
 		l.lanes[o.place.Shard] = ln
 	}
 
-	if o.kind == claim && !o.patient && l.clock.Now().Before(ln.down) {
+	if o.kind == claim && !o.patient && l.out(ln) {
 		o.resolve(claims.Change{Err: platform.ErrUnavailable})
 
 		return
@@ -83,6 +84,13 @@
 	}
 }
 
+// out reports whether the platform has just failed ln, or leaves it without an answer.
+func (l *Ledger) out(ln *lane) bool {
+	now := l.clock.Now()
+
+	return now.Before(ln.down) || !ln.since.IsZero() && now.Sub(ln.since) > l.opts.Stall
+}
+
 // run writes the operations of ln until there are none.
 func (l *Ledger) run(ln *lane) {
 	defer l.active.Done()
@@ -115,6 +123,7 @@
 	defer l.mu.Unlock()
 
 	now := l.clock.Now()
+	ln.since = time.Time{}
 	ln.queue = deleteOver(ln.queue, now)
 
 	if len(ln.queue) == 0 || l.closed {
@@ -151,6 +160,7 @@
 	}
 
 	ln.queue = rest
+	ln.since = now
 	ln.next = now.Add(ln.gap)
 
 	return batch, 0, true
--- a/internal/control/ledger/ledger_test.go
+++ b/internal/control/ledger/ledger_test.go
@@ -226,6 +226,27 @@
 	})
 }
 
+// TestPlatformSilent refuses claims at once while a call to the platform gets no answer.
+func TestPlatformSilent(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, s *site) {
+		k := s.key()
+		first := s.request(k)
+
+		s.views[0].SetFaults(standin.Faults{Delay: time.Minute})
+
+		go func() { _, _ = s.ledgers[0].Claim(t.Context(), first) }()
+
+		time.Sleep(time.Second)
+
+		begun := time.Now()
+		_, err := s.ledgers[0].Claim(t.Context(), s.request(k))
+
+		require.Equal(t, verdict.NotRun, verdict.Of(err))
+		require.Equal(t, verdict.CodeNoPlatform, verdict.From(err).Code)
+		require.Zero(t, time.Since(begun))
+	})
+}
+
 func TestPlatformOutForLong(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, s *site) {
 		s.views[0].SetFaults(standin.Faults{Down: true})
--- a/internal/control/ledger/options.go
+++ b/internal/control/ledger/options.go
@@ -12,7 +12,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
 )
 
-// Store is the part of the platform's object API that a Ledger uses. Its errors are those of
+// Store is the part of the platform's object API that a Ledger uses. It bounds its calls. Its errors are those of
 // package platform; any other error of Put counts as an unknown outcome.
 type Store interface {
 	Get(ctx context.Context, key platform.Key) (platform.Object, error)
@@ -25,6 +25,7 @@
 	defaultWait       = 2 * time.Second
 	defaultForward    = 300 * time.Millisecond
 	defaultBackoff    = 250 * time.Millisecond
+	defaultStall      = 500 * time.Millisecond
 	defaultAbandonFor = time.Minute
 	maxWriters        = 16      // other hosts' share in a shard that the spacing allows for
 	sharedFor         = 32      // reads without a foreign write until a shard counts as this host's
@@ -44,6 +45,7 @@
 	Wait        time.Duration // bound of a claim that is not patient; zero means 2 s
 	ForwardWait time.Duration // bound of a claim through another host; zero means 300 ms
 	Backoff     time.Duration // pause after a failure of the platform; zero means 250 ms
+	Stall       time.Duration // age at which an unanswered call counts as an outage; zero means 500 ms
 	AbandonFor  time.Duration // how long a withdrawal is tried in the background; zero means 1 min
 }
 
@@ -59,6 +61,7 @@
 	o.Wait = cmp.Or(o.Wait, defaultWait)
 	o.ForwardWait = cmp.Or(o.ForwardWait, defaultForward)
 	o.Backoff = cmp.Or(o.Backoff, defaultBackoff)
+	o.Stall = cmp.Or(o.Stall, defaultStall)
 	o.AbandonFor = cmp.Or(o.AbandonFor, defaultAbandonFor)
 
 	return o
