--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -88,6 +88,9 @@
 // Claim claims req.Key for req.Nonce. Unless it returns an Outcome that is Mine, the claimant must
 // not dispatch under the nonce, now or later.
 //
+// Until it dispatches, the claimant may claim again under the nonce, one call at a time, to name
+// another target. Once it has dispatched it must not: a failure would withdraw the claim.
+//
 // Failures are a *verdict.Error, or ErrUnsettled for a claim on behalf of another host. After a
 // failure of a claim of its own, the ledger withdraws the nonce in the background.
 func (l *Ledger) Claim(ctx context.Context, req Request) (Outcome, error) {
@@ -138,15 +141,27 @@
 		return Outcome{}, refused(req, c.Err)
 	}
 
-	if c.Mine && own && l.isSpent(req.Nonce) {
-		return Outcome{}, refusal(req, verdict.CodeInternal, "the attempt was abandoned")
+	outcome := Outcome{Mine: c.Mine, Record: c.Record}
+	if !own {
+		return outcome, nil
+	}
+
+	return l.held(req, outcome)
+}
+
+// held passes on the outcome of the own host's claim, unless its nonce was spent meanwhile.
+func (l *Ledger) held(req Request, o Outcome) (Outcome, error) {
+	if !o.Mine {
+		l.spent.Add(req.Nonce, struct{}{}) // a claim under way elsewhere may still come, and nobody would dispatch it
+
+		return o, nil
 	}
 
-	if !c.Mine && own {
-		l.spent.Add(req.Nonce, struct{}{}) // a forwarded claim may still come, and nobody would dispatch it
+	if l.isSpent(req.Nonce) {
+		return Outcome{}, refusal(req, verdict.CodeInternal, "the attempt was abandoned")
 	}
 
-	return Outcome{Mine: c.Mine, Record: c.Record}, nil
+	return o, nil
 }
 
 // unsettled refuses a claim whose caller stopped waiting.
