Send a quarantine entry once to each peer; test the death of hosts

Cause: each host passed on to all peers what it had learnt, so one lost target with 64 runs (13,936 bytes as JSON, 217 an entry) would have crossed a data centre of 66 hosts 66 times over. A host now sends what it found itself, and the rest only to hosts that know nothing yet or once the finder is silent for 5 s. Idle digest 35 bytes; a digest holds 64 entries at most.

Ruled out: no relay at all, as a finder may die with half of its digests sent.

The model now kills hosts: their runs go on without them and may take a target.

--- a/internal/control/quarantine/digest.go
+++ b/internal/control/quarantine/digest.go
@@ -8,7 +8,11 @@
 )
 
 // maxDigestEntries bounds the entries of one digest; the rest follows in the next.
-const maxDigestEntries = 256
+const maxDigestEntries = 64
+
+// baseVersion is that of entries learnt from a peer. They go to hosts that know nothing yet; the
+// others hear of them from that peer.
+const baseVersion = 1
 
 // Digest is what one host tells another with a heartbeat. With nothing under suspicion it holds
 // three numbers.
@@ -86,7 +90,7 @@
 func (t *Table) Merge(now time.Time, from table.HostID, d Digest) {
 	for _, e := range d.Entries {
 		if now.Before(e.Until) {
-			t.mergeEntry(e)
+			t.mergeEntry(from, e)
 		}
 	}
 
@@ -100,7 +104,7 @@
 	}
 }
 
-func (t *Table) mergeEntry(e Entry) {
+func (t *Table) mergeEntry(from table.HostID, e Entry) {
 	r := t.entries[e.Fingerprint]
 	if r == nil {
 		t.makeRoom()
@@ -112,13 +116,26 @@
 		return
 	}
 
-	t.touch(r)
+	r.source = from
+	r.version = max(r.version, baseVersion)
 
 	if tr := t.trials[e.Fingerprint]; tr != nil && !tr.started && !r.suspect() {
 		t.dropTrial(e.Fingerprint)
 	}
 }
 
+// relay passes on what came from peers that have fallen silent, as they may not have reached all.
+func (t *Table) relay(now time.Time) {
+	for _, r := range t.entries {
+		if r.source == "" || now.Sub(t.peer(r.source).heard) < t.opts.PeerSilence {
+			continue
+		}
+
+		r.source = ""
+		t.touch(r)
+	}
+}
+
 // Forget drops a peer that the host list no longer holds, with its reservations.
 func (t *Table) Forget(id table.HostID) {
 	delete(t.peers, id)
--- a/internal/control/quarantine/doc.go
+++ b/internal/control/quarantine/doc.go
@@ -11,10 +11,12 @@
 //
 // The bound: let k be the number of targets on which callers had the same request running at once
 // before its first loss was known, and p the number of parts into which the entry hosts of the
-// data centre are divided, a host that is silent for Options.PeerSilence being a part. At most max(2, k, p) targets are lost to one fingerprint in one term
-// of the quarantine, plus one for each entry host that dies between a loss and its first digest.
-// A caller that waits for its answer has k = 1, as a host answers only when Told allows it. A host
-// that starts takes no requests before it has merged a digest of each peer that it can reach.
+// data centre are divided, a host that is silent for Options.PeerSilence being a part. At most
+// max(2, k, p) targets are lost to one fingerprint in one term of the quarantine, plus one for each
+// entry host that dies while it runs the request or before its digest of the loss has arrived
+// everywhere. A caller that waits for its answer has k = 1, as a host answers only when Told allows
+// it. A host that starts takes no requests before it has merged a digest of each peer that it can
+// reach.
 //
 // A Table belongs to one goroutine, starts none and reads no clock.
 package quarantine
--- a/internal/control/quarantine/quarantine_test.go
+++ b/internal/control/quarantine/quarantine_test.go
@@ -24,6 +24,8 @@
 		{"four callers at once", options{parallel: 4, parts: 1}, 4},
 		{"hosts in two parts", options{parallel: 1, parts: 2}, 2},
 		{"hosts in three parts", options{parallel: 1, parts: 3}, 3},
+		{"a host dies", options{parallel: 1, parts: 1, kills: 1}, 3},
+		{"two hosts die", options{parallel: 1, parts: 1, kills: 2}, 4},
 	}
 
 	for _, tt := range tests {
@@ -32,7 +34,7 @@
 
 			rapid.Check(t, func(t *rapid.T) {
 				o := tt.o
-				o.hosts = rapid.IntRange(max(1, o.parts), 6).Draw(t, "hosts")
+				o.hosts = rapid.IntRange(max(1, o.parts, o.kills+1), 6).Draw(t, "hosts")
 				o.targets = rapid.IntRange(2, 10).Draw(t, "targets")
 				o.crashers = rapid.IntRange(1, 2).Draw(t, "crashers")
 				o.innocents = rapid.IntRange(0, 10).Draw(t, "innocents")
@@ -210,3 +212,40 @@
 		q.Ended(epoch, f, "t1", quarantine.Whole)
 	}
 }
+
+// A host sends what it found itself and leaves the rest to its finder, but for hosts that know
+// nothing yet and after the finder has fallen silent.
+func TestWhoTellsWhom(t *testing.T) {
+	a, b := quarantine.New(quarantine.Options{Self: "a"}), quarantine.New(quarantine.Options{Self: "b"})
+	c := quarantine.New(quarantine.Options{Self: "c"})
+	now := epoch.Add(time.Second)
+
+	exchange := func(from *quarantine.Table, name table.HostID, to *quarantine.Table, toName table.HostID) int {
+		d := from.Export(toName)
+		to.Merge(now, name, d)
+
+		return len(d.Entries)
+	}
+
+	// All know each other before the loss.
+	for range 2 {
+		exchange(a, "a", b, "b")
+		exchange(b, "b", a, "a")
+		exchange(b, "b", c, "c")
+		exchange(c, "c", b, "b")
+	}
+
+	a.Begin(epoch, fingerprint(1), "t0")
+	a.Lost(now, "t0")
+	require.Equal(t, 1, exchange(a, "a", b, "b"))
+	require.Equal(t, 1, exchange(a, "a", b, "b"), "until confirmed")
+	require.Zero(t, exchange(b, "b", a, "a"))
+	require.Zero(t, exchange(a, "a", b, "b"))
+	require.Zero(t, exchange(b, "b", c, "c"))
+	require.Equal(t, 1, exchange(b, "b", quarantine.New(quarantine.Options{Self: "new"}), "new"))
+
+	now = now.Add(10 * time.Second)
+	b.Tick(now)
+	require.Equal(t, 1, exchange(b, "b", c, "c"))
+	require.Equal(t, quarantine.Elsewhere, c.Check(now, fingerprint(1)).Action)
+}
--- a/internal/control/quarantine/table.go
+++ b/internal/control/quarantine/table.go
@@ -99,10 +99,12 @@
 	sent    uint64
 }
 
-// record is an entry with the local version at which it last changed.
+// record is an entry with the version at which this host last changed it, and the peer that it was
+// last learnt from.
 type record struct {
 	Entry
 	version uint64
+	source  table.HostID
 }
 
 // want is a request's wish for a trial.
@@ -115,6 +117,7 @@
 func New(o Options) *Table {
 	return &Table{
 		opts:    o.withDefaults(),
+		version: baseVersion,
 		entries: make(map[Fingerprint]*record),
 		runs:    newRuns(),
 		peers:   make(map[table.HostID]*peer),
@@ -232,6 +235,7 @@
 	}
 
 	t.tidyTrials(now)
+	t.relay(now)
 }
 
 // Release ends the quarantine or suspicion of f by order of an operator and reports whether there
--- a/internal/control/quarantine/world_test.go
+++ b/internal/control/quarantine/world_test.go
@@ -13,6 +13,8 @@
 const (
 	step           = 50 * time.Millisecond
 	heartbeatSteps = 10
+	listLag        = 2 * time.Second
+	killEvery      = 3 * time.Second
 )
 
 var epoch = time.Date(2026, 1, 2, 8, 0, 0, 0, time.UTC)
@@ -26,6 +28,7 @@
 	loss           float64       // of digests
 	delay          time.Duration // of digests, at most
 	parts          int           // into which the hosts are divided for part of the time
+	kills          int           // hosts that die, one each three seconds
 }
 
 type phase int
@@ -58,6 +61,13 @@
 	digest   quarantine.Digest
 }
 
+// orphan is a run whose host has died.
+type orphan struct {
+	f      quarantine.Fingerprint
+	target table.TargetID
+	end    time.Time
+}
+
 // world is one data centre with lagging, lossy digests between its hosts.
 type world struct {
 	options
@@ -70,6 +80,9 @@
 	net     []message
 	callers []*caller
 	lost    map[quarantine.Fingerprint]int
+	died    []time.Time // by host; zero while it lives
+	killed  int
+	orphans []orphan
 }
 
 func fingerprint(i int) quarantine.Fingerprint {
@@ -91,6 +104,8 @@
 		w.hosts = append(w.hosts, quarantine.New(quarantine.Options{Self: id}))
 	}
 
+	w.died = make([]time.Time, o.hosts)
+
 	for i := range o.targets {
 		w.downTo[table.TargetID(fmt.Sprintf("t%d", i))] = epoch
 	}
@@ -133,8 +148,38 @@
 	return list
 }
 
+// listed returns the hosts of the platform's list, which lags behind their deaths.
+func (w *world) listed() []table.HostID {
+	var ids []table.HostID
+
+	for i, id := range w.ids {
+		if w.died[i].IsZero() || w.now.Sub(w.died[i]) < listLag {
+			ids = append(ids, id)
+		}
+	}
+
+	return ids
+}
+
+// kill takes a host away. What it had running goes on without it.
+func (w *world) kill(host int) {
+	w.died[host] = w.now
+
+	for _, c := range w.callers {
+		if c.host != host || c.phase == idle {
+			continue
+		}
+
+		if c.phase == running && c.crashes {
+			w.orphans = append(w.orphans, orphan{c.f, c.target, c.end})
+		}
+
+		c.phase, c.at = idle, w.later(500*time.Millisecond)
+	}
+}
+
 func (w *world) view() quarantine.View {
-	v := quarantine.View{Hosts: w.ids}
+	v := quarantine.View{Hosts: w.listed()}
 
 	for _, id := range w.up() {
 		n := 0
@@ -156,11 +201,30 @@
 	w.steps++
 	w.exchange()
 
+	if next := time.Duration(w.killed+1) * killEvery; w.killed < w.kills && w.now.Sub(epoch) >= next {
+		w.kill(w.killed)
+		w.killed++
+	}
+
+	w.orphans = slices.DeleteFunc(w.orphans, func(o orphan) bool {
+		if w.now.Before(o.end) {
+			return false
+		}
+
+		w.crash(o.f, o.target)
+
+		return true
+	})
+
 	for _, c := range w.callers {
 		w.advance(c)
 	}
 
 	for i, h := range w.hosts {
+		if !w.died[i].IsZero() {
+			continue
+		}
+
 		h.Tick(w.now)
 
 		for _, tr := range h.Trials(w.now, w.view()) {
@@ -175,7 +239,7 @@
 func (w *world) exchange() {
 	for from := range w.hosts {
 		for to := range w.hosts {
-			if from == to || (w.steps+from)%heartbeatSteps != 0 {
+			if from == to || !w.died[from].IsZero() || (w.steps+from)%heartbeatSteps != 0 {
 				continue
 			}
 
@@ -203,7 +267,7 @@
 	switch c.phase {
 	case idle:
 		if !w.now.Before(c.at) {
-			c.host = w.rnd.Intn(len(w.hosts))
+			c.host = w.killed + w.rnd.Intn(len(w.hosts)-w.killed)
 			w.try(c)
 		}
 	case waiting:
@@ -218,9 +282,9 @@
 			c.phase, c.held = holding, w.now
 		}
 	case holding:
-		known := h.Settled(c.f, w.ids)
+		known := h.Settled(c.f, w.listed())
 		if w.parts > 1 {
-			known = h.Told(w.now, c.f, w.ids)
+			known = h.Told(w.now, c.f, w.listed())
 		}
 
 		if known && w.now.Sub(c.held) > 3*time.Second {
@@ -265,11 +329,16 @@
 		return
 	}
 
-	w.lost[c.f]++
-	w.downTo[c.target] = w.now.Add(4 * time.Second)
+	w.crash(c.f, c.target)
+}
+
+// crash takes a target down on account of f.
+func (w *world) crash(f quarantine.Fingerprint, target table.TargetID) {
+	w.lost[f]++
+	w.downTo[target] = w.now.Add(4 * time.Second)
 
 	for _, other := range w.callers {
-		if other.phase == running && other.target == c.target {
+		if other.phase == running && other.target == target {
 			other.phase = cut
 			other.end = w.later(time.Second)
 		}
