--- a/internal/control/admission/options.go
+++ b/internal/control/admission/options.go
@@ -9,7 +9,7 @@
 const (
 	defaultHorizon             = 250 * time.Millisecond
 	defaultAccountBurst        = 2 * time.Second
-	defaultMaxQueued           = 16384
+	defaultMaxQueued           = 8192
 	defaultMaxQueuedPerAccount = 256
 	defaultUrgentWait          = 500 * time.Millisecond
 	defaultOrdinaryWait        = 4 * time.Second
--- a/internal/control/admission/property_test.go
+++ b/internal/control/admission/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -193,3 +194,45 @@
 		})
 	}
 }
+
+// With all queues full of work of 5,600 accounts, the controller stays under half of the 32 MB that
+// a node may spend on control.
+func TestMemoryOfFullQueues(t *testing.T) {
+	const (
+		accounts = 5600
+		most     = 16 << 20
+	)
+
+	works := make([]admission.Work, 60_000)
+	for i := range works {
+		works[i] = admission.Work{
+			Request:  table.RequestID(fmt.Sprintf("r%d", i)),
+			Account:  table.AccountID(fmt.Sprintf("account-%d", i%accounts)),
+			Urgency:  table.Urgency(i % table.UrgencyCount),
+			Deadline: epoch.Add(10 * time.Minute),
+		}
+	}
+
+	var before, after runtime.MemStats
+
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+
+	c := admission.New(admission.Options{MaxWait: [table.UrgencyCount]time.Duration{time.Hour, time.Hour, time.Hour}})
+	c.SetCapacity(admission.Capacity{Slots: 1})
+
+	for _, w := range works {
+		c.Offer(epoch, w)
+	}
+
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+
+	stats := c.Stats()
+	queued := stats.Queued[0] + stats.Queued[1] + stats.Queued[2]
+	used := int(after.HeapAlloc - before.HeapAlloc)
+	t.Logf("%d queued of %d accounts: %.2f MB, %d B each", queued, stats.Accounts, float64(used)/1e6, used/queued)
+	require.Greater(t, queued, 24_000)
+	require.LessOrEqual(t, used, most)
+	runtime.KeepAlive(works)
+}
--- a/internal/measure/burn/codec.go
+++ b/internal/measure/burn/codec.go
@@ -15,7 +15,7 @@
 
 const (
 	// maxDecodedBytes bounds what an encoded ledger may unpack to.
-	maxDecodedBytes = 64 << 20
+	maxDecodedBytes = 32 << 20
 	// flushMemory is how long an object remembers a host's last flush.
 	flushMemory = 24 * time.Hour
 )
