Reckon Retry-After of patient work from its own deadline

Cause: it was reckoned from the default wait of ten minutes where a work's deadline lay beyond it: "6m6.28s" is not less than or equal to "3s" for a queue that was one second too long for 20 minutes. Now by latest start alone, which already takes the nearer of the two for the other urgencies.

Ruled out: capping it lower, which hides the error and sends callers early.

--- a/internal/control/admission/load_test.go
+++ b/internal/control/admission/load_test.go
@@ -184,3 +184,27 @@
 	require.False(t, longer.Accepted)
 	require.Greater(t, longer.RetryAfter, refusals[0].RetryAfter)
 }
+
+// The RetryAfter of patient work is what its wait exceeds its own deadline by, however long that
+// is.
+func TestRetryAfterOfPatientWorkGoesByItsDeadline(t *testing.T) {
+	const within = 20 * time.Minute
+
+	c := admission.New(admission.Options{MaxQueuedPerAccount: 10_000})
+	c.SetCapacity(admission.Capacity{PrefillPerSecond: 1000, Slots: 10})
+
+	for i := range 10_000 {
+		d := c.Offer(epoch, admission.Work{
+			Request: table.RequestID(fmt.Sprint(i)), Urgency: table.Patient, Prefill: 1000, Deadline: epoch.Add(within),
+		})
+
+		if !d.Accepted {
+			// One more second of work than fits, at the nine tenths that are sure to be left.
+			require.LessOrEqual(t, d.RetryAfter, 3*time.Second)
+
+			return
+		}
+	}
+
+	t.Fatal("nothing was refused")
+}
--- a/internal/control/admission/room.go
+++ b/internal/control/admission/room.go
@@ -189,9 +189,9 @@
 // retryAfter returns the time after which the queue has room for it: the part of its wait that
 // exceeds what it can afford.
 func (c *Controller) retryAfter(now time.Time, l *lane, it *item) time.Duration {
-	affordable := min(it.latestStart.Sub(it.work.Arrived), c.opts.MaxWait[l.urgency])
+	affordable := max(0, it.latestStart.Sub(it.work.Arrived))
 
-	return spread(it.work.Request, c.wait(now, l, it)-max(0, affordable))
+	return spread(it.work.Request, c.wait(now, l, it)-affordable)
 }
 
 // spread bounds d and lengthens it by up to a quarter, by the request's id, so that callers that
