Judge a cut engine by the run of its process that took the request

Cause: a load report after the restart of a crashed engine was the first one that a host heard, so the new boot id passed for the old one and the report proved the crashed engine alive; its request was then tried a third time. Ruled out: the peers' digests (the third run came from the host that had recorded the first loss) and the runner's resumes (they run nothing). Change: the guard keeps the boot id at the start of each run; only an answer with that id, to a question put after the cut, proves the engine alive. Loads are polled at once when the first configuration comes.

--- a/internal/entry/loads/table.go
+++ b/internal/entry/loads/table.go
@@ -15,6 +15,7 @@
 	defaultEvery = time.Second
 	pollBound    = 800 * time.Millisecond
 	pollers      = 16
+	firstWait    = 50 * time.Millisecond
 )
 
 // Engines fetches load reports.
@@ -71,20 +72,26 @@
 func (t *Table) run(ctx context.Context) {
 	defer close(t.done)
 
-	tick := t.opts.Clock.NewTicker(t.opts.Every)
-	defer tick.Stop()
-
 	for {
 		t.poll(ctx)
 
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.Chan():
+		case <-t.opts.Clock.After(t.wait()):
 		}
 	}
 }
 
+// wait returns the time to the next poll, short while there is no configuration yet.
+func (t *Table) wait() time.Duration {
+	if len(t.opts.Targets()) == 0 {
+		return min(firstWait, t.opts.Every)
+	}
+
+	return t.opts.Every
+}
+
 // poll asks this host's share of the engines once.
 func (t *Table) poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, pollBound)
--- a/internal/entry/suspects/guard.go
+++ b/internal/entry/suspects/guard.go
@@ -31,11 +31,25 @@
 
 	mu      sync.Mutex
 	tables  map[table.Model]*quarantine.Table
-	boots   map[table.TargetID]string    // run of the target's process at the last report
-	cuts    map[table.TargetID]time.Time // last run that a target broke off, until its fate is known
+	boots   map[table.TargetID]string // run of the target's process at the last report
+	cuts    map[table.TargetID]cut    // runs that a target broke off, until its fate is known
+	begun   map[run]string            // boot id of the target at the start of each run
 	waiting map[quarantine.Fingerprint]chan table.TargetID
 }
 
+// run is one request on one target.
+type run struct {
+	fingerprint quarantine.Fingerprint
+	target      table.TargetID
+}
+
+// cut is the last run that a target broke off. Boot is the target's boot id when the run began;
+// empty where it is not known or several runs differ.
+type cut struct {
+	at   time.Time
+	boot string
+}
+
 // New returns a Guard that suspects nothing.
 func New(opts Options) *Guard {
 	if opts.Clock == nil {
@@ -45,7 +59,7 @@
 	opts.Quarantine.Self = opts.Self
 
 	return &Guard{
-		opts: opts, tables: map[table.Model]*quarantine.Table{}, boots: map[table.TargetID]string{}, cuts: map[table.TargetID]time.Time{},
+		opts: opts, tables: map[table.Model]*quarantine.Table{}, boots: map[table.TargetID]string{}, cuts: map[table.TargetID]cut{}, begun: map[run]string{},
 		waiting: map[quarantine.Fingerprint]chan table.TargetID{},
 	}
 }
@@ -104,6 +118,8 @@
 
 		select {
 		case trial := <-granted:
+			g.began(f, trial)
+
 			return trial, nil
 		case <-g.opts.Clock.After(askEvery):
 		case <-ctx.Done():
@@ -124,6 +140,9 @@
 	}
 
 	ruling := g.of(model).Begin(g.opts.Clock.Now(), f, target)
+	if ruling.Action == quarantine.Run {
+		g.begun[run{f, target}] = g.boots[target]
+	}
 
 	if ruling.Action == quarantine.Wait && !ok {
 		granted = make(chan table.TargetID, 1)
@@ -133,6 +152,13 @@
 	return granted, ruling
 }
 
+func (g *Guard) began(f quarantine.Fingerprint, target table.TargetID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	g.begun[run{f, target}] = g.boots[target]
+}
+
 // leave gives back a trial that was granted to a request that no longer waits.
 func (g *Guard) leave(model table.Model, f quarantine.Fingerprint, granted chan table.TargetID) {
 	g.mu.Lock()
@@ -153,11 +179,23 @@
 	defer g.mu.Unlock()
 
 	end, now := endOf(ctx, err), g.opts.Clock.Now()
+	this := run{fingerprintOf(req), target}
+
 	if end == quarantine.Cut {
-		g.cuts[target] = now
+		g.noteCut(now, target, g.begun[this])
+	}
+
+	delete(g.begun, this)
+	g.of(req.Kind.Model).Ended(now, this.fingerprint, target, end)
+}
+
+// noteCut notes that target broke off a run; the caller holds mu.
+func (g *Guard) noteCut(now time.Time, target table.TargetID, boot string) {
+	if last, ok := g.cuts[target]; ok && last.boot != boot {
+		boot = ""
 	}
 
-	g.of(req.Kind.Model).Ended(now, fingerprintOf(req), target, end)
+	g.cuts[target] = cut{at: now, boot: boot}
 }
 
 // Doubted reports whether target broke off a run and has not answered since.
@@ -204,18 +242,19 @@
 
 	last, known := g.boots[target]
 	cut, doubted := g.cuts[target]
+	doubted = doubted && cut.boot != ""
 	g.boots[target] = boot
 
 	if !known {
 		return false
 	}
 
-	if last == boot {
-		if doubted && asked.After(cut) {
-			delete(g.cuts, target)
-			g.of(model).Alive(target)
-		}
+	if doubted && cut.boot == boot && asked.After(cut.at) {
+		delete(g.cuts, target)
+		g.of(model).Alive(target)
+	}
 
+	if last == boot {
 		return false
 	}
 
