Gather a burn report from the platform and the live hosts

Cause: whoever serves GET /v1/burn needs one call that adds the saved ledgers and what live hosts have not saved, and that names what it could not read. Timing.Late judges an answer by its objective.

Ruled out: failing the whole report for one silent host or data centre.

TestGather: platform well 2 good 1 bad, platform down 1 and 1 with the data centre named as missing, the silent host named in both.

--- a/internal/measure/burn/burn_test.go
+++ b/internal/measure/burn/burn_test.go
@@ -183,6 +183,24 @@
 	}
 }
 
+func TestLate(t *testing.T) {
+	o := table.Objective{FirstToken: time.Second, BetweenTokens: 64 * time.Millisecond}
+
+	tests := []struct {
+		timing burn.Timing
+		want   bool
+	}{
+		{burn.Timing{}, false},
+		{burn.Timing{FirstToken: time.Second, BetweenTokens: 64 * time.Millisecond, Total: time.Hour}, false},
+		{burn.Timing{FirstToken: time.Second + 1}, true},
+		{burn.Timing{BetweenTokens: 65 * time.Millisecond}, true},
+	}
+
+	for _, tt := range tests {
+		require.Equal(t, tt.want, tt.timing.Late(o), tt.timing)
+	}
+}
+
 // accounts is the number of client accounts of the size to design for.
 const accounts = 5600
 
--- a/internal/measure/burn/event.go
+++ b/internal/measure/burn/event.go
@@ -2,7 +2,9 @@
 
 import (
 	"slices"
+	"time"
 
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
@@ -75,6 +77,20 @@
 	}
 }
 
+// Timing is how long a whole answer took.
+type Timing struct {
+	FirstToken    time.Duration // from arrival to the first output token
+	BetweenTokens time.Duration // mean between output tokens
+	Total         time.Duration // from arrival to the end
+}
+
+// Late reports whether t misses a bound of o. A zero bound is none.
+func (t Timing) Late(o table.Objective) bool {
+	return exceeds(t.FirstToken, o.FirstToken) || exceeds(t.BetweenTokens, o.BetweenTokens) || exceeds(t.Total, o.Total)
+}
+
+func exceeds(d, bound time.Duration) bool { return bound > 0 && d > bound }
+
 func ofAnswer(late, changing bool) Event {
 	switch {
 	case late && changing:
--- a/internal/measure/burn/saver_test.go
+++ b/internal/measure/burn/saver_test.go
@@ -136,6 +136,63 @@
 	require.Equal(t, recorded, total(t, clock.Now(), store.View()))
 }
 
+// source is a live host; a nil saver gives no answer.
+type source struct {
+	host  table.HostID
+	saver *burn.Saver
+}
+
+func (s source) Host() table.HostID { return s.host }
+
+func (s source) Pending(context.Context) (*burn.Ledger, error) {
+	if s.saver == nil {
+		return nil, burn.Error.New("silent")
+	}
+
+	return s.saver.Pending(), nil
+}
+
+// A report holds what is saved and what live hosts have not saved, and names what it lacks.
+func TestGather(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(epoch)
+	store := standin.NewStore(clock)
+	a, countsA := newSaver("a", clock, store.View())
+	b, countsB := newSaver("b", clock, store.View())
+
+	countsA.Record(epoch, grade, burn.Good)
+	require.NoError(t, a.Flush(t.Context()))
+	countsA.Record(epoch, grade, burn.Late)
+	countsB.Record(epoch, grade, burn.Good)
+
+	view := store.View()
+	o := burn.GatherOptions{
+		Store: view, Centres: []table.DataCentre{centre},
+		Sources: []burn.Source{source{"a", a}, source{"b", b}, source{"c", nil}},
+	}
+
+	tests := []struct {
+		name      string
+		down      bool
+		good, bad uint64
+		missing   []table.DataCentre
+	}{
+		{"platform well", false, 2, 1, nil},
+		{"platform down", true, 1, 1, []table.DataCentre{centre}},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			view.SetFaults(standin.Faults{Down: tt.down})
+
+			r := burn.Gather(t.Context(), epoch, o)
+			require.Equal(t, []uint64{tt.good, tt.bad}, []uint64{r.Good, r.Bad})
+			require.Equal(t, tt.missing, r.Missing)
+			require.Equal(t, []table.HostID{"c"}, r.Silent)
+			require.Equal(t, 2, r.Hosts)
+		})
+	}
+}
+
 // The objects of a data centre at the size to design for, with three days of every account and
 // cause in each, stay under the platform's bound on a value.
 func TestObjectsStayUnderTheBound(t *testing.T) {
