--- /dev/null
+++ b/internal/control/authority/record.go
@@ -0,0 +1,56 @@
+package authority
+
+import (
+	"slices"
+
+	"github.com/zeebo/errs"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("authority")
+
+// Record is the value of the lease object of one data centre. The zero value is a lease that
+// nobody has held yet.
+type Record struct {
+	Fence   table.Fence  `json:"fence"`
+	Holder  table.HostID `json:"holder,omitempty"`  // empty once released
+	Address string       `json:"address,omitempty"` // of the holder, as in the platform's host list
+	Nonce   string       `json:"nonce,omitempty"`   // one per Machine
+	Attempt uint64       `json:"attempt,omitempty"` // numbers the writes of one Machine
+	Former  []Former     `json:"former,omitempty"`  // ordered by fence
+}
+
+// Former is an earlier holder of which it is not known that it has stopped sending orders.
+type Former struct {
+	Fence   table.Fence  `json:"fence"`
+	Host    table.HostID `json:"host"`
+	Address string       `json:"address"`
+}
+
+// Key returns the key of the lease object of dc.
+func Key(dc table.DataCentre) platform.Key {
+	return platform.Key("authority/" + string(dc))
+}
+
+// Cleared reports whether no order with the fencing number fence can still be on its way: its
+// holder acknowledged the loss, or its host is gone, or an operator confirmed that.
+func (r Record) Cleared(fence table.Fence) bool {
+	if fence >= r.Fence {
+		return false
+	}
+
+	return !slices.ContainsFunc(r.Former, func(f Former) bool { return f.Fence == fence })
+}
+
+// WithoutFormer returns r without the former holders that drop selects. It leaves r unchanged.
+func (r Record) WithoutFormer(drop func(Former) bool) Record {
+	r.Former = slices.DeleteFunc(slices.Clone(r.Former), drop)
+	if len(r.Former) == 0 {
+		r.Former = nil
+	}
+
+	return r
+}
