Carry out planned changes from the platform's record

What was ruled out: one object per plan (a list call and as many writes; one object per data centre lets racing operators conflict in one place); counting on the hosts' word alone right after a takeover (found below). Change: control/plans (Advance and Actions without I/O, Declare and Cancel, Runner); table.Target.Gated says that an engine closes its own admission and counts its requests; orders.Engine is what the holder knows of one engine; control/ticker serves the three runners.

Found while testing: a new holder that had not asked the engine yet took the hosts' zero for the whole count, while the engine still ran a request of the host that had died: TestPlanSurvivesItsCarrier, expected "waiting", actual "done". The engine's own answer is now waited for, unless it is silent for 30 s.

--- a/internal/control/authority/runner.go
+++ b/internal/control/authority/runner.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/control/ticker"
 	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
 )
 
@@ -81,18 +82,7 @@
 	defer close(r.done)
 	defer r.lease.Store(&Lease{})
 
-	ticker := r.clock.NewTicker(tickInterval)
-	defer ticker.Stop()
-
-	for {
-		r.step(ctx)
-
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
-	}
+	ticker.Run(ctx, r.clock, tickInterval, r.step)
 }
 
 func (r *Runner) step(ctx context.Context) {
--- a/internal/control/orders/machine.go
+++ b/internal/control/orders/machine.go
@@ -105,6 +105,7 @@
 
 	stated  bool // state was answered under the present fence
 	state   State
+	silent  time.Time // since when it does not answer
 	askAt   time.Time
 	quietAt time.Time // until then a failed Send may still arrive
 }
@@ -170,6 +171,9 @@
 	Intent   Intent
 	Stated   bool // State was answered under the present authority
 	State    State
+	// Silent is since when questions under the present authority fail; zero if the last one did
+	// not or none was asked.
+	Silent time.Time
 }
 
 // Settled reports whether the engine came to have s by an order that was settled.
@@ -189,6 +193,7 @@
 		Intent:   e.intent,
 		Stated:   e.stated,
 		State:    e.state,
+		Silent:   e.silent,
 	}
 }
 
@@ -202,7 +207,7 @@
 		m.fence = l.Fence
 
 		for _, e := range m.entries {
-			e.loaded, e.stated = false, false
+			e.loaded, e.stated, e.silent = false, false, time.Time{}
 		}
 	}
 
@@ -276,4 +281,11 @@
 	e.askAt = now.Add(m.opts.Ask)
 	e.stated = err == nil && f == m.fence
 	e.state = s
+
+	switch {
+	case f != m.fence || err == nil:
+		e.silent = time.Time{}
+	case e.silent.IsZero():
+		e.silent = now
+	}
 }
--- a/internal/control/orders/runner.go
+++ b/internal/control/orders/runner.go
@@ -10,6 +10,7 @@
 
 	"github.com/dotterelflow/dotterelflow/internal/control/authority"
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/control/ticker"
 	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
 )
 
@@ -114,10 +115,7 @@
 	defer close(r.done)
 	defer calls.Wait()
 
-	ticker := r.clock.NewTicker(tickInterval)
-	defer ticker.Stop()
-
-	for {
+	ticker.Run(ctx, r.clock, tickInterval, func(ctx context.Context) {
 		r.mu.Lock()
 		actions := r.machine.Tick(r.clock.Now(), r.lease())
 		r.mu.Unlock()
@@ -125,13 +123,7 @@
 		for _, a := range actions {
 			calls.Go(func() { r.carryOut(ctx, a) })
 		}
-
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
-	}
+	})
 }
 
 func (r *Runner) carryOut(ctx context.Context, a Action) {
--- /dev/null
+++ b/internal/control/plans/advance_test.go
@@ -0,0 +1,138 @@
+package plans_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/orders"
+	"github.com/dotterelflow/dotterelflow/internal/control/plans"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	standin "github.com/dotterelflow/dotterelflow/internal/standin/platform"
+)
+
+var (
+	now    = time.Unix(1_000_000, 0)
+	open   = orders.Setting{Role: table.Mixed}
+	closed = orders.Setting{Role: table.Mixed, Admission: orders.Closed}
+)
+
+// at returns an engine that has s by a settled order, with n requests in flight.
+func at(s orders.Setting, n int) orders.Engine {
+	return orders.Engine{
+		Recorded: true, Intent: orders.Intent{Order: orders.Order{Setting: s, Number: 1}},
+		Stated: true, State: orders.State{Setting: s, InFlight: n},
+	}
+}
+
+func TestAdvance(t *testing.T) {
+	heard := plans.Host{ID: "h1", Acked: 5}
+	busy := plans.Host{ID: "h1", Acked: 5, InFlight: map[table.TargetID]int{"gated": 1, "bare": 1}, Open: 2}
+	unheard := plans.Host{ID: "h2", Acked: 4}
+	gone := plans.Host{ID: "h2", Gone: true}
+
+	tests := []struct {
+		name   string
+		target table.TargetID
+		phase  plans.Phase
+		age    time.Duration
+		cancel bool
+		hosts  []plans.Host
+		engine orders.Engine
+		want   plans.Phase
+	}{
+		{"gate order not on record", "gated", plans.Declared, 0, false, nil, at(open, 0), plans.Declared},
+		{"gate order can't be recorded", "gated", plans.Declared, time.Second, false, nil, at(open, 0), plans.Closing},
+		{"gate order on record", "gated", plans.Declared, 0, false, nil, at(closed, 0), plans.Closing},
+		{"no gate", "bare", plans.Declared, 0, false, nil, orders.Engine{}, plans.Closing},
+		{"gate shut, host unheard", "gated", plans.Closing, 0, false, []plans.Host{heard, unheard}, at(closed, 1), plans.Waiting},
+		{"gate open, host unheard", "gated", plans.Closing, 0, false, []plans.Host{heard, unheard}, at(open, 0), plans.Closing},
+		{"gate open, all heard", "gated", plans.Closing, 0, false, []plans.Host{heard}, at(open, 0), plans.Waiting},
+		{"no gate, host unheard", "bare", plans.Closing, 0, false, []plans.Host{heard, unheard}, orders.Engine{}, plans.Closing},
+		{"no gate, host gone", "bare", plans.Closing, 0, false, []plans.Host{heard, gone}, orders.Engine{}, plans.Waiting},
+		{"engine counts one", "gated", plans.Waiting, 0, false, []plans.Host{heard, unheard}, at(closed, 1), plans.Waiting},
+		{"host counts one", "gated", plans.Waiting, 0, false, []plans.Host{busy}, at(closed, 0), plans.Waiting},
+		{"gate shut, none in flight", "gated", plans.Waiting, 0, false, []plans.Host{heard, unheard}, at(closed, 0), plans.Ordering},
+		{"gate open again, host unheard", "gated", plans.Waiting, 0, false, []plans.Host{heard, unheard}, at(open, 0), plans.Waiting},
+		{"engine down, host unheard", "gated", plans.Waiting, 0, false, []plans.Host{heard, unheard}, orders.Engine{}, plans.Waiting},
+		{"engine not asked yet", "gated", plans.Waiting, 0, false, []plans.Host{heard}, orders.Engine{}, plans.Waiting},
+		{"engine silent for a moment", "gated", plans.Waiting, 0, false, []plans.Host{heard}, orders.Engine{Silent: now}, plans.Waiting},
+		{"engine down, none in flight", "gated", plans.Waiting, time.Minute, false, []plans.Host{heard}, orders.Engine{Silent: now}, plans.Ordering},
+		{"engine down, host counts one", "gated", plans.Waiting, time.Minute, false, []plans.Host{busy}, orders.Engine{Silent: now}, plans.Waiting},
+		{"no gate, late host unheard", "bare", plans.Waiting, 0, false, []plans.Host{heard, unheard}, orders.Engine{}, plans.Waiting},
+		{"no gate, host counts one", "bare", plans.Waiting, 0, false, []plans.Host{busy}, orders.Engine{}, plans.Waiting},
+		{"cancelled while waiting", "gated", plans.Waiting, 0, true, []plans.Host{heard}, at(closed, 1), plans.Reopening},
+		{"cancelled while ordering", "gated", plans.Ordering, 0, true, []plans.Host{heard}, at(closed, 0), plans.Done},
+		{"drain taken back", "gated", plans.Done, 0, true, []plans.Host{heard}, at(closed, 0), plans.Reopening},
+		{"reopened", "gated", plans.Reopening, 0, true, nil, at(open, 0), plans.Cancelled},
+		{"older configuration lacks the target", "none", plans.Declared, 0, false, nil, orders.Engine{}, plans.Declared},
+		{"target left the configuration", "none", plans.Waiting, time.Minute, false, nil, orders.Engine{}, plans.Failed},
+		{"drained target left the configuration", "none", plans.Done, time.Minute, false, nil, orders.Engine{}, plans.Retired},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := plans.List{Generation: 7, Plans: []plans.Plan{{
+				ID: "p", Kind: plans.Drain, Target: tt.target, Phase: tt.phase, Cancel: tt.cancel, From: 5, Since: now, Before: &open,
+			}}}
+			in := plans.Input{
+				Now: now.Add(tt.age), Complete: true, Hosts: tt.hosts,
+				Targets: map[table.TargetID]table.Target{"gated": {ID: "gated", Gated: true}, "bare": {ID: "bare"}},
+				Engines: map[table.TargetID]orders.Engine{"gated": tt.engine},
+			}
+
+			got, changed := plans.Advance(l, in)
+			require.Equal(t, tt.want, got.Plans[0].Phase)
+			require.Equal(t, tt.want != tt.phase, changed)
+			require.Equal(t, tt.phase, l.Plans[0].Phase)
+
+			// Right after a takeover the host list is not known, so no acknowledgement counts.
+			in.Complete = false
+			if p, _ := plans.Advance(l, in); tt.phase == plans.Waiting && !tt.cancel && tt.target != "none" {
+				require.Equal(t, plans.Waiting, p.Plans[0].Phase)
+			}
+		})
+	}
+}
+
+// TestNoOrderToARestartedEngine has the gate open again between the drain and the order.
+func TestNoOrderToARestartedEngine(t *testing.T) {
+	l := plans.List{Generation: 7, Plans: []plans.Plan{{
+		ID: "p", Kind: plans.RoleChange, Target: "gated", Setting: &decode, Phase: plans.Ordering, From: 5, Before: &open,
+	}}}
+	in := plans.Input{
+		Now: now, Complete: true, Hosts: []plans.Host{{ID: "h1"}},
+		Targets: map[table.TargetID]table.Target{"gated": {ID: "gated", Gated: true}},
+		Engines: map[table.TargetID]orders.Engine{"gated": at(closed, 0)},
+	}
+	require.Equal(t, []plans.Action{plans.Order{Target: "gated", Setting: decode}}, plans.Actions(l, in))
+
+	restarted := at(closed, 1)
+	restarted.State.Admission = orders.Open
+	in.Engines["gated"] = restarted
+	require.Equal(t, []plans.Action{plans.Order{Target: "gated", Setting: closed}}, plans.Actions(l, in))
+}
+
+// TestRacingDeclarations loses an answer and lets operators clash.
+func TestRacingDeclarations(t *testing.T) {
+	ctx := t.Context()
+	store := standin.NewStore(clockwork.NewFakeClock())
+	first, second := store.View(), store.View()
+	drain := plans.Plan{ID: "a", Kind: plans.Drain, Target: "x", By: "ola"}
+
+	first.SetFaults(standin.Faults{LoseAnswer: true})
+	require.NoError(t, plans.Declare(ctx, first, dc, drain, now), "settled by reading back")
+	first.SetFaults(standin.Faults{})
+
+	require.NoError(t, plans.Declare(ctx, second, dc, drain, now), "the very plan again")
+	require.ErrorIs(t, plans.Declare(ctx, second, dc, plans.Plan{ID: "a", Kind: plans.Withdraw, Target: "x"}, now), plans.ErrConflict)
+	require.ErrorIs(t, plans.Declare(ctx, second, dc, plans.Plan{ID: "b", Kind: plans.Withdraw, Target: "x"}, now), plans.ErrConflict)
+	require.ErrorIs(t, plans.Declare(ctx, second, dc,
+		plans.Plan{ID: "c", Kind: plans.Replace, Target: "y", Replacement: "x"}, now), plans.ErrConflict)
+	require.Error(t, plans.Declare(ctx, second, dc, plans.Plan{ID: "d", Kind: "explode", Target: "y"}, now))
+	require.NoError(t, plans.Declare(ctx, second, dc, plans.Plan{ID: "e", Kind: plans.Drain, Target: "y"}, now))
+	require.NoError(t, plans.Cancel(ctx, second, dc, "a"))
+	require.Error(t, plans.Cancel(ctx, second, dc, "z"))
+}
--- /dev/null
+++ b/internal/control/plans/edit.go
@@ -0,0 +1,141 @@
+package plans
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
+)
+
+// maxEdits bounds the tries of one edit against racing ones.
+const maxEdits = 8
+
+// Store is the part of the platform's object API that plans need.
+type Store interface {
+	Get(ctx context.Context, key platform.Key) (platform.Object, error)
+	Put(ctx context.Context, key platform.Key, expect platform.Version, value []byte) (platform.Version, error)
+}
+
+// Declare puts p on record in dc, at the time now. It succeeds if the very plan is there already,
+// as after a lost answer, and fails with ErrConflict if another plan has its id, target or host.
+func Declare(ctx context.Context, s Store, dc table.DataCentre, p Plan, now time.Time) error {
+	if err := p.validate(); err != nil {
+		return err
+	}
+
+	p.Phase, p.Since = Declared, now
+	p.Cancel, p.Before, p.From, p.Reason = false, nil, 0, ""
+
+	return edit(ctx, s, dc, func(l *List) (bool, error) {
+		if old, ok := l.Plan(p.ID); ok {
+			return false, sameOrder(old, p)
+		}
+
+		if i := slices.IndexFunc(l.Plans, p.clashes); i >= 0 {
+			return false, Error.New("plan %s: %w %s", p.ID, ErrConflict, l.Plans[i].ID)
+		}
+
+		l.Plans = append(l.Plans, p)
+
+		return true, nil
+	})
+}
+
+// Cancel takes back the plan id in dc. A plan that already gives its orders goes on; see Phase.
+func Cancel(ctx context.Context, s Store, dc table.DataCentre, id ID) error {
+	return edit(ctx, s, dc, func(l *List) (bool, error) {
+		i := slices.IndexFunc(l.Plans, func(p Plan) bool { return p.ID == id })
+		if i < 0 {
+			return false, Error.New("no plan %s in %s", id, dc)
+		}
+
+		changed := !l.Plans[i].Cancel
+		l.Plans[i].Cancel = true
+
+		return changed, nil
+	})
+}
+
+// clashes reports whether other determines a target or host of p.
+func (p Plan) clashes(other Plan) bool {
+	if !other.holds() {
+		return false
+	}
+
+	if p.Host != "" && p.Host == other.Host {
+		return true
+	}
+
+	return slices.ContainsFunc(p.targets(), func(id table.TargetID) bool {
+		return slices.Contains(other.targets(), id)
+	})
+}
+
+// sameOrder fails unless both plans ask for the same.
+func sameOrder(old, p Plan) error {
+	same := old.Kind == p.Kind && old.Target == p.Target && old.Replacement == p.Replacement && old.Host == p.Host &&
+		(old.Setting == nil) == (p.Setting == nil) && (p.Setting == nil || *old.Setting == *p.Setting)
+	if same {
+		return nil
+	}
+
+	return Error.New("plan %s: %w of the same id", p.ID, ErrConflict)
+}
+
+func edit(ctx context.Context, s Store, dc table.DataCentre, change func(l *List) (bool, error)) error {
+	var err error
+
+	for range maxEdits {
+		var (
+			l       List
+			version platform.Version
+			changed bool
+		)
+
+		l, version, err = read(ctx, s, dc)
+		if err != nil {
+			return err
+		}
+
+		if changed, err = change(&l); err != nil || !changed {
+			return err
+		}
+
+		l.Generation++
+
+		_, err = write(ctx, s, dc, version, l)
+		if err == nil || !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknown) {
+			return err
+		}
+	}
+
+	return Error.Wrap(err)
+}
+
+func read(ctx context.Context, s Store, dc table.DataCentre) (List, platform.Version, error) {
+	var l List
+
+	o, err := s.Get(ctx, Key(dc))
+	if err != nil || o.Version == 0 {
+		return l, o.Version, err
+	}
+
+	if err := json.Unmarshal(o.Value, &l); err != nil {
+		return List{}, 0, Error.New("plans of %s: %w", dc, err)
+	}
+
+	return l, o.Version, nil
+}
+
+func write(ctx context.Context, s Store, dc table.DataCentre, expect platform.Version, l List) (platform.Version, error) {
+	value, err := json.Marshal(l)
+	if err != nil {
+		return 0, Error.Wrap(err)
+	}
+
+	return s.Put(ctx, Key(dc), expect, value)
+}
--- /dev/null
+++ b/internal/control/plans/runner_test.go
@@ -0,0 +1,182 @@
+package plans_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/authority"
+	"github.com/dotterelflow/dotterelflow/internal/control/orders"
+	"github.com/dotterelflow/dotterelflow/internal/control/plans"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	engine "github.com/dotterelflow/dotterelflow/internal/standin/orders"
+	standin "github.com/dotterelflow/dotterelflow/internal/standin/platform"
+)
+
+// site wires the three runners of one host to a single engine.
+type site struct {
+	lease  atomic.Pointer[authority.Runner]
+	orders *orders.Runner
+	plans  atomic.Pointer[plans.Runner]
+	id     table.HostID
+	target table.Target
+	engine *engine.Engine
+	view   *standin.View
+}
+
+func (s *site) Order(_ context.Context, _ table.Target, o orders.Order) (orders.State, error) {
+	return s.engine.Order(o)
+}
+
+func (s *site) State(context.Context, table.Target) (orders.State, error) {
+	return s.engine.State()
+}
+
+func (s *site) Authority() authority.Tick {
+	return authority.Tick{Standby: true, Quiet: s.orders.Quiet()}
+}
+
+func (s *site) Lease() authority.Lease {
+	if r := s.lease.Load(); r != nil {
+		return r.Lease()
+	}
+
+	return authority.Lease{}
+}
+
+func (s *site) Input() plans.Input {
+	return plans.Input{
+		Complete: true,
+		Hosts:    []plans.Host{{ID: s.id, Acked: s.plans.Load().List().Generation}},
+		Targets:  map[table.TargetID]table.Target{s.target.ID: s.target},
+		Engines:  map[table.TargetID]orders.Engine{s.target.ID: s.orders.Engine(s.target.ID)},
+	}
+}
+
+func (s *site) Do(a plans.Action) {
+	if o, ok := a.(plans.Order); ok {
+		s.orders.Want(o.Target, o.Setting)
+	}
+}
+
+// start runs s until the returned function ends it, and all its parts.
+func (s *site) start(ctx context.Context, store *standin.Store) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	clock, view := clockwork.NewRealClock(), store.View()
+	s.view = view
+
+	s.orders = orders.Start(ctx, clock, view, s, s.Lease, dc, orders.Options{})
+	s.orders.SetTargets([]table.Target{s.target})
+	s.lease.Store(authority.Start(ctx, clock, view, s, authority.Options{DataCentre: dc, Host: s.id, Address: string(s.id)}, 1))
+	s.plans.Store(plans.Start(ctx, clock, view, s, dc))
+
+	return func() {
+		cancel()
+		<-s.plans.Load().Done()
+		<-s.lease.Load().Done()
+		<-s.orders.Done()
+	}
+}
+
+// TestPlanSurvivesItsCarrier ends the host that carries out a plan while it waits for a request.
+func TestPlanSurvivesItsCarrier(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		store := standin.NewStore(clockwork.NewRealClock())
+		e := engine.New(clockwork.NewRealClock(), engine.Options{})
+		target := table.Target{ID: "engine", Gated: true}
+
+		first := &site{id: "host-1", target: target, engine: e}
+		stop := first.start(ctx, store)
+
+		require.True(t, e.Admit())
+		require.NoError(t, plans.Declare(ctx, store.View(), dc,
+			plans.Plan{ID: "p", Kind: plans.RoleChange, Target: "engine", Setting: &decode}, time.Now()))
+
+		time.Sleep(20 * time.Second)
+		require.True(t, plans.Leaving(first.plans.Load().List())["engine"])
+		require.False(t, e.Admit())
+		stop()
+
+		second := &site{id: "host-2", target: target, engine: e}
+		stop = second.start(ctx, store)
+
+		time.Sleep(30 * time.Second)
+
+		p, ok := second.plans.Load().List().Plan("p")
+		require.True(t, ok)
+		require.Equal(t, plans.Waiting, p.Phase)
+
+		// The first holder never acknowledged its loss and the engine ignores fencing numbers, but
+		// its last order there was settled, so nothing of it is on its way.
+		e.Finish()
+		time.Sleep(30 * time.Second)
+
+		p, ok = second.plans.Load().List().Plan("p")
+		require.True(t, ok)
+		require.Equal(t, plans.Done, p.Phase)
+
+		got, err := e.State()
+		require.NoError(t, err)
+		require.Equal(t, decode, got.Setting)
+		require.True(t, e.Admit())
+
+		for _, r := range e.Receipts() {
+			require.Zero(t, r.Cut)
+		}
+
+		stop()
+	})
+}
+
+// TestCallsOfADataCentre counts all platform calls of the holder and its standbys while nothing
+// changes.
+func TestCallsOfADataCentre(t *testing.T) {
+	const perSecond = 2.0
+
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore(clockwork.NewRealClock())
+		target := table.Target{ID: "engine", Gated: true}
+		e := engine.New(clockwork.NewRealClock(), engine.Options{})
+
+		var (
+			sites []*site
+			stops []func()
+		)
+
+		for _, id := range []table.HostID{"host-1", "host-2", "host-3"} {
+			s := &site{id: id, target: target, engine: e}
+			stops = append(stops, s.start(t.Context(), store))
+			sites = append(sites, s)
+		}
+
+		count := func() int {
+			n := 0
+
+			for _, s := range sites {
+				c := s.view.Calls()
+				n += c.Gets + c.Puts + c.Lists + c.Hosts
+			}
+
+			return n
+		}
+
+		time.Sleep(time.Minute)
+
+		before := count()
+		time.Sleep(10 * time.Minute)
+
+		got := float64(count()-before) / (10 * time.Minute).Seconds()
+		t.Logf("platform calls of an idle data centre: %.2f/s, bound %.1f/s", got, perSecond)
+		require.Less(t, got, perSecond)
+
+		for _, stop := range stops {
+			stop()
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/plans/sim_test.go
@@ -0,0 +1,398 @@
+package plans_test
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/authority"
+	"github.com/dotterelflow/dotterelflow/internal/control/orders"
+	"github.com/dotterelflow/dotterelflow/internal/control/plans"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	engine "github.com/dotterelflow/dotterelflow/internal/standin/orders"
+	standin "github.com/dotterelflow/dotterelflow/internal/standin/platform"
+)
+
+const (
+	step      = 100 * time.Millisecond
+	tick      = 200 * time.Millisecond // of the holder
+	heartbeat = 500 * time.Millisecond
+	listLag   = 20 * time.Second
+	dc        = table.DataCentre("amman")
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "25")
+	os.Exit(m.Run())
+}
+
+// request is one in flight at a target.
+type request struct {
+	target  table.TargetID
+	arrives time.Time
+	ends    time.Time
+	running bool
+}
+
+// host is an entry host: its traffic, and its part in carrying out plans.
+type host struct {
+	id       table.HostID
+	list     plans.List
+	heard    plans.Host // what the others last heard of it
+	requests []*request
+	cut      bool // hears no other host and is not heard
+	diedAt   time.Time
+	stopped  bool // may end
+
+	orders *orders.Machine
+}
+
+func (h *host) dead() bool { return !h.diedAt.IsZero() }
+
+type world struct {
+	t       require.TestingT
+	rand    *rand.Rand
+	clock   *clockwork.FakeClock
+	store   *standin.Store
+	view    *standin.View
+	targets map[table.TargetID]table.Target
+	engines map[table.TargetID]*engine.Engine
+	plain   int // requests running at the service
+	hosts   []*host
+	orphans []*request // running at engines for hosts that died
+	fence   table.Fence
+	holder  *host
+	freeAt  time.Time // when the next host takes the lease
+	load    float64   // requests a second that each host offers to each target
+	longest time.Duration
+	news    map[table.TargetID]time.Time // last admission of a new request
+	started int
+}
+
+func newWorld(t require.TestingT, seed uint64) *world {
+	clock := clockwork.NewFakeClockAt(time.Unix(1_000_000, 0))
+	w := &world{
+		t: t, clock: clock, rand: rand.New(rand.NewPCG(seed, 1)), store: standin.NewStore(clock),
+		targets: map[table.TargetID]table.Target{
+			"engine":  {ID: "engine", Gated: true, ChecksFencing: true},
+			"spare":   {ID: "spare", Gated: true},
+			"bare":    {ID: "bare"}, // an engine without a gate
+			"service": {ID: "service", Type: table.Service},
+		},
+		engines: map[table.TargetID]*engine.Engine{},
+		load:    0.5, longest: 40 * time.Second,
+		news: map[table.TargetID]time.Time{},
+	}
+	w.view = w.store.View()
+
+	for _, id := range []table.TargetID{"engine", "spare", "bare"} {
+		w.engines[id] = engine.New(clock, engine.Options{ChecksFencing: w.targets[id].ChecksFencing, Change: 3 * time.Second})
+	}
+
+	for range 3 {
+		w.start()
+	}
+
+	return w
+}
+
+func (w *world) start() {
+	w.started++
+	h := &host{id: table.HostID(fmt.Sprint("host-", w.started)), orders: orders.NewMachine(orders.Options{})}
+
+	// A host is ready once it has the plans, from the platform or from a host that it hears.
+	for _, o := range w.hosts {
+		if o.list.Generation > h.list.Generation {
+			h.list = o.list
+		}
+	}
+
+	var engines []table.Target
+
+	for _, id := range []table.TargetID{"engine", "spare", "bare"} {
+		engines = append(engines, w.targets[id])
+	}
+
+	h.orders.SetTargets(w.clock.Now(), engines)
+	w.hosts = append(w.hosts, h)
+}
+
+func (w *world) kill(h *host) {
+	h.diedAt = w.clock.Now()
+
+	// Engines go on with what they run for callers that come back for it.
+	for _, r := range h.requests {
+		switch {
+		case !w.targets[r.target].Gated:
+			w.end(r)
+		case r.running:
+			w.orphans = append(w.orphans, r)
+		}
+	}
+
+	h.requests = nil
+
+	if h == w.holder {
+		w.holder, w.freeAt = nil, w.clock.Now().Add(12*time.Second)
+	}
+
+	w.start()
+}
+
+func (w *world) run(d time.Duration, check func()) {
+	for end := w.clock.Now().Add(d); w.clock.Now().Before(end); {
+		w.clock.Advance(step)
+		w.elect()
+		w.orphans = slices.DeleteFunc(w.orphans, w.ended)
+
+		for _, h := range w.hosts {
+			if !h.dead() {
+				w.traffic(h)
+			}
+		}
+
+		if w.holder != nil && w.clock.Now().UnixMilli()%tick.Milliseconds() == 0 {
+			w.carry(w.holder)
+		}
+
+		w.gossip()
+		check()
+	}
+}
+
+func (w *world) elect() {
+	if w.holder != nil || w.clock.Now().Before(w.freeAt) {
+		return
+	}
+
+	for _, h := range w.hosts {
+		if !h.dead() && !h.cut {
+			w.fence++
+			w.holder = h
+
+			return
+		}
+	}
+}
+
+// traffic takes the requests of h one step further and sends new ones by its view of the plans.
+func (w *world) traffic(h *host) {
+	now := w.clock.Now()
+
+	h.requests = slices.DeleteFunc(h.requests, func(r *request) bool {
+		if !r.running && !now.Before(r.arrives) {
+			r.running = true
+
+			if !w.admit(r) {
+				return true // refused as not run
+			}
+		}
+
+		return w.ended(r)
+	})
+
+	if plans.LeavingHosts(h.list)[h.id] {
+		return
+	}
+
+	leaving := plans.Leaving(h.list)
+
+	for _, id := range []table.TargetID{"engine", "spare", "bare", "service"} {
+		if leaving[id] || w.rand.Float64() > w.load*step.Seconds() {
+			continue
+		}
+
+		takes := time.Duration(w.rand.Int64N(int64(w.longest)))
+		arrives := now.Add(time.Duration(w.rand.IntN(3)) * step)
+		h.requests = append(h.requests, &request{target: id, arrives: arrives, ends: arrives.Add(takes)})
+	}
+}
+
+func (w *world) admit(r *request) bool {
+	if e, ok := w.engines[r.target]; !ok {
+		w.plain++
+	} else if !e.Admit() {
+		return false
+	}
+
+	w.news[r.target] = w.clock.Now()
+
+	return true
+}
+
+// ended ends r if its time has come.
+func (w *world) ended(r *request) bool {
+	if !r.running || w.clock.Now().Before(r.ends) {
+		return false
+	}
+
+	w.end(r)
+
+	return true
+}
+
+func (w *world) end(r *request) {
+	if !r.running {
+		return
+	}
+
+	if e, ok := w.engines[r.target]; ok {
+		e.Finish()
+	} else {
+		w.plain--
+	}
+}
+
+// gossip passes plans and acknowledgements between the hosts that hear each other.
+func (w *world) gossip() {
+	if w.clock.Now().UnixMilli()%heartbeat.Milliseconds() != 0 {
+		return
+	}
+
+	var newest plans.List
+
+	for _, h := range w.hosts {
+		if !h.dead() && !h.cut && h.list.Generation > newest.Generation {
+			newest = h.list
+		}
+	}
+
+	for _, h := range w.hosts {
+		if h.dead() || h.cut {
+			continue
+		}
+
+		if newest.Generation > h.list.Generation {
+			h.list = newest
+		}
+
+		h.heard = plans.Host{ID: h.id, Acked: h.list.Generation, InFlight: map[table.TargetID]int{}, Open: len(h.requests)}
+		for _, r := range h.requests {
+			h.heard.InFlight[r.target]++
+		}
+	}
+}
+
+func (w *world) input(h *host) plans.Input {
+	in := plans.Input{Now: w.clock.Now(), Complete: true, Targets: w.targets, Engines: map[table.TargetID]orders.Engine{}}
+
+	for _, o := range w.hosts {
+		heard := o.heard
+		heard.ID = o.id
+		heard.Gone = o.dead() && w.clock.Since(o.diedAt) >= listLag
+		in.Hosts = append(in.Hosts, heard)
+	}
+
+	for id := range w.engines {
+		in.Engines[id] = h.orders.Engine(id)
+	}
+
+	return in
+}
+
+// carry lets h carry out the plans, as a Runner does.
+func (w *world) carry(h *host) {
+	now := w.clock.Now()
+	o, err := w.view.Get(context.Background(), plans.Key(dc))
+
+	if err == nil && o.Version != 0 {
+		var l plans.List
+
+		require.NoError(w.t, json.Unmarshal(o.Value, &l))
+		h.list = l
+
+		in := w.input(h)
+		if next, changed := plans.Advance(l, in); changed {
+			if _, err := w.view.Put(context.Background(), plans.Key(dc), o.Version, encode(w.t, next)); err == nil {
+				h.list = next
+			}
+		}
+	}
+
+	for _, a := range plans.Actions(h.list, w.input(h)) {
+		switch a := a.(type) {
+		case plans.Order:
+			h.orders.Want(a.Target, a.Setting)
+		case plans.Stop:
+			w.stop(a.Host)
+		}
+	}
+
+	l := authority.Lease{Fence: w.fence, Until: now.Add(time.Second), Record: authority.Record{Fence: w.fence}}
+	for _, a := range h.orders.Tick(now, l) {
+		w.give(h, a)
+	}
+}
+
+func (w *world) stop(id table.HostID) {
+	for _, h := range w.hosts {
+		if h.id == id && !h.stopped {
+			require.Empty(w.t, h.requests, "%s stops with requests in flight", id)
+			h.stopped = true
+		}
+	}
+}
+
+func (w *world) give(h *host, a orders.Action) {
+	now, ctx := w.clock.Now(), context.Background()
+
+	switch a := a.(type) {
+	case orders.ReadIntent:
+		var i orders.Intent
+
+		o, err := w.view.Get(ctx, orders.Key(dc, a.Target))
+		if err == nil && o.Version != 0 {
+			require.NoError(w.t, json.Unmarshal(o.Value, &i))
+		}
+
+		h.orders.Loaded(now, a, i, o.Version, err)
+	case orders.WriteIntent:
+		v, err := w.view.Put(ctx, orders.Key(dc, a.Target), a.Expect, encode(w.t, a.Intent))
+		h.orders.Written(now, a, v, err)
+	case orders.Ask:
+		s, err := w.engines[a.Target].State()
+		h.orders.Answered(now, a, s, err)
+	case orders.Send:
+		s, err := w.engines[a.Target].Order(a.Order)
+		w.requireNoneCut(a.Target)
+		h.orders.Sent(now, a, s, err)
+	}
+}
+
+func (w *world) requireNoneCut(id table.TargetID) {
+	for _, r := range w.engines[id].Receipts() {
+		require.Zero(w.t, r.Cut, "order %+v cut requests at %s", r.Order, id)
+	}
+}
+
+func (w *world) plan(id plans.ID) plans.Plan {
+	o, err := w.store.View().Get(context.Background(), plans.Key(dc))
+	require.NoError(w.t, err)
+
+	var l plans.List
+
+	require.NoError(w.t, json.Unmarshal(o.Value, &l))
+
+	p, ok := l.Plan(id)
+	require.True(w.t, ok)
+
+	return p
+}
+
+func encode(t require.TestingT, v any) []byte {
+	b, err := json.Marshal(v)
+	require.NoError(t, err)
+
+	return b
+}
--- a/internal/control/table/entity.go
+++ b/internal/control/table/entity.go
@@ -125,7 +125,8 @@
 	Model         Model
 	Service       ServiceName
 	Role          Role
-	ChecksFencing bool // refuses an order with an older fencing number
+	ChecksFencing bool // refuses an order with an older fencing number, also after its own restart
+	Gated         bool // an engine that obeys an order to admit nothing and counts its requests in flight
 	Slots         int  // requests that run at a time
 	PrefillRate   Tokens
 	DecodeRate    Tokens
