Let no wish or plan outlive the authority it was read under

The holder died after its order for a role change was obeyed and before it was settled; its successor, which had not read the intent yet, asked for the drained setting again, and the order machine took that up once the intent was settled. What was ruled out: settling without looking at the wish again (a wish of the operator would be lost). Change: in the ordering phase nothing is asked for until the intent is known; a wish names its fencing number and ends with it; the plans runner acts only on a list read under the present authority.

--- a/internal/control/orders/decide_test.go
+++ b/internal/control/orders/decide_test.go
@@ -73,7 +73,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			m, l := takenOver(tt.checks, tt.intent)
-			m.Want("a", settings[2])
+			m.Want(l.Fence, "a", settings[2])
 
 			adopt := m.Tick(start, l)[0].(orders.WriteIntent)
 			require.Equal(t, table.Fence(2), adopt.Intent.Fence)
@@ -105,6 +105,24 @@
 	require.True(t, m.Engine("a").Stated)
 }
 
+// TestWishEndsWithItsAuthority takes the lease again after another holder had it.
+func TestWishEndsWithItsAuthority(t *testing.T) {
+	m, l := takenOver(false, orders.Intent{Order: orders.Order{Fence: 2, Number: 5}})
+	m.Want(l.Fence, "a", settings[0])
+
+	ask := m.Tick(start, l)[0]
+	require.IsType(t, orders.WriteIntent{}, ask)
+	m.Written(start, ask.(orders.WriteIntent), 0, orders.ErrNotSent)
+
+	l.Fence, l.Record.Fence = 4, 4
+	now := start.Add(time.Minute)
+	read := m.Tick(now, l)[0].(orders.ReadIntent)
+	m.Loaded(now, read, orders.Intent{Order: orders.Order{Setting: settings[1], Fence: 4, Number: 7}}, 9, nil)
+
+	m.Want(2, "a", settings[0])
+	require.Equal(t, []orders.Action{orders.Ask{Target: "a", Fence: 4}}, m.Tick(now, l))
+}
+
 func TestQuiet(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/control/orders/machine.go
+++ b/internal/control/orders/machine.go
@@ -146,10 +146,11 @@
 	slices.Sort(m.ids)
 }
 
-// Want states the setting that the engine id shall come to have. It replaces an earlier wish, and
-// does nothing for an unknown engine.
-func (m *Machine) Want(id table.TargetID, s Setting) {
-	if e, ok := m.entries[id]; ok {
+// Want states the setting that the engine id shall come to have, as decided under the fencing
+// number f. It replaces an earlier wish, and does nothing if the engine or f is not the present
+// one: a wish ends with its authority, and is stated again on each tick.
+func (m *Machine) Want(f table.Fence, id table.TargetID, s Setting) {
+	if e, ok := m.entries[id]; ok && f == m.fence {
 		e.wanted = &s
 	}
 }
@@ -207,7 +208,7 @@
 		m.fence = l.Fence
 
 		for _, e := range m.entries {
-			e.loaded, e.stated, e.silent = false, false, time.Time{}
+			e.loaded, e.stated, e.silent, e.wanted = false, false, time.Time{}, nil
 		}
 	}
 
--- a/internal/control/orders/runner.go
+++ b/internal/control/orders/runner.go
@@ -76,12 +76,12 @@
 	}
 }
 
-// Want states the setting that the engine id shall come to have.
-func (r *Runner) Want(id table.TargetID, s Setting) {
+// Want states the setting that the engine id shall come to have, as Machine.Want does.
+func (r *Runner) Want(f table.Fence, id table.TargetID, s Setting) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	r.machine.Want(id, s)
+	r.machine.Want(f, id, s)
 }
 
 // Quiet reports whether no order of this process can still be on its way. It belongs into
--- a/internal/control/orders/runner_test.go
+++ b/internal/control/orders/runner_test.go
@@ -76,9 +76,9 @@
 		first, stop := context.WithCancel(t.Context())
 		lease, given := startHost(first, "host-1", store.View(), d)
 		given.SetTargets(targets)
-		given.Want("a", settings[0])
-
-		time.Sleep(15 * time.Second)
+		time.Sleep(5 * time.Second)
+		given.Want(1, "a", settings[0])
+		time.Sleep(10 * time.Second)
 		require.True(t, given.Engine("a").Settled(settings[0]))
 
 		_, held := lease.Held(time.Now())
@@ -88,7 +88,6 @@
 		second, stopSecond := context.WithCancel(t.Context())
 		other, others := startHost(second, "host-2", store.View(), d)
 		others.SetTargets(targets)
-		others.Want("a", settings[1])
 		time.Sleep(5 * time.Second)
 
 		stop()
@@ -98,11 +97,14 @@
 		_, held = lease.Held(time.Now())
 		require.False(t, held)
 
-		time.Sleep(30 * time.Second)
+		time.Sleep(20 * time.Second)
 
 		fence, held := other.Held(time.Now())
 		require.True(t, held)
 		require.Equal(t, table.Fence(2), fence)
+
+		others.Want(fence, "a", settings[1])
+		time.Sleep(10 * time.Second)
 		require.True(t, others.Engine("a").Settled(settings[1]))
 
 		require.NoError(t, authority.Confirm(t.Context(), store.View(), dc, 1))
--- a/internal/control/orders/sim_test.go
+++ b/internal/control/orders/sim_test.go
@@ -184,7 +184,7 @@
 	}
 
 	for id, s := range w.wanted {
-		h.orders.Want(id, s)
+		h.orders.Want(h.lease.Lease().Fence, id, s)
 	}
 
 	for _, a := range h.orders.Tick(now, h.lease.Lease()) {
--- a/internal/control/plans/action.go
+++ b/internal/control/plans/action.go
@@ -55,7 +55,7 @@
 		return Order{Target: p.Target, Setting: *p.Setting}
 	case p.Phase == Ordering && p.Kind == Replace:
 		return reopen(p, in)
-	case p.Before == nil:
+	case p.Before == nil, p.Phase == Ordering && !in.Engines[p.Target].Recorded:
 		return nil
 	case p.Phase == Reopening:
 		return Order{Target: p.Target, Setting: *p.Before}
--- a/internal/control/plans/advance_test.go
+++ b/internal/control/plans/advance_test.go
@@ -113,6 +113,11 @@
 	restarted.State.Admission = orders.Open
 	in.Engines["gated"] = restarted
 	require.Equal(t, []plans.Action{plans.Order{Target: "gated", Setting: closed}}, plans.Actions(l, in))
+
+	// A new holder does not know yet whether the former one gave the order.
+	restarted.Recorded = false
+	in.Engines["gated"] = restarted
+	require.Empty(t, plans.Actions(l, in))
 }
 
 // TestRacingDeclarations loses an answer and lets operators clash.
--- a/internal/control/plans/runner.go
+++ b/internal/control/plans/runner.go
@@ -25,8 +25,9 @@
 	Lease() authority.Lease
 	// Input returns what this host knows; the Runner sets Now.
 	Input() Input
-	// Do carries a out. It gets the same action again while the plan asks for it.
-	Do(a Action)
+	// Do carries a out, which was decided under the fencing number f. It gets the same action again
+	// while the plan asks for it.
+	Do(f table.Fence, a Action)
 }
 
 // Runner carries out the plans of a data centre while its host holds the authority.
@@ -39,7 +40,8 @@
 	done  chan struct{}
 
 	fence   table.Fence // under which the list was read
-	known   bool
+	fresh   bool        // it was
+	known   bool        // version is that of the list
 	version platform.Version
 	readAt  time.Time
 }
@@ -94,14 +96,15 @@
 	}
 
 	if lease.Fence != r.fence {
-		r.fence, r.known, r.readAt = lease.Fence, false, time.Time{}
+		r.fence, r.fresh, r.known, r.readAt = lease.Fence, false, false, time.Time{}
 	}
 
 	if !now.Before(r.readAt.Add(readInterval)) {
 		r.read(ctx, now)
 	}
 
-	if r.list.Load().Generation == 0 {
+	// A list from before this authority may ask for what another holder has done and undone.
+	if !r.fresh {
 		return
 	}
 
@@ -114,7 +117,7 @@
 	}
 
 	for _, a := range Actions(l, in) {
-		r.site.Do(a)
+		r.site.Do(lease.Fence, a)
 	}
 }
 
@@ -126,7 +129,7 @@
 		return
 	}
 
-	r.known, r.version = true, version
+	r.fresh, r.known, r.version = true, true, version
 	r.Observe(l)
 }
 
--- a/internal/control/plans/runner_test.go
+++ b/internal/control/plans/runner_test.go
@@ -16,6 +16,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
 	engine "github.com/dotterelflow/dotterelflow/internal/standin/orders"
 	standin "github.com/dotterelflow/dotterelflow/internal/standin/platform"
+	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
 )
 
 // site wires the three runners of one host to a single engine.
@@ -58,9 +59,9 @@
 	}
 }
 
-func (s *site) Do(a plans.Action) {
+func (s *site) Do(f table.Fence, a plans.Action) {
 	if o, ok := a.(plans.Order); ok {
-		s.orders.Want(o.Target, o.Setting)
+		s.orders.Want(f, o.Target, o.Setting)
 	}
 }
 
@@ -180,3 +181,38 @@
 		}
 	})
 }
+
+// outOfReach is a platform that can't be read.
+type outOfReach struct{ plans.Store }
+
+func (outOfReach) Get(context.Context, platform.Key) (platform.Object, error) {
+	return platform.Object{}, platform.ErrUnavailable
+}
+
+// idleSite holds the authority and counts what it is asked to do.
+type idleSite struct {
+	lease authority.Lease
+	asked atomic.Int64
+}
+
+func (s *idleSite) Lease() authority.Lease           { return s.lease }
+func (s *idleSite) Input() plans.Input               { return plans.Input{} }
+func (s *idleSite) Do(_ table.Fence, _ plans.Action) { s.asked.Add(1) }
+
+// TestNoActionByAnOldList has a new holder that knows the plans only from before its authority.
+func TestNoActionByAnOldList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &idleSite{lease: authority.Lease{Fence: 2, Until: time.Now().Add(time.Hour)}}
+		r := plans.Start(ctx, clockwork.NewRealClock(), outOfReach{}, s, dc)
+
+		r.Observe(plans.List{Generation: 3, Plans: []plans.Plan{{
+			ID: "p", Kind: plans.Drain, Target: "engine", Phase: plans.Waiting, Before: &open,
+		}}})
+		time.Sleep(time.Minute)
+		require.Zero(t, s.asked.Load())
+
+		cancel()
+		<-r.Done()
+	})
+}
--- a/internal/control/plans/sim_test.go
+++ b/internal/control/plans/sim_test.go
@@ -55,6 +55,7 @@
 	diedAt   time.Time
 	stopped  bool // may end
 
+	fresh  table.Fence // under which it last read the plans
 	orders *orders.Machine
 }
 
@@ -310,7 +311,7 @@
 		var l plans.List
 
 		require.NoError(w.t, json.Unmarshal(o.Value, &l))
-		h.list = l
+		h.list, h.fresh = l, w.fence
 
 		in := w.input(h)
 		if next, changed := plans.Advance(l, in); changed {
@@ -321,9 +322,13 @@
 	}
 
 	for _, a := range plans.Actions(h.list, w.input(h)) {
+		if h.fresh != w.fence {
+			break
+		}
+
 		switch a := a.(type) {
 		case plans.Order:
-			h.orders.Want(a.Target, a.Setting)
+			h.orders.Want(w.fence, a.Target, a.Setting)
 		case plans.Stop:
 			w.stop(a.Host)
 		}
