Prove that the lease is tested right before the send

Cause: the runner's own check had no test; the model has a copy of it. Change: a lease that lapses between the decision and the send. Without the check: TestLeaseIsTestedRightBeforeTheSend, should be empty, but was one receipt {prefill a open} of fence 1. Conclusion: nothing is sent.

--- a/internal/control/orders/runner_test.go
+++ b/internal/control/orders/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -116,3 +117,64 @@
 		<-others.Done()
 	})
 }
+
+// lapsing is a lease that, once it is armed, lapses between the decision to send and the send:
+// the second look at one instant of the bubble finds it gone.
+type lapsing struct {
+	engine *engine.Engine
+
+	mu    sync.Mutex
+	armed bool
+	last  time.Time
+}
+
+func (l *lapsing) Lease() authority.Lease {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	again := time.Now().Equal(l.last)
+	l.last = time.Now()
+
+	if l.armed && again {
+		return authority.Lease{Fence: 1, Until: time.Now()}
+	}
+
+	return authority.Lease{Fence: 1, Until: time.Now().Add(time.Second), Record: authority.Record{Fence: 1}}
+}
+
+func (l *lapsing) Order(_ context.Context, _ table.Target, o orders.Order) (orders.State, error) {
+	return l.engine.Order(o)
+}
+
+func (l *lapsing) State(context.Context, table.Target) (orders.State, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.armed = true
+
+	return l.engine.State()
+}
+
+func TestLeaseIsTestedRightBeforeTheSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := standin.NewStore(clockwork.NewRealClock())
+		l := &lapsing{engine: engine.New(clockwork.NewRealClock(), engine.Options{})}
+		r := orders.Start(ctx, clockwork.NewRealClock(), store.View(), l, l.Lease, dc, orders.Options{})
+
+		r.SetTargets([]table.Target{{ID: "a"}})
+		time.Sleep(time.Millisecond)
+
+		for range 100 {
+			r.Want(1, "a", settings[0])
+			time.Sleep(100 * time.Millisecond)
+		}
+
+		require.True(t, r.Engine("a").Intent.Open)
+		require.Empty(t, l.engine.Receipts())
+		require.True(t, r.Quiet())
+
+		cancel()
+		<-r.Done()
+	})
+}
