Let short answers not make long ones look too slow to land

The lane's mean of seconds per token was ruled by grades of 12 tokens, so a draft of 1,800 seemed to need minutes more than its deadline left and was refused. The first failing run: room_test.go:164: Should be true (TestShortAnswersDoNotSlowLongOnes) Ruled out: sampling only answers above 100 tokens (a trial; the bound is arbitrary). Change: the ratio of the means in place of the mean of ratios.

--- a/internal/control/admission/controller.go
+++ b/internal/control/admission/controller.go
@@ -215,7 +215,7 @@
 	l.held.sample(held)
 
 	if used.Decode > 0 {
-		l.perToken.sample(held / float64(used.Decode))
+		l.learn(held, float64(used.Decode))
 	}
 
 	correction := amounts{float64(used.Prefill) - it.need[prefill], float64(used.Decode) - it.need[decode]}
--- a/internal/control/admission/lane.go
+++ b/internal/control/admission/lane.go
@@ -126,6 +126,8 @@
 	meter    meter
 	rate     flowRate // seconds of the whole capacity started a second
 	held     average  // seconds from start to end
+	run      average  // the same of work with output tokens
+	tokens   average  // output tokens of it
 	perToken average  // seconds from start to end for each output token
 	known    known    // what the estimates of the queued work rest on
 }
@@ -140,6 +142,14 @@
 	return l.held.differs(l.known.held) || l.perToken.differs(l.known.perToken)
 }
 
+// learn notes work that ran for some seconds and gave some output tokens. The time per token is the
+// ratio of the means: the mean of the ratios is ruled by short answers, whose time is mostly prefill.
+func (l *lane) learn(seconds, tokens float64) {
+	l.run.sample(seconds)
+	l.tokens.sample(tokens)
+	l.perToken = average{value: l.run.value / l.tokens.value, set: true}
+}
+
 func newLane(u table.Urgency) *lane {
 	return &lane{
 		urgency: u,
--- a/internal/control/admission/room_test.go
+++ b/internal/control/admission/room_test.go
@@ -135,3 +135,31 @@
 		})
 	}
 }
+
+// Short answers take long for each token, since most of their time is prefill; they must not make
+// long answers look too slow to land.
+func TestShortAnswersDoNotSlowLongOnes(t *testing.T) {
+	c := admission.New(admission.Options{})
+	c.SetCapacity(admission.Capacity{Slots: 16})
+
+	now := epoch
+	run := func(id string, tokens table.Tokens, held time.Duration) {
+		w := admission.Work{Request: table.RequestID(id), Urgency: table.Patient, Decode: tokens, Deadline: now.Add(time.Hour)}
+		require.True(t, c.Offer(now, w).Accepted)
+		require.Len(t, c.Next(now), 1)
+
+		now = now.Add(held)
+		c.Done(now, w.Request, admission.Usage{Decode: tokens})
+	}
+
+	for i := range 20 {
+		run(fmt.Sprint("draft-", i), 1800, 70*time.Second)
+
+		for j := range 5 {
+			run(fmt.Sprint("grade-", i, "-", j), 12, 2*time.Second)
+		}
+	}
+
+	draft := admission.Work{Request: "draft", Urgency: table.Patient, Decode: 1800, Deadline: now.Add(4 * time.Minute)}
+	require.True(t, c.Offer(now, draft).Accepted)
+}
