Average patient demand over a minute

Hypothesis: 120 s reacts too late to waves of four minutes. Change: roles.DemandOptions.Patient 60 s by default; the plot gets own colours, its legend at the left and no empty last point.

--- a/internal/control/roles/demand.go
+++ b/internal/control/roles/demand.go
@@ -36,7 +36,7 @@
 // DemandOptions describe a Demand. A zero field takes its default.
 type DemandOptions struct {
 	Window  time.Duration // time constant of the rates; 30 s by default
-	Patient time.Duration // the same for patient work, which may wait; 120 s by default
+	Patient time.Duration // the same for patient work, which may wait; 60 s by default
 	Kinds   int           // kinds of all accounts whose output is remembered; 16,384 by default
 	Learn   float64       // weight of the newest output in the prediction; 0.05 by default
 }
@@ -82,7 +82,7 @@
 // NewDemand returns a Demand that has seen nothing.
 func NewDemand(opt DemandOptions) *Demand {
 	opt.Window = cmp.Or(opt.Window, 30*time.Second)
-	opt.Patient = cmp.Or(opt.Patient, 120*time.Second)
+	opt.Patient = cmp.Or(opt.Patient, time.Minute)
 	opt.Kinds = cmp.Or(opt.Kinds, 16_384)
 	opt.Learn = cmp.Or(opt.Learn, 0.05)
 
--- a/internal/measure/experiment/plot.go
+++ b/internal/measure/experiment/plot.go
@@ -83,7 +83,7 @@
 		}
 
 		p.X.Label.Text = "minutes"
-		p.Legend.Top = true
+		p.Legend.Left = true
 		plots[i] = []*plot.Plot{p}
 	}
 
@@ -102,7 +102,7 @@
 	p.Y.Max = 100
 
 	for i, x := range r.Results {
-		err := addLine(p, x.Policy, plotutil.Color(i), x.Timeline, func(j int) float64 {
+		err := addLine(p, x.Policy, policyColor(i), x.Timeline, func(j int) float64 {
 			sum := Count{}
 			for _, q := range x.Timeline[max(0, j-smoothing+1) : j+1] {
 				sum.merge(q.Count)
@@ -129,7 +129,7 @@
 			continue
 		}
 
-		err := addLine(p, x.Policy, plotutil.Color(i), x.Timeline, func(j int) float64 { return float64(x.Timeline[j].Prefill) })
+		err := addLine(p, x.Policy, policyColor(i), x.Timeline, func(j int) float64 { return float64(x.Timeline[j].Prefill) })
 		if err != nil {
 			return nil, err
 		}
@@ -150,9 +150,11 @@
 
 	points := r.Results[0].Timeline
 
-	return p, addLine(p, "mix", plotutil.Color(0), points, func(j int) float64 { return 100 * points[j].Mix })
+	return p, addLine(p, "mix", policyColor(0), points, func(j int) float64 { return 100 * points[j].Mix })
 }
 
+func policyColor(i int) color.Color { return plotutil.DarkColors[i%len(plotutil.DarkColors)] }
+
 func addLine(p *plot.Plot, name string, c color.Color, points []Point, y func(int) float64) error {
 	xys := make(plotter.XYs, len(points))
 	for i := range points {
--- a/internal/measure/experiment/result.go
+++ b/internal/measure/experiment/result.go
@@ -266,7 +266,7 @@
 
 // timeline returns the run by buckets of arrival.
 func (s *sim) timeline() []Point {
-	points := make([]Point, int(s.trace.Length/bucket)+1)
+	points := make([]Point, int((s.trace.Length+bucket-1)/bucket))
 	work := make([]struct{ prefill, decode float64 }, len(points))
 
 	for _, r := range s.requests {
