--- a/internal/command/entry/command.go
+++ b/internal/command/entry/command.go
@@ -54,7 +54,9 @@
 		Log: logger, ID: id, DataCentre: s.DataCentre,
 		CallerAddress: s.Listen.Caller, PeerAddress: s.Listen.Peer, OperatorAddress: s.Listen.Operator,
 		OperatorKeyHash: string(s.OperatorKeyHash), Peers: s.Peers,
-		Platform:  platform.NewClient(s.Platform, platform.Options{Timeout: time.Duration(s.PlatformTimeout), Name: s.ID}),
+		Platform: platform.NewClient(s.Platform, platform.Options{
+			Timeout: time.Duration(s.PlatformTimeout), Name: s.ID, Address: s.Listen.Peer, DataCentre: string(s.DataCentre),
+		}),
 		StopBound: time.Duration(s.StopTimeout),
 	})
 	if err != nil {
@@ -64,7 +66,11 @@
 	logger.Info().Str("data-centre", string(s.DataCentre)).Str("caller", h.CallerAddress()).
 		Str("operator", h.OperatorAddress()).Str("peer", h.PeerAddress()).Msg("entry host started")
 
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-h.StopAsked():
+	}
+
 	logger.Info().Msg("stopping")
 
 	return stopped(h, logger)
--- a/internal/control/plans/edit.go
+++ b/internal/control/plans/edit.go
@@ -50,7 +50,7 @@
 	return edit(ctx, s, dc, func(l *List) (bool, error) {
 		i := slices.IndexFunc(l.Plans, func(p Plan) bool { return p.ID == id })
 		if i < 0 {
-			return false, Error.New("no plan %s in %s", id, dc)
+			return false, Error.New("plan %s in %s: %w", id, dc, ErrNotFound)
 		}
 
 		changed := !l.Plans[i].Cancel
@@ -116,6 +116,13 @@
 	return Error.Wrap(err)
 }
 
+// Load returns the plans of dc as the platform has them.
+func Load(ctx context.Context, s Store, dc table.DataCentre) (List, error) {
+	l, _, err := read(ctx, s, dc)
+
+	return l, err
+}
+
 func read(ctx context.Context, s Store, dc table.DataCentre) (List, platform.Version, error) {
 	var l List
 
--- a/internal/control/plans/plan.go
+++ b/internal/control/plans/plan.go
@@ -17,6 +17,9 @@
 // ErrConflict says that a plan clashes with another one; nothing was declared.
 var ErrConflict = errs.New("plans: clashes with another plan")
 
+// ErrNotFound says that there is no such plan.
+var ErrNotFound = errs.New("plans: no such plan")
+
 // ID names a plan. The operator's program chooses it, so that a repeat is recognised.
 type ID string
 
--- a/internal/entry/dispatch/runner.go
+++ b/internal/entry/dispatch/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -40,11 +41,12 @@
 	Forward(ctx context.Context, dc table.DataCentre, t table.TargetID, req table.Request, ans *answers.Answer) error
 }
 
-// Router picks targets. Begin and End bracket the use of one.
+// Router picks targets. Begin and End bracket the use of one; Begin reports false, without effect,
+// for new work on a target that has begun to leave since Pick.
 type Router interface {
 	Pick(req table.Request, tried []table.TargetID) (table.Target, bool)
 	Target(id table.TargetID) (table.Target, bool)
-	Begin(t table.TargetID, req table.Request)
+	Begin(t table.TargetID, req table.Request) bool
 	End(t table.TargetID, req table.Request, err error)
 }
 
@@ -78,6 +80,7 @@
 // Runner runs requests. It is safe for concurrent use.
 type Runner struct {
 	opts Options
+	open atomic.Int64
 }
 
 // New returns a Runner.
@@ -102,12 +105,20 @@
 // The problem of ans is NotRun only if no attempt can have run. Run returns when ans is final;
 // it ends early when ctx does, and then cancels the work on the engine.
 func (r *Runner) Run(ctx context.Context, req table.Request, ans *answers.Answer) {
+	r.open.Add(1)
+	defer r.open.Add(-1)
+
 	ctx, cancel := clockwork.WithDeadline(ctx, r.opts.Clock, req.Deadline)
 	defer cancel()
 
 	ans.Finish(r.run(ctx, req, ans))
 }
 
+// Open returns the number of requests that are being run.
+func (r *Runner) Open() int {
+	return int(r.open.Load())
+}
+
 func (r *Runner) run(ctx context.Context, req table.Request, ans *answers.Answer) *verdict.Error {
 	var (
 		tried  []table.TargetID
@@ -194,7 +205,9 @@
 }
 
 func (r *Runner) bracketed(ctx context.Context, req table.Request, t table.Target, ans *answers.Answer) error {
-	r.opts.Router.Begin(t.ID, req)
+	if !r.opts.Router.Begin(t.ID, req) {
+		return verdict.New(verdict.NotRun, verdict.CodeNoTarget, "%s takes no new work", t.ID).After(noTargetWait)
+	}
 
 	err := r.use(ctx, req, t, ans)
 
--- a/internal/entry/host/backend.go
+++ b/internal/entry/host/backend.go
@@ -50,9 +50,26 @@
 		st.Targets = append(st.Targets, targetStatus(now, t, reports[t.ID]))
 	}
 
+	st.Authorities = b.authorities()
+
 	return st, nil
 }
 
+// authorities returns the holder of this data centre's lease, as this host knows it.
+func (b backend) authorities() []operator.Authority {
+	a := operator.Authority{DataCentre: b.host.opts.DataCentre}
+
+	if lease, held := b.host.governor.Holder(); held {
+		a.Holder, a.Fence, a.Until = b.host.opts.ID, lease.Fence, lease.Until
+
+		return []operator.Authority{a}
+	}
+
+	a.Holder, a.Fence = b.host.governor.PeerHolder()
+
+	return []operator.Authority{a}
+}
+
 func targetStatus(now time.Time, t table.Target, l table.Load) operator.Target {
 	st := operator.Target{
 		ID: t.ID, DataCentre: t.DataCentre, Role: t.Role, Running: l.Running, Queued: l.Queued, State: "in-service",
@@ -70,21 +87,6 @@
 	return st
 }
 
-// Plans implements operator.Backend.
-func (b backend) Plans(context.Context) ([]operator.Plan, error) {
-	return nil, nil
-}
-
-// Declare implements operator.Backend.
-func (b backend) Declare(context.Context, operator.Plan) (operator.Plan, error) {
-	return operator.Plan{}, Error.New("plans are not served yet")
-}
-
-// Cancel implements operator.Backend.
-func (b backend) Cancel(context.Context, string) error {
-	return operator.ErrNotFound
-}
-
 // Burn implements operator.Backend.
 func (b backend) Burn(ctx context.Context) (any, error) {
 	return b.host.burn.report(ctx), nil
--- a/internal/entry/host/burn.go
+++ b/internal/entry/host/burn.go
@@ -2,18 +2,17 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
+	"github.com/dotterelflow/dotterelflow/internal/control/members"
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/entry/peers"
 	"github.com/dotterelflow/dotterelflow/internal/measure/burn"
 	"github.com/dotterelflow/dotterelflow/internal/wire/caller"
 )
 
-const (
-	burnShards     = 4
-	burnFetchBound = 2 * time.Second
-)
+// burnShards is the number of platform objects that hold a data centre's counts.
+const burnShards = 4
 
 // burnCounts keeps this host's service-level counts and makes the report of all hosts.
 type burnCounts struct {
@@ -38,116 +37,74 @@
 	}
 
 	b.ledger.Record(b.host.opts.Clock.Now(), burn.Key{Account: o.Request.Account, Kind: o.Request.Kind.Name},
-		burn.Of(err, late(o), false))
+		burn.Of(err, timingOf(o).Late(o.Request.Kind.Objective), false))
 }
 
-// late reports whether a whole answer missed a bound of its objective.
-func late(o caller.Outcome) bool {
-	objective := o.Request.Kind.Objective
-
-	if objective.FirstToken > 0 && o.FirstToken > objective.FirstToken {
-		return true
-	}
-
-	if objective.Total > 0 && o.Total > objective.Total {
-		return true
-	}
+func timingOf(o caller.Outcome) burn.Timing {
+	t := burn.Timing{FirstToken: o.FirstToken, Total: o.Total}
 
-	if objective.BetweenTokens == 0 || o.Events < 2 || o.FirstToken == 0 {
-		return false
+	if o.Events > 1 && o.FirstToken > 0 {
+		t.BetweenTokens = (o.Total - o.FirstToken) / time.Duration(o.Events-1)
 	}
 
-	return (o.Total-o.FirstToken)/time.Duration(o.Events-1) > objective.BetweenTokens
+	return t
 }
 
 // report merges the counts in the platform with what the live hosts have not saved yet.
 func (b *burnCounts) report(ctx context.Context) burn.Report {
-	now := b.host.opts.Clock.Now()
-	snapshot := b.host.config.Current()
-
-	whole, missing := burn.Load(ctx, b.host.opts.Platform, burnShards, b.centres(snapshot))
-	whole.Merge(b.saver.Pending())
-
-	silent := b.mergePeers(ctx, whole)
-
-	report := whole.Report(now, burn.ReportOptions{Objective: burn.Objectives(snapshot)})
-	report.Missing = missing
-	report.Silent = silent
-	report.Hosts = 1 + len(b.host.network.Live()) - len(silent)
-
-	return report
-}
-
-func (b *burnCounts) centres(snapshot *table.Snapshot) []table.DataCentre {
-	seen := map[table.DataCentre]bool{b.host.opts.DataCentre: true}
-	centres := []table.DataCentre{b.host.opts.DataCentre}
-
-	add := func(dc table.DataCentre) {
-		if !seen[dc] {
-			seen[dc] = true
-			centres = append(centres, dc)
-		}
-	}
-
+	sources := []burn.Source{ownCounts{b}}
 	for _, m := range b.host.network.Live() {
-		add(m.DataCentre)
-	}
-
-	if snapshot != nil {
-		for _, t := range snapshot.Targets {
-			add(t.DataCentre)
-		}
+		sources = append(sources, peerCounts{network: b.host.network, member: m})
 	}
 
-	return centres
+	return burn.Gather(ctx, b.host.opts.Clock.Now(), burn.GatherOptions{
+		ReportOptions: burn.ReportOptions{Objective: burn.Objectives(b.host.config.Current())},
+		Store:         b.host.opts.Platform, Shards: burnShards, Centres: b.host.centres(), Sources: sources,
+	})
 }
 
-// mergePeers adds what the live peers have not saved, and returns those that did not answer.
-func (b *burnCounts) mergePeers(ctx context.Context, whole *burn.Ledger) []table.HostID {
-	ctx, cancel := context.WithTimeout(ctx, burnFetchBound)
-	defer cancel()
-
-	var (
-		wg     sync.WaitGroup
-		mu     sync.Mutex
-		silent []table.HostID
-	)
-
-	for _, m := range b.host.network.Live() {
-		wg.Go(func() {
-			encoded, err := b.host.network.FetchBurn(ctx, m)
+// encoded returns what this host has not saved yet, for a peer's report.
+func (b *burnCounts) encoded() []byte {
+	encoded, err := b.saver.Pending().Encode()
+	if err != nil {
+		b.host.opts.Log.Warn().Err(err).Msg("cannot encode service-level counts")
 
-			var ledger *burn.Ledger
-			if err == nil {
-				ledger, err = burn.Decode(encoded)
-			}
+		return nil
+	}
 
-			mu.Lock()
-			defer mu.Unlock()
+	return encoded
+}
 
-			if err != nil {
-				silent = append(silent, m.Host)
+// ownCounts is this host as a source of counts.
+type ownCounts struct{ counts *burnCounts }
 
-				return
-			}
+// Host implements burn.Source.
+func (o ownCounts) Host() table.HostID {
+	return o.counts.host.opts.ID
+}
 
-			whole.Merge(ledger)
-		})
-	}
+// Pending implements burn.Source.
+func (o ownCounts) Pending(context.Context) (*burn.Ledger, error) {
+	return o.counts.saver.Pending(), nil
+}
 
-	wg.Wait()
+// peerCounts is a peer as a source of counts.
+type peerCounts struct {
+	network *peers.Network
+	member  members.Member
+}
 
-	return silent
+// Host implements burn.Source.
+func (p peerCounts) Host() table.HostID {
+	return p.member.Host
 }
 
-// encoded returns what this host has not saved yet, for a peer's report.
-func (b *burnCounts) encoded() []byte {
-	encoded, err := b.saver.Pending().Encode()
+// Pending implements burn.Source.
+func (p peerCounts) Pending(ctx context.Context) (*burn.Ledger, error) {
+	encoded, err := p.network.FetchBurn(ctx, p.member)
 	if err != nil {
-		b.host.opts.Log.Warn().Err(err).Msg("cannot encode service-level counts")
-
-		return nil
+		return nil, err
 	}
 
-	return encoded
+	return burn.Decode(encoded)
 }
--- a/internal/entry/host/digest.go
+++ b/internal/entry/host/digest.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dotterelflow/dotterelflow/internal/control/plans"
 	"github.com/dotterelflow/dotterelflow/internal/control/quarantine"
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
 	"github.com/dotterelflow/dotterelflow/internal/entry/routes"
@@ -44,6 +45,7 @@
 
 	if m, alive := h.network.Member(to); alive && m.DataCentre == h.opts.DataCentre {
 		d.Suspects = h.suspectsFor(to)
+		h.governor.Fill(d)
 	}
 
 	for _, l := range h.loads.Mine() {
@@ -59,6 +61,10 @@
 func (h *Host) Hear(d *peer.Digest) {
 	h.config.PeerGeneration(table.HostID(d.GetHost()), table.Generation(d.GetGeneration()))
 
+	if d.GetDataCentre() == string(h.opts.DataCentre) {
+		h.governor.Hear(d)
+	}
+
 	if d.GetDataCentre() == string(h.opts.DataCentre) && len(d.GetSuspects()) > 0 {
 		if err := h.guard.Merge(table.HostID(d.GetHost()), d.GetSuspects()); err != nil {
 			h.opts.Log.Warn().Str("peer", d.GetHost()).Err(err).Msg("unreadable digest of suspects")
@@ -94,10 +100,19 @@
 	hosts := 1 + len(h.network.Live())
 	loads := h.loads.All()
 
-	h.router.Refresh(snapshot, routes.State{Hosts: hosts, Loads: loads, Unreachable: unreachable, Reserved: h.guard.Reserved})
+	list := h.governor.Plans()
+	leaving := plans.Leaving(list)
+
+	h.router.Refresh(snapshot, routes.State{Hosts: hosts, Loads: loads, Leaving: leaving, Unreachable: unreachable, Reserved: h.guard.Reserved})
+	h.governor.Obeyed(list.Generation)
+
+	if plans.LeavingHosts(list)[h.opts.ID] {
+		h.stopping.Store(true)
+	}
+
 	h.routed.Store(true)
 	h.guard.Tick(func(model table.Model) quarantine.View { return h.viewOf(snapshot, model, loads) })
-	h.admit.SetConfig(snapshot, hosts, func(t table.Target) bool { return reachable[t.DataCentre] })
+	h.admit.SetConfig(snapshot, hosts, func(t table.Target) bool { return reachable[t.DataCentre] && !leaving[t.ID] })
 }
 
 func (h *Host) suspectsFor(to table.HostID) []byte {
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/entry/admit"
 	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
 	"github.com/dotterelflow/dotterelflow/internal/entry/dispatch"
+	"github.com/dotterelflow/dotterelflow/internal/entry/govern"
 	"github.com/dotterelflow/dotterelflow/internal/entry/loads"
 	"github.com/dotterelflow/dotterelflow/internal/entry/peers"
 	"github.com/dotterelflow/dotterelflow/internal/entry/requests"
@@ -86,6 +88,9 @@
 	burn    *burnCounts
 	budget  *budget
 	guard   *suspects.Guard
+	runner  *dispatch.Runner
+
+	governor *govern.Governor
 
 	callers  *http.Server
 	operator *http.Server
@@ -94,6 +99,10 @@
 
 	routed   atomic.Bool // a configuration has reached routing and admission
 	stopping atomic.Bool
+	stopOnce sync.Once
+	stopErr  error
+	askOnce  sync.Once
+	asked    chan struct{} // closed when a plan asks this host to stop
 	cancel   context.CancelFunc
 	done     chan struct{}
 }
@@ -119,7 +128,7 @@
 		opts.StopBound = defaultStopBound
 	}
 
-	h := &Host{opts: opts, registry: metrics.NewRegistry(), done: make(chan struct{})}
+	h := &Host{opts: opts, registry: metrics.NewRegistry(), asked: make(chan struct{}), done: make(chan struct{})}
 
 	if err := h.listen(); err != nil {
 		h.sockets.close()
@@ -243,7 +252,6 @@
 	h.loads = loads.Start(ctx, loads.Options{
 		Clock: clock, Engines: h.engines, Targets: h.targets, Mine: h.polls, OnReport: h.reported,
 	})
-	h.network.Start(ctx)
 
 	h.burn = newBurnCounts(h)
 
@@ -251,17 +259,23 @@
 
 	h.budget = newBudget(clock)
 	held := answers.NewTable(answers.Options{Clock: clock})
-	runner := dispatch.New(dispatch.Options{
+	h.runner = dispatch.New(dispatch.Options{
 		Clock: clock, Home: h.opts.DataCentre, Engines: h.engines, Services: service.NewClient(service.Options{}),
 		Peers: h.network, Router: h.router, Retries: h.budget, Guard: h.guard, Log: h.opts.Log,
 	})
+	h.governor = govern.Start(ctx, govern.Options{
+		Clock: clock, Log: h.opts.Log, Host: h.opts.ID, Address: h.PeerAddress(), DataCentre: h.opts.DataCentre,
+		Platform: h.opts.Platform, Engines: h.engines.Orders(), Local: local{h}, Seed: uint64(seed),
+	})
+	h.network.Start(ctx)
+
 	taken := requests.New(requests.Options{
-		Clock: clock, Host: h.opts.ID, Home: h.opts.DataCentre, Runner: runner, Router: h.router,
+		Clock: clock, Host: h.opts.ID, Home: h.opts.DataCentre, Runner: h.runner, Router: h.router,
 		Claims: h.claims, Answers: held, Peers: h.network, Admission: h.admit, Quarantine: h.guard, Log: h.opts.Log,
 	})
 
 	h.peers = peers.NewGRPCServer(h.network, peers.Services{
-		Snapshot: h.config.Current, Runner: runner, Held: held, Configuration: h.exported, Burn: h.burn.encoded,
+		Snapshot: h.config.Current, Runner: h.runner, Held: held, Configuration: h.exported, Burn: h.burn.encoded,
 	})
 
 	if err := h.buildCallers(taken); err != nil {
@@ -343,9 +357,17 @@
 	}
 }
 
-// Stop makes the host not ready, waits until its callers' requests have ended, and ends it.
+// Stop makes the host not ready, waits until its callers' requests have ended, and ends it. Further
+// calls return the result of the first one.
 func (h *Host) Stop() error {
+	h.stopOnce.Do(func() { h.stopErr = h.stop() })
+
+	return h.stopErr
+}
+
+func (h *Host) stop() error {
 	h.stopping.Store(true)
+	h.governor.Stop()
 
 	// Balancers and peers see the change before connections are refused.
 	h.opts.Clock.Sleep(stopNotice)
@@ -364,7 +386,7 @@
 	h.claims.Close()
 	h.cancel()
 
-	for _, done := range []<-chan struct{}{h.done, h.loads.Done(), h.network.Done(), h.config.Done(), h.claims.Done(), h.burn.saver.Done()} {
+	for _, done := range []<-chan struct{}{h.done, h.loads.Done(), h.network.Done(), h.config.Done(), h.claims.Done(), h.burn.saver.Done(), h.governor.Done()} {
 		<-done
 	}
 
--- /dev/null
+++ b/internal/entry/host/plans_test.go
@@ -0,0 +1,154 @@
+package host_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/orders"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/entry/host"
+	"github.com/dotterelflow/dotterelflow/internal/standin/engine"
+	standin "github.com/dotterelflow/dotterelflow/internal/standin/orders"
+	"github.com/dotterelflow/dotterelflow/internal/wire/operator"
+	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
+)
+
+func operatorOf(h *host.Host) *operator.Client {
+	return operator.NewClient(h.OperatorAddress(), "operator-key", operator.ClientOptions{})
+}
+
+// load keeps streams open on all hosts until stop is called, and counts those that were cut.
+type load struct {
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	whole  atomic.Int64
+	cut    atomic.Int64
+}
+
+func startLoad(t *testing.T, s *site, streams int) *load {
+	t.Helper()
+
+	ctx, cancel := context.WithCancel(t.Context())
+	l := &load{cancel: cancel}
+
+	for i := range streams {
+		l.wg.Go(func() {
+			for ctx.Err() == nil {
+				c := call{kind: "note", prompt: "stream " + string(rune('a'+i)), tokens: 60, stream: true}
+
+				out, err := c.do(t.Context(), s.hosts[i%len(s.hosts)])
+				if err != nil || out.text != c.want() {
+					l.cut.Add(1)
+					t.Logf("cut: %+v, %v", out.problem, err)
+
+					continue
+				}
+
+				l.whole.Add(1)
+			}
+		})
+	}
+
+	return l
+}
+
+func (l *load) stop() {
+	l.cancel()
+	l.wg.Wait()
+}
+
+func (s *site) planDone(t *testing.T, h *host.Host, id string) bool {
+	t.Helper()
+
+	list, err := operatorOf(h).Plans(t.Context())
+	require.NoError(t, err)
+
+	for _, p := range list.Plans {
+		if p.ID == id {
+			return p.State == "done"
+		}
+	}
+
+	return false
+}
+
+func TestPlannedChangesCutNothing(t *testing.T) {
+	opts := engine.Options{TokenTime: 5 * time.Millisecond, Orders: standin.Options{
+		Initial: orders.Setting{Model: "m"}, ChecksFencing: true, Change: 200 * time.Millisecond,
+	}}
+
+	for name, plan := range map[string]operator.Plan{
+		"drain":    {Action: operator.Drain, Target: "engine-1"},
+		"withdraw": {Action: operator.Withdraw, Target: "engine-1"},
+		"replace":  {Action: operator.Replace, Target: "engine-1", With: "engine-2"},
+		"role":     {Action: operator.Role, Target: "engine-1", Role: new(table.Role)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			s := newSite(t, 3, opts)
+			for i := range s.doc.Targets {
+				s.doc.Targets[i].ChecksFencing = s.doc.Targets[i].Type == "engine"
+			}
+
+			s.addHost(t, "a")
+			s.addHost(t, "a")
+
+			for _, h := range s.hosts {
+				s.store.SetHostIn("a", h.PeerAddress(), platform.HostLive)
+			}
+
+			l := startLoad(t, s, 6)
+			plan.ID = uuid.NewString()
+
+			_, err := operatorOf(s.hosts[0]).Declare(t.Context(), plan)
+			require.NoError(t, err)
+
+			require.Eventually(t, func() bool { return s.planDone(t, s.hosts[1], plan.ID) }, settleBound, 100*time.Millisecond)
+
+			if plan.Action == operator.Drain || plan.Action == operator.Withdraw {
+				runs := len(s.engines[0].Runs())
+				time.Sleep(300 * time.Millisecond)
+				require.Len(t, s.engines[0].Runs(), runs, "a drained engine got new work")
+			}
+
+			l.stop()
+			require.Zero(t, l.cut.Load())
+			require.Positive(t, l.whole.Load())
+
+			for _, r := range s.engines[0].Orders().Receipts() {
+				require.False(t, r.Conflict, "%+v", r)
+				require.Zero(t, r.Cut, "%+v", r)
+			}
+		})
+	}
+}
+
+func TestStopOfAHostCutsNothing(t *testing.T) {
+	s := newSite(t, 2, engine.Options{TokenTime: 5 * time.Millisecond})
+	s.addHost(t, "a")
+	s.addHost(t, "a")
+
+	c := call{kind: "note", prompt: "a long one", tokens: 200, stream: true}
+
+	var wg sync.WaitGroup
+
+	for range 8 {
+		wg.Go(func() {
+			out, err := c.do(t.Context(), s.hosts[0])
+			if err != nil || out.text != c.want() {
+				t.Errorf("cut: %+v, %v", out.problem, err)
+			}
+		})
+	}
+
+	require.Eventually(t, func() bool { return s.engines[0].Open()+s.engines[1].Open() == 8 }, settleBound, pollEvery)
+	require.NoError(t, s.hosts[0].Stop())
+	wg.Wait()
+}
--- a/internal/entry/routes/router.go
+++ b/internal/entry/routes/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"math/rand"
 	"slices"
 	"sync"
@@ -39,6 +40,7 @@
 	rngs     sync.Pool
 	seeds    atomic.Int64
 	rounds   int
+	leaving  atomic.Pointer[map[table.TargetID]bool]
 
 	mu   sync.Mutex
 	down map[table.TargetID]time.Time // no new work until then
@@ -63,7 +65,7 @@
 type State struct {
 	Hosts       int // live entry hosts, this one included
 	Loads       map[table.TargetID]table.Load
-	Leaving     func(table.TargetID) bool // targets that take no new work; nil means none
+	Leaving     map[table.TargetID]bool // targets that take no new work
 	Unreachable map[table.DataCentre]bool
 	Reserved    func(table.Model, table.TargetID) bool // kept for a request that runs alone; nil means none
 }
@@ -72,15 +74,20 @@
 func (r *Router) Refresh(snapshot *table.Snapshot, st State) {
 	now := r.opts.Clock.Now()
 	targets := make([]routing.Target, 0, len(snapshot.Targets))
+	leaving := maps.Clone(st.Leaving)
+
+	if leaving == nil {
+		leaving = map[table.TargetID]bool{}
+	}
 
 	for _, t := range snapshot.Targets {
-		if st.Leaving != nil && st.Leaving(t.ID) {
-			t.Leaving = true
-		}
+		leaving[t.ID] = leaving[t.ID] || t.Leaving
+		t.Leaving = leaving[t.ID]
 
 		targets = append(targets, routing.Target{Target: t, Load: st.Loads[t.ID], State: r.state(now, t, st)})
 	}
 
+	r.leaving.Store(&leaving)
 	r.snapshot.Store(snapshot)
 	r.view.Store(routing.Build(routing.Options{
 		Now: now, Home: r.opts.Home, Hosts: max(st.Hosts, 1), Ledger: r.ledger, Prefixes: r.prefixes,
@@ -130,7 +137,9 @@
 			return table.Target{}, false
 		}
 
-		return find(snapshot, req.Pinned)
+		t, ok := find(snapshot, req.Pinned)
+
+		return t, ok && (req.Resume || !r.leaves(req.Pinned))
 	}
 
 	if t, ok := find(snapshot, req.Preferred); ok && len(tried) == 0 && r.usable(t, req) {
@@ -170,7 +179,7 @@
 
 // usable rules out a target that failed since the last refresh, and a second hop of a forwarded request.
 func (r *Router) usable(t table.Target, req table.Request) bool {
-	if req.Forwarded && t.DataCentre != r.opts.Home {
+	if req.Forwarded && t.DataCentre != r.opts.Home || r.leaves(t.ID) {
 		return false
 	}
 
@@ -194,9 +203,26 @@
 	return find(r.snapshot.Load(), id)
 }
 
-// Begin counts the start of req on a target.
-func (r *Router) Begin(t table.TargetID, req table.Request) {
+// leaves reports whether a target takes no new work.
+func (r *Router) leaves(t table.TargetID) bool {
+	leaving := r.leaving.Load()
+
+	return leaving != nil && (*leaving)[t]
+}
+
+// Begin counts the start of req on a target. It reports false, and counts nothing, for new work on
+// a target that is leaving: whoever reads the counts after Refresh sees each request that began
+// before it, and none begins later.
+func (r *Router) Begin(t table.TargetID, req table.Request) bool {
 	r.ledger.Flight(t).Start(cost(req))
+
+	if req.Resume || !r.leaves(t) {
+		return true
+	}
+
+	r.ledger.Flight(t).End(cost(req))
+
+	return false
 }
 
 // End counts the end of req on a target and takes note of how it went.
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -10,7 +10,10 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	standin "github.com/dotterelflow/dotterelflow/internal/standin/orders"
 	"github.com/dotterelflow/dotterelflow/internal/wire/engine"
 )
 
@@ -23,11 +26,12 @@
 
 // Options tune a Server. The zero value works.
 type Options struct {
-	PrefillPerSecond int           // prompt tokens per second; zero means 20,000
-	TokenTime        time.Duration // time between output tokens; zero means 1 ms
-	Keep             time.Duration // how long a finished answer can be resumed; zero means 1 min
-	Restart          time.Duration // how long a crashed engine refuses connections; zero means 1 s
-	OnCrash          func()        // called on a crash, after every stream has been cut; may be nil
+	PrefillPerSecond int             // prompt tokens per second; zero means 20,000
+	TokenTime        time.Duration   // time between output tokens; zero means 1 ms
+	Keep             time.Duration   // how long a finished answer can be resumed; zero means 1 min
+	Restart          time.Duration   // how long a crashed engine refuses connections; zero means 1 s
+	Orders           standin.Options // how it takes orders
+	OnCrash          func()          // called on a crash, after every stream has been cut; may be nil
 }
 
 // Faults are the switches of a Server. The zero value means that all is well.
@@ -44,7 +48,8 @@
 
 // Server is the stand-in engine, an http.Handler that is safe for concurrent use.
 type Server struct {
-	opts Options
+	opts   Options
+	orders *standin.Engine
 
 	mu      sync.Mutex
 	faults  Faults
@@ -85,7 +90,9 @@
 		opts.Restart = time.Second
 	}
 
-	return &Server{opts: opts, answers: map[table.RequestID]*answer{}, runs: map[table.RequestID]int{}}
+	return &Server{
+		opts: opts, orders: standin.New(clockwork.NewRealClock(), opts.Orders), answers: map[table.RequestID]*answer{}, runs: map[table.RequestID]int{},
+	}
 }
 
 // SetFaults replaces the fault switches.
@@ -139,6 +146,10 @@
 		s.cancel(table.RequestID(strings.TrimPrefix(r.URL.Path, "/requests/")))
 	case r.Method == http.MethodGet && r.URL.Path == "/load":
 		writeJSON(w, s.report())
+	case r.Method == http.MethodPut && r.URL.Path == "/order":
+		s.order(w, r)
+	case r.Method == http.MethodGet && r.URL.Path == "/state":
+		s.state(w)
 	case r.Method == http.MethodGet && r.URL.Path == "/runs":
 		writeJSON(w, s.Runs())
 	case r.Method == http.MethodPut && r.URL.Path == "/faults":
@@ -157,6 +168,10 @@
 
 	report := engine.Report{At: time.Now(), Boot: strconv.Itoa(s.crashes)}
 
+	if state, err := s.orders.State(); err == nil {
+		report.Role, report.Changing = state.Role, state.Changing
+	}
+
 	for _, a := range s.answers {
 		a.mu.Lock()
 		if !a.ended {
@@ -196,7 +211,7 @@
 	f := s.faults
 	s.mu.Unlock()
 
-	if f.Refuse {
+	if f.Refuse || !s.orders.Admit() {
 		refuse(w, http.StatusServiceUnavailable, "busy")
 
 		return
@@ -220,7 +235,11 @@
 	s.answers[id] = a
 	s.mu.Unlock()
 
-	go s.generate(id, a)
+	go func() {
+		defer s.orders.Finish()
+
+		s.generate(id, a)
+	}()
 
 	return a
 }
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -49,7 +49,12 @@
 	return v
 }
 
+// view returns the View of r's sender, which is listed as a live host once it announces itself.
 func (h *handler) view(r *http.Request) *View {
+	if address := r.Header.Get(platform.HeaderAddress); address != "" {
+		h.store.announce(r.Header.Get(platform.HeaderDataCentre), address)
+	}
+
 	return h.named(r.Header.Get("X-Client"))
 }
 
@@ -123,7 +128,7 @@
 
 func (h *handler) setHost(w http.ResponseWriter, r *http.Request) {
 	state := strings.TrimSpace(r.URL.Query().Get("state"))
-	h.store.SetHost(r.PathValue("address"), platform.HostState(state))
+	h.store.SetHostIn(r.URL.Query().Get("data-centre"), r.PathValue("address"), platform.HostState(state))
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -43,10 +43,26 @@
 
 // SetHost puts a host into the host list; views list it once their lag has passed.
 func (s *Store) SetHost(address string, state platform.HostState) {
+	s.SetHostIn("", address, state)
+}
+
+// SetHostIn is SetHost for a host whose data centre is told.
+func (s *Store) SetHostIn(dc, address string, state platform.HostState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	s.hosts[address] = platform.Host{Address: address, State: state, Since: s.clock.Now()}
+	s.hosts[address] = platform.Host{Address: address, DataCentre: dc, State: state, Since: s.clock.Now()}
+}
+
+// announce lists a host as live unless it is listed already.
+func (s *Store) announce(dc, address string) {
+	s.mu.Lock()
+	_, known := s.hosts[address]
+	s.mu.Unlock()
+
+	if !known {
+		s.SetHostIn(dc, address, platform.HostLive)
+	}
 }
 
 func (s *Store) get(key platform.Key) platform.Object {
--- a/internal/wire/platform/client.go
+++ b/internal/wire/platform/client.go
@@ -20,8 +20,17 @@
 type Options struct {
 	Timeout time.Duration // bound of each call but Watch; zero means 2 s
 	Name    string        // sent as X-Client
+	// Address and DataCentre announce this process to the platform's host list; empty for none.
+	Address    string
+	DataCentre string
 }
 
+// Headers by which a process announces itself.
+const (
+	HeaderAddress    = "X-Host-Address"
+	HeaderDataCentre = "X-Host-Data-Centre"
+)
+
 // Client is the HTTP adapter to the platform. It is safe for concurrent use and never sends a call twice.
 type Client struct {
 	base    string
@@ -140,6 +149,11 @@
 
 	r.Header.Set("X-Client", c.opts.Name)
 
+	if c.opts.Address != "" {
+		r.Header.Set(HeaderAddress, c.opts.Address)
+		r.Header.Set(HeaderDataCentre, c.opts.DataCentre)
+	}
+
 	return r, nil
 }
 
--- a/internal/wire/platform/object.go
+++ b/internal/wire/platform/object.go
@@ -50,7 +50,9 @@
 
 // Host is an entry of the platform's lagging host list.
 type Host struct {
-	Address string    `json:"address"` // ip:port, as the process announces it
-	State   HostState `json:"state"`
-	Since   time.Time `json:"since"`
+	Address string `json:"address"` // ip:port, as the process announces it
+	// DataCentre is where the host is; empty where the platform does not tell.
+	DataCentre string    `json:"data-centre,omitempty"`
+	State      HostState `json:"state"`
+	Since      time.Time `json:"since"`
 }
