--- a/internal/control/orders/decide_test.go
+++ b/internal/control/orders/decide_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -123,6 +124,69 @@
 	require.Equal(t, []orders.Action{orders.Ask{Target: "a", Fence: 4}}, m.Tick(now, l))
 }
 
+// TestQuestions counts how often engines are asked while nothing changes.
+func TestQuestions(t *testing.T) {
+	tests := []struct {
+		name  string
+		state orders.State
+		want  int // in a minute
+	}{
+		{"open", orders.State{}, 6},
+		{"closed", orders.State{Setting: orders.Setting{Admission: orders.Closed}}, 120},
+		{"changing", orders.State{Changing: true}, 120},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m, l := takenOver(false, orders.Intent{Order: orders.Order{Fence: 2}})
+			asked := 0
+
+			for now := start; now.Before(start.Add(time.Minute)); now = now.Add(step) {
+				for _, a := range m.Tick(now, l) {
+					asked++
+
+					m.Answered(now, a.(orders.Ask), tt.state, nil)
+				}
+			}
+
+			require.Equal(t, tt.want, asked)
+		})
+	}
+}
+
+// BenchmarkTick is one tick of the holder of a data centre at the size to design for, 120 engines
+// that have their setting.
+func BenchmarkTick(b *testing.B) {
+	const engines = 120
+
+	m := orders.NewMachine(orders.Options{})
+	l := authority.Lease{Fence: 1, Until: start.Add(time.Hour), Record: authority.Record{Fence: 1}}
+
+	var targets []table.Target
+	for i := range engines {
+		targets = append(targets, table.Target{ID: table.TargetID(fmt.Sprint("engine-", i))})
+	}
+
+	m.SetTargets(start, targets)
+
+	for range engines {
+		for _, a := range m.Tick(start, l) {
+			switch a := a.(type) {
+			case orders.ReadIntent:
+				m.Loaded(start, a, orders.Intent{Order: orders.Order{Fence: 1}}, 1, nil)
+			case orders.Ask:
+				m.Answered(start, a, orders.State{}, nil)
+			}
+		}
+	}
+
+	b.ReportAllocs()
+
+	for b.Loop() {
+		m.Tick(start.Add(time.Second), l)
+	}
+}
+
 func TestQuiet(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/control/orders/machine.go
+++ b/internal/control/orders/machine.go
@@ -12,13 +12,15 @@
 // Defaults of Options.
 const (
 	DefaultAsk          = 500 * time.Millisecond
+	DefaultIdle         = 10 * time.Second
 	DefaultRetry        = time.Second
 	DefaultCallsPerTick = 4
 )
 
 // Options tune a Machine. Zero fields mean the defaults.
 type Options struct {
-	Ask                time.Duration // from one question about an engine's state to the next
+	Ask                time.Duration // from one question about a changing, closed or silent engine to the next
+	Idle               time.Duration // the same for other engines
 	Retry              time.Duration // after a failed call
 	ConnectionLifetime time.Duration // after which bytes of a failed call no longer arrive
 	CallsPerTick       int           // platform calls that one tick may begin
@@ -29,6 +31,10 @@
 		o.Ask = DefaultAsk
 	}
 
+	if o.Idle == 0 {
+		o.Idle = DefaultIdle
+	}
+
 	if o.Retry == 0 {
 		o.Retry = DefaultRetry
 	}
@@ -208,7 +214,8 @@
 		m.fence = l.Fence
 
 		for _, e := range m.entries {
-			e.loaded, e.stated, e.silent, e.wanted = false, false, time.Time{}, nil
+			e.loaded, e.stated, e.wanted = false, false, nil
+			e.silent, e.askAt = time.Time{}, time.Time{}
 		}
 	}
 
@@ -279,9 +286,13 @@
 
 // learn takes in an engine's answer, unless it was asked for under an earlier authority.
 func (m *Machine) learn(now time.Time, e *entry, f table.Fence, s State, err error) {
-	e.askAt = now.Add(m.opts.Ask)
 	e.stated = err == nil && f == m.fence
 	e.state = s
+	e.askAt = now.Add(m.opts.Ask)
+
+	if e.stated && !s.Changing && !s.Unknown && !e.intent.Open && s.Admission == Open {
+		e.askAt = now.Add(m.opts.Idle)
+	}
 
 	switch {
 	case f != m.fence || err == nil:
