Fail plans that name what is not there

Cause: a plan to stop a host that nobody knows was done at once, and a replacement that is not in the configuration counted as open. What was ruled out: refusing them when declared (the declaring host's list may be older than the operator's). Change: such a plan stays declared and fails after 30 s, once the host list and the configuration are complete. Without the change: TestUnknownNames, should be false, for stop-host h9; without the wait for a complete list the same. Conclusion: a typing error is told as failed.

--- a/internal/control/plans/advance.go
+++ b/internal/control/plans/advance.go
@@ -14,8 +14,8 @@
 	gateWait = time.Second
 	// moveAfter is how long work in flight may go on before it is moved.
 	moveAfter = 30 * time.Second
-	// absentFor is how long a target must be missing from the configuration of whoever carries out
-	// a plan; its configuration may be older than the plan.
+	// absentFor is how long a target or host must be missing from what whoever carries out a plan
+	// knows; the configuration and the host list may be older than the plan.
 	absentFor = 30 * time.Second
 	// downAfter is how long an engine must be silent before its own count is not waited for.
 	downAfter = 30 * time.Second
@@ -37,7 +37,8 @@
 type Input struct {
 	Now time.Time
 	// Complete says that Hosts has every host that may be running, by the platform's host list as
-	// read under the present authority. Until then no plan counts on acknowledgements.
+	// read under the present authority, and that Targets is of an accepted configuration. Until
+	// then no plan counts on acknowledgements, and none fails for a name that is not known.
 	Complete bool
 	Hosts    []Host
 	Targets  map[table.TargetID]table.Target
@@ -102,9 +103,7 @@
 		return p
 	}
 
-	_, known := in.Targets[p.Target]
-
-	if p.Kind != StopHost && !known {
+	if !in.knows(p) {
 		return withoutTarget(p, in)
 	}
 
@@ -153,17 +152,31 @@
 	}
 }
 
-// withoutTarget ends a plan whose target left the configuration.
+// knows reports whether what p names exists. A replacement and a host must do so at the start.
+func (in Input) knows(p Plan) bool {
+	if p.Kind == StopHost {
+		listed := slices.ContainsFunc(in.Hosts, func(h Host) bool { return h.ID == p.Host })
+
+		return listed || p.Phase != Declared
+	}
+
+	_, known := in.Targets[p.Target]
+	_, replaced := in.Targets[p.Replacement]
+
+	return known && (replaced || p.Kind != Replace || p.Phase != Declared)
+}
+
+// withoutTarget ends a plan whose target left the configuration, or whose host never was listed.
 func withoutTarget(p Plan, in Input) Plan {
 	switch {
-	case in.Now.Before(p.Since.Add(absentFor)):
+	case !in.Complete, in.Now.Before(p.Since.Add(absentFor)):
 	case p.Phase == Done && p.leaving():
 		p.Phase = Retired
 	case p.Phase.Ended():
 	case p.Phase == Reopening:
 		p.Phase = Cancelled
 	default:
-		p.Phase, p.Reason = Failed, "the target is not in the configuration"
+		p.Phase, p.Reason = Failed, "the target, its replacement or the host is not known"
 	}
 
 	return p
--- a/internal/control/plans/advance_test.go
+++ b/internal/control/plans/advance_test.go
@@ -97,6 +97,48 @@
 	}
 }
 
+// TestUnknownNames has plans that name what is not there, once as declared and once a minute later.
+func TestUnknownNames(t *testing.T) {
+	tests := []struct {
+		plan  plans.Plan
+		after plans.Phase
+	}{
+		{plans.Plan{Kind: plans.StopHost, Host: "h9"}, plans.Failed},
+		{plans.Plan{Kind: plans.Withdraw, Target: "none"}, plans.Failed},
+		{plans.Plan{Kind: plans.Replace, Target: "bare", Replacement: "none"}, plans.Failed},
+		{plans.Plan{Kind: plans.Replace, Target: "none", Replacement: "bare"}, plans.Failed},
+		{plans.Plan{Kind: plans.StopHost, Host: "h9", Phase: plans.Waiting}, plans.Ordering}, // it has ended
+	}
+
+	for _, tt := range tests {
+		if tt.plan.Phase == "" {
+			tt.plan.Phase = plans.Declared
+		}
+
+		tt.plan.Since = now
+		l := plans.List{Generation: 7, Plans: []plans.Plan{tt.plan}}
+		in := plans.Input{
+			Now: now, Complete: true, Hosts: []plans.Host{{ID: "h1"}},
+			Targets: map[table.TargetID]table.Target{"bare": {ID: "bare"}},
+		}
+
+		if tt.plan.Phase == plans.Declared {
+			_, changed := plans.Advance(l, in)
+			require.False(t, changed, "%+v", tt.plan)
+		}
+
+		in.Now, in.Complete = now.Add(time.Minute), false
+		if tt.plan.Phase == plans.Declared {
+			_, changed := plans.Advance(l, in)
+			require.False(t, changed, "%+v", tt.plan)
+		}
+
+		in.Complete = true
+		got, _ := plans.Advance(l, in)
+		require.Equal(t, tt.after, got.Plans[0].Phase, "%+v", tt.plan)
+	}
+}
+
 // TestNoOrderToARestartedEngine has the gate open again between the drain and the order.
 func TestNoOrderToARestartedEngine(t *testing.T) {
 	l := plans.List{Generation: 7, Plans: []plans.Plan{{
