--- a/internal/control/document/render.go
+++ b/internal/control/document/render.go
@@ -201,6 +201,7 @@
 		Model:         table.Model(t.Model),
 		Service:       table.ServiceName(t.Service),
 		ChecksFencing: t.ChecksFencing,
+		Gated:         t.Gated,
 		Slots:         t.Slots,
 		PrefillRate:   table.Tokens(t.PrefillRate),
 		DecodeRate:    table.Tokens(t.DecodeRate),
--- a/internal/entry/host/plans_test.go
+++ b/internal/entry/host/plans_test.go
@@ -93,10 +93,6 @@
 			t.Parallel()
 
 			s := newSite(t, 3, opts)
-			for i := range s.doc.Targets {
-				s.doc.Targets[i].ChecksFencing = s.doc.Targets[i].Type == "engine"
-			}
-
 			s.addHost(t, "a")
 			s.addHost(t, "a")
 
--- a/internal/entry/host/site_test.go
+++ b/internal/entry/host/site_test.go
@@ -70,7 +70,7 @@
 		s.engines = append(s.engines, e)
 		s.servers = append(s.servers, server)
 		text += fmt.Sprintf("  - {id: engine-%d, type: engine, data-centre: a, address: %s, model: m, role: mixed, "+
-			"slots: 16, prefill-rate: 16000, decode-rate: 1200}\n", i+1, server.Address())
+			"gated: true, checks-fencing: true, slots: 16, prefill-rate: 16000, decode-rate: 1200}\n", i+1, server.Address())
 	}
 
 	svc := &service.Server{}
