Introduce entry hosts to each other by heartbeat

Cause: TestPlanOutlivesItsHolder: after the only host that entry-3 had been told of was killed, entry-3 knew none of the others and answered 503. Ruled out: the platform's host list as the way to meet; a host must find its peers with the platform out. Change: a digest names three live members; unknown ones are tried for a minute. Conclusion: a plan outlives a killed holder on real processes, and a data centre cut from platform and peers serves what it can, refuses the rest as not run and heals without a second run.

--- /dev/null
+++ b/cmd/dotterelflow/cut_test.go
@@ -0,0 +1,98 @@
+package main_test
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/wire/operator"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+// refusalBound is far below each deadline: a refusal that waited for one would exceed it.
+const refusalBound = 9 * time.Second
+
+func TestCutOffDataCentre(t *testing.T) {
+	f := startFleet(t, "1ms")
+
+	// The second host is alone: platform and the other data centre's host go silent.
+	f.platform.signal(t, syscall.SIGSTOP)
+	f.hosts[0].signal(t, syscall.SIGSTOP)
+
+	for _, c := range []call{
+		{kind: "report", prompt: "a visit", tokens: 50, key: newKey(), stream: true},
+		{kind: "note", prompt: "a crack", tokens: 50},
+	} {
+		c.host = f.hosts[1]
+		out := c.send(t)
+		require.True(t, out.whole, "%+v", out)
+		require.Equal(t, c.want(), out.text)
+	}
+
+	key := newKey()
+	hold := call{host: f.hosts[1], kind: "hold", prompt: "court 3", key: key}
+	asked := time.Now()
+	out := hold.send(t)
+
+	require.Equal(t, verdict.NotRun, out.problem.Verdict, "%+v", out)
+	require.NotEmpty(t, out.retry)
+	require.Less(t, time.Since(asked), refusalBound)
+
+	f.platform.signal(t, syscall.SIGCONT)
+	f.hosts[0].signal(t, syscall.SIGCONT)
+
+	// Healed: the same key runs, once.
+	require.Eventually(t, func() bool { return hold.send(t).whole }, startBound, 200*time.Millisecond)
+	require.Equal(t, 1, f.executions(t)[key])
+}
+
+func TestPlanOutlivesItsHolder(t *testing.T) {
+	f := startFleet(t, "1ms")
+	third := f.startHost(t, "entry-3", "a", f.hosts[0].peer)
+	third.waitReady(t)
+
+	client := func(h *entryHost) *operator.Client {
+		return operator.NewClient(h.operator, operatorKey, operator.ClientOptions{})
+	}
+
+	// Two hosts of the data centre can hold its authority; the one that does is killed at once
+	// after the plan has been declared.
+	holder, other := f.hosts[0], third
+
+	require.Eventually(t, func() bool {
+		st, err := client(third).Status(t.Context())
+		require.NoError(t, err)
+
+		for _, h := range st.Hosts {
+			if len(st.Authorities) > 0 && h.ID == st.Authorities[0].Holder {
+				if h.Address == third.peer {
+					holder, other = third, f.hosts[0]
+				}
+
+				return true
+			}
+		}
+
+		return false
+	}, startBound, 200*time.Millisecond)
+
+	plan := operator.Plan{ID: uuid.NewString(), Action: operator.Drain, Target: "engine-1"}
+	_, err := client(other).Declare(t.Context(), plan)
+	require.NoError(t, err)
+
+	holder.kill(t)
+	f.setHost(t, holder.peer, "gone")
+
+	require.Eventually(t, func() bool {
+		list, err := client(other).Plans(t.Context())
+		require.NoError(t, err)
+
+		return len(list.Plans) == 1 && list.Plans[0].State == "done"
+	}, 2*startBound, 200*time.Millisecond)
+
+	c := call{host: other, kind: "note", prompt: "a crack", tokens: 20}
+	require.Equal(t, c.want(), c.send(t).text)
+}
--- a/cmd/dotterelflow/fleet_test.go
+++ b/cmd/dotterelflow/fleet_test.go
@@ -237,8 +237,8 @@
 accounts:
   - {id: desk, template: desk, key-hashes: [%s]}
 targets:
-  - {id: engine-1, type: engine, data-centre: a, address: %s, model: m, role: mixed, slots: 16, prefill-rate: 16000, decode-rate: 1200}
-  - {id: engine-2, type: engine, data-centre: b, address: %s, model: m, role: mixed, slots: 16, prefill-rate: 16000, decode-rate: 1200}
+  - {id: engine-1, type: engine, data-centre: a, address: %s, model: m, role: mixed, gated: true, checks-fencing: true, slots: 16, prefill-rate: 16000, decode-rate: 1200}
+  - {id: engine-2, type: engine, data-centre: b, address: %s, model: m, role: mixed, gated: true, checks-fencing: true, slots: 16, prefill-rate: 16000, decode-rate: 1200}
   - {id: service-1, type: service, data-centre: a, address: %s, service: s, slots: 64}
 `
 
@@ -286,6 +286,18 @@
 	require.NoError(t, err)
 }
 
+// setHost sets an entry of the platform's host list.
+func (f *fleet) setHost(t *testing.T, address, state string) {
+	t.Helper()
+
+	r, err := http.NewRequest(http.MethodPut, "http://"+f.platformAddress+"/hosts/"+address+"?data-centre=a&state="+state, http.NoBody)
+	require.NoError(t, err)
+
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	resp.Body.Close()
+}
+
 // call is a caller's request.
 type call struct {
 	host   *entryHost
--- a/internal/command/entry/command.go
+++ b/internal/command/entry/command.go
@@ -53,7 +53,7 @@
 	h, err := host.Start(host.Options{
 		Log: logger, ID: id, DataCentre: s.DataCentre,
 		CallerAddress: s.Listen.Caller, PeerAddress: s.Listen.Peer, OperatorAddress: s.Listen.Operator,
-		MetricsAddress: s.Listen.Metrics,
+		MetricsAddress:  s.Listen.Metrics,
 		OperatorKeyHash: string(s.OperatorKeyHash), Peers: s.Peers,
 		Platform: platform.NewClient(s.Platform, platform.Options{
 			Timeout: time.Duration(s.PlatformTimeout), Name: s.ID, Address: s.Listen.Peer, DataCentre: string(s.DataCentre),
--- a/internal/control/members/table.go
+++ b/internal/control/members/table.go
@@ -98,6 +98,17 @@
 	return m, ok
 }
 
+// Knows reports whether a member, live or not, has the peer API at address.
+func (t *Table) Knows(address string) bool {
+	for _, m := range t.hosts {
+		if m.Address == address {
+			return true
+		}
+	}
+
+	return false
+}
+
 // Forget drops members that have been silent for long.
 func (t *Table) Forget(now time.Time) {
 	for id, m := range t.hosts {
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -17,6 +19,9 @@
 	beatBound    = 700 * time.Millisecond
 	roundEvery   = 250 * time.Millisecond
 	seedInterval = 5 * time.Second
+	introduced   = 3 // addresses told with each heartbeat
+	rumourLife   = time.Minute
+	maxRumours   = 1024
 )
 
 // Local is what the other parts of this host say and hear by heartbeat.
@@ -49,6 +54,7 @@
 	mu       sync.Mutex
 	members  *members.Table
 	sequence uint64
+	rumours  map[string]time.Time // addresses told by peers, until when they are tried
 	due      map[string]time.Time // next heartbeat by address
 	busy     map[string]bool      // heartbeat under way
 }
@@ -65,7 +71,7 @@
 
 	return &Network{
 		opts: opts, done: make(chan struct{}), urgent: make(chan struct{}, 1), members: members.New(opts.Host, opts.DataCentre),
-		due: map[string]time.Time{}, busy: map[string]bool{},
+		due: map[string]time.Time{}, busy: map[string]bool{}, rumours: map[string]time.Time{},
 	}
 }
 
@@ -120,6 +126,16 @@
 		wait[seed] = seedInterval
 	}
 
+	for address, until := range n.rumours {
+		if until.Before(now) || n.members.Knows(address) {
+			delete(n.rumours, address)
+
+			continue
+		}
+
+		wait[address] = seedInterval
+	}
+
 	for _, m := range n.members.Beat(now) {
 		wait[m.Address] = n.members.Period()
 	}
@@ -213,6 +229,7 @@
 	d := &peer.Digest{
 		Host: string(n.opts.Host), Address: n.opts.Address, DataCentre: string(n.opts.DataCentre), Sequence: n.sequence,
 	}
+	d.Known = n.introductions()
 	n.mu.Unlock()
 
 	n.opts.Local.Fill(to, d)
@@ -220,8 +237,36 @@
 	return d
 }
 
+// introductions returns a few live members in random order; the caller holds mu.
+func (n *Network) introductions() []string {
+	live := n.members.Live(n.opts.Clock.Now())
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+
+	var addresses []string
+	for _, m := range live[:min(len(live), introduced)] {
+		addresses = append(addresses, m.Address)
+	}
+
+	return addresses
+}
+
+// listen takes addresses that a peer told; the caller holds mu.
+func (n *Network) listen(addresses []string) {
+	until := n.opts.Clock.Now().Add(rumourLife)
+
+	for _, address := range addresses[:min(len(addresses), introduced)] {
+		_, err := netip.ParseAddrPort(address)
+		if err != nil || address == n.opts.Address || n.members.Knows(address) || len(n.rumours) >= maxRumours {
+			continue
+		}
+
+		n.rumours[address] = until
+	}
+}
+
 func (n *Network) hear(d *peer.Digest) {
 	n.mu.Lock()
+	n.listen(d.GetKnown())
 	n.members.Note(members.Member{
 		Host: table.HostID(d.GetHost()), Address: d.GetAddress(), DataCentre: table.DataCentre(d.GetDataCentre()),
 		Generation: table.Generation(d.GetGeneration()), Ready: d.GetReady(), Stopping: d.GetStopping(),
