Run prompt and decode on engines of their roles

Each completion ran whole on one engine, so prefill and decode engines took no live work and role changes moved nothing. Now the entry host runs the prompt on the picked prefill engine, picks a decode engine of the same data centre and names the first as the source of the KV cache, which the decode engine fetches itself. A mixed engine still runs whole requests.

Verdicts: a prompt lost on its way keeps may-have-run (an engine that ignores the phase could have generated); after a confirmed prompt a refused decode leaves the request not run. A KV cache that is gone, and a lost decode of a repeatable kind, run the prompt again. The claim names the decode engine from the start, so that a host that takes over resumes where the answer is.

Routing takes the role of the last load report also when it is stale; the configured one only before any report.

--- a/internal/control/routing/view.go
+++ b/internal/control/routing/view.go
@@ -129,6 +129,14 @@
 	return len(v.entries)
 }
 
+// Within returns a view of the same targets that chooses within one data centre only.
+func (v *View) Within() *View {
+	within := *v
+	within.local = true
+
+	return &within
+}
+
 // centre returns the index of dc and adds it if it is new.
 func (v *View) centre(dc table.DataCentre) int {
 	for i, c := range v.centres {
@@ -181,8 +189,11 @@
 	}
 
 	fresh := !t.Load.At.IsZero() && opt.Now.Sub(t.Load.At) <= opt.StaleAfter
+	if !t.Load.At.IsZero() {
+		e.role = t.Load.Role // an old report is nearer to the truth than the configured role
+	}
+
 	if fresh {
-		e.role = t.Load.Role
 		e.reported = amounts{
 			open:    int64(t.Load.Running + t.Load.Queued),
 			prefill: int64(t.Load.PrefillPending),
--- a/internal/control/table/request.go
+++ b/internal/control/table/request.go
@@ -22,6 +22,8 @@
 	Forwarded bool
 	// Preferred names the target to try first; empty for none.
 	Preferred TargetID
+	// HandOver names the engine to try first for the decode, when Preferred runs only the prompt.
+	HandOver TargetID
 	// Pinned names the only target that may serve the request; empty for any.
 	Pinned TargetID
 	// Resume is set when Pinned may already be running the request.
--- a/internal/entry/dispatch/runner.go
+++ b/internal/entry/dispatch/runner.go
@@ -72,6 +72,7 @@
 	Peers      Peers   // nil means that no request is forwarded
 	Retries    Retries // nil allows each retry that the verdict allows
 	Guard      Guard   // nil lets each request run anywhere
+	Phases     Phases  // nil runs each request on one engine
 	Router     Router
 	Log        *log.Logger // nil means the default logger
 	TrySameFor int         // resumes of one stream; zero means 4
@@ -179,8 +180,17 @@
 
 // attempt runs req on t, or on the engine that the guard names instead.
 func (r *Runner) attempt(ctx context.Context, req table.Request, t table.Target, ans *answers.Answer) error {
+	if r.splits(req, t) {
+		return r.split(ctx, req, t, ans)
+	}
+
+	return r.guarded(ctx, req, t, func(t table.Target) error { return r.bracketed(ctx, req, t, ans) })
+}
+
+// guarded calls use with t, or with the engine that the guard names instead.
+func (r *Runner) guarded(ctx context.Context, req table.Request, t table.Target, use func(table.Target) error) error {
 	if r.opts.Guard == nil || t.Type != table.Engine || t.DataCentre != r.opts.Home || req.Resume {
-		return r.bracketed(ctx, req, t, ans)
+		return use(t)
 	}
 
 	id, err := r.opts.Guard.Begin(ctx, req, t.ID)
@@ -198,7 +208,7 @@
 		}
 	}
 
-	err = r.bracketed(ctx, req, t, ans)
+	err = use(t)
 	r.opts.Guard.Ended(ctx, req, t.ID, err)
 
 	return err
@@ -206,7 +216,7 @@
 
 func (r *Runner) bracketed(ctx context.Context, req table.Request, t table.Target, ans *answers.Answer) error {
 	if !r.opts.Router.Begin(t.ID, req) {
-		return verdict.New(verdict.NotRun, verdict.CodeNoTarget, "%s takes no new work", t.ID).After(noTargetWait)
+		return leaving(t)
 	}
 
 	err := r.use(ctx, req, t, ans)
@@ -221,6 +231,8 @@
 		return r.direct(ctx, req, t, ans)
 	}
 
+	ans.SetMeta(answers.Meta{Target: t.ID})
+
 	err := r.opts.Peers.Forward(ctx, t.DataCentre, t.ID, req, ans)
 
 	if !mayBeRunning(req, t, err) || ctx.Err() != nil {
@@ -229,7 +241,7 @@
 
 	req.Resume = true
 
-	return r.direct(ctx, req, t, ans)
+	return r.direct(ctx, req, r.producer(t, ans), ans)
 }
 
 // mayBeRunning reports whether the engine t may be producing req's answer although the entry hosts
@@ -248,7 +260,7 @@
 		return r.call(ctx, req, t, ans)
 	}
 
-	return r.stream(ctx, req, t, ans)
+	return r.stream(ctx, callOf(req), t, ans)
 }
 
 func (r *Runner) call(ctx context.Context, req table.Request, t table.Target, ans *answers.Answer) error {
@@ -265,11 +277,16 @@
 	return nil
 }
 
-// stream runs req on the engine t and resumes it there when the stream breaks off.
-func (r *Runner) stream(ctx context.Context, req table.Request, t table.Target, ans *answers.Answer) error {
-	call := engine.Request{ID: req.ID, Path: req.Path, Body: req.Body, Urgency: req.Kind.Urgency, Resume: req.Resume}
+func callOf(req table.Request) engine.Request {
+	return engine.Request{ID: req.ID, Path: req.Path, Body: req.Body, Urgency: req.Kind.Urgency, Resume: req.Resume}
+}
 
-	var first error
+// stream runs call on the engine t and resumes it there when the stream breaks off.
+func (r *Runner) stream(ctx context.Context, call engine.Request, t table.Target, ans *answers.Answer) error {
+	var (
+		first   error
+		resumed = call.Resume
+	)
 
 	for range r.opts.TrySameFor {
 		call.ResumeFrom = ans.Next()
@@ -288,7 +305,7 @@
 		}
 
 		if ctx.Err() != nil {
-			r.cancel(t, req.ID)
+			r.cancel(t, call.ID)
 
 			return first
 		}
@@ -297,7 +314,7 @@
 			return err
 		}
 
-		if forgotten(err) && req.Resume {
+		if forgotten(err) && resumed {
 			return verdict.New(verdict.MayHaveRun, verdict.CodeNotFound, "%s does not know the request", t.ID).Because(err)
 		}
 
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -261,7 +261,7 @@
 	held := answers.NewTable(answers.Options{Clock: clock})
 	h.runner = dispatch.New(dispatch.Options{
 		Clock: clock, Home: h.opts.DataCentre, Engines: h.engines, Services: service.NewClient(service.Options{}),
-		Peers: h.network, Router: h.router, Retries: h.budget, Guard: h.guard, Log: h.opts.Log,
+		Peers: h.network, Router: h.router, Phases: h.router, Retries: h.budget, Guard: h.guard, Log: h.opts.Log,
 	})
 	h.governor = govern.Start(ctx, govern.Options{
 		Clock: clock, Log: h.opts.Log, Host: h.opts.ID, Address: h.PeerAddress(), DataCentre: h.opts.DataCentre,
@@ -270,7 +270,7 @@
 	h.network.Start(ctx)
 
 	taken := requests.New(requests.Options{
-		Clock: clock, Host: h.opts.ID, Home: h.opts.DataCentre, Runner: h.runner, Router: h.router,
+		Clock: clock, Host: h.opts.ID, Home: h.opts.DataCentre, Runner: h.runner, Router: h.router, Phases: h.router,
 		Claims: h.claims, Answers: held, Peers: h.network, Admission: h.admit, Quarantine: h.guard, Log: h.opts.Log,
 	})
 
--- /dev/null
+++ b/internal/entry/host/phases_test.go
@@ -0,0 +1,176 @@
+package host_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/document"
+	"github.com/dotterelflow/dotterelflow/internal/control/orders"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/standin/engine"
+	standinorders "github.com/dotterelflow/dotterelflow/internal/standin/orders"
+	standinplatform "github.com/dotterelflow/dotterelflow/internal/standin/platform"
+)
+
+// newSplitSite runs one engine of each role given, in the data centre a.
+func newSplitSite(t *testing.T, opts engine.Options, roles ...table.Role) *site {
+	t.Helper()
+
+	s := &site{store: standinplatform.NewStore(clockwork.NewRealClock())}
+
+	var text strings.Builder
+
+	fmt.Fprintf(&text, siteForm, table.HashKey("desk-key"), table.HashKey("other-key"))
+	text.WriteString("targets:\n")
+
+	for i, role := range roles {
+		opts.Orders = standinorders.Options{
+			Initial: orders.Setting{Model: "m", Role: role}, ChecksFencing: true, Change: 200 * time.Millisecond,
+		}
+		e := engine.NewServer(opts)
+		server := serve(t, e)
+		s.engines = append(s.engines, e)
+		s.servers = append(s.servers, server)
+		fmt.Fprintf(&text, "  - {id: engine-%d, type: engine, data-centre: a, address: %s, model: m, role: %s, "+
+			"gated: true, checks-fencing: true, slots: 16, prefill-rate: 16000, decode-rate: 1200}\n", i+1, server.Address(), role)
+	}
+
+	doc, err := document.Parse("site.yaml", []byte(text.String()))
+	require.NoError(t, err)
+
+	s.doc = doc
+	s.apply(t, doc)
+
+	return s
+}
+
+func total(runs map[table.RequestID]int) int {
+	sum := 0
+	for _, n := range runs {
+		sum += n
+	}
+
+	return sum
+}
+
+func TestPromptAndDecodeRunOnTheirEngines(t *testing.T) {
+	t.Parallel()
+
+	s := newSplitSite(t, engine.Options{}, table.Prefill, table.Prefill, table.Decode, table.Decode)
+	h := s.addHost(t, "a")
+
+	var wg sync.WaitGroup
+
+	for i := range 12 {
+		wg.Go(func() {
+			c := call{kind: "note", prompt: fmt.Sprintf("in two phases %d", i), tokens: 20, stream: i%2 == 0}
+			if i%3 == 0 {
+				c.kind, c.key = "grade", newKey()
+			}
+
+			out, err := c.do(t.Context(), h)
+			if err != nil || out.text != c.want() || !out.whole {
+				t.Errorf("got %+v, %v", out, err)
+			}
+		})
+	}
+
+	wg.Wait()
+
+	for i, e := range s.engines[:2] {
+		require.Zero(t, total(e.Runs()), "prefill engine %d generated", i+1)
+	}
+
+	require.Equal(t, 12, total(s.engines[0].Prefills())+total(s.engines[1].Prefills()))
+	require.Equal(t, 12, s.engines[0].Exports()+s.engines[1].Exports())
+	require.Equal(t, 12, total(s.engines[2].Runs())+total(s.engines[3].Runs()))
+}
+
+func TestPhaseFailures(t *testing.T) {
+	t.Parallel()
+
+	// The first two engines are for prefill, the others for decode.
+	for name, c := range map[string]struct {
+		spoil    func(s *site)
+		once     bool // the kind runs at most once
+		want     string
+		maxTotal int // runs of the decode in all
+	}{
+		"prefill engines refuse one": {
+			spoil: func(s *site) { s.engines[0].SetFaults(engine.Faults{Refuse: true}) }, once: true, want: "whole", maxTotal: 1,
+		},
+		"a prefill engine is gone": {
+			spoil: func(s *site) { _ = s.servers[0].Close() }, once: true, want: "whole", maxTotal: 1,
+		},
+		"a decode engine is gone": {
+			spoil: func(s *site) { _ = s.servers[2].Close() }, once: true, want: "whole", maxTotal: 1,
+		},
+		"a decode engine refuses": {
+			spoil: func(s *site) { s.engines[2].SetFaults(engine.Faults{Refuse: true}) }, once: true, want: "whole", maxTotal: 1,
+		},
+		"streams of decode engines break": {
+			spoil: func(s *site) { s.each(engine.Faults{CutAfter: 5}, 2, 3) }, once: true, want: "whole", maxTotal: 1,
+		},
+		"a decode engine crashes, repeatable": {
+			spoil: func(s *site) { s.each(engine.Faults{CrashDecode: true}, 2) }, want: "whole", maxTotal: 2,
+		},
+		"decode engines crash, at most once": {
+			spoil: func(s *site) { s.each(engine.Faults{CrashDecode: true}, 2, 3) }, once: true, want: "may-have-run", maxTotal: 1,
+		},
+		"a KV cache is lost": {
+			spoil: func(s *site) { s.each(engine.Faults{LoseKV: true}, 0) }, once: true, want: "whole", maxTotal: 1,
+		},
+		"all KV caches are lost": {
+			spoil: func(s *site) { s.each(engine.Faults{LoseKV: true}, 0, 1) }, once: true, want: "not-run", maxTotal: 0,
+		},
+		"all decode engines refuse": {
+			spoil: func(s *site) { s.each(engine.Faults{Refuse: true}, 2, 3) }, once: true, want: "not-run", maxTotal: 0,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			s := newSplitSite(t, engine.Options{}, table.Prefill, table.Prefill, table.Decode, table.Decode)
+			h := s.addHost(t, "a")
+			c.spoil(s)
+
+			for i := range 4 {
+				request := call{kind: "note", prompt: fmt.Sprintf("%s %d", name, i), tokens: 20}
+
+				if c.once {
+					request.kind, request.key = "grade", newKey()
+				}
+
+				before := total(s.engines[2].Runs()) + total(s.engines[3].Runs())
+				out := request.send(t, h)
+				ran := total(s.engines[2].Runs()) + total(s.engines[3].Runs()) - before
+
+				if c.want == "whole" {
+					require.Equal(t, request.want(), out.text, "%+v", out.problem)
+				} else {
+					require.Equal(t, c.want, out.problem.Verdict.String(), "%+v", out.problem)
+				}
+
+				require.LessOrEqual(t, ran, c.maxTotal)
+
+				if c.want == "may-have-run" {
+					break // one crash is enough
+				}
+			}
+		})
+	}
+}
+
+// each sets the faults of the engines with these indices.
+func (s *site) each(f engine.Faults, engines ...int) {
+	for _, i := range engines {
+		s.engines[i].SetFaults(f)
+	}
+}
--- a/internal/entry/peers/forward.go
+++ b/internal/entry/peers/forward.go
@@ -39,6 +39,11 @@
 		}
 
 		req.Resume = req.Resume || last.Verdict != verdict.NotRun
+
+		// The events name the engine that generates, which need not be the one that ran the prompt.
+		if from := ans.Meta().Target; from != "" && last.Verdict != verdict.NotRun {
+			t = from
+		}
 	}
 
 	if last == nil {
@@ -75,7 +80,7 @@
 	stream, err := client.Forward(ctx, &peer.ForwardRequest{
 		RequestId: string(req.ID), Account: string(req.Account), Kind: string(req.Kind.Name), Key: req.Key,
 		Path: req.Path, Body: req.Body, ContentType: req.ContentType, Target: string(t),
-		DeadlineUnixMs: req.Deadline.UnixMilli(), From: ans.Next(), Resume: req.Resume,
+		DeadlineUnixMs: req.Deadline.UnixMilli(), From: ans.Next(), Resume: req.Resume, HandOver: string(req.HandOver),
 	})
 	if err != nil {
 		return lost(m, verdict.MayHaveRun, err)
--- a/internal/entry/peers/server.go
+++ b/internal/entry/peers/server.go
@@ -138,7 +138,7 @@
 	return table.Request{
 		ID: table.RequestID(r.GetRequestId()), Account: account.ID, Kind: kind, Key: r.GetKey(), Path: r.GetPath(),
 		ContentType: r.GetContentType(), Body: r.GetBody(), Deadline: time.UnixMilli(r.GetDeadlineUnixMs()),
-		Forwarded: true, Pinned: table.TargetID(r.GetTarget()), Resume: r.GetResume(),
+		Forwarded: true, Pinned: table.TargetID(r.GetTarget()), Resume: r.GetResume(), HandOver: table.TargetID(r.GetHandOver()),
 	}, nil
 }
 
--- a/internal/entry/requests/keyed.go
+++ b/internal/entry/requests/keyed.go
@@ -1,6 +1,7 @@
 package requests
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -32,15 +33,13 @@
 	ctx, cancel := s.bounded(ctx, c.req)
 	defer cancel()
 
-	if t, ok := s.opts.Router.Pick(c.req, nil); ok {
-		c.req.Preferred = t.ID
-	}
+	target := s.choose(&c.req)
 
 	age := s.opts.Clock.Since(c.key.Time())
 
 	out, err := s.opts.Claims.Claim(ctx, ledger.Request{
 		Key: c.key, Fingerprint: claims.FingerprintOf(c.req.Kind.Name, c.req.Body), Nonce: claims.NewNonce(),
-		Claimant: s.opts.Host, DataCentre: s.opts.Home, Request: c.req.ID, Target: c.req.Preferred,
+		Claimant: s.opts.Host, DataCentre: s.opts.Home, Request: c.req.ID, Target: target,
 		// Only a request that must be claimed waits for the platform.
 		Patient: c.req.Kind.AtMostOnce && c.req.Kind.Urgency == table.Patient, Repeat: age > freshKey || age < -freshKey,
 	})
@@ -58,6 +57,26 @@
 	}
 }
 
+// choose names the targets that req should run on and returns the one that will hold its answer.
+func (s *Service) choose(req *table.Request) table.TargetID {
+	t, ok := s.opts.Router.Pick(*req, nil)
+	if !ok {
+		return ""
+	}
+
+	req.Preferred = t.ID
+
+	if s.opts.Phases == nil || t.Type != table.Engine || s.opts.Phases.Role(t.ID) != table.Prefill {
+		return t.ID
+	}
+
+	if d, ok := s.opts.Phases.PickDecode(*req, t.DataCentre, nil); ok {
+		req.HandOver = d.ID
+	}
+
+	return cmp.Or(req.HandOver, t.ID)
+}
+
 // runClaimed runs a request whose claim this host holds and records what it came to.
 func (s *Service) runClaimed(ctx context.Context, c claimed, record claims.Record) {
 	s.produce(ctx, c.req, c.ans)
--- a/internal/entry/requests/service.go
+++ b/internal/entry/requests/service.go
@@ -23,6 +23,12 @@
 	Pick(req table.Request, tried []table.TargetID) (table.Target, bool)
 }
 
+// Phases names the engine that generates when a request's first target runs only the prompt.
+type Phases interface {
+	Role(t table.TargetID) table.Role
+	PickDecode(req table.Request, near table.DataCentre, tried []table.TargetID) (table.Target, bool)
+}
+
 // Admission lets a request start. Its error is a *verdict.Error with verdict NotRun. The returned
 // function must be called once, when the request has ended.
 type Admission interface {
@@ -55,6 +61,7 @@
 	Router     Router
 	Claims     Claims
 	Answers    *answers.Table
+	Phases     Phases      // nil means that each target runs whole requests
 	Peers      Peers       // nil means that there are no other hosts
 	Admission  Admission   // nil admits everything
 	Quarantine Quarantine  // nil refuses nothing
--- /dev/null
+++ b/internal/entry/routes/phases.go
@@ -0,0 +1,96 @@
+package routes
+
+import (
+	"maps"
+	"math/rand"
+	"slices"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/routing"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+// Role returns the role that an engine last reported, or its configured one before any report.
+func (r *Router) Role(t table.TargetID) table.Role {
+	roles := r.roles.Load()
+	if roles == nil {
+		return table.Mixed
+	}
+
+	return (*roles)[t]
+}
+
+// PickDecode chooses an engine in the data centre near that may run the decode of req and is not
+// among tried; req.HandOver comes first. It reports false if there is none.
+func (r *Router) PickDecode(req table.Request, near table.DataCentre, tried []table.TargetID) (table.Target, bool) {
+	view, snapshot := r.within.Load(), r.snapshot.Load()
+	if view == nil {
+		return table.Target{}, false
+	}
+
+	if t, ok := find(snapshot, req.HandOver); ok && len(tried) == 0 && t.DataCentre == near && r.decodes(t, req) {
+		return t, true
+	}
+
+	rng, ok := r.rngs.Get().(*rand.Rand)
+	if !ok {
+		return table.Target{}, false
+	}
+
+	defer r.rngs.Put(rng)
+
+	q := routing.Request{
+		Model: req.Kind.Model, Phase: routing.Decode, Urgency: req.Kind.Urgency, Decode: req.Decode, Near: near,
+	}
+
+	for range pickTries {
+		if len(tried) > 0 {
+			q.Avoid = tried[len(tried)-1]
+		}
+
+		choice, ok := view.Pick(rng, q)
+		if !ok {
+			return table.Target{}, false
+		}
+
+		t, ok := find(snapshot, choice.Target)
+		if ok && choice.DataCentre == near && r.decodes(t, req) && !slices.Contains(tried, t.ID) {
+			return t, true
+		}
+	}
+
+	return table.Target{}, false
+}
+
+// decodes reports whether t may run the decode of req.
+func (r *Router) decodes(t table.Target, req table.Request) bool {
+	return t.Model == req.Kind.Model && r.Role(t.ID) != table.Prefill && r.usable(t, req)
+}
+
+// handsOver reports whether t, picked for a prompt, runs the whole request or has an engine near it
+// to hand the KV cache to.
+func (r *Router) handsOver(req table.Request, t table.Target) bool {
+	if t.Type != table.Engine || r.Role(t.ID) != table.Prefill {
+		return true
+	}
+
+	_, ok := r.PickDecode(req, t.DataCentre, nil)
+
+	return ok
+}
+
+// rolesOf returns the role of each engine of snapshot.
+func rolesOf(snapshot *table.Snapshot, loads map[table.TargetID]table.Load) map[table.TargetID]table.Role {
+	roles := make(map[table.TargetID]table.Role, len(snapshot.Targets))
+
+	for _, t := range snapshot.Targets {
+		roles[t.ID] = t.Role
+	}
+
+	for l := range maps.Values(loads) {
+		if _, ok := roles[l.Target]; ok {
+			roles[l.Target] = l.Role
+		}
+	}
+
+	return roles
+}
--- a/internal/entry/routes/router.go
+++ b/internal/entry/routes/router.go
@@ -36,6 +36,8 @@
 	ledger   *routing.Ledger
 	prefixes *routing.Prefixes
 	view     atomic.Pointer[routing.View]
+	within   atomic.Pointer[routing.View] // the same within one data centre
+	roles    atomic.Pointer[map[table.TargetID]table.Role]
 	snapshot atomic.Pointer[table.Snapshot]
 	rngs     sync.Pool
 	seeds    atomic.Int64
@@ -89,9 +91,14 @@
 
 	r.leaving.Store(&leaving)
 	r.snapshot.Store(snapshot)
-	r.view.Store(routing.Build(routing.Options{
+	roles := rolesOf(snapshot, st.Loads)
+	r.roles.Store(&roles)
+
+	view := routing.Build(routing.Options{
 		Now: now, Home: r.opts.Home, Hosts: max(st.Hosts, 1), Ledger: r.ledger, Prefixes: r.prefixes,
-	}, targets))
+	}, targets)
+	r.view.Store(view)
+	r.within.Store(view.Within())
 
 	r.rounds++
 	if r.rounds%ledgerEvery == 0 {
@@ -142,7 +149,7 @@
 		return t, ok && (req.Resume || !r.leaves(req.Pinned))
 	}
 
-	if t, ok := find(snapshot, req.Preferred); ok && len(tried) == 0 && r.usable(t, req) {
+	if t, ok := find(snapshot, req.Preferred); ok && len(tried) == 0 && r.usable(t, req) && r.Role(t.ID) != table.Decode {
 		return t, true
 	}
 
@@ -151,6 +158,21 @@
 		Prefill: req.Prefill, Decode: req.Decode, Prefix: routing.Prefix(req.Prefix), PrefixTokens: req.Prefill,
 	}
 
+	if req.Kind.Model != "" {
+		q.Phase = routing.Prefill
+	}
+
+	if t, ok := r.pick(view, snapshot, q, req, tried); ok || q.Phase == routing.Whole {
+		return t, ok
+	}
+
+	// A mixed engine may be free where prefill engines were drawn that can hand over to nobody.
+	q.Phase = routing.Whole
+
+	return r.pick(view, snapshot, q, req, tried)
+}
+
+func (r *Router) pick(view *routing.View, snapshot *table.Snapshot, q routing.Request, req table.Request, tried []table.TargetID) (table.Target, bool) {
 	rng, ok := r.rngs.Get().(*rand.Rand)
 	if !ok {
 		return table.Target{}, false
@@ -169,7 +191,7 @@
 		}
 
 		t, ok := find(snapshot, choice.Target)
-		if ok && r.usable(t, req) && !slices.Contains(tried, choice.Target) {
+		if ok && r.usable(t, req) && !slices.Contains(tried, choice.Target) && r.handsOver(req, t) {
 			return t, true
 		}
 	}
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -29,6 +29,7 @@
 	PrefillPerSecond int             // prompt tokens per second; zero means 20,000
 	TokenTime        time.Duration   // time between output tokens; zero means 1 ms
 	Keep             time.Duration   // how long a finished answer can be resumed; zero means 1 min
+	KeepKV           time.Duration   // how long a KV cache waits to be fetched; zero means 10 s
 	Restart          time.Duration   // how long a crashed engine refuses connections; zero means 1 s
 	Orders           standin.Options // how it takes orders
 	OnCrash          func()          // called on a crash, after every stream has been cut; may be nil
@@ -40,10 +41,12 @@
 	Silent   bool `json:"silent,omitempty"`    // open streams and new ones deliver nothing
 	// SilentAfter makes each new stream deliver nothing, once, after this many events.
 	SilentAfter int  `json:"silent-after,omitempty"`
-	Duplicate   bool `json:"duplicate,omitempty"` // each event is sent twice
-	Cross       bool `json:"cross,omitempty"`     // one event of another request is mixed in
-	Gap         int  `json:"gap,omitempty"`       // leave out this event once per stream
-	Refuse      bool `json:"refuse,omitempty"`    // answer 503 with the verdict not-run
+	Duplicate   bool `json:"duplicate,omitempty"`    // each event is sent twice
+	Cross       bool `json:"cross,omitempty"`        // one event of another request is mixed in
+	Gap         int  `json:"gap,omitempty"`          // leave out this event once per stream
+	Refuse      bool `json:"refuse,omitempty"`       // answer 503 with the verdict not-run
+	LoseKV      bool `json:"lose-kv,omitempty"`      // no KV cache is there when it is fetched
+	CrashDecode bool `json:"crash-decode,omitempty"` // crash once when a decode has given its first events
 }
 
 // Server is the stand-in engine, an http.Handler that is safe for concurrent use.
@@ -51,18 +54,21 @@
 	opts   Options
 	orders *standin.Engine
 
-	mu      sync.Mutex
-	faults  Faults
-	answers map[table.RequestID]*answer
-	runs    map[table.RequestID]int
-	crashes int
-	down    time.Time // connections are refused until then
+	mu       sync.Mutex
+	faults   Faults
+	answers  map[table.RequestID]*answer
+	runs     map[table.RequestID]int
+	prefills map[table.RequestID]int
+	exports  int // KV caches handed over
+	crashes  int
+	down     time.Time // connections are refused until then
 }
 
 // answer is one request's generation, which goes on whether or not anybody reads it.
 type answer struct {
 	path   string
 	prompt prompt
+	phase  table.Role // Mixed for both
 
 	mu      sync.Mutex
 	ready   int // events generated so far
@@ -86,12 +92,17 @@
 		opts.Keep = time.Minute
 	}
 
+	if opts.KeepKV == 0 {
+		opts.KeepKV = defaultKeepKV
+	}
+
 	if opts.Restart == 0 {
 		opts.Restart = time.Second
 	}
 
 	return &Server{
 		opts: opts, orders: standin.New(clockwork.NewRealClock(), opts.Orders), answers: map[table.RequestID]*answer{}, runs: map[table.RequestID]int{},
+		prefills: map[table.RequestID]int{},
 	}
 }
 
@@ -144,6 +155,8 @@
 		s.complete(w, r)
 	case r.Method == http.MethodDelete:
 		s.cancel(table.RequestID(strings.TrimPrefix(r.URL.Path, "/requests/")))
+	case r.Method == http.MethodGet && strings.HasPrefix(r.URL.Path, kvPath):
+		s.export(w, table.RequestID(strings.TrimPrefix(r.URL.Path, kvPath)))
 	case r.Method == http.MethodGet && r.URL.Path == "/load":
 		writeJSON(w, s.report())
 	case r.Method == http.MethodPut && r.URL.Path == "/order":
@@ -176,7 +189,7 @@
 		a.mu.Lock()
 		if !a.ended {
 			report.Running++
-			report.DecodePending += table.Tokens(a.prompt.output() - a.ready)
+			a.pending(&report)
 		}
 		a.mu.Unlock()
 	}
@@ -211,13 +224,24 @@
 	f := s.faults
 	s.mu.Unlock()
 
-	if f.Refuse || !s.orders.Admit() {
+	phase := phaseOf(r)
+
+	if f.Refuse || !s.takes(phase) || !s.orders.Admit() {
 		refuse(w, http.StatusServiceUnavailable, "busy")
 
 		return
 	}
 
-	a := s.start(id, r.URL.Path, p)
+	if source := r.Header.Get(engine.HeaderKVSource); source != "" {
+		if err := fetch(r.Context(), source, id, p); err != nil {
+			s.orders.Finish()
+			refuse(w, http.StatusFailedDependency, err.Error())
+
+			return
+		}
+	}
+
+	a := s.start(id, r.URL.Path, p, phase)
 
 	if strings.Contains(p.text(), CrashMark) {
 		s.crash()
@@ -227,11 +251,16 @@
 	s.send(w, r, id, a, 0)
 }
 
-func (s *Server) start(id table.RequestID, path string, p prompt) *answer {
-	a := &answer{path: path, prompt: p, changed: make(chan struct{}), gone: make(chan struct{})}
+func (s *Server) start(id table.RequestID, path string, p prompt, phase table.Role) *answer {
+	a := &answer{path: path, prompt: p, phase: phase, changed: make(chan struct{}), gone: make(chan struct{})}
 
 	s.mu.Lock()
-	s.runs[id]++
+	if phase == table.Prefill {
+		s.prefills[id]++
+	} else {
+		s.runs[id]++
+	}
+
 	s.answers[id] = a
 	s.mu.Unlock()
 
@@ -246,11 +275,15 @@
 
 // generate advances a until it is whole or gone, and forgets it after the keep time.
 func (s *Server) generate(id table.RequestID, a *answer) {
-	prefill := time.Duration(len(a.prompt.text())/4) * time.Second / time.Duration(s.opts.PrefillPerSecond)
-	wait := time.NewTimer(prefill)
-
+	wait := time.NewTimer(s.promptTime(a))
 	defer wait.Stop()
 
+	if a.phase == table.Prefill {
+		s.fill(id, a, wait)
+
+		return
+	}
+
 	for n := range a.prompt.output() + 1 {
 		select {
 		case <-wait.C:
@@ -358,8 +391,16 @@
 	first := !a.cutOnce
 	a.cutOnce = a.cutOnce || (f.SilentAfter > 0 && n >= f.SilentAfter) || (f.CutAfter > 0 && n >= f.CutAfter) || (f.Gap > 0 && n >= f.Gap) || (f.Cross && n > 0)
 	hit := first && a.cutOnce
+	decoding := a.phase == table.Decode && n > 0
 	a.mu.Unlock()
 
+	if f.CrashDecode && decoding {
+		f.CrashDecode = false
+		s.SetFaults(f)
+		s.crash()
+		panic(http.ErrAbortHandler)
+	}
+
 	if hit && f.CutAfter > 0 {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/wire/engine/client.go
+++ b/internal/wire/engine/client.go
@@ -200,6 +200,10 @@
 		code = verdict.CodeNotFound
 	}
 
+	if resp.StatusCode == http.StatusFailedDependency {
+		code = verdict.CodeKVLost
+	}
+
 	return verdict.New(v, code, "%s refused with status %d: %.200s", t.ID, resp.StatusCode, bytes.TrimSpace(text))
 }
 
--- a/internal/wire/verdict/verdict.go
+++ b/internal/wire/verdict/verdict.go
@@ -72,6 +72,7 @@
 	CodeKeyRequired  Code = "key-required"
 	CodeTargetLost   Code = "target-lost"
 	CodePeerLost     Code = "peer-lost"
+	CodeKVLost       Code = "kv-cache-lost"
 	CodeTruncated    Code = "truncated"
 	CodeStopping     Code = "stopping"
 	CodeInternal     Code = "internal"
