Try suspect requests on engines that run their phase

A decode engine that crashed made its request suspect; its trial was granted on any engine of the model, so also on a prefill engine, which refused the decode, and the request failed: TestPhaseFailures/a_decode_engine_crashes,_repeatable: engine-1 refused with status 503: busy, verdict may-have-run (1 failure in 2 runs) Suspects are kept for each pool now: engines that may begin a request, and engines that decode.

--- a/internal/control/table/request.go
+++ b/internal/control/table/request.go
@@ -24,6 +24,8 @@
 	Preferred TargetID
 	// HandOver names the engine to try first for the decode, when Preferred runs only the prompt.
 	HandOver TargetID
+	// Phase is set on the part of a request that one engine runs; Mixed stands for both phases.
+	Phase Role
 	// Pinned names the only target that may serve the request; empty for any.
 	Pinned TargetID
 	// Resume is set when Pinned may already be running the request.
--- a/internal/entry/dispatch/phases.go
+++ b/internal/entry/dispatch/phases.go
@@ -98,7 +98,7 @@
 // prefill runs the prompt on t, or on the engine that the guard names instead, and returns the
 // engine that holds the KV cache.
 func (r *Runner) prefill(ctx context.Context, req table.Request, t table.Target) (table.Target, error) {
-	req.Decode = 0
+	req.Decode, req.Phase = 0, table.Prefill
 
 	err := r.guarded(ctx, req, t, func(named table.Target) error {
 		t = named
@@ -137,7 +137,7 @@
 
 // decode generates the answer of req on d, which fetches the KV cache from source.
 func (r *Runner) decode(ctx context.Context, req table.Request, d table.Target, source string, ans *answers.Answer) error {
-	req.Prefill, req.Prefix = 0, 0
+	req.Prefill, req.Prefix, req.Phase = 0, 0, table.Decode
 
 	return r.guarded(ctx, req, d, func(d table.Target) error {
 		if !r.opts.Router.Begin(d.ID, req) {
--- a/internal/entry/host/digest.go
+++ b/internal/entry/host/digest.go
@@ -7,6 +7,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/quarantine"
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
 	"github.com/dotterelflow/dotterelflow/internal/entry/routes"
+	"github.com/dotterelflow/dotterelflow/internal/entry/suspects"
 	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
 )
 
@@ -111,7 +112,7 @@
 	}
 
 	h.routed.Store(true)
-	h.guard.Tick(func(model table.Model) quarantine.View { return h.viewOf(snapshot, model, loads) })
+	h.guard.Tick(func(p suspects.Pool) quarantine.View { return h.viewOf(snapshot, p, loads) })
 	h.admit.SetConfig(snapshot, hosts, func(t table.Target) bool { return reachable[t.DataCentre] && !leaving[t.ID] })
 }
 
@@ -126,8 +127,8 @@
 	return encoded
 }
 
-// viewOf returns what this host sees of its data centre's engines for a model.
-func (h *Host) viewOf(snapshot *table.Snapshot, model table.Model, loads map[table.TargetID]table.Load) quarantine.View {
+// viewOf returns what this host sees of its data centre's engines in a pool.
+func (h *Host) viewOf(snapshot *table.Snapshot, pool suspects.Pool, loads map[table.TargetID]table.Load) quarantine.View {
 	v := quarantine.View{Hosts: []table.HostID{h.opts.ID}}
 
 	for _, m := range h.network.Live() {
@@ -140,7 +141,7 @@
 
 	for _, t := range snapshot.Targets {
 		l := loads[t.ID]
-		if t.Model != model || t.DataCentre != h.opts.DataCentre || t.Leaving || l.Changing || now.Sub(l.At) > staleLoad {
+		if t.Model != pool.Model || !pool.Has(h.router.Role(t.ID)) || t.DataCentre != h.opts.DataCentre || t.Leaving || l.Changing || now.Sub(l.At) > staleLoad {
 			continue
 		}
 
--- a/internal/entry/host/phases_test.go
+++ b/internal/entry/host/phases_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/require"
-
+	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/document"
 	"github.com/dotterelflow/dotterelflow/internal/control/orders"
@@ -17,6 +17,8 @@
 	"github.com/dotterelflow/dotterelflow/internal/standin/engine"
 	standinorders "github.com/dotterelflow/dotterelflow/internal/standin/orders"
 	standinplatform "github.com/dotterelflow/dotterelflow/internal/standin/platform"
+	"github.com/dotterelflow/dotterelflow/internal/wire/operator"
+	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
 )
 
 // newSplitSite runs one engine of each role given, in the data centre a.
@@ -174,3 +176,71 @@
 		s.engines[i].SetFaults(f)
 	}
 }
+
+func TestPhasesFromAnotherDataCentre(t *testing.T) {
+	t.Parallel()
+
+	s := newSplitSite(t, engine.Options{}, table.Prefill, table.Decode, table.Decode)
+	s.addHost(t, "a")
+	far := s.addHost(t, "b")
+
+	for i := range 6 {
+		c := call{kind: "grade", key: newKey(), prompt: fmt.Sprintf("from afar %d", i), tokens: 20}
+		out := c.send(t, far)
+		require.Equal(t, c.want(), out.text, "%+v", out.problem)
+	}
+
+	require.Equal(t, 6, s.engines[0].Exports())
+	require.Equal(t, 6, total(s.engines[1].Runs())+total(s.engines[2].Runs()))
+}
+
+// A host that takes over looks for the answer on the engine that the claim names.
+func TestClaimNamesTheDecodeEngine(t *testing.T) {
+	t.Parallel()
+
+	s := newSplitSite(t, engine.Options{}, table.Prefill, table.Decode)
+	h := s.addHost(t, "a")
+	c := call{kind: "grade", key: newKey(), prompt: "claimed", tokens: 20}
+	require.Equal(t, c.want(), c.send(t, h).text)
+
+	objects, err := s.store.View().List(t.Context(), "claims/")
+	require.NoError(t, err)
+
+	var recorded strings.Builder
+	for _, o := range objects {
+		recorded.Write(o.Value)
+	}
+
+	require.Contains(t, recorded.String(), "engine-2")
+	require.NotContains(t, recorded.String(), "engine-1")
+}
+
+// The configuration goes on naming the old role after an order has changed it.
+func TestRoleChangeOfASplitFleetCutsNothing(t *testing.T) {
+	t.Parallel()
+
+	s := newSplitSite(t, engine.Options{TokenTime: 5 * time.Millisecond}, table.Prefill, table.Prefill, table.Decode, table.Decode)
+	s.addHost(t, "a")
+	s.addHost(t, "a")
+
+	for _, h := range s.hosts {
+		s.store.SetHostIn("a", h.PeerAddress(), platform.HostLive)
+	}
+
+	l := startLoad(t, s, 6)
+	role := table.Decode
+	plan := operator.Plan{ID: uuid.NewString(), Action: operator.Role, Target: "engine-1", Role: &role}
+
+	_, err := operatorOf(s.hosts[0]).Declare(t.Context(), plan)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.planDone(t, s.hosts[1], plan.ID) }, settleBound, 100*time.Millisecond)
+	require.Eventually(t, func() bool { return total(s.engines[0].Runs()) > 0 }, settleBound, pollEvery, "no decode on the changed engine")
+
+	l.stop()
+	require.Zero(t, l.cut.Load())
+	require.Positive(t, l.whole.Load())
+
+	for _, r := range s.engines[0].Orders().Receipts() {
+		require.Zero(t, r.Cut, "%+v", r)
+	}
+}
--- a/internal/entry/routes/phases.go
+++ b/internal/entry/routes/phases.go
@@ -2,8 +2,6 @@
 
 import (
 	"maps"
-	"math/rand"
-	"slices"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/routing"
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
@@ -31,34 +29,11 @@
 		return t, true
 	}
 
-	rng, ok := r.rngs.Get().(*rand.Rand)
-	if !ok {
-		return table.Target{}, false
-	}
-
-	defer r.rngs.Put(rng)
-
 	q := routing.Request{
 		Model: req.Kind.Model, Phase: routing.Decode, Urgency: req.Kind.Urgency, Decode: req.Decode, Near: near,
 	}
 
-	for range pickTries {
-		if len(tried) > 0 {
-			q.Avoid = tried[len(tried)-1]
-		}
-
-		choice, ok := view.Pick(rng, q)
-		if !ok {
-			return table.Target{}, false
-		}
-
-		t, ok := find(snapshot, choice.Target)
-		if ok && choice.DataCentre == near && r.decodes(t, req) && !slices.Contains(tried, t.ID) {
-			return t, true
-		}
-	}
-
-	return table.Target{}, false
+	return r.draw(view, q, tried, func(t table.Target) bool { return t.DataCentre == near && r.decodes(t, req) })
 }
 
 // decodes reports whether t may run the decode of req.
--- a/internal/entry/routes/router.go
+++ b/internal/entry/routes/router.go
@@ -162,17 +162,20 @@
 		q.Phase = routing.Prefill
 	}
 
-	if t, ok := r.pick(view, snapshot, q, req, tried); ok || q.Phase == routing.Whole {
+	takes := func(t table.Target) bool { return r.usable(t, req) && r.handsOver(req, t) }
+
+	if t, ok := r.draw(view, q, tried, takes); ok || q.Phase == routing.Whole {
 		return t, ok
 	}
 
 	// A mixed engine may be free where prefill engines were drawn that can hand over to nobody.
 	q.Phase = routing.Whole
 
-	return r.pick(view, snapshot, q, req, tried)
+	return r.draw(view, q, tried, takes)
 }
 
-func (r *Router) pick(view *routing.View, snapshot *table.Snapshot, q routing.Request, req table.Request, tried []table.TargetID) (table.Target, bool) {
+// draw picks a target for q that is not among tried and that takes accepts.
+func (r *Router) draw(view *routing.View, q routing.Request, tried []table.TargetID, takes func(table.Target) bool) (table.Target, bool) {
 	rng, ok := r.rngs.Get().(*rand.Rand)
 	if !ok {
 		return table.Target{}, false
@@ -190,8 +193,8 @@
 			return table.Target{}, false
 		}
 
-		t, ok := find(snapshot, choice.Target)
-		if ok && r.usable(t, req) && !slices.Contains(tried, choice.Target) && r.handsOver(req, t) {
+		t, ok := r.Target(choice.Target)
+		if ok && !slices.Contains(tried, choice.Target) && takes(t) {
 			return t, true
 		}
 	}
--- a/internal/entry/suspects/guard.go
+++ b/internal/entry/suspects/guard.go
@@ -30,11 +30,11 @@
 	opts Options
 
 	mu      sync.Mutex
-	tables  map[table.Model]*quarantine.Table
+	tables  map[Pool]*quarantine.Table
 	boots   map[table.TargetID]string // run of the target's process at the last report
 	cuts    map[table.TargetID]cut    // runs that a target broke off, until its fate is known
 	begun   map[run]string            // boot id of the target at the start of each run
-	waiting map[quarantine.Fingerprint]chan table.TargetID
+	waiting map[waiter]chan table.TargetID
 }
 
 // run is one request on one target.
@@ -59,17 +59,17 @@
 	opts.Quarantine.Self = opts.Self
 
 	return &Guard{
-		opts: opts, tables: map[table.Model]*quarantine.Table{}, boots: map[table.TargetID]string{}, cuts: map[table.TargetID]cut{}, begun: map[run]string{},
-		waiting: map[quarantine.Fingerprint]chan table.TargetID{},
+		opts: opts, tables: map[Pool]*quarantine.Table{}, boots: map[table.TargetID]string{}, cuts: map[table.TargetID]cut{}, begun: map[run]string{},
+		waiting: map[waiter]chan table.TargetID{},
 	}
 }
 
-// of returns the table of a model; the caller holds mu.
-func (g *Guard) of(model table.Model) *quarantine.Table {
-	t, ok := g.tables[model]
+// of returns the table of a pool; the caller holds mu.
+func (g *Guard) of(pool Pool) *quarantine.Table {
+	t, ok := g.tables[pool]
 	if !ok {
 		t = quarantine.New(g.opts.Quarantine)
-		g.tables[model] = t
+		g.tables[pool] = t
 	}
 
 	return t
@@ -88,7 +88,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
-	return asError(g.of(req.Kind.Model).Check(g.opts.Clock.Now(), fingerprintOf(req)))
+	for _, pool := range poolsOf(req.Kind.Model) {
+		if err := asError(g.of(pool).Check(g.opts.Clock.Now(), fingerprintOf(req))); err != nil {
+			return err
+		}
+	}
+
+	return nil
 }
 
 // asError keeps a nil *verdict.Error from becoming a non-nil error.
@@ -106,7 +112,7 @@
 	f := fingerprintOf(req)
 
 	for {
-		granted, ruling := g.begin(req.Kind.Model, f, target)
+		granted, ruling := g.begin(poolOf(req), f, target)
 
 		switch ruling.Action {
 		case quarantine.Run:
@@ -123,30 +129,30 @@
 			return trial, nil
 		case <-g.opts.Clock.After(askEvery):
 		case <-ctx.Done():
-			g.leave(req.Kind.Model, f, granted)
+			g.leave(poolOf(req), f, granted)
 
 			return "", verdict.New(verdict.NotRun, verdict.CodeQuarantined, "the request waited for a try of its own").Because(context.Cause(ctx))
 		}
 	}
 }
 
-func (g *Guard) begin(model table.Model, f quarantine.Fingerprint, target table.TargetID) (chan table.TargetID, quarantine.Ruling) {
+func (g *Guard) begin(pool Pool, f quarantine.Fingerprint, target table.TargetID) (chan table.TargetID, quarantine.Ruling) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
-	granted, ok := g.waiting[f]
+	granted, ok := g.waiting[waiter{pool, f}]
 	if ok && len(granted) > 0 {
 		return granted, quarantine.Ruling{Action: quarantine.Wait}
 	}
 
-	ruling := g.of(model).Begin(g.opts.Clock.Now(), f, target)
+	ruling := g.of(pool).Begin(g.opts.Clock.Now(), f, target)
 	if ruling.Action == quarantine.Run {
 		g.begun[run{f, target}] = g.boots[target]
 	}
 
 	if ruling.Action == quarantine.Wait && !ok {
 		granted = make(chan table.TargetID, 1)
-		g.waiting[f] = granted
+		g.waiting[waiter{pool, f}] = granted
 	}
 
 	return granted, ruling
@@ -160,15 +166,15 @@
 }
 
 // leave gives back a trial that was granted to a request that no longer waits.
-func (g *Guard) leave(model table.Model, f quarantine.Fingerprint, granted chan table.TargetID) {
+func (g *Guard) leave(pool Pool, f quarantine.Fingerprint, granted chan table.TargetID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
-	delete(g.waiting, f)
+	delete(g.waiting, waiter{pool, f})
 
 	select {
 	case trial := <-granted:
-		g.of(model).Ended(g.opts.Clock.Now(), f, trial, quarantine.Cancelled)
+		g.of(pool).Ended(g.opts.Clock.Now(), f, trial, quarantine.Cancelled)
 	default:
 	}
 }
@@ -186,7 +192,7 @@
 	}
 
 	delete(g.begun, this)
-	g.of(req.Kind.Model).Ended(now, this.fingerprint, target, end)
+	g.of(poolOf(req)).Ended(now, this.fingerprint, target, end)
 }
 
 // noteCut notes that target broke off a run; the caller holds mu.
@@ -251,7 +257,9 @@
 
 	if doubted && cut.boot == boot && asked.After(cut.at) {
 		delete(g.cuts, target)
-		g.of(model).Alive(target)
+		for _, pool := range poolsOf(model) {
+			g.of(pool).Alive(target)
+		}
 	}
 
 	if last == boot {
@@ -260,36 +268,41 @@
 
 	delete(g.cuts, target)
 
-	return len(g.of(model).Lost(g.opts.Clock.Now(), target)) > 0
+	lost := 0
+	for _, pool := range poolsOf(model) {
+		lost += len(g.of(pool).Lost(g.opts.Clock.Now(), target))
+	}
+
+	return lost > 0
 }
 
 // Tick advances the tables and starts the trials whose time has come. View returns what is seen of
-// the targets that serve a model.
-func (g *Guard) Tick(view func(table.Model) quarantine.View) {
+// the targets of a pool.
+func (g *Guard) Tick(view func(Pool) quarantine.View) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
 	now := g.opts.Clock.Now()
 
-	for model, t := range g.tables {
+	for pool, t := range g.tables {
 		t.Tick(now)
 
-		for _, trial := range t.Trials(now, view(model)) {
-			g.grant(t, trial)
+		for _, trial := range t.Trials(now, view(pool)) {
+			g.grant(pool, t, trial)
 		}
 	}
 }
 
 // grant passes a trial to the request that waits for it; the caller holds mu.
-func (g *Guard) grant(t *quarantine.Table, trial quarantine.Trial) {
-	granted, ok := g.waiting[trial.Fingerprint]
+func (g *Guard) grant(pool Pool, t *quarantine.Table, trial quarantine.Trial) {
+	granted, ok := g.waiting[waiter{pool, trial.Fingerprint}]
 	if !ok {
 		t.Ended(g.opts.Clock.Now(), trial.Fingerprint, trial.Target, quarantine.Cancelled)
 
 		return
 	}
 
-	delete(g.waiting, trial.Fingerprint)
+	delete(g.waiting, waiter{pool, trial.Fingerprint})
 	granted <- trial.Target
 }
 
@@ -298,7 +311,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
-	return g.of(model).Reserved(target)
+	for _, pool := range poolsOf(model) {
+		if g.of(pool).Reserved(target) {
+			return true
+		}
+	}
+
+	return false
 }
 
 // Export returns the encoded digest for a peer of the same data centre.
@@ -306,9 +325,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
-	digests := make(map[table.Model]quarantine.Digest, len(g.tables))
-	for model, t := range g.tables {
-		digests[model] = t.Export(to)
+	digests := make([]poolDigest, 0, len(g.tables))
+	for pool, t := range g.tables {
+		digests = append(digests, poolDigest{Pool: pool, Digest: t.Export(to)})
 	}
 
 	return json.Marshal(digests)
@@ -316,7 +335,7 @@
 
 // Merge takes in the encoded digest of a peer of the same data centre.
 func (g *Guard) Merge(from table.HostID, encoded []byte) error {
-	var digests map[table.Model]quarantine.Digest
+	var digests []poolDigest
 	if err := json.Unmarshal(encoded, &digests); err != nil {
 		return quarantine.Error.Wrap(err)
 	}
@@ -324,8 +343,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
-	for model, d := range digests {
-		g.of(model).Merge(g.opts.Clock.Now(), from, d)
+	for _, d := range digests {
+		g.of(d.Pool).Merge(g.opts.Clock.Now(), from, d.Digest)
 	}
 
 	return nil
