Change roles of engines in the running host when demand turns

Now each host meters the work that it admits and what waits, tells peers the sums on heartbeats, and the holder of a data centre's authority runs the policy each second. A change is declared as a planned role change, so the engine is drained first and nothing is cut. Engines that plans hold are left out; engines whose role change is open count as changing; a live host that has told no demand, or old data, stops decisions. After a declaration, and after taking authority, nothing is decided for 6 s, longer than the plans' read interval. Changes are counted (role-changes) and logged with their reason, which the plan keeps as well.

--- /dev/null
+++ b/internal/entry/balance/balancer.go
@@ -0,0 +1,155 @@
+package balance
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/orders"
+	"github.com/dotterelflow/dotterelflow/internal/control/plans"
+	"github.com/dotterelflow/dotterelflow/internal/control/roles"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+const (
+	decideEvery = time.Second
+	// pause is longer than the holder takes to read the plans again, so that a decision knows of those
+	// that were declared before it.
+	pause        = 6 * time.Second
+	declareBound = 2 * time.Second
+)
+
+// MetricChanges counts the role changes that this host has declared.
+const MetricChanges = "role-changes"
+
+// Site is what a Balancer knows of its data centre. Its methods are called from one goroutine.
+type Site interface {
+	// Holds reports whether this host holds the authority now.
+	Holds() bool
+	// Input returns what a decision depends on, and the weights of the deployment.
+	Input() (roles.Input, table.Weights)
+}
+
+// Options are the parts of a Balancer. Site and Platform are required.
+type Options struct {
+	Clock      clockwork.Clock  // nil means the real clock
+	Log        *log.Logger      // nil means the default logger
+	Registry   metrics.Registry // nil means the default registry
+	DataCentre table.DataCentre
+	Platform   plans.Store
+	Site       Site
+	Roles      roles.Options // the weights are those of the configuration
+}
+
+// Balancer declares role changes. It is safe for concurrent use.
+type Balancer struct {
+	opts    Options
+	changes metrics.Counter
+	done    chan struct{}
+	after   time.Time // nothing is decided before
+}
+
+// Start runs a Balancer until ctx ends.
+func Start(ctx context.Context, opts Options) *Balancer {
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
+
+	if opts.Log == nil {
+		opts.Log = &log.DefaultLogger
+	}
+
+	b := &Balancer{opts: opts, changes: metrics.GetOrRegisterCounter(MetricChanges, opts.Registry), done: make(chan struct{})}
+
+	go b.run(ctx)
+
+	return b
+}
+
+// Done is closed once the Balancer has ended.
+func (b *Balancer) Done() <-chan struct{} {
+	return b.done
+}
+
+func (b *Balancer) run(ctx context.Context) {
+	defer close(b.done)
+
+	tick := b.opts.Clock.NewTicker(decideEvery)
+	defer tick.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.Chan():
+		}
+
+		now := b.opts.Clock.Now()
+
+		switch {
+		case !b.opts.Site.Holds():
+			b.after = now.Add(pause)
+		case now.After(b.after):
+			b.decide(ctx)
+		}
+	}
+}
+
+func (b *Balancer) decide(ctx context.Context) {
+	in, weights := b.opts.Site.Input()
+	opts := b.opts.Roles
+	opts.Weights = weights
+
+	p, ok := roles.Propose(opts, in, b.opts.DataCentre)
+	if !ok {
+		return
+	}
+
+	b.after = b.opts.Clock.Now().Add(pause)
+
+	ctx, cancel := context.WithTimeout(ctx, declareBound)
+	defer cancel()
+
+	reason := reasonOf(in, p)
+	err := plans.Declare(ctx, b.opts.Platform, b.opts.DataCentre, plans.Plan{
+		ID: plans.ID(uuid.NewString()), Kind: plans.RoleChange, Target: p.Target, By: "role policy: " + reason,
+		Setting: &orders.Setting{Role: p.Role, Model: modelOf(in, p.Target)},
+	}, b.opts.Clock.Now())
+	if err != nil {
+		b.opts.Log.Warn().Str("target", string(p.Target)).Err(err).Msg("cannot declare a role change")
+
+		return
+	}
+
+	b.changes.Inc(1)
+	b.opts.Log.Info().Str("target", string(p.Target)).Str("role", p.Role.String()).Str("reason", reason).Msg("role change declared")
+}
+
+func modelOf(in roles.Input, id table.TargetID) table.Model {
+	for _, e := range in.Engines {
+		if e.Target == id {
+			return e.Model
+		}
+	}
+
+	return ""
+}
+
+// reasonOf renders what a proposal rests on.
+func reasonOf(in roles.Input, p roles.Proposal) string {
+	var rate, backlog roles.Rate
+
+	for _, l := range in.Loads {
+		if l.Model == modelOf(in, p.Target) {
+			rate, backlog = rate.Add(l.Rate), backlog.Add(l.Backlog)
+		}
+	}
+
+	return fmt.Sprintf("%.1f requests more within the horizon; %.0f prefill and %.0f decode tokens per second, %.0f requests waiting",
+		p.Gain, rate.Prefill, rate.Decode, backlog.Requests)
+}
--- a/internal/entry/host/digest.go
+++ b/internal/entry/host/digest.go
@@ -49,6 +49,8 @@
 		h.governor.Fill(d)
 	}
 
+	h.fillDemand(d)
+
 	for _, l := range h.loads.Mine() {
 		d.Loads = append(d.Loads, &peer.Load{
 			Target: string(l.Target), AtUnixMs: l.At.UnixMilli(), Running: uint32(max(l.Running, 0)),
@@ -62,6 +64,8 @@
 func (h *Host) Hear(d *peer.Digest) {
 	h.config.PeerGeneration(table.HostID(d.GetHost()), table.Generation(d.GetGeneration()))
 
+	h.changes.hear(h.opts.Clock.Now(), d)
+
 	if d.GetDataCentre() == string(h.opts.DataCentre) {
 		h.governor.Hear(d)
 	}
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -17,9 +17,11 @@
 
 	"github.com/dotterelflow/dotterelflow/internal/control/configuration"
 	"github.com/dotterelflow/dotterelflow/internal/control/ledger"
+	"github.com/dotterelflow/dotterelflow/internal/control/roles"
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
 	"github.com/dotterelflow/dotterelflow/internal/entry/admit"
 	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
+	"github.com/dotterelflow/dotterelflow/internal/entry/balance"
 	"github.com/dotterelflow/dotterelflow/internal/entry/dispatch"
 	"github.com/dotterelflow/dotterelflow/internal/entry/govern"
 	"github.com/dotterelflow/dotterelflow/internal/entry/loads"
@@ -69,8 +71,10 @@
 	OperatorKeyHash string // as table.HashKey returns it
 	Peers           []string
 	Platform        Platform
-	Liveness        time.Duration // silence after which an engine's stream counts as lost; zero means 5 s
-	StopBound       time.Duration // longest wait for streams on a stop; zero means 2 min
+	Liveness        time.Duration       // silence after which an engine's stream counts as lost; zero means 5 s
+	Roles           roles.Options       // how role changes are decided; the zero value works
+	Demand          roles.DemandOptions // how demand is averaged; the zero value works
+	StopBound       time.Duration       // longest wait for streams on a stop; zero means 2 min
 }
 
 // Host is one running entry host.
@@ -91,6 +95,9 @@
 	runner  *dispatch.Runner
 
 	governor *govern.Governor
+	meter    *balance.Meter
+	changes  *changes
+	balancer *balance.Balancer
 
 	callers  *http.Server
 	operator *http.Server
@@ -128,7 +135,9 @@
 		opts.StopBound = defaultStopBound
 	}
 
-	h := &Host{opts: opts, registry: metrics.NewRegistry(), asked: make(chan struct{}), done: make(chan struct{})}
+	h := &Host{opts: opts, registry: metrics.NewRegistry(), asked: make(chan struct{}), done: make(chan struct{}),
+		changes: newChanges(),
+	}
 
 	if err := h.listen(); err != nil {
 		h.sockets.close()
@@ -240,6 +249,7 @@
 	h.engines = engine.NewClient(engine.Options{Clock: clock, Liveness: h.opts.Liveness})
 	h.router = routes.New(routes.Options{Clock: clock, Home: h.opts.DataCentre, Seed: seed})
 	h.admit = admit.Start(admit.Options{Clock: clock})
+	h.meter = balance.NewMeter(clock, h.opts.DataCentre, h.admit, h.opts.Demand)
 	h.claims = ledger.New(ledger.Options{Store: h.opts.Platform, Host: h.opts.ID, Clock: clock})
 	h.guard = suspects.New(suspects.Options{
 		Clock: clock, Self: h.opts.ID, OnLoss: func(table.TargetID) { h.network.BeatNow() },
@@ -267,11 +277,15 @@
 		Clock: clock, Log: h.opts.Log, Host: h.opts.ID, Address: h.PeerAddress(), DataCentre: h.opts.DataCentre,
 		Platform: h.opts.Platform, Engines: h.engines.Orders(), Local: local{h}, Seed: uint64(seed),
 	})
+	h.balancer = balance.Start(ctx, balance.Options{
+		Clock: clock, Log: h.opts.Log, Registry: h.registry, DataCentre: h.opts.DataCentre, Platform: h.opts.Platform,
+		Site: local{h}, Roles: h.opts.Roles,
+	})
 	h.network.Start(ctx)
 
 	taken := requests.New(requests.Options{
 		Clock: clock, Host: h.opts.ID, Home: h.opts.DataCentre, Runner: h.runner, Router: h.router, Phases: h.router,
-		Claims: h.claims, Answers: held, Peers: h.network, Admission: h.admit, Quarantine: h.guard, Log: h.opts.Log,
+		Claims: h.claims, Answers: held, Peers: h.network, Admission: h.meter, Quarantine: h.guard, Log: h.opts.Log,
 	})
 
 	h.peers = peers.NewGRPCServer(h.network, peers.Services{
@@ -386,7 +400,7 @@
 	h.claims.Close()
 	h.cancel()
 
-	for _, done := range []<-chan struct{}{h.done, h.loads.Done(), h.network.Done(), h.config.Done(), h.claims.Done(), h.burn.saver.Done(), h.governor.Done()} {
+	for _, done := range []<-chan struct{}{h.done, h.loads.Done(), h.network.Done(), h.config.Done(), h.claims.Done(), h.burn.saver.Done(), h.governor.Done(), h.balancer.Done()} {
 		<-done
 	}
 
--- a/internal/entry/host/site_test.go
+++ b/internal/entry/host/site_test.go
@@ -42,6 +42,7 @@
 	doc      document.Document
 	hosts    []*host.Host
 	views    []*standinplatform.View
+	tune     func(*host.Options) // changes the options of hosts; may be nil
 }
 
 const siteForm = `
@@ -50,6 +51,7 @@
     kinds:
       - {name: report, urgency: patient, model: m, deadline: 1m, max-output: 4000}
       - {name: note, model: m, deadline: 20s}
+      - {name: ask, urgency: urgent, model: m, deadline: 20s}
       - {name: grade, urgency: patient, at-most-once: true, model: m, deadline: 20s}
       - {name: hold, urgency: urgent, at-most-once: true, service: s, deadline: 5s}
 accounts:
@@ -127,14 +129,20 @@
 	}
 
 	view := s.store.View()
-	h, err := host.Start(host.Options{
+	opts := host.Options{
 		ID: table.HostID(uuid.NewString()), DataCentre: dc, Platform: view, Peers: seeds,
 		CallerAddress: loopback, PeerAddress: loopback, OperatorAddress: loopback,
 		OperatorKeyHash: table.HashKey("operator-key"),
 		Log:             &log.Logger{Level: log.ErrorLevel, Writer: log.IOWriter{Writer: t.Output()}},
 		StopBound:       settleBound,
 		Liveness:        liveness,
-	})
+	}
+
+	if s.tune != nil {
+		s.tune(&opts)
+	}
+
+	h, err := host.Start(opts)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = h.Stop() })
 
