--- a/internal/entry/host/build.go
+++ b/internal/entry/host/build.go
@@ -9,6 +9,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
 	"github.com/dotterelflow/dotterelflow/internal/entry/admit"
 	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
+	"github.com/dotterelflow/dotterelflow/internal/entry/balance"
 	"github.com/dotterelflow/dotterelflow/internal/entry/dispatch"
 	"github.com/dotterelflow/dotterelflow/internal/entry/govern"
 	"github.com/dotterelflow/dotterelflow/internal/entry/loads"
@@ -31,6 +32,7 @@
 	h.engines = engine.NewClient(engine.Options{Clock: clock, Liveness: h.opts.Liveness})
 	h.router = routes.New(routes.Options{Clock: clock, Home: h.opts.DataCentre, Seed: seed})
 	h.admit = admit.Start(admit.Options{Clock: clock, Admission: admission.Options{Horizon: admissionHorizon}})
+	h.meter = balance.NewMeter(clock, h.opts.DataCentre, h.admit, h.opts.Demand)
 	h.claims = ledger.New(ledger.Options{Store: h.opts.Platform, Host: h.opts.ID, Clock: clock})
 	h.guard = suspects.New(suspects.Options{
 		Clock: clock, Self: h.opts.ID, OnLoss: func(table.TargetID) { h.network.BeatNow() },
@@ -52,17 +54,21 @@
 	held := answers.NewTable(answers.Options{Clock: clock})
 	h.runner = dispatch.New(dispatch.Options{
 		Clock: clock, Home: h.opts.DataCentre, Engines: h.engines, Services: service.NewClient(service.Options{}),
-		Peers: h.network, Router: h.router, Retries: h.budget, Guard: h.guard, Log: h.opts.Log,
+		Peers: h.network, Router: h.router, Phases: h.router, Retries: h.budget, Guard: h.guard, Log: h.opts.Log,
 	})
 	h.governor = govern.Start(ctx, govern.Options{
 		Clock: clock, Log: h.opts.Log, Host: h.opts.ID, Address: h.PeerAddress(), DataCentre: h.opts.DataCentre,
 		Platform: h.opts.Platform, Engines: h.engines.Orders(), Local: local{h}, Seed: uint64(seed),
 	})
+	h.balancer = balance.Start(ctx, balance.Options{
+		Clock: clock, Log: h.opts.Log, Registry: h.registry, DataCentre: h.opts.DataCentre, Platform: h.opts.Platform,
+		Site: local{h}, Roles: h.opts.Roles,
+	})
 	h.network.Start(ctx)
 
 	taken := requests.New(requests.Options{
-		Clock: clock, Host: h.opts.ID, Home: h.opts.DataCentre, Runner: h.runner, Router: h.router,
-		Claims: sharedClaims{h.claims, h}, Answers: held, Peers: h.network, Admission: h.admit, Quarantine: h.guard, Log: h.opts.Log,
+		Clock: clock, Host: h.opts.ID, Home: h.opts.DataCentre, Runner: h.runner, Router: h.router, Phases: h.router,
+		Claims: sharedClaims{h.claims, h}, Answers: held, Peers: h.network, Admission: h.meter, Quarantine: h.guard, Log: h.opts.Log,
 	})
 
 	h.peers = peers.NewGRPCServer(h.network, peers.Services{
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -13,8 +13,10 @@
 
 	"github.com/dotterelflow/dotterelflow/internal/control/configuration"
 	"github.com/dotterelflow/dotterelflow/internal/control/ledger"
+	"github.com/dotterelflow/dotterelflow/internal/control/roles"
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
 	"github.com/dotterelflow/dotterelflow/internal/entry/admit"
+	"github.com/dotterelflow/dotterelflow/internal/entry/balance"
 	"github.com/dotterelflow/dotterelflow/internal/entry/dispatch"
 	"github.com/dotterelflow/dotterelflow/internal/entry/govern"
 	"github.com/dotterelflow/dotterelflow/internal/entry/loads"
@@ -62,8 +64,10 @@
 	OperatorKeyHash string // as table.HashKey returns it
 	Peers           []string
 	Platform        Platform
-	Liveness        time.Duration // silence after which an engine's stream counts as lost; zero means 5 s
-	StopBound       time.Duration // longest wait for streams on a stop; zero means 2 min
+	Liveness        time.Duration       // silence after which an engine's stream counts as lost; zero means 5 s
+	Roles           roles.Options       // how role changes are decided; the zero value works
+	Demand          roles.DemandOptions // how demand is averaged; the zero value works
+	StopBound       time.Duration       // longest wait for streams on a stop; zero means 2 min
 }
 
 // Host is one running entry host.
@@ -84,6 +88,9 @@
 	runner  *dispatch.Runner
 
 	governor *govern.Governor
+	meter    *balance.Meter
+	changes  *changes
+	balancer *balance.Balancer
 
 	listeners
 
@@ -111,7 +118,9 @@
 		opts.StopBound = defaultStopBound
 	}
 
-	h := &Host{opts: opts, registry: metrics.NewRegistry(), asked: make(chan struct{}), done: make(chan struct{})}
+	h := &Host{opts: opts, registry: metrics.NewRegistry(), asked: make(chan struct{}), done: make(chan struct{}),
+		changes: newChanges(),
+	}
 
 	if err := h.listen(); err != nil {
 		h.closeSockets()
@@ -216,7 +225,7 @@
 	h.claims.Close()
 	h.cancel()
 
-	for _, done := range []<-chan struct{}{h.done, h.loads.Done(), h.network.Done(), h.config.Done(), h.claims.Done(), h.burn.saver.Done(), h.governor.Done()} {
+	for _, done := range []<-chan struct{}{h.done, h.loads.Done(), h.network.Done(), h.config.Done(), h.claims.Done(), h.burn.saver.Done(), h.governor.Done(), h.balancer.Done()} {
 		<-done
 	}
 
