Measure the cost of an entry host by size; send bounded load

Nothing told what a host costs at the size to design for: only the admission tick and the configuration had figures, at one size each.

Benchmarks by size, beside the packages: members, heartbeat over a real connection (bytes with framing), routing, admission, configuration, burn ledger, quarantine digest, an idle host as a process, and requests through a host against an engine directly. BenchmarkFollowChange now runs at four sizes, its old one among them. The process harness takes testing.TB.

--- a/cmd/dotterelflow/fleet_test.go
+++ b/cmd/dotterelflow/fleet_test.go
@@ -67,19 +67,19 @@
 	ended chan struct{}
 }
 
-func (p *process) signal(t *testing.T, s syscall.Signal) {
+func (p *process) signal(t testing.TB, s syscall.Signal) {
 	t.Helper()
 	require.NoError(t, p.cmd.Process.Signal(s))
 }
 
-func (p *process) kill(t *testing.T) {
+func (p *process) kill(t testing.TB) {
 	t.Helper()
 	p.signal(t, syscall.SIGKILL)
 	<-p.ended
 }
 
 // start runs a program and returns the first match of want in its output.
-func start(t *testing.T, want *regexp.Regexp, name string, args ...string) (*process, []string) {
+func start(t testing.TB, want *regexp.Regexp, name string, args ...string) (*process, []string) {
 	t.Helper()
 
 	dir, err := programs()
@@ -130,7 +130,7 @@
 
 var listens = regexp.MustCompile(`listens on (\S+)`)
 
-func startStandin(t *testing.T, args ...string) (*process, string) {
+func startStandin(t testing.TB, args ...string) (*process, string) {
 	t.Helper()
 
 	p, m := start(t, listens, "dotterelflow-standin", append(args, "--listen", "127.0.0.1:0")...)
@@ -170,7 +170,7 @@
 var started = regexp.MustCompile(`"caller":"([^"]+)","operator":"([^"]+)","peer":"([^"]+)"`)
 
 // freePort returns a loopback address that nothing listens on.
-func freePort(t *testing.T) string {
+func freePort(t testing.TB) string {
 	t.Helper()
 
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -182,7 +182,7 @@
 }
 
 // startHost runs an entry host with its own settings file.
-func (f *fleet) startHost(t *testing.T, name, centre string, peers ...string) *entryHost {
+func (f *fleet) startHost(t testing.TB, name, centre string, peers ...string) *entryHost {
 	t.Helper()
 
 	dir := t.TempDir()
@@ -200,7 +200,7 @@
 	return f.run(t, path)
 }
 
-func (f *fleet) run(t *testing.T, settings string) *entryHost {
+func (f *fleet) run(t testing.TB, settings string) *entryHost {
 	t.Helper()
 
 	p, m := start(t, started, "dotterelflow", "entry", "--settings", settings)
@@ -210,7 +210,7 @@
 	return h
 }
 
-func (h *entryHost) waitReady(t *testing.T) {
+func (h *entryHost) waitReady(t testing.TB) {
 	t.Helper()
 
 	require.Eventually(t, func() bool {
@@ -242,7 +242,7 @@
   - {id: service-1, type: service, data-centre: a, address: %s, service: s, slots: 64}
 `
 
-func startFleet(t *testing.T, tokenTime string) *fleet {
+func startFleet(t testing.TB, tokenTime string) *fleet {
 	t.Helper()
 
 	f := &fleet{}
@@ -271,7 +271,7 @@
 	return f
 }
 
-func (f *fleet) apply(t *testing.T, text string) {
+func (f *fleet) apply(t testing.TB, text string) {
 	t.Helper()
 
 	doc, err := document.Parse("test.yaml", []byte(text))
@@ -330,7 +330,7 @@
 	retry   string
 }
 
-func (c call) send(t *testing.T) outcome {
+func (c call) send(t testing.TB) outcome {
 	t.Helper()
 
 	resp, err := c.open(t.Context())
@@ -339,7 +339,7 @@
 	return c.read(t, resp)
 }
 
-func (c call) read(t *testing.T, resp *http.Response) outcome {
+func (c call) read(t testing.TB, resp *http.Response) outcome {
 	t.Helper()
 
 	defer resp.Body.Close()
--- a/cmd/dotterelflow/main.go
+++ b/cmd/dotterelflow/main.go
@@ -11,6 +11,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/command/demo"
 	"github.com/dotterelflow/dotterelflow/internal/command/entry"
 	"github.com/dotterelflow/dotterelflow/internal/command/item"
+	"github.com/dotterelflow/dotterelflow/internal/command/load"
 	"github.com/dotterelflow/dotterelflow/internal/command/plan"
 	"github.com/dotterelflow/dotterelflow/internal/command/report"
 	"github.com/dotterelflow/dotterelflow/internal/command/settings"
@@ -32,6 +33,7 @@
 			plan.Command(),
 			status.Command(),
 			report.Command(),
+			load.Command(),
 		},
 	}
 
--- /dev/null
+++ b/cmd/dotterelflow/overhead_test.go
@@ -0,0 +1,118 @@
+package main_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	standin "github.com/dotterelflow/dotterelflow/internal/standin/engine"
+	"github.com/dotterelflow/dotterelflow/internal/wire/caller"
+	"github.com/dotterelflow/dotterelflow/internal/wire/engine"
+)
+
+const overheadConfiguration = `
+templates:
+  - name: desk
+    kinds:
+      - {name: note, model: m, deadline: 30s}
+accounts:
+  - {id: desk, template: desk, key-hashes: [%s]}
+targets:
+  - {id: engine-1, type: engine, data-centre: a, address: %s, model: m, role: mixed, slots: 64, prefill-rate: 1000000, decode-rate: 1000000}
+`
+
+// streamOnce sends one streaming request to an engine or an entry host and returns the time to the
+// first byte of the answer and to its end.
+func streamOnce(b *testing.B, client *http.Client, address string, tokens int) (first, total time.Duration) {
+	b.Helper()
+
+	body, err := json.Marshal(map[string]any{"model": "m", "prompt": "a short prompt", "max_tokens": tokens, "stream": true})
+	require.NoError(b, err)
+
+	r, err := http.NewRequestWithContext(b.Context(), http.MethodPost, "http://"+address+"/v1/completions", bytes.NewReader(body))
+	require.NoError(b, err)
+
+	r.Header.Set("Authorization", "Bearer desk-key")
+	r.Header.Set(caller.HeaderKind, "note")
+	r.Header.Set(engine.HeaderRequestID, uuid.NewString())
+
+	start := time.Now()
+
+	resp, err := client.Do(r)
+	require.NoError(b, err)
+
+	defer resp.Body.Close()
+
+	begin := make([]byte, 1)
+	_, err = io.ReadFull(resp.Body, begin)
+	require.NoError(b, err)
+
+	first = time.Since(start)
+
+	rest, err := io.ReadAll(resp.Body)
+	require.NoError(b, err)
+
+	total = time.Since(start)
+	text, whole := streamed(append(begin, rest...))
+	require.True(b, whole)
+	require.Equal(b, standin.Answer("a short prompt", tokens), text)
+
+	return first, total
+}
+
+// BenchmarkOverhead sends requests in turn to a stand-in engine directly and through an entry host,
+// each a process of its own, one at a time. It reports the times of both, their ratio, and the
+// processor time of the host for each request.
+func BenchmarkOverhead(b *testing.B) {
+	for _, tokens := range []int{1, 64, 256, 1024} {
+		b.Run(fmt.Sprintf("tokens=%d", tokens), func(b *testing.B) {
+			f := &fleet{}
+			_, f.platformAddress = startStandin(b, "platform")
+			target, address := startStandin(b, "engine", "--token-time", "1us")
+			f.apply(b, fmt.Sprintf(overheadConfiguration, table.HashKey("desk-key"), address))
+
+			h := f.startHost(b, "entry-1", "a")
+			h.waitReady(b)
+
+			client := &http.Client{Timeout: answerBound}
+			defer client.CloseIdleConnections()
+
+			var (
+				direct, through struct{ first, total, busy time.Duration }
+				hostBusy        time.Duration
+			)
+
+			for b.Loop() {
+				at := target.busy(b)
+				first, total := streamOnce(b, client, address, tokens)
+				direct.first += first
+				direct.total += total
+				direct.busy += target.busy(b) - at
+
+				hostAt := h.busy(b)
+				first, total = streamOnce(b, client, h.caller, tokens)
+				through.first += first
+				through.total += total
+				hostBusy += h.busy(b) - hostAt
+			}
+
+			each := func(d time.Duration) float64 { return float64(d.Microseconds()) / float64(b.N) }
+
+			b.ReportMetric(each(direct.first), "direct-first-us")
+			b.ReportMetric(each(through.first), "host-first-us")
+			b.ReportMetric(each(direct.total), "direct-us")
+			b.ReportMetric(each(through.total), "host-us")
+			b.ReportMetric(float64(through.total)/float64(direct.total), "ratio")
+			b.ReportMetric(each(hostBusy), "host-cpu-us")
+			b.ReportMetric(each(direct.busy), "engine-cpu-us")
+		})
+	}
+}
--- /dev/null
+++ b/cmd/dotterelflow/size_test.go
@@ -0,0 +1,117 @@
+package main_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+const (
+	settle   = 4 * time.Second  // after a start, before measuring
+	observed = 10 * time.Second // for which an idle host is measured
+)
+
+// busy returns the processor time that p has used.
+func (p *process) busy(t testing.TB) time.Duration {
+	t.Helper()
+
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.cmd.Process.Pid))
+	require.NoError(t, err)
+
+	var total time.Duration
+
+	for _, name := range threads {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			continue // the thread has just ended
+		}
+
+		ns, err := strconv.ParseInt(strings.Fields(string(data))[0], 10, 64)
+		require.NoError(t, err)
+
+		total += time.Duration(ns)
+	}
+
+	return total
+}
+
+// resident returns the bytes of memory of p.
+func (p *process) resident(t testing.TB) int {
+	t.Helper()
+
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.cmd.Process.Pid))
+	require.NoError(t, err)
+
+	pages, err := strconv.Atoi(strings.Fields(string(data))[1])
+	require.NoError(t, err)
+
+	return pages * os.Getpagesize()
+}
+
+// sizedConfiguration has so many client accounts, and targets in data centres without entry hosts.
+func sizedConfiguration(accounts, targets int) string {
+	var b strings.Builder
+
+	b.WriteString("templates:\n  - name: desk\n    kinds:\n      - {name: note, model: m, deadline: 30s}\naccounts:\n")
+
+	for i := range accounts {
+		fmt.Fprintf(&b, "  - {id: account-%d, template: desk, key-hashes: [%s]}\n", i, table.HashKey(fmt.Sprint("key-", i)))
+	}
+
+	b.WriteString("targets:\n")
+
+	for i := range targets {
+		fmt.Fprintf(&b, "  - {id: engine-%d, type: engine, data-centre: dc-%d, address: \"127.0.0.1:%d\", model: m, slots: 16}\n", i, 1+i%4, 1+i)
+	}
+
+	return b.String()
+}
+
+// BenchmarkIdleHost measures one of several entry hosts, each a process, that carry no requests:
+// processor time in thousandths of a core and resident memory.
+func BenchmarkIdleHost(b *testing.B) {
+	for _, size := range []struct{ hosts, accounts, targets int }{
+		{1, 10, 10}, {1, 10, 150}, {1, 10, 300}, {1, 10, 600},
+		{1, 1400, 10}, {1, 2800, 10}, {1, 5600, 10},
+		{2, 10, 10}, {6, 10, 10}, {12, 10, 10}, {24, 10, 10},
+		{1, 5600, 600},
+	} {
+		b.Run(fmt.Sprintf("hosts=%d/accounts=%d/targets=%d", size.hosts, size.accounts, size.targets), func(b *testing.B) {
+			f := &fleet{}
+			_, f.platformAddress = startStandin(b, "platform")
+			f.apply(b, sizedConfiguration(size.accounts, size.targets))
+
+			var peers []string
+
+			for i := range size.hosts {
+				h := f.startHost(b, fmt.Sprintf("entry-%d", i), "a", peers...)
+				peers = append(peers, h.peer)
+			}
+
+			for _, h := range f.hosts {
+				h.waitReady(b)
+			}
+
+			time.Sleep(settle)
+
+			h := f.hosts[0]
+			before, start := h.busy(b), time.Now()
+
+			for b.Loop() {
+				time.Sleep(observed)
+			}
+
+			took := time.Since(start)
+			b.ReportMetric(1000*float64(h.busy(b)-before)/float64(took), "millicores")
+			b.ReportMetric(float64(h.resident(b))/(1<<20), "resident-MB")
+		})
+	}
+}
--- a/internal/control/admission/property_test.go
+++ b/internal/control/admission/property_test.go
@@ -236,3 +236,52 @@
 	require.LessOrEqual(t, used, most)
 	runtime.KeepAlive(works)
 }
+
+// BenchmarkSizes is a tick in which nothing can start, by the number of accounts with three works
+// each in the queues, and reports the memory for each account.
+func BenchmarkSizes(b *testing.B) {
+	for _, accounts := range []int{1400, 2800, 5600} {
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			var before, after runtime.MemStats
+
+			works := make([]admission.Work, table.UrgencyCount*accounts)
+			for i := range works {
+				works[i] = admission.Work{
+					Request: table.RequestID(fmt.Sprintf("r%d", i)), Account: table.AccountID(fmt.Sprintf("account-%d", i/table.UrgencyCount)),
+					Urgency: table.Urgency(i % table.UrgencyCount), Prefill: 1, Decode: 1, Arrived: epoch, Deadline: epoch.Add(10 * time.Hour),
+				}
+			}
+
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+
+			c := admission.New(admission.Options{MaxQueued: 10 * accounts})
+			c.SetCapacity(admission.Capacity{PrefillPerSecond: 1 << 30, DecodePerSecond: 1 << 30, Slots: 4})
+
+			for _, w := range works {
+				c.SetAccount(w.Account, table.Limits{Weight: 1})
+				c.Offer(epoch, w)
+			}
+
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			c.Next(epoch)
+
+			now := epoch
+
+			for b.Loop() {
+				now = now.Add(time.Microsecond)
+				c.Expired(now)
+				c.Next(now)
+			}
+
+			stats, queued := c.Stats(), 0
+			for _, n := range stats.Queued {
+				queued += n
+			}
+
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(accounts), "heap-B/account")
+			b.ReportMetric(float64(queued)/float64(accounts), "queued/account")
+		})
+	}
+}
--- a/internal/control/configuration/size_test.go
+++ b/internal/control/configuration/size_test.go
@@ -27,16 +27,23 @@
 func designSize(t testing.TB) configuration.Edit {
 	t.Helper()
 
+	return sized(t, designAccounts, designTargets)
+}
+
+// sized returns an edit that fills an empty configuration.
+func sized(t testing.TB, accounts, engines int) configuration.Edit {
+	t.Helper()
+
 	var targets strings.Builder
 
 	targets.WriteString("targets:\n")
 
-	for i := range designTargets {
+	for i := range engines {
 		fmt.Fprintf(&targets, "  - {id: engine-%d, type: engine, data-centre: dc-%d, address: \"127.0.0.1:%d\", model: m, slots: 16}\n", i, i%5, i+1)
 	}
 
 	texts := []string{template, targets.String()}
-	for i := range designAccounts {
+	for i := range accounts {
 		texts = append(texts, account(fmt.Sprintf("account-%d", i), 8))
 	}
 
@@ -80,28 +87,41 @@
 		len(objects), total, len(head.Value), largest, size, (after.HeapAlloc-before.HeapAlloc)>>10)
 }
 
-// BenchmarkFollowChange measures what an entry host spends on one change of an account at the
-// size to design for.
+// BenchmarkFollowChange measures what an entry host spends on one change of an account, by the number
+// of accounts, and reports the heap of the configuration.
 func BenchmarkFollowChange(b *testing.B) {
-	store := standin.NewStore(clockwork.NewRealClock())
-	ed := editor(store.View())
+	for _, accounts := range []int{700, 1400, 2800, 5600} {
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			var before, after runtime.MemStats
 
-	g, err := ed.Apply(b.Context(), designSize(b))
-	require.NoError(b, err)
+			store := standin.NewStore(clockwork.NewRealClock())
+			ed := editor(store.View())
 
-	c, err := configuration.Read(b.Context(), store.View(), nil)
-	require.NoError(b, err)
+			g, err := ed.Apply(b.Context(), sized(b, accounts, designTargets))
+			require.NoError(b, err)
 
-	for i := 0; b.Loop(); i++ {
-		b.StopTimer()
+			runtime.GC()
+			runtime.ReadMemStats(&before)
 
-		g, err = ed.Apply(b.Context(), edit(b, fmt.Sprintf("%06d", i), g, account("account-1", i)))
-		require.NoError(b, err)
-		b.StartTimer()
+			c, err := configuration.Read(b.Context(), store.View(), nil)
+			require.NoError(b, err)
 
-		c, err = configuration.Read(b.Context(), store.View(), c)
-		require.NoError(b, err)
-		require.Equal(b, g, c.Generation())
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+
+			for i := 0; b.Loop(); i++ {
+				b.StopTimer()
+
+				g, err = ed.Apply(b.Context(), edit(b, fmt.Sprintf("%06d", i), g, account("account-1", i)))
+				require.NoError(b, err)
+				b.StartTimer()
+
+				c, err = configuration.Read(b.Context(), store.View(), c)
+				require.NoError(b, err)
+			}
+
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "heap-MB")
+		})
 	}
 }
 
--- a/internal/control/quarantine/quarantine_test.go
+++ b/internal/control/quarantine/quarantine_test.go
@@ -1,6 +1,8 @@
 package quarantine_test
 
 import (
+	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -249,3 +251,40 @@
 	require.Equal(t, 1, exchange(b, "b", c, "c"))
 	require.Equal(t, quarantine.Elsewhere, c.Check(now, fingerprint(1)).Action)
 }
+
+// BenchmarkSizes is the digest for a peer that knows all, and reports its bytes and those of the
+// first one, which tells all, by the number of suspects.
+func BenchmarkSizes(b *testing.B) {
+	for _, n := range []int{0, 10, 100, 1000} {
+		b.Run(fmt.Sprintf("suspects=%d", n), func(b *testing.B) {
+			q, peer := quarantine.New(quarantine.Options{Self: "h0"}), quarantine.New(quarantine.Options{Self: "h1"})
+
+			for i := range n {
+				q.Begin(epoch, fingerprint(i), "t0")
+			}
+
+			q.Lost(epoch.Add(time.Second), "t0")
+
+			size := func() int {
+				data, err := json.Marshal(q.Export("h1"))
+				require.NoError(b, err)
+
+				return len(data)
+			}
+
+			first := size()
+
+			peer.Merge(epoch.Add(time.Second), "h0", q.Export("h1"))
+			q.Merge(epoch.Add(time.Second), "h1", peer.Export("h0"))
+
+			later := 0
+
+			for b.Loop() {
+				later = size()
+			}
+
+			b.ReportMetric(float64(first), "first-B")
+			b.ReportMetric(float64(later), "later-B")
+		})
+	}
+}
--- a/internal/control/routing/routing_test.go
+++ b/internal/control/routing/routing_test.go
@@ -227,3 +227,31 @@
 		routing.Build(opt, targets)
 	}
 }
+
+// BenchmarkSizes is one build of the view, by the number of targets, and reports the time of one
+// decision on it.
+func BenchmarkSizes(b *testing.B) {
+	for _, n := range []int{30, 120, 600} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			const picks = 10_000
+
+			targets := fleet(n)
+			opt := routing.Options{Now: now, Home: "dc0", Ledger: routing.NewLedger()}
+
+			b.ReportAllocs()
+
+			for b.Loop() {
+				routing.Build(opt, targets)
+			}
+
+			v, q, rng := routing.Build(opt, targets), prompt(), rand.New(rand.NewSource(1))
+			start := time.Now()
+
+			for range picks {
+				v.Pick(rng, q)
+			}
+
+			b.ReportMetric(float64(time.Since(start))/picks, "ns/pick")
+		})
+	}
+}
--- /dev/null
+++ b/internal/entry/peers/size_test.go
@@ -0,0 +1,118 @@
+package peers_test
+
+import (
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/entry/peers"
+	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
+)
+
+// counted counts the bytes of the connections that it accepts, both ways.
+type counted struct {
+	net.Listener
+
+	bytes *atomic.Int64
+}
+
+func (l counted) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+
+	return countedConn{Conn: c, bytes: l.bytes}, err
+}
+
+type countedConn struct {
+	net.Conn
+
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+
+	return n, err
+}
+
+// reporting is a host that polls so many targets.
+type reporting struct {
+	targets int
+}
+
+func (r reporting) Fill(_ table.HostID, d *peer.Digest) {
+	d.Generation, d.Ready = 1_000_000, true
+	d.Suspects = []byte(`{"sequence":100000,"version":100000,"seen":100000}`)
+
+	for i := range r.targets {
+		d.Loads = append(d.Loads, &peer.Load{
+			Target: fmt.Sprintf("lodz-engine-%d", i), AtUnixMs: time.Now().UnixMilli(), Running: 12, Queued: 3,
+			PrefillPending: 40_000, DecodePending: 20_000, Role: uint32(table.Decode), Boot: "018bcfe5-6800-7000",
+		})
+	}
+}
+
+func (reporting) Hear(*peer.Digest) {}
+
+// BenchmarkExchange is one heartbeat with its reply over a real connection: the bytes of both
+// ways with HTTP/2 framing and without TCP/IP headers, and the time of both ends.
+func BenchmarkExchange(b *testing.B) {
+	for _, targets := range []int{0, 4, 16, 64} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			options := func(id table.HostID) peers.Options {
+				return peers.Options{Host: id, DataCentre: "dc-0", Address: "10.20.30.40:7000", Local: reporting{targets}}
+			}
+
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(b, err)
+
+			var bytes atomic.Int64
+
+			server := peers.NewGRPCServer(peers.New(options("018bcfe5-6800-7000-8000-000000000001")), peers.Services{})
+			go server.Serve(counted{Listener: listener, bytes: &bytes})
+			b.Cleanup(server.Stop)
+
+			var links peer.Links
+
+			client, err := links.To(listener.Addr().String())
+			require.NoError(b, err)
+			b.Cleanup(func() { _ = links.Close() })
+
+			send := func(n uint64) {
+				d := &peer.Digest{
+					Host: "018bcfe5-6800-7000-8000-000000000002", Address: "10.20.30.41:7000", DataCentre: "dc-0", Sequence: n,
+				}
+				reporting{targets}.Fill("", d)
+
+				_, err := client.Heartbeat(b.Context(), d)
+				require.NoError(b, err)
+			}
+
+			const settled = 100 // exchanges until the header tables of the connection are filled
+
+			for n := range uint64(settled) {
+				send(n)
+			}
+
+			bytes.Store(0)
+
+			for n := uint64(settled); b.Loop(); n++ {
+				send(n)
+			}
+
+			b.ReportMetric(float64(bytes.Load())/float64(b.N), "wire-B/exchange")
+		})
+	}
+}
--- a/internal/measure/burn/burn_test.go
+++ b/internal/measure/burn/burn_test.go
@@ -278,3 +278,34 @@
 		l.Report(epoch, burn.ReportOptions{})
 	}
 }
+
+// BenchmarkSizes reports the memory of a ledger with all buckets full and of its encoded form, by
+// the number of accounts with two kinds each; an operation is one encoding.
+func BenchmarkSizes(b *testing.B) {
+	for _, n := range []int{1400, 2800, 5600} {
+		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
+			var before, after runtime.MemStats
+
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+
+			var l burn.Ledger
+			fill(&l, n, allBuckets(epoch))
+
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+
+			size := 0
+
+			for b.Loop() {
+				data, err := l.Encode()
+				require.NoError(b, err)
+
+				size = len(data)
+			}
+
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "heap-MB")
+			b.ReportMetric(float64(size)/1e6, "encoded-MB")
+		})
+	}
+}
