Tick the admission loop only while a request waits

An idle entry host took 13.9 thousandths of a core, above the target of 10 before any peer, target or account. Targets (+4.3 at 600) and accounts (+7.1 at 5,600) were not the cause; a profile shows the scheduler and timers, and the admission loop ticked 50 times a second with nothing to decide.

Without the Reset the new test fails: 'Should be true, context deadline exceeded' in TestWaitingRequestExpiresAfterAnIdleTime.

--- a/internal/entry/admit/loop.go
+++ b/internal/entry/admit/loop.go
@@ -87,7 +87,20 @@
 	tick := l.opts.Clock.NewTicker(tickEvery)
 	defer tick.Stop()
 
+	ticking := true
+
 	for {
+		// Time alone changes something only while a request waits.
+		if waits := len(st.waiting) > 0; waits != ticking {
+			ticking = waits
+
+			if waits {
+				tick.Reset(tickEvery)
+			} else {
+				tick.Stop()
+			}
+		}
+
 		select {
 		case event := <-l.events:
 			event(st)
--- /dev/null
+++ b/internal/entry/admit/loop_test.go
@@ -0,0 +1,58 @@
+package admit_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/entry/admit"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+// The loop's ticks stop while nothing waits. They must be back for what comes to wait.
+func TestWaitingRequestExpiresAfterAnIdleTime(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+
+	clock := clockwork.NewFakeClock()
+	loop := admit.Start(admit.Options{Clock: clock})
+	defer loop.Stop()
+
+	for round := range 2 {
+		ended := make(chan error, 1)
+		patient := table.Request{
+			ID: table.RequestID(rune('a' + round)), Kind: table.Kind{Urgency: table.Patient, Model: "m"}, Decode: 1,
+			Arrived: clock.Now(), Deadline: clock.Now().Add(time.Minute),
+		}
+
+		go func() {
+			_, err := loop.Admit(ctx, patient)
+			ended <- err
+		}()
+
+		require.NoError(t, clock.BlockUntilContext(ctx, 1))
+
+		var err error
+
+		for err == nil {
+			clock.Advance(time.Second)
+
+			select {
+			case err = <-ended:
+			case <-time.After(time.Millisecond):
+			case <-ctx.Done():
+				err = ctx.Err()
+			}
+		}
+
+		var problem *verdict.Error
+
+		require.True(t, errors.As(err, &problem), "%v", err)
+		require.Equal(t, verdict.NotRun, problem.Verdict)
+	}
+}
