--- a/internal/entry/admit/loop.go
+++ b/internal/entry/admit/loop.go
@@ -47,7 +47,7 @@
 type state struct {
 	opts     Options
 	pools    map[pool]*admission.Controller
-	limits   map[table.AccountID]table.Limits
+	snapshot *table.Snapshot // nil before the first
 	waiting  map[table.RequestID]chan *verdict.Error
 	capacity map[pool]admission.Capacity
 }
@@ -80,7 +80,7 @@
 	defer close(l.done)
 
 	st := &state{
-		opts: l.opts, pools: map[pool]*admission.Controller{}, limits: map[table.AccountID]table.Limits{},
+		opts: l.opts, pools: map[pool]*admission.Controller{},
 		waiting: map[table.RequestID]chan *verdict.Error{}, capacity: map[pool]admission.Capacity{},
 	}
 
@@ -189,7 +189,7 @@
 
 func (st *state) offer(now time.Time, req table.Request, ch chan *verdict.Error) {
 	c := st.controller(poolOf(req.Kind))
-	c.SetAccount(req.Account, st.limits[req.Account])
+	c.SetAccount(req.Account, st.limits(req.Account))
 
 	decision := c.Offer(now, admission.Work{
 		Request: req.ID, Account: req.Account, Kind: req.Kind.Name, Urgency: req.Kind.Urgency,
@@ -204,6 +204,20 @@
 	st.waiting[req.ID] = ch
 }
 
+// limits returns the limits of an account; none for an unknown one.
+func (st *state) limits(id table.AccountID) table.Limits {
+	if st.snapshot == nil {
+		return table.Limits{}
+	}
+
+	account, ok := st.snapshot.Account(id)
+	if !ok {
+		return table.Limits{}
+	}
+
+	return account.Limits
+}
+
 func (l *Loop) cancel(req table.Request) {
 	l.send(func(st *state) {
 		delete(st.waiting, req.ID)
@@ -244,13 +258,8 @@
 		capacity[p] = c
 	}
 
-	limits := make(map[table.AccountID]table.Limits, len(snapshot.Accounts))
-	for _, a := range snapshot.Accounts {
-		limits[a.ID] = a.Limits
-	}
-
 	l.send(func(st *state) {
-		st.limits = limits
+		st.snapshot = snapshot
 		st.capacity = capacity
 
 		for p, c := range st.pools {
