--- a/internal/control/members/size_test.go
+++ b/internal/control/members/size_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/dotterelflow/dotterelflow/internal/control/members"
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
 )
@@ -32,6 +34,19 @@
 
 var sizes = []int{40, 110, 330}
 
+// Load reports travel with heartbeats and are ignored after 5 s, so at the size to design for a
+// period must leave time for the poll of a second before it.
+func TestPeriodAtTheSizeToDesignFor(t *testing.T) {
+	const staleLoad, poll = 5 * time.Second, time.Second
+
+	all := known(330)
+	require.Less(t, all.Period(), staleLoad-poll)
+	require.Len(t, all.Beat(epoch), 66+4*2)
+
+	all.Forget(epoch.Add(time.Hour))
+	require.Equal(t, time.Second, all.Period())
+}
+
 // BenchmarkNote is what one digest costs the table of members, by the hosts that are known.
 func BenchmarkNote(b *testing.B) {
 	for _, hosts := range sizes {
--- a/internal/control/members/table.go
+++ b/internal/control/members/table.go
@@ -38,11 +38,13 @@
 	self  table.HostID
 	home  table.DataCentre
 	hosts map[table.HostID]Member
+	// period is kept because each look at a member's age needs it.
+	period time.Duration
 }
 
 // New returns a Table of the other members, as seen by the host self in the data centre home.
 func New(self table.HostID, home table.DataCentre) *Table {
-	return &Table{self: self, home: home, hosts: map[table.HostID]Member{}}
+	return &Table{self: self, home: home, hosts: map[table.HostID]Member{}, period: minPeriod}
 }
 
 // Note takes what a member said. An older sequence than the last one has no effect.
@@ -55,6 +57,9 @@
 		return
 	}
 
+	before := len(t.hosts)
+	defer func() { t.pace(before) }()
+
 	// A restarted process has a new id at its old address.
 	for id, other := range t.hosts {
 		if other.Address == m.Address && id != m.Host && other.HeardAt.Before(m.HeardAt) {
@@ -65,10 +70,34 @@
 	t.hosts[m.Host] = m
 }
 
-// Period returns the time between two heartbeats to one member. It grows with the number of
-// members, so that the bytes that a host spends on heartbeats stay bounded.
+// Period returns the time between two heartbeats to one member. It grows with the members that
+// this host exchanges heartbeats with, so that the bytes that it spends on them stay bounded.
 func (t *Table) Period() time.Duration {
-	return max(minPeriod, time.Duration(len(t.hosts))*periodPerPeer)
+	return t.period
+}
+
+// pace renews the period if the number of members is no longer what it was.
+func (t *Table) pace(before int) {
+	if len(t.hosts) == before {
+		return
+	}
+
+	in := map[table.DataCentre]int{}
+	for _, m := range t.hosts {
+		in[m.DataCentre]++
+	}
+
+	partners := 0
+
+	for dc, n := range in {
+		if dc != t.home {
+			n = min(n, remoteFanout)
+		}
+
+		partners += n
+	}
+
+	t.period = max(minPeriod, time.Duration(partners)*periodPerPeer)
 }
 
 // Alive reports whether m has been heard lately enough.
@@ -111,6 +140,9 @@
 
 // Forget drops members that have been silent for long.
 func (t *Table) Forget(now time.Time) {
+	before := len(t.hosts)
+	defer func() { t.pace(before) }()
+
 	for id, m := range t.hosts {
 		if now.Sub(m.HeardAt) > forgetAfter {
 			delete(t.hosts, id)
@@ -123,24 +155,43 @@
 func (t *Table) Beat(now time.Time) []Member {
 	var chosen []Member
 
-	remote := map[table.DataCentre][]Member{}
+	remote := map[table.DataCentre][]weighted{}
 
-	for _, m := range t.Live(now) {
-		if m.DataCentre == t.home {
+	for _, m := range t.hosts {
+		switch {
+		case !t.Alive(m, now):
+		case m.DataCentre == t.home:
 			chosen = append(chosen, m)
-		} else {
-			remote[m.DataCentre] = append(remote[m.DataCentre], m)
+		default:
+			remote[m.DataCentre] = least(remote[m.DataCentre], weighted{m, t.weight(m.Host)})
 		}
 	}
 
-	for _, members := range remote {
-		slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(t.weight(a.Host), t.weight(b.Host)) })
-		chosen = append(chosen, members[:min(remoteFanout, len(members))]...)
+	for _, few := range remote {
+		for _, w := range few {
+			chosen = append(chosen, w.Member)
+		}
 	}
 
+	slices.SortFunc(chosen, func(a, b Member) int { return cmp.Compare(a.Host, b.Host) })
+
 	return chosen
 }
 
+type weighted struct {
+	Member
+
+	weight uint64
+}
+
+// least adds w to few and keeps those of the least weights, in order.
+func least(few []weighted, w weighted) []weighted {
+	i, _ := slices.BinarySearchFunc(few, w, func(a, b weighted) int { return cmp.Compare(a.weight, b.weight) })
+	few = slices.Insert(few, i, w)
+
+	return few[:min(remoteFanout, len(few))]
+}
+
 func (t *Table) weight(host table.HostID) uint64 {
 	return xxhash.Sum64String(string(t.self) + "\x00" + string(host))
 }
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -20,7 +20,7 @@
 	roundEvery   = 250 * time.Millisecond
 	seedInterval = 5 * time.Second
 	overdue      = 150 // percent of a period after which a host does not wait for a peer's heartbeat
-	introduced   = 3 // addresses told with each heartbeat
+	introduced   = 3   // addresses told with each heartbeat
 	rumourLife   = time.Minute
 	maxRumours   = 1024
 )
