--- a/cmd/dotterelflow/size_test.go
+++ b/cmd/dotterelflow/size_test.go
@@ -1,7 +1,9 @@
 package main_test
 
 import (
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -12,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/standin/platform"
 )
 
 const (
@@ -56,6 +59,26 @@
 	return pages * os.Getpagesize()
 }
 
+// calls returns the reads and writes that the platform had from all hosts. An open watch is none.
+func (f *fleet) calls(t testing.TB) (reads, writes int) {
+	t.Helper()
+
+	for i := range f.hosts {
+		resp, err := http.Get(fmt.Sprintf("http://%s/calls?client=entry-%d", f.platformAddress, i))
+		require.NoError(t, err)
+
+		var c platform.Calls
+
+		require.NoError(t, json.NewDecoder(resp.Body).Decode(&c))
+		require.NoError(t, resp.Body.Close())
+
+		reads += c.Gets + c.Lists + c.Hosts
+		writes += c.Puts
+	}
+
+	return reads, writes
+}
+
 // sizedConfiguration has so many client accounts, and targets in data centres without entry hosts.
 func sizedConfiguration(accounts, targets int) string {
 	var b strings.Builder
@@ -76,7 +99,7 @@
 }
 
 // BenchmarkIdleHost measures one of several entry hosts, each a process, that carry no requests:
-// processor time in thousandths of a core and resident memory.
+// processor time in thousandths of a core and resident memory, and the platform calls of all.
 func BenchmarkIdleHost(b *testing.B) {
 	for _, size := range []struct{ hosts, accounts, targets int }{
 		{1, 10, 10}, {1, 10, 150}, {1, 10, 300}, {1, 10, 600},
@@ -103,6 +126,7 @@
 			time.Sleep(settle)
 
 			h := f.hosts[0]
+			reads, writes := f.calls(b)
 			before, start := h.busy(b), time.Now()
 
 			for b.Loop() {
@@ -112,6 +136,10 @@
 			took := time.Since(start)
 			b.ReportMetric(1000*float64(h.busy(b)-before)/float64(took), "millicores")
 			b.ReportMetric(float64(h.resident(b))/(1<<20), "resident-MB")
+
+			readsNow, writesNow := f.calls(b)
+			b.ReportMetric(float64(readsNow-reads)/took.Seconds(), "platform-reads/s")
+			b.ReportMetric(float64(writesNow-writes)/took.Seconds(), "platform-writes/s")
 		})
 	}
 }
--- a/internal/control/members/table.go
+++ b/internal/control/members/table.go
@@ -15,7 +15,7 @@
 	MissedBeats = 3
 
 	minPeriod     = time.Second
-	periodPerPeer = 40 * time.Millisecond
+	periodPerPeer = 50 * time.Millisecond
 	forgetAfter   = 10 * time.Minute
 	remoteFanout  = 2 // members of each other data centre that this host exchanges heartbeats with
 )
--- a/internal/entry/peers/size_test.go
+++ b/internal/entry/peers/size_test.go
@@ -54,6 +54,7 @@
 
 func (r reporting) Fill(_ table.HostID, d *peer.Digest) {
 	d.Generation, d.Ready = 1_000_000, true
+	d.Known = []string{"10.20.30.42:7000", "10.20.30.43:7000", "10.20.30.44:7000"}
 	d.Suspects = []byte(`{"sequence":100000,"version":100000,"seen":100000}`)
 
 	for i := range r.targets {
