--- a/cmd/dotterelflow/main.go
+++ b/cmd/dotterelflow/main.go
@@ -12,6 +12,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/command/entry"
 	"github.com/dotterelflow/dotterelflow/internal/command/experiment"
 	"github.com/dotterelflow/dotterelflow/internal/command/item"
+	"github.com/dotterelflow/dotterelflow/internal/command/load"
 	"github.com/dotterelflow/dotterelflow/internal/command/plan"
 	"github.com/dotterelflow/dotterelflow/internal/command/report"
 	"github.com/dotterelflow/dotterelflow/internal/command/settings"
@@ -34,6 +35,7 @@
 			status.Command(),
 			report.Command(),
 			experiment.Command(),
+			load.Command(),
 		},
 	}
 
