--- a/internal/measure/burn/event.go
+++ b/internal/measure/burn/event.go
@@ -50,8 +50,8 @@
 }
 
 // Of returns the event of a request that ended with err; late says that an answer missed its
-// objective, changing that its targets were changing role. A bad request of the caller's own making
-// counts as Good, as no objective promises it an answer.
+// objective, changing that its targets were changing role. A bad request of the caller's own making,
+// or one that its caller gave up, counts as Good, as no objective promises it an answer.
 func Of(err error, late, changing bool) Event {
 	if err == nil {
 		return ofAnswer(late, changing)
@@ -89,7 +89,7 @@
 func callersFault(code verdict.Code) bool {
 	switch code {
 	case verdict.CodeBadRequest, verdict.CodeUnauthorized, verdict.CodeNotFound, verdict.CodeTooLarge,
-		verdict.CodeKeyExpired, verdict.CodeKeyReused, verdict.CodeKeyRequired:
+		verdict.CodeKeyExpired, verdict.CodeKeyReused, verdict.CodeKeyRequired, verdict.CodeMethod, verdict.CodeCallerGone:
 		return true
 	default:
 		return false
--- a/internal/wire/caller/problem.go
+++ b/internal/wire/caller/problem.go
@@ -26,6 +26,7 @@
 	verdict.CodeBadRequest:   http.StatusBadRequest,
 	verdict.CodeUnauthorized: http.StatusUnauthorized,
 	verdict.CodeNotFound:     http.StatusNotFound,
+	verdict.CodeMethod:       http.StatusMethodNotAllowed,
 	verdict.CodeTooLarge:     http.StatusRequestEntityTooLarge,
 	verdict.CodeKeyRequired:  http.StatusBadRequest,
 	verdict.CodeKeyReused:    http.StatusUnprocessableEntity,
--- a/internal/wire/caller/request.go
+++ b/internal/wire/caller/request.go
@@ -1,11 +1,13 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -127,12 +129,12 @@
 	return asked, nil
 }
 
-// kindOf finds the request kind: the named one, or the only one that fits.
-func kindOf(account *table.Account, name string, fits func(table.Kind) bool) (table.Kind, *verdict.Error) {
+// kindOf finds the request kind: the named one, or the only one that fits what is asked for.
+func kindOf(account *table.Account, name, asked string, fits func(table.Kind) bool) (table.Kind, *verdict.Error) {
 	if name != "" {
 		kind, ok := account.Kinds[table.KindName(name)]
 		if !ok || !fits(kind) {
-			return table.Kind{}, refuse(verdict.CodeNotFound, "this client account has no kind %q for this call", name)
+			return table.Kind{}, refuse(verdict.CodeNotFound, "this client account has no kind %q for %s", name, asked)
 		}
 
 		return kind, nil
@@ -146,18 +148,22 @@
 		}
 	}
 
-	if len(found) == 1 {
+	switch len(found) {
+	case 0:
+		return table.Kind{}, refuse(verdict.CodeNotFound, "this client account has no kind for %s", asked)
+	case 1:
 		return found[0], nil
+	default:
+		return table.Kind{}, refuse(verdict.CodeBadRequest,
+			"%d kinds of this client account are for %s; name one in %s", len(found), asked, HeaderKind)
 	}
-
-	return table.Kind{}, refuse(verdict.CodeBadRequest, "%d kinds of this client account fit this call; name one in %s", len(found), HeaderKind)
 }
 
 // completionRequest builds the request of a completion call and says whether its caller streams.
 func (s *Server) completionRequest(r *http.Request, account *table.Account, body []byte) (table.Request, bool, *verdict.Error) {
-	var c completion
-	if err := json.Unmarshal(body, &c); err != nil {
-		return table.Request{}, false, refuse(verdict.CodeBadRequest, "the body is not the JSON of a completion request: %v", err)
+	c, problem := parseCompletion(body)
+	if problem != nil {
+		return table.Request{}, false, problem
 	}
 
 	if c.N != nil && *c.N != 1 {
@@ -168,25 +174,70 @@
 		return table.Request{}, false, refuse(verdict.CodeBadRequest, "the output limit must be between 0 and %d tokens", maxOutput)
 	}
 
-	kind, problem := kindOf(account, r.Header.Get(HeaderKind), func(k table.Kind) bool {
+	kind, problem := kindOf(account, r.Header.Get(HeaderKind), fmt.Sprintf("model %q", c.Model), func(k table.Kind) bool {
 		return k.Model != "" && k.Model == c.Model
 	})
 	if problem != nil {
 		return table.Request{}, false, problem
 	}
 
-	req, problem := s.base(r, account, kind, body)
+	sent, problem := streaming(body)
+	if problem != nil {
+		return table.Request{}, false, problem
+	}
+
+	// The fingerprint is of the body as sent on, so that a repeat may stream or not as it likes.
+	req, problem := s.base(r, account, kind, sent)
 	if problem != nil {
 		return req, false, problem
 	}
 
-	req.Body, problem = streaming(body)
 	req.Path = r.URL.Path
 	req.Prefill = table.Tokens(len(body)/charsPerToken + 1)
 	req.Decode = outputBound(c, kind)
 	req.Prefix = xxhash.Sum64(body[:min(len(body), prefixChars)])
 
-	return req, c.Stream, problem
+	return req, c.Stream, nil
+}
+
+func parseCompletion(body []byte) (completion, *verdict.Error) {
+	var (
+		c     completion
+		wrong *json.UnmarshalTypeError
+	)
+
+	err := json.Unmarshal(body, &c)
+
+	switch {
+	case err == nil && bytes.HasPrefix(bytes.TrimSpace(body), []byte("{")):
+		return c, nil
+	case errors.As(err, &wrong) && wrong.Field != "":
+		return c, refuse(verdict.CodeBadRequest, "the field %q of the body cannot be a %s", wrong.Field, wrong.Value)
+	case err == nil, errors.As(err, &wrong):
+		return c, refuse(verdict.CodeBadRequest, "the body must be a JSON object")
+	default:
+		return c, refuse(verdict.CodeBadRequest, "the body is not JSON: %v", err)
+	}
+}
+
+// resumeFrom returns the first event that the caller has not seen; a fresh call starts at zero.
+// Only a keyed stream can be resumed: any other call would run anew and give other words.
+func resumeFrom(r *http.Request, key string, stream bool) (uint64, *verdict.Error) {
+	text := r.Header.Get(HeaderResume)
+	if text == "" {
+		return 0, nil
+	}
+
+	if key == "" || !stream {
+		return 0, refuse(verdict.CodeBadRequest, "%s is only for a stream with %s", HeaderResume, HeaderKey)
+	}
+
+	last, err := strconv.ParseUint(text, 10, 63)
+	if err != nil {
+		return 0, refuse(verdict.CodeBadRequest, "%s must be the id of an event of this stream", HeaderResume)
+	}
+
+	return last + 1, nil
 }
 
 func outputBound(c completion, kind table.Kind) table.Tokens {
--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -19,11 +19,15 @@
 )
 
 const (
-	defaultMaxBody = 4 << 20
-	defaultMaxOpen = 4096
-	overloadedWait = time.Second
+	defaultMaxBody    = 4 << 20
+	defaultMaxOpen    = 4096
+	overloadedWait    = time.Second
+	defaultWriteLimit = 15 * time.Second
 )
 
+// DefaultPing is the silence of a stream after which a comment is sent.
+const DefaultPing = 10 * time.Second
+
 // Requests takes requests and returns the answers to read.
 type Requests interface {
 	Submit(ctx context.Context, req table.Request) (*answers.Answer, error)
@@ -54,6 +58,8 @@
 	Log           *log.Logger   // nil means the default logger
 	MaxBody       int64         // bytes of a request body; zero means 4 MiB
 	MaxOpen       int64         // requests open at a time; zero means 4,096
+	Ping          time.Duration // silence of a stream after which a comment is sent; zero means DefaultPing
+	WriteLimit    time.Duration // bound on a write that the caller does not take; zero means 15 s
 }
 
 // Server is the callers' API, an http.Handler that is safe for concurrent use.
@@ -81,7 +87,16 @@
 		opts.MaxOpen = defaultMaxOpen
 	}
 
-	s := &Server{opts: opts, app: iris.New().Configure(iris.WithoutStartupLog, iris.WithoutBodyConsumptionOnUnmarshal)}
+	if opts.Ping == 0 {
+		opts.Ping = DefaultPing
+	}
+
+	if opts.WriteLimit == 0 {
+		opts.WriteLimit = defaultWriteLimit
+	}
+
+	s := &Server{opts: opts, app: iris.New().Configure(
+		iris.WithoutStartupLog, iris.WithoutBodyConsumptionOnUnmarshal, iris.WithFireMethodNotAllowed)}
 	s.app.Logger().SetLevel("disable")
 	s.routes()
 
@@ -103,6 +118,11 @@
 	s.app.OnErrorCode(http.StatusNotFound, func(ctx iris.Context) {
 		writeProblem(ctx.ResponseWriter(), refuse(verdict.CodeNotFound, "there is nothing at %s", ctx.Path()), "")
 	})
+
+	s.app.OnErrorCode(http.StatusMethodNotAllowed, func(ctx iris.Context) {
+		allow := ctx.ResponseWriter().Header().Get("Allow")
+		writeProblem(ctx.ResponseWriter(), refuse(verdict.CodeMethod, "%s answers only to %s", ctx.Path(), allow), "")
+	})
 }
 
 // ServeHTTP implements http.Handler.
@@ -138,7 +158,7 @@
 
 		snapshot := s.opts.Configuration.Current()
 		if snapshot == nil {
-			writeProblem(ctx.ResponseWriter(), refuse(verdict.CodeStopping, "no configuration yet").After(overloadedWait), "")
+			writeProblem(ctx.ResponseWriter(), refuse(verdict.CodeNotReady, "no configuration yet").After(overloadedWait), "")
 
 			return
 		}
@@ -162,7 +182,7 @@
 		Owner  string      `json:"owned_by"`
 	}
 
-	var models []model
+	models := []model{}
 
 	for _, kind := range account.Kinds {
 		m := model{ID: kind.Model, Object: "model", Owner: "operator"}
@@ -205,13 +225,20 @@
 		return
 	}
 
+	from, problem := resumeFrom(ctx.Request(), req.Key, stream)
+	if problem != nil {
+		writeProblem(w, problem, "")
+
+		return
+	}
+
 	ans, ok := s.submit(ctx, req)
 	if !ok {
 		return
 	}
 
 	if stream {
-		s.stream(ctx, req, ans)
+		s.stream(ctx, req, ans, from)
 
 		return
 	}
@@ -230,7 +257,9 @@
 		return
 	}
 
-	kind, problem := kindOf(account, ctx.GetHeader(HeaderKind), func(k table.Kind) bool { return k.Service != "" && k.Service == name })
+	kind, problem := kindOf(account, ctx.GetHeader(HeaderKind), fmt.Sprintf("service %q", name), func(k table.Kind) bool {
+		return k.Service != "" && k.Service == name
+	})
 	if problem != nil {
 		writeProblem(w, problem, "")
 
@@ -268,9 +297,23 @@
 	return ans, true
 }
 
+// fail answers with problem. A caller that has gone is neither answered nor counted as a failure.
 func (s *Server) fail(ctx iris.Context, req table.Request, problem *verdict.Error) {
-	writeProblem(ctx.ResponseWriter(), problem, string(req.ID))
+	problem = s.unlessGone(ctx, problem)
 	s.observe(req, problem, 0, 0)
+
+	if problem.Code != verdict.CodeCallerGone {
+		writeProblem(ctx.ResponseWriter(), problem, string(req.ID))
+	}
+}
+
+// unlessGone returns problem, or one that says that the caller ended the call.
+func (s *Server) unlessGone(ctx iris.Context, problem *verdict.Error) *verdict.Error {
+	if problem == nil || ctx.Request().Context().Err() == nil {
+		return problem
+	}
+
+	return verdict.New(problem.Verdict, verdict.CodeCallerGone, "the caller went away").Because(problem)
 }
 
 func (s *Server) observe(req table.Request, problem *verdict.Error, first time.Duration, events int) {
@@ -283,13 +326,3 @@
 		Total: s.opts.Clock.Since(req.Arrived), Events: events,
 	})
 }
-
-// resumeFrom returns the first event that the caller has not seen; a fresh call starts at zero.
-func resumeFrom(r *http.Request) uint64 {
-	last, err := strconv.ParseUint(r.Header.Get(HeaderResume), 10, 64)
-	if err != nil {
-		return 0
-	}
-
-	return last + 1
-}
--- /dev/null
+++ b/internal/wire/caller/stream_test.go
@@ -0,0 +1,208 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
+	"github.com/dotterelflow/dotterelflow/internal/wire/caller"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+const (
+	testBound = 10 * time.Second
+	pollEvery = 5 * time.Millisecond
+)
+
+// streamed is a caller's server whose runs a test plays itself.
+type streamed struct {
+	api      *caller.Server
+	url      string
+	client   *http.Client
+	outcomes chan caller.Outcome
+}
+
+func newStreamed(t *testing.T, opts caller.Options, fake fakes) *streamed {
+	t.Helper()
+
+	s := &streamed{outcomes: make(chan caller.Outcome, 1)}
+
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
+
+	opts.Configuration = fake
+	opts.Requests = fake.requests(opts.Clock)
+	opts.Observe = func(o caller.Outcome) { s.outcomes <- o }
+
+	api, err := caller.NewServer(opts)
+	require.NoError(t, err)
+
+	server := httptest.NewServer(api)
+	t.Cleanup(server.Close)
+
+	s.api, s.url, s.client = api, server.URL, server.Client()
+
+	return s
+}
+
+// start calls for a stream and returns its status and body.
+func (s *streamed) start(t *testing.T) (int, io.Reader) {
+	t.Helper()
+
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.url+textPath, strings.NewReader(text("m", "hello", true)))
+	require.NoError(t, err)
+	r.Header.Set("Authorization", "Bearer desk-key")
+
+	resp, err := s.client.Do(r)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = resp.Body.Close() })
+
+	return resp.StatusCode, resp.Body
+}
+
+func (s *streamed) outcome(t *testing.T) caller.Outcome {
+	t.Helper()
+
+	select {
+	case o := <-s.outcomes:
+		return o
+	case <-time.After(testBound):
+		require.FailNow(t, "the call did not end")
+
+		return caller.Outcome{}
+	}
+}
+
+func TestIdleStreamIsPinged(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(startTime)
+	end := make(chan struct{})
+	s := newStreamed(t, caller.Options{Clock: clock}, fakes{run: func(_ context.Context, req table.Request, ans *answers.Answer) {
+		ans.Append(event(req, "one "))
+		<-end
+		ans.Append(lastEvent(req))
+		ans.Finish(nil)
+	}})
+
+	_, unread := s.start(t)
+	body := bufio.NewReader(unread)
+
+	for want, got := "\n", ""; got != want; {
+		var err error
+
+		got, err = body.ReadString('\n')
+		require.NoError(t, err)
+	}
+
+	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+	clock.Advance(caller.DefaultPing)
+
+	line, err := body.ReadString('\n')
+	require.NoError(t, err)
+	require.Equal(t, ": ping\n", line)
+
+	close(end)
+
+	rest, err := io.ReadAll(body)
+	require.NoError(t, err)
+	require.Contains(t, string(rest), "data: [DONE]")
+	require.Nil(t, s.outcome(t).Problem)
+}
+
+func TestCallerThatTakesNothingIsLetGo(t *testing.T) {
+	const limit = 200 * time.Millisecond
+
+	stopped := make(chan struct{})
+	s := newStreamed(t, caller.Options{WriteLimit: limit}, fakes{run: func(ctx context.Context, req table.Request, ans *answers.Answer) {
+		defer close(stopped)
+
+		// More than the buffers of a loopback connection hold.
+		for range 64 {
+			ans.Append(event(req, strings.Repeat("x", 1<<18)))
+		}
+
+		<-ctx.Done()
+		ans.Finish(verdict.New(verdict.MayHaveRun, verdict.CodeStopping, "the request was cancelled"))
+	}})
+
+	s.start(t)
+
+	require.Equal(t, verdict.CodeCallerGone, s.outcome(t).Problem.Code)
+	require.Eventually(t, func() bool { return s.api.Open() == 0 }, testBound, pollEvery)
+
+	select {
+	case <-stopped:
+	case <-time.After(testBound):
+		require.FailNow(t, "the work went on without its caller")
+	}
+}
+
+func TestCallerThatLeavesIsNoFailure(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		running := make(chan struct{})
+		s := newStreamed(t, caller.Options{}, fakes{run: func(ctx context.Context, _ table.Request, ans *answers.Answer) {
+			close(running)
+			<-ctx.Done()
+			ans.Finish(verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "cancelled"))
+		}})
+
+		ctx, cancel := context.WithCancel(t.Context())
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.url+textPath, strings.NewReader(text("m", "hello", stream)))
+		require.NoError(t, err)
+		r.Header.Set("Authorization", "Bearer desk-key")
+
+		go func() {
+			<-running
+			cancel()
+		}()
+
+		resp, err := s.client.Do(r)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+
+		require.ErrorIs(t, err, context.Canceled)
+		require.Equal(t, verdict.CodeCallerGone, s.outcome(t).Problem.Code)
+	}
+}
+
+func TestLateRefusalReachesTheCaller(t *testing.T) {
+	const limit = 50 * time.Millisecond
+
+	s := newStreamed(t, caller.Options{WriteLimit: limit}, fakes{run: func(_ context.Context, _ table.Request, ans *answers.Answer) {
+		time.Sleep(2 * limit)
+		ans.Finish(verdict.New(verdict.NotRun, verdict.CodeNoTarget, "no target"))
+	}})
+
+	status, _ := s.start(t)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Equal(t, verdict.CodeNoTarget, s.outcome(t).Problem.Code)
+}
+
+func TestImpossibleServiceStatusIsRefused(t *testing.T) {
+	for _, status := range []int{-1, 7, 101, 600, 5000} {
+		s := newStreamed(t, caller.Options{}, fakes{run: func(_ context.Context, _ table.Request, ans *answers.Answer) {
+			ans.SetMeta(answers.Meta{Status: status})
+			ans.Finish(nil)
+		}})
+
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.url+"/v1/services/t/x", http.NoBody)
+		require.NoError(t, err)
+		r.Header.Set("Authorization", "Bearer desk-key")
+
+		resp, err := s.client.Do(r)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	}
+}
--- a/internal/wire/verdict/verdict.go
+++ b/internal/wire/verdict/verdict.go
@@ -74,6 +74,9 @@
 	CodePeerLost     Code = "peer-lost"
 	CodeTruncated    Code = "truncated"
 	CodeStopping     Code = "stopping"
+	CodeNotReady     Code = "not-ready"
+	CodeMethod       Code = "method-not-allowed"
+	CodeCallerGone   Code = "caller-gone" // counted, never sent
 	CodeInternal     Code = "internal"
 )
 
