--- a/internal/entry/requests/keyed.go
+++ b/internal/entry/requests/keyed.go
@@ -39,7 +39,7 @@
 	age := s.opts.Clock.Since(c.key.Time())
 
 	out, err := s.opts.Claims.Claim(ctx, ledger.Request{
-		Key: c.key, Fingerprint: claims.FingerprintOf(c.req.Kind.Name, c.req.Body), Nonce: claims.NewNonce(),
+		Key: c.key, Fingerprint: fingerprintOf(c.req), Nonce: claims.NewNonce(),
 		Claimant: s.opts.Host, DataCentre: s.opts.Home, Request: c.req.ID, Target: c.req.Preferred,
 		// Only a request that must be claimed waits for the platform.
 		Patient: c.req.Kind.AtMostOnce && c.req.Kind.Urgency == table.Patient, Repeat: age > freshKey || age < -freshKey,
@@ -58,6 +58,11 @@
 	}
 }
 
+// fingerprintOf tells requests apart that share a key by mistake.
+func fingerprintOf(req table.Request) claims.Fingerprint {
+	return claims.FingerprintOf(req.Kind.Name, append([]byte(req.Path+"\n"), req.Body...))
+}
+
 // runClaimed runs a request whose claim this host holds and records what it came to.
 func (s *Service) runClaimed(ctx context.Context, c claimed, record claims.Record) {
 	s.produce(ctx, c.req, c.ans)
--- /dev/null
+++ b/internal/standin/hostile/server.go
@@ -0,0 +1,119 @@
+package hostile
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("hostile")
+
+const readBound = 5 * time.Second
+
+// Server reads one request on each connection, answers with raw bytes and closes the connection.
+// It is safe for concurrent use.
+type Server struct {
+	listener net.Listener
+	done     chan struct{}
+
+	mu     sync.Mutex
+	answer func(io.Writer)
+	calls  int
+}
+
+// Serve returns a Server on a free port of loopback.
+func Serve() (*Server, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+
+	s := &Server{listener: listener, done: make(chan struct{})}
+
+	go s.accept()
+
+	return s, nil
+}
+
+// Answer sets what later calls are answered with. The function returns at the latest when a write fails.
+func (s *Server) Answer(f func(io.Writer)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.answer = f
+}
+
+// AnswerBytes sets the bytes that later calls are answered with.
+func (s *Server) AnswerBytes(raw []byte) {
+	s.Answer(func(w io.Writer) { _, _ = w.Write(raw) })
+}
+
+// Calls returns the number of requests read.
+func (s *Server) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.calls
+}
+
+// Address returns the ip:port that s listens on.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Close ends s; connections that are being answered end with their answers.
+func (s *Server) Close() error {
+	err := s.listener.Close()
+	<-s.done
+
+	return Error.Wrap(err)
+}
+
+// Done is closed once s accepts no more connections.
+func (s *Server) Done() <-chan struct{} {
+	return s.done
+}
+
+func (s *Server) accept() {
+	defer close(s.done)
+
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+
+		go s.serve(conn)
+	}
+}
+
+func (s *Server) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+
+	_ = conn.SetReadDeadline(time.Now().Add(readBound))
+
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+
+	// An unread request would reset the connection under its answer.
+	if _, err = io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+
+	s.mu.Lock()
+	s.calls++
+	answer := s.answer
+	s.mu.Unlock()
+
+	if answer != nil {
+		answer(conn)
+	}
+}
--- /dev/null
+++ b/internal/wire/caller/fuzz_test.go
@@ -0,0 +1,127 @@
+package caller_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
+	"github.com/dotterelflow/dotterelflow/internal/wire/caller"
+)
+
+const fuzzMaxBody = 1 << 16
+
+// callHeaders are the headers that an entry host reads, in the order of the fuzz arguments.
+var callHeaders = []string{caller.HeaderKind, caller.HeaderDeadline, caller.HeaderKey, caller.HeaderResume, "Authorization"}
+
+// ran records what reached a target.
+type ran struct {
+	requests []table.Request
+}
+
+func newFuzzServer(t testing.TB) (*caller.Server, *ran) {
+	t.Helper()
+
+	var r ran
+
+	fake := fakes{run: func(ctx context.Context, req table.Request, ans *answers.Answer) {
+		r.requests = append(r.requests, req)
+
+		fakes{}.Run(ctx, req, ans)
+	}}
+	clock := clockwork.NewFakeClockAt(startTime)
+
+	api, err := caller.NewServer(caller.Options{
+		Clock: clock, Configuration: fake, Requests: fake.requests(clock), MaxBody: fuzzMaxBody,
+	})
+	require.NoError(t, err)
+
+	return api, &r
+}
+
+func FuzzCall(f *testing.F) {
+	paths := []string{chatPath, textPath, "/v1/services/s/hold", "/v1/services/t/", "/v1/models", "/v1/services/t/%2e%2e/x"}
+	key := strings.TrimSpace(strings.TrimPrefix(keyAt(0, 1), caller.HeaderKey+": "))
+
+	for i, body := range []string{
+		chat("m", "hello", true), chat("m", "lost", false), chat("m", "truncated", true), text("m", "unreadable", false),
+		text("m2", "hello", true), `null`, `{"model":"m","n":0}`, `{"model":"m","stream":"yes"}`, `{"model":"m","max_tokens":1e99}`,
+		`{"MODEL":"m","model":"m2"}`, "\xff\xfe", strings.Repeat("[", 20000), `{"model":"m","stream_options":[]}`, strings.Repeat("x", fuzzMaxBody+1),
+	} {
+		f.Add(uint8(i), "", "", key, "", "Bearer desk-key", []byte(body))
+		f.Add(uint8(i), "chat", "30s", "", "1", "Bearer desk-key", []byte(body))
+	}
+
+	f.Add(uint8(0), "twin-a", "1e9h", strings.Repeat("k", 200), "-1", "Basic desk-key", []byte("{}"))
+	f.Add(uint8(2), "hold", "1ns", key, "18446744073709551615", "bearer  desk-key ", []byte("x"))
+
+	f.Fuzz(func(t *testing.T, path uint8, kind, deadline, key, resume, authorization string, body []byte) {
+		api, ran := newFuzzServer(t)
+
+		r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, paths[int(path)%len(paths)], bytes.NewReader(body))
+		for i, value := range []string{kind, deadline, key, resume, authorization} {
+			r.Header.Set(callHeaders[i], value)
+		}
+
+		w := httptest.NewRecorder()
+		api.ServeHTTP(w, r)
+
+		require.Zero(t, api.Open())
+		require.LessOrEqual(t, len(ran.requests), 1)
+
+		if len(ran.requests) == 0 {
+			require.GreaterOrEqual(t, w.Code, http.StatusBadRequest)
+			requireProblem(t, w)
+
+			return
+		}
+
+		requireSound(t, ran.requests[0], body)
+	})
+}
+
+// requireProblem expects a problem document with a verdict.
+func requireProblem(t *testing.T, w *httptest.ResponseRecorder) {
+	t.Helper()
+
+	var p caller.Problem
+
+	require.Equal(t, "application/problem+json", w.Header().Get("Content-Type"))
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &p))
+	require.Equal(t, w.Code, p.Status)
+	require.NotEmpty(t, p.Code)
+	require.NotEmpty(t, p.Detail)
+}
+
+// requireSound expects that only a request that the account may send has reached a target.
+func requireSound(t *testing.T, req table.Request, body []byte) {
+	t.Helper()
+
+	require.Equal(t, table.AccountID("desk"), req.Account)
+	require.LessOrEqual(t, len(body), fuzzMaxBody)
+	require.True(t, req.Deadline.After(req.Arrived))
+
+	if req.Kind.Service != "" {
+		require.Equal(t, body, append([]byte{}, req.Body...))
+
+		return
+	}
+
+	var sent struct {
+		Model  table.Model `json:"model"`
+		Stream bool        `json:"stream"`
+	}
+
+	require.NoError(t, json.Unmarshal(req.Body, &sent))
+	require.True(t, sent.Stream)
+	require.Equal(t, req.Kind.Model, sent.Model)
+	require.Positive(t, req.Decode)
+}
--- a/internal/wire/caller/golden_test.go
+++ b/internal/wire/caller/golden_test.go
@@ -97,6 +97,7 @@
 		{name: "service", steps: []step{
 			{path: "/v1/services/s/hold", header: bearer + keyAt(0, 1) + "Content-Type: application/json\n", body: `{"room":7}`},
 			{path: "/v1/services/t/missing", header: bearer, body: "what the service refuses"},
+			{path: "/v1/services/t/rooms%2F7/?floor=2&q=%20", header: bearer},
 		}},
 		{name: "keyed-repeat", steps: []step{
 			{path: chatPath, header: bearer + keyAt(0, 1), body: chat("m2", "hello", false)},
@@ -146,6 +147,10 @@
 			{path: chatPath, header: bearer + keyAt(0, 1), body: chat("m2", "hello", false)},
 			{path: chatPath, header: bearer + keyAt(0, 1), body: chat("m2", "goodbye", false)},
 		}},
+		{name: "key-reused-on-another-path", steps: []step{
+			{path: "/v1/services/s/hold", header: bearer + keyAt(0, 1), body: "room 7"},
+			{path: "/v1/services/s/release", header: bearer + keyAt(0, 1), body: "room 7"},
+		}},
 		{name: "bad-deadline", steps: []step{
 			{path: chatPath, header: bearer + "X-Request-Deadline: soon\n", body: chat("m", "hello", true)},
 			{path: chatPath, header: bearer + "X-Request-Deadline: -1s\n", body: chat("m", "hello", true)},
--- a/internal/wire/caller/request.go
+++ b/internal/wire/caller/request.go
@@ -76,7 +76,7 @@
 }
 
 // base builds the part of a request that engines and services share.
-func (s *Server) base(r *http.Request, account *table.Account, kind table.Kind, body []byte) (table.Request, *verdict.Error) {
+func (s *Server) base(r *http.Request, account *table.Account, kind table.Kind, path string, body []byte) (table.Request, *verdict.Error) {
 	now := s.opts.Clock.Now()
 
 	deadline, problem := deadlineOf(r, kind)
@@ -95,16 +95,32 @@
 	}
 
 	return table.Request{
-		ID: table.RequestID(id.String()), Account: account.ID, Kind: kind, Key: key,
+		ID: table.RequestID(id.String()), Account: account.ID, Kind: kind, Key: key, Path: path,
 		ContentType: r.Header.Get("Content-Type"), Body: body,
-		Fingerprint: fingerprint(account.ID, kind.Name, body),
+		Fingerprint: fingerprint(account.ID, kind.Name, path, body),
 		Arrived:     now, Deadline: now.Add(deadline),
 	}, nil
 }
 
-func fingerprint(account table.AccountID, kind table.KindName, body []byte) string {
+// servicePath returns the path and query below a service's root, escaped as the caller sent them.
+func servicePath(r *http.Request) string {
+	const parts = 5 // "", "v1", "services", the name, the rest
+
+	path := "/"
+	if split := strings.SplitN(r.URL.EscapedPath(), "/", parts); len(split) == parts {
+		path += split[parts-1]
+	}
+
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+
+	return path
+}
+
+func fingerprint(account table.AccountID, kind table.KindName, path string, body []byte) string {
 	d := xxhash.New()
-	_, _ = fmt.Fprintf(d, "%q %q ", account, kind)
+	_, _ = fmt.Fprintf(d, "%q %q %q ", account, kind, path)
 	_, _ = d.Write(body)
 
 	return fmt.Sprintf("%016x", d.Sum64())
@@ -187,12 +203,11 @@
 	}
 
 	// The fingerprint is of the body as sent on, so that a repeat may stream or not as it likes.
-	req, problem := s.base(r, account, kind, sent)
+	req, problem := s.base(r, account, kind, r.URL.Path, sent)
 	if problem != nil {
 		return req, false, problem
 	}
 
-	req.Path = r.URL.Path
 	req.Prefill = table.Tokens(len(body)/charsPerToken + 1)
 	req.Decode = outputBound(c, kind)
 	req.Prefix = xxhash.Sum64(body[:min(len(body), prefixChars)])
--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -96,7 +96,8 @@
 	}
 
 	s := &Server{opts: opts, app: iris.New().Configure(
-		iris.WithoutStartupLog, iris.WithoutBodyConsumptionOnUnmarshal, iris.WithFireMethodNotAllowed)}
+		iris.WithoutStartupLog, iris.WithoutBodyConsumptionOnUnmarshal, iris.WithFireMethodNotAllowed,
+		iris.WithoutPathCorrection)}
 	s.app.Logger().SetLevel("disable")
 	s.routes()
 
@@ -266,15 +267,13 @@
 		return
 	}
 
-	req, problem := s.base(ctx.Request(), account, kind, body)
+	req, problem := s.base(ctx.Request(), account, kind, servicePath(ctx.Request()), body)
 	if problem != nil {
 		writeProblem(w, problem, "")
 
 		return
 	}
 
-	req.Path = "/" + ctx.Params().Get("path")
-
 	ans, ok := s.submit(ctx, req)
 	if !ok {
 		return
--- a/internal/wire/engine/client.go
+++ b/internal/wire/engine/client.go
@@ -234,5 +234,17 @@
 
 	defer func() { _ = resp.Body.Close() }()
 
-	return report, Error.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&report))
+	if resp.StatusCode != http.StatusOK {
+		return report, Error.New("load report of %s has status %d", t.ID, resp.StatusCode)
+	}
+
+	if err = json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&report); err != nil {
+		return Report{}, Error.Wrap(err)
+	}
+
+	if report.At.IsZero() {
+		return Report{}, Error.New("load report of %s states no time", t.ID)
+	}
+
+	return report, nil
 }
--- a/internal/wire/once/transport.go
+++ b/internal/wire/once/transport.go
@@ -23,6 +23,7 @@
 	defaultIdleTimeout = 30 * time.Second
 	defaultIdleConns   = 64
 	keepAlivePeriod    = 15 * time.Second
+	maxHeaderBytes     = 64 << 10
 )
 
 // Options tune a Transport. The zero value works.
@@ -67,6 +68,8 @@
 		IdleConnTimeout:       opts.IdleTimeout,
 		ResponseHeaderTimeout: opts.HeaderTimeout,
 		DisableCompression:    true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
 
--- a/internal/wire/platform/client.go
+++ b/internal/wire/platform/client.go
@@ -14,6 +14,9 @@
 const (
 	defaultTimeout = 2 * time.Second
 	maxListBytes   = 64 << 20
+	maxObjectBytes = 2 * MaxValueBytes // one object as JSON
+	maxHeaderBytes = 64 << 10
+	idleConns      = 16
 )
 
 // Options tune a Client. The zero value works.
@@ -39,8 +42,17 @@
 	return &Client{
 		base:    "http://" + address,
 		opts:    opts,
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}, Timeout: opts.Timeout},
-		watcher: &http.Client{Transport: &http.Transport{}},
+		http:    newHTTP(opts.Timeout),
+		watcher: newHTTP(0),
+	}
+}
+
+// newHTTP returns a client that follows no redirect, as the answer would be about another object.
+func newHTTP(timeout time.Duration) *http.Client {
+	return &http.Client{
+		Transport:     &http.Transport{MaxIdleConnsPerHost: idleConns, MaxResponseHeaderBytes: maxHeaderBytes},
+		Timeout:       timeout,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
@@ -48,9 +60,15 @@
 func (c *Client) Get(ctx context.Context, key Key) (Object, error) {
 	var o Object
 
-	err := c.read(ctx, "/objects/"+string(key), &o)
+	if err := c.read(ctx, "/objects/"+string(key), &o); err != nil {
+		return Object{}, err
+	}
+
+	if o.Version != 0 && o.Key != key {
+		return Object{}, unavailable(Error.New("the answer is about %q", o.Key))
+	}
 
-	return o, err
+	return o, nil
 }
 
 // Put writes value at key if its version is expect, and returns the new version.
@@ -60,9 +78,15 @@
 func (c *Client) Put(ctx context.Context, key Key, expect Version, value []byte) (Version, error) {
 	var o Object
 
-	err := c.write(ctx, http.MethodPut, key, expect, value, &o)
+	if err := c.write(ctx, http.MethodPut, key, expect, value, &o); err != nil {
+		return 0, err
+	}
+
+	if o.Key != key || o.Version <= expect {
+		return 0, Error.Wrap(joined(ErrUnknown, Error.New("the answer is about version %d of %q", o.Version, o.Key)))
+	}
 
-	return o.Version, err
+	return o.Version, nil
 }
 
 // Delete removes the object at key if its version is expect. It fails as Put does.
@@ -115,9 +139,13 @@
 		defer close(events)
 		defer func() { _ = resp.Body.Close() }()
 
-		for dec := json.NewDecoder(resp.Body); ; {
+		body := &io.LimitedReader{R: resp.Body}
+
+		for dec := json.NewDecoder(body); ; {
 			var o Object
-			if dec.Decode(&o) != nil {
+
+			body.N = maxObjectBytes
+			if dec.Decode(&o) != nil || o.Key == "" {
 				return
 			}
 
@@ -200,7 +228,7 @@
 		return ErrUnknown
 	}
 
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(into); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxObjectBytes)).Decode(into); err != nil {
 		return Error.Wrap(joined(ErrUnknown, err))
 	}
 
--- a/internal/wire/service/client.go
+++ b/internal/wire/service/client.go
@@ -96,7 +96,7 @@
 	}
 
 	if len(body) > maxAnswerBytes {
-		return Answer{}, verdict.New(verdict.Ran, verdict.CodeTooLarge, "answer of %s exceeds %d bytes", t.ID, maxAnswerBytes)
+		return Answer{}, verdict.New(verdict.Ran, verdict.CodeAnswerTooLarge, "answer of %s exceeds %d bytes", t.ID, maxAnswerBytes)
 	}
 
 	if resp.StatusCode >= http.StatusInternalServerError && verdict.Parse(resp.Header.Get(headerVerdict)) == verdict.NotRun {
