--- a/internal/control/members/table.go
+++ b/internal/control/members/table.go
@@ -17,7 +17,9 @@
 	minPeriod     = time.Second
 	periodPerPeer = 40 * time.Millisecond
 	forgetAfter   = 10 * time.Minute
-	remoteFanout  = 2 // members of each other data centre that this host exchanges heartbeats with
+	maxMembers    = 4096
+	maxNameBytes  = 256 // of a host id, an address or a data centre
+	remoteFanout  = 2   // members of each other data centre that this host exchanges heartbeats with
 )
 
 // Member is what one entry host last said of itself.
@@ -45,13 +47,15 @@
 	return &Table{self: self, home: home, hosts: map[table.HostID]Member{}}
 }
 
-// Note takes what a member said. An older sequence than the last one has no effect.
+// Note takes what a member said. An older sequence than the last one has no effect, nor has a
+// member without a name or address of its own, or one beyond the number of members that fit.
 func (t *Table) Note(m Member) {
-	if m.Host == t.self || m.Host == "" {
+	if m.Host == t.self || !named(string(m.Host)) || !named(m.Address) || !named(string(m.DataCentre)) {
 		return
 	}
 
-	if old, ok := t.hosts[m.Host]; ok && old.Sequence > m.Sequence {
+	old, ok := t.hosts[m.Host]
+	if ok && old.Sequence > m.Sequence || !ok && len(t.hosts) >= maxMembers {
 		return
 	}
 
@@ -65,6 +69,10 @@
 	t.hosts[m.Host] = m
 }
 
+func named(name string) bool {
+	return name != "" && len(name) <= maxNameBytes
+}
+
 // Period returns the time between two heartbeats to one member. It grows with the number of
 // members, so that the bytes that a host spends on heartbeats stay bounded.
 func (t *Table) Period() time.Duration {
--- a/internal/entry/answers/answer.go
+++ b/internal/entry/answers/answer.go
@@ -15,6 +15,12 @@
 	Target      table.TargetID
 }
 
+// MaxBytes bounds the memory of one answer's events.
+const MaxBytes = 16 << 20
+
+// eventCost is the memory of an event beside its data.
+const eventCost = 24
+
 // Answer collects the events of one request. It is safe for one writer and many readers.
 type Answer struct {
 	mu      sync.Mutex
@@ -42,18 +48,27 @@
 	return a
 }
 
-// Append adds the next event. It has no effect after Finish.
-func (a *Answer) Append(data []byte) {
+// Append adds the next event and reports whether it was taken. It is not after the end; one beyond
+// MaxBytes ends the answer with an error, as a part of it must never pass for the whole.
+func (a *Answer) Append(data []byte) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
 	if a.ended {
-		return
+		return false
+	}
+
+	if a.bytes+len(data)+eventCost > MaxBytes {
+		a.end(verdict.New(verdict.Ran, verdict.CodeAnswerTooLarge, "the answer exceeds %d bytes", MaxBytes))
+
+		return false
 	}
 
 	a.events = append(a.events, data)
-	a.bytes += len(data)
+	a.bytes += len(data) + eventCost
 	a.signal()
+
+	return true
 }
 
 // SetMeta replaces the description of the answer.
@@ -88,7 +103,7 @@
 	return a.events
 }
 
-// Bytes returns the size of the events held.
+// Bytes returns the memory of the events held.
 func (a *Answer) Bytes() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -116,10 +131,13 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	if a.ended {
-		return
+	if !a.ended {
+		a.end(problem)
 	}
+}
 
+// end marks the end of the answer; the caller holds mu.
+func (a *Answer) end(problem *verdict.Error) {
 	a.ended = true
 	a.problem = problem
 	a.signal()
--- a/internal/entry/dispatch/runner.go
+++ b/internal/entry/dispatch/runner.go
@@ -18,8 +18,6 @@
 const (
 	maxTries     = 3
 	maxResumes   = 4
-	resumePause  = 100 * time.Millisecond
-	cancelBound  = time.Second
 	noTargetWait = 2 * time.Second
 )
 
@@ -115,6 +113,11 @@
 		latest *verdict.Error
 	)
 
+	// A request that may be running already stays so, whatever this run meets.
+	if req.Resume {
+		worst = verdict.MayHaveRun
+	}
+
 	for range maxTries {
 		t, ok := r.opts.Router.Pick(req, tried)
 		if !ok {
@@ -128,6 +131,11 @@
 			return nil
 		}
 
+		// An answer may end by itself, when it grows too large.
+		if ended, problem := ans.Ended(); ended {
+			return problem
+		}
+
 		latest = verdict.From(err)
 		r.opts.Log.Warn().Str("request", string(req.ID)).Str("target", string(t.ID)).
 			Str("verdict", latest.Verdict.String()).Err(err).Msg("attempt failed")
@@ -227,107 +235,6 @@
 	return e != nil && e.Code == verdict.CodePeerLost && t.Type == table.Engine && (req.Resume || e.Verdict != verdict.NotRun)
 }
 
-// direct runs req on the target itself.
-func (r *Runner) direct(ctx context.Context, req table.Request, t table.Target, ans *answers.Answer) error {
-	ans.SetMeta(answers.Meta{Target: t.ID})
-
-	if t.Type == table.Service {
-		return r.call(ctx, req, t, ans)
-	}
-
-	return r.stream(ctx, req, t, ans)
-}
-
-func (r *Runner) call(ctx context.Context, req table.Request, t table.Target, ans *answers.Answer) error {
-	answer, err := r.opts.Services.Call(ctx, t, service.Request{
-		ID: req.ID, Key: req.Key, Path: req.Path, ContentType: req.ContentType, Body: req.Body,
-	})
-	if err != nil {
-		return err
-	}
-
-	ans.SetMeta(answers.Meta{Status: answer.Status, ContentType: answer.ContentType, Target: t.ID})
-	ans.Append(answer.Body)
-
-	return nil
-}
-
-// stream runs req on the engine t and resumes it there when the stream breaks off.
-func (r *Runner) stream(ctx context.Context, req table.Request, t table.Target, ans *answers.Answer) error {
-	call := engine.Request{ID: req.ID, Path: req.Path, Body: req.Body, Urgency: req.Kind.Urgency, Resume: req.Resume}
-
-	var first error
-
-	for range r.opts.TrySameFor {
-		call.ResumeFrom = ans.Next()
-
-		err := r.opts.Engines.Stream(ctx, t, call, func(ev engine.Event) error {
-			ans.Append(ev.Data)
-
-			return nil
-		})
-		if err == nil {
-			return nil
-		}
-
-		if first == nil {
-			first = err
-		}
-
-		if ctx.Err() != nil {
-			r.cancel(t, req.ID)
-
-			return first
-		}
-
-		if verdict.Of(err) == verdict.NotRun && !call.Resume {
-			return err
-		}
-
-		if forgotten(err) && req.Resume {
-			return verdict.New(verdict.MayHaveRun, verdict.CodeNotFound, "%s does not know the request", t.ID).Because(err)
-		}
-
-		if forgotten(err) {
-			break
-		}
-
-		call.Resume = true
-
-		if !r.pause(ctx) {
-			break
-		}
-	}
-
-	return verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "%s lost the request", t.ID).Because(first)
-}
-
-// forgotten reports whether the engine answered that it does not know the request.
-func forgotten(err error) bool {
-	var e *verdict.Error
-
-	return errors.As(err, &e) && e.Code == verdict.CodeNotFound
-}
-
-func (r *Runner) pause(ctx context.Context) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-r.opts.Clock.After(resumePause):
-		return true
-	}
-}
-
-// cancel stops the work on an engine after the caller has gone or the deadline has passed.
-func (r *Runner) cancel(t table.Target, id table.RequestID) {
-	ctx, cancel := context.WithTimeout(context.Background(), cancelBound)
-	defer cancel()
-
-	if err := r.opts.Engines.Cancel(ctx, t, id); err != nil {
-		r.opts.Log.Debug().Str("request", string(id)).Str("target", string(t.ID)).Err(err).Msg("cancel failed")
-	}
-}
-
 func noTarget(req table.Request) *verdict.Error {
 	return verdict.New(verdict.NotRun, verdict.CodeNoTarget, "no target can take kind %q now", req.Kind.Name).After(noTargetWait)
 }
--- /dev/null
+++ b/internal/entry/dispatch/runner_test.go
@@ -0,0 +1,332 @@
+package dispatch_test
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
+	"github.com/dotterelflow/dotterelflow/internal/entry/dispatch"
+	"github.com/dotterelflow/dotterelflow/internal/wire/engine"
+	"github.com/dotterelflow/dotterelflow/internal/wire/service"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+const testBound = 10 * time.Second
+
+var (
+	errNotRun   = verdict.New(verdict.NotRun, verdict.CodeOverloaded, "busy")
+	unsent      = verdict.New(verdict.NotRun, verdict.CodeTargetLost, "not sent")
+	broken      = verdict.New(verdict.MayHaveRun, verdict.CodeTruncated, "broke off")
+	lost        = verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "lost")
+	forgotten   = verdict.New(verdict.NotRun, verdict.CodeNotFound, "unknown request")
+	malformed   = verdict.New(verdict.NotRun, verdict.CodeBadRequest, "malformed")
+	errPeerLost = verdict.New(verdict.MayHaveRun, verdict.CodePeerLost, "peer lost")
+)
+
+// reply is what a target does with one call: events up to the sequence number to, then err.
+type reply struct {
+	to    uint64
+	bytes int // size of each event; zero for its number
+	hang  bool
+	err   error
+}
+
+// call is a call that reached a target.
+type call struct {
+	target table.TargetID
+	from   uint64
+	resume bool
+}
+
+// world plays the targets e1, e2, e3 of the own data centre and far of another one.
+type world struct {
+	replies map[table.TargetID][]reply
+
+	mu       sync.Mutex
+	calls    []call
+	cancels  []table.TargetID
+	running  int
+	forwards int
+}
+
+func (w *world) next(id table.TargetID, from uint64, resume bool) reply {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.calls = append(w.calls, call{target: id, from: from, resume: resume})
+	if len(w.replies[id]) == 0 {
+		return reply{err: lost}
+	}
+
+	r := w.replies[id][0]
+	w.replies[id] = w.replies[id][1:]
+
+	return r
+}
+
+func (w *world) Stream(ctx context.Context, t table.Target, req engine.Request, emit func(engine.Event) error) error {
+	r := w.next(t.ID, req.ResumeFrom, req.Resume)
+
+	for seq := req.ResumeFrom; seq < r.to; seq++ {
+		data := fmt.Append(nil, seq)
+		if r.bytes > 0 {
+			data = make([]byte, r.bytes)
+		}
+
+		if err := emit(engine.Event{Sequence: seq, Data: data}); err != nil {
+			return err
+		}
+	}
+
+	if r.hang {
+		<-ctx.Done()
+	}
+
+	return r.err
+}
+
+func (w *world) Cancel(_ context.Context, t table.Target, _ table.RequestID) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.cancels = append(w.cancels, t.ID)
+
+	return nil
+}
+
+func (w *world) Call(_ context.Context, t table.Target, _ service.Request) (service.Answer, error) {
+	r := w.next(t.ID, 0, false)
+
+	return service.Answer{Status: 200, Body: make([]byte, r.bytes)}, r.err
+}
+
+func (w *world) Forward(_ context.Context, _ table.DataCentre, t table.TargetID, req table.Request, _ *answers.Answer) error {
+	w.mu.Lock()
+	w.forwards++
+	w.mu.Unlock()
+
+	return w.next(t, 0, req.Resume).err
+}
+
+func (w *world) Target(id table.TargetID) (table.Target, bool) {
+	return target(id, table.Engine), true
+}
+
+func target(id table.TargetID, typ table.TargetType) table.Target {
+	dc := table.DataCentre("a")
+	if id == "far" {
+		dc = "b"
+	}
+
+	return table.Target{ID: id, Type: typ, DataCentre: dc}
+}
+
+// Pick names the targets in order of their names, or far where the request prefers it.
+func (w *world) Pick(req table.Request, tried []table.TargetID) (table.Target, bool) {
+	typ := table.Engine
+	if req.Kind.Service != "" {
+		typ = table.Service
+	}
+
+	if req.Preferred != "" && len(tried) == 0 {
+		return target(req.Preferred, typ), true
+	}
+
+	for _, id := range []table.TargetID{"e1", "e2", "e3"} {
+		seen := false
+		for _, other := range tried {
+			seen = seen || other == id
+		}
+
+		if _, known := w.replies[id]; known && !seen {
+			return target(id, typ), true
+		}
+	}
+
+	return table.Target{}, false
+}
+
+func (w *world) Begin(table.TargetID, table.Request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.running++
+}
+
+func (w *world) End(table.TargetID, table.Request, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.running--
+}
+
+func (w *world) runner(clock clockwork.Clock) *dispatch.Runner {
+	return dispatch.New(dispatch.Options{Clock: clock, Home: "a", Engines: w, Services: w, Peers: w, Router: w, TrySameFor: 2})
+}
+
+func TestRun(t *testing.T) {
+	type replies = map[table.TargetID][]reply
+
+	plain := table.Kind{Model: "m"}
+	once := table.Kind{Model: "m", AtMostOnce: true}
+	svc := table.Kind{Service: "s", AtMostOnce: true}
+	whole := reply{to: 3}
+
+	tests := []struct {
+		name    string
+		kind    table.Kind
+		req     table.Request
+		replies replies
+		seen    bool // a reader has seen an event of the first try
+		calls   []call
+		verdict verdict.Verdict // Ran for a whole answer
+		code    verdict.Code
+	}{
+		{name: "whole", kind: plain, replies: replies{"e1": {whole}}, calls: []call{{target: "e1"}}, verdict: verdict.Ran},
+		{
+			name: "not run is tried elsewhere", kind: once, replies: replies{"e1": {{err: errNotRun}}, "e2": {whole}},
+			calls: []call{{target: "e1"}, {target: "e2"}}, verdict: verdict.Ran,
+		},
+		{
+			name: "not run anywhere", kind: once, replies: replies{"e1": {{err: errNotRun}}, "e2": {{err: unsent}}},
+			calls: []call{{target: "e1"}, {target: "e2"}}, verdict: verdict.NotRun, code: verdict.CodeTargetLost,
+		},
+		{name: "no target", kind: plain, verdict: verdict.NotRun, code: verdict.CodeNoTarget},
+		{
+			name: "may have run is not tried elsewhere", kind: once, replies: replies{"e1": {{err: lost}, {err: forgotten}}, "e2": {whole}},
+			calls: []call{{target: "e1"}, {target: "e1", resume: true}}, verdict: verdict.MayHaveRun, code: verdict.CodeTargetLost,
+		},
+		{
+			name: "a service is not tried elsewhere", kind: svc, replies: replies{"e1": {{err: lost}}, "e2": {whole}},
+			calls: []call{{target: "e1"}}, verdict: verdict.MayHaveRun, code: verdict.CodeTargetLost,
+		},
+		{
+			name: "a kind that may run twice is", kind: plain, replies: replies{"e1": {{to: 1, err: broken}, {err: forgotten}}, "e2": {whole}},
+			calls: []call{{target: "e1"}, {target: "e1", from: 1, resume: true}, {target: "e2"}}, verdict: verdict.Ran,
+		},
+		{
+			name: "but not once a reader has seen a part", kind: plain, seen: true,
+			replies: replies{"e1": {{to: 1, err: broken}, {err: forgotten}}, "e2": {whole}},
+			calls:   []call{{target: "e1"}, {target: "e1", from: 1, resume: true}}, verdict: verdict.MayHaveRun, code: verdict.CodeTargetLost,
+		},
+		{
+			name: "the worst verdict wins", kind: plain, replies: replies{"e1": {{err: lost}, {err: lost}}, "e2": {{err: errNotRun}}},
+			calls: []call{{target: "e1"}, {target: "e1", resume: true}, {target: "e2"}}, verdict: verdict.MayHaveRun, code: verdict.CodeOverloaded,
+		},
+		{
+			name: "resumed from its offset", kind: once, replies: replies{"e1": {{to: 2, err: broken}, whole}},
+			calls: []call{{target: "e1"}, {target: "e1", from: 2, resume: true}}, verdict: verdict.Ran,
+		},
+		{
+			name: "malformed is not tried again", kind: plain, replies: replies{"e1": {{err: malformed}}, "e2": {whole}},
+			calls: []call{{target: "e1"}}, verdict: verdict.NotRun, code: verdict.CodeBadRequest,
+		},
+		{
+			name: "a run taken up may have run", kind: once, req: table.Request{Resume: true},
+			verdict: verdict.MayHaveRun, code: verdict.CodeNoTarget,
+		},
+		{
+			name: "a run taken up that cannot be reached may have run", kind: once, req: table.Request{Resume: true},
+			replies: replies{"e1": {{err: unsent}, {err: unsent}}, "e2": {whole}},
+			calls:   []call{{target: "e1", resume: true}, {target: "e1", resume: true}}, verdict: verdict.MayHaveRun, code: verdict.CodeTargetLost,
+		},
+		{
+			name: "a lost peer's run is resumed on its engine", kind: once, req: table.Request{Preferred: "far"},
+			replies: replies{"far": {{err: errPeerLost}, whole}, "e1": {whole}},
+			calls:   []call{{target: "far"}, {target: "far", resume: true}}, verdict: verdict.Ran,
+		},
+		{
+			name: "an answer without end", kind: plain, replies: replies{"e1": {{to: 1 << 20, bytes: 1 << 20}}, "e2": {whole}},
+			calls: []call{{target: "e1"}}, verdict: verdict.Ran, code: verdict.CodeAnswerTooLarge,
+		},
+		{
+			name: "a service answer too large", kind: svc, replies: replies{"e1": {{bytes: answers.MaxBytes + 1}}, "e2": {whole}},
+			calls: []call{{target: "e1"}}, verdict: verdict.Ran, code: verdict.CodeAnswerTooLarge,
+		},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := &world{replies: tt.replies}
+			ans := answers.New()
+
+			if tt.seen {
+				go func() { _ = ans.Read(t.Context(), 0, func(uint64, []byte) error { return nil }) }()
+			}
+
+			tt.req.ID, tt.req.Kind, tt.req.Deadline = "r", tt.kind, time.Now().Add(testBound)
+			w.runner(nil).Run(t.Context(), tt.req, ans)
+
+			ended, problem := ans.Ended()
+			require.True(t, ended)
+			require.Equal(t, tt.calls, w.calls)
+			require.Zero(t, w.running)
+
+			if tt.code == "" {
+				require.Nil(t, problem)
+
+				return
+			}
+
+			require.NotNil(t, problem)
+			require.Equal(t, tt.code, problem.Code)
+			require.Equal(t, tt.verdict, problem.Verdict)
+		})
+	}
+}
+
+func TestRunEndsAtItsDeadline(t *testing.T) {
+	for name, tt := range map[string]struct {
+		target  table.TargetID // e1 if empty
+		replies []reply
+		verdict verdict.Verdict
+	}{
+		"while the engine works":     {replies: []reply{{to: 1, hang: true, err: broken}}, verdict: verdict.MayHaveRun},
+		"before the engine has it":   {replies: []reply{{hang: true, err: unsent}}, verdict: verdict.NotRun},
+		"while it cannot be resumed": {replies: []reply{{err: broken}, {hang: true, err: unsent}}, verdict: verdict.MayHaveRun},
+		"after its peer was lost":    {target: "far", replies: []reply{{err: errPeerLost}, {hang: true, err: unsent}}, verdict: verdict.MayHaveRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			id := cmp.Or(tt.target, "e1")
+			w := &world{replies: map[table.TargetID][]reply{id: tt.replies, "e2": {{to: 3}}}}
+			ans := answers.New()
+
+			w.runner(nil).Run(t.Context(), table.Request{ID: "r", Preferred: tt.target, Kind: table.Kind{Model: "m"}, Deadline: time.Now().Add(300 * time.Millisecond)}, ans)
+
+			_, problem := ans.Ended()
+			require.Equal(t, verdict.CodeDeadline, problem.Code)
+			require.Equal(t, tt.verdict, problem.Verdict)
+			require.Equal(t, []table.TargetID{id}, w.cancels)
+			require.Zero(t, w.running)
+		})
+	}
+}
+
+func TestCallerThatLeavesCancelsTheWork(t *testing.T) {
+	w := &world{replies: map[table.TargetID][]reply{"e1": {{to: 1, hang: true, err: broken}}}}
+	ans := answers.New()
+	ctx, cancel := context.WithCancel(t.Context())
+
+	go func() {
+		_ = ans.Read(t.Context(), 0, func(uint64, []byte) error {
+			cancel()
+
+			return nil
+		})
+	}()
+
+	w.runner(nil).Run(ctx, table.Request{ID: "r", Kind: table.Kind{Model: "m"}, Deadline: time.Now().Add(testBound)}, ans)
+
+	_, problem := ans.Ended()
+	require.Equal(t, verdict.CodeStopping, problem.Code)
+	require.Equal(t, verdict.MayHaveRun, problem.Verdict)
+	require.Equal(t, []table.TargetID{"e1"}, w.cancels)
+}
--- a/internal/entry/loads/table.go
+++ b/internal/entry/loads/table.go
@@ -15,6 +15,7 @@
 	defaultEvery = time.Second
 	pollBound    = 800 * time.Millisecond
 	pollers      = 16
+	maxTargets   = 16384
 )
 
 // Engines fetches load reports.
@@ -144,11 +145,21 @@
 	}
 }
 
+// newer takes l if it is newer than the last report of its target. A report cannot be newer than
+// now: one from a clock that is ahead would hide all that follow.
 func (t *Table) newer(l table.Load) bool {
+	if now := t.opts.Clock.Now(); l.At.After(now) {
+		l.At = now
+	}
+
+	l.Running, l.Queued = max(l.Running, 0), max(l.Queued, 0)
+	l.PrefillPending, l.DecodePending = max(l.PrefillPending, 0), max(l.DecodePending, 0)
+
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	if !l.At.After(t.loads[l.Target].At) {
+	old, ok := t.loads[l.Target]
+	if !l.At.After(old.At) || !ok && len(t.loads) >= maxTargets {
 		return false
 	}
 
--- /dev/null
+++ b/internal/entry/loads/table_test.go
@@ -0,0 +1,63 @@
+package loads_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/entry/loads"
+	"github.com/dotterelflow/dotterelflow/internal/wire/engine"
+)
+
+type silent struct{}
+
+func (silent) Load(context.Context, table.Target) (engine.Report, error) {
+	return engine.Report{}, errors.New("silent")
+}
+
+func start(t *testing.T, clock clockwork.Clock) *loads.Table {
+	t.Helper()
+
+	ctx, cancel := context.WithCancel(t.Context())
+	reports := loads.Start(ctx, loads.Options{
+		Clock: clock, Engines: silent{}, Targets: func() []table.Target { return nil }, Mine: func(table.Target) bool { return false },
+	})
+
+	t.Cleanup(func() {
+		cancel()
+		<-reports.Done()
+	})
+
+	return reports
+}
+
+func TestReportFromAClockAheadHidesNoLaterOne(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	reports := start(t, clock)
+
+	reports.Note(table.Load{Target: "e", At: clock.Now().Add(time.Hour), Running: 1, PrefillPending: -5})
+	require.Equal(t, table.Load{Target: "e", At: clock.Now(), Running: 1}, reports.All()["e"])
+
+	clock.Advance(time.Second)
+	reports.Note(table.Load{Target: "e", At: clock.Now(), Running: 2})
+	require.Equal(t, 2, reports.All()["e"].Running)
+}
+
+func TestReportsAreBounded(t *testing.T) {
+	const bound = 16384
+
+	clock := clockwork.NewFakeClock()
+	reports := start(t, clock)
+
+	for i := range 2 * bound {
+		reports.Note(table.Load{Target: table.TargetID(fmt.Sprint(i)), At: clock.Now()})
+	}
+
+	require.Len(t, reports.All(), bound)
+}
--- a/internal/entry/peers/forward.go
+++ b/internal/entry/peers/forward.go
@@ -34,6 +34,13 @@
 		}
 
 		last = verdict.From(err)
+		if req.Resume && last.Verdict == verdict.NotRun {
+			// The refusal is of the call that resumes, not of the run.
+			worse := *last
+			worse.Verdict = verdict.MayHaveRun
+			last = &worse
+		}
+
 		if last.Code != verdict.CodePeerLost || ctx.Err() != nil {
 			return last
 		}
@@ -42,7 +49,12 @@
 	}
 
 	if last == nil {
-		return verdict.New(verdict.NotRun, verdict.CodePeerLost, "no entry host of %s can be reached", dc)
+		v := verdict.NotRun
+		if req.Resume {
+			v = verdict.MayHaveRun
+		}
+
+		return verdict.New(v, verdict.CodePeerLost, "no entry host of %s can be reached", dc)
 	}
 
 	return last
@@ -148,12 +160,27 @@
 			return nil
 		}
 
-		if ev.GetSequence() == ans.Next() {
-			ans.Append(ev.GetData())
+		next := ans.Next()
+
+		if ev.GetSequence() > next {
+			return lost(m, verdict.MayHaveRun, peer.Error.New("event %d came after %d", ev.GetSequence(), next))
+		}
+
+		if ev.GetSequence() == next && !ans.Append(ev.GetData()) {
+			return ended(ans)
 		}
 	}
 }
 
+// ended returns the problem with which ans ended, or nil.
+func ended(ans *answers.Answer) error {
+	if _, problem := ans.Ended(); problem != nil {
+		return problem
+	}
+
+	return nil
+}
+
 // Join follows the answer that host produces or holds for a keyed request and collects it in ans.
 // It fails with CodeNotFound when the host knows nothing of it.
 func (n *Network) Join(ctx context.Context, host table.HostID, account table.AccountID, key string, ans *answers.Answer) error {
--- a/internal/entry/peers/server.go
+++ b/internal/entry/peers/server.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
+	"github.com/google/uuid"
 	"google.golang.org/grpc"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
@@ -12,6 +14,17 @@
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
+// Bounds of a forwarded request. The entry host that took it from its caller has kept them already.
+const (
+	maxForwarded = 8 << 20 // bytes of a body
+	maxKeyBytes  = 128
+	maxEvents    = 1 << 32
+	maxDeadline  = 24 * time.Hour
+
+	pathChat = "/v1/chat/completions"
+	pathText = "/v1/completions"
+)
+
 // Runner runs forwarded requests.
 type Runner interface {
 	Run(ctx context.Context, req table.Request, ans *answers.Answer)
@@ -119,29 +132,85 @@
 	return send(stream, ans, r.GetFrom())
 }
 
+// request builds the request that r asks for. What does not fit the configuration in force is
+// refused, as no target may be reached past it.
 func (s *Server) request(r *peer.ForwardRequest) (table.Request, *verdict.Error) {
 	snapshot := s.services.Snapshot()
 	if snapshot == nil {
-		return table.Request{}, verdict.New(verdict.NotRun, verdict.CodeStopping, "no configuration yet")
+		return table.Request{}, unknown("no configuration yet")
 	}
 
 	account, ok := snapshot.Account(table.AccountID(r.GetAccount()))
 	if !ok {
-		return table.Request{}, verdict.New(verdict.NotRun, verdict.CodeNoTarget, "client account %q is not known here yet", r.GetAccount())
+		return table.Request{}, unknown("client account %q is not known here yet", r.GetAccount())
 	}
 
 	kind, ok := account.Kinds[table.KindName(r.GetKind())]
 	if !ok {
-		return table.Request{}, verdict.New(verdict.NotRun, verdict.CodeNoTarget, "kind %q is not known here yet", r.GetKind())
+		return table.Request{}, unknown("kind %q is not known here yet", r.GetKind())
+	}
+
+	t, ok := snapshot.Target(table.TargetID(r.GetTarget()))
+	if !ok || !serves(*t, kind) {
+		return table.Request{}, unknown("target %q is not known here as one for kind %q", r.GetTarget(), kind.Name)
+	}
+
+	if problem := checkForwarded(r, *t); problem != nil {
+		return table.Request{}, problem
 	}
 
 	return table.Request{
 		ID: table.RequestID(r.GetRequestId()), Account: account.ID, Kind: kind, Key: r.GetKey(), Path: r.GetPath(),
-		ContentType: r.GetContentType(), Body: r.GetBody(), Deadline: time.UnixMilli(r.GetDeadlineUnixMs()),
-		Forwarded: true, Pinned: table.TargetID(r.GetTarget()), Resume: r.GetResume(),
+		ContentType: r.GetContentType(), Body: r.GetBody(), Deadline: s.deadline(r),
+		Forwarded: true, Pinned: t.ID, Resume: r.GetResume(),
 	}, nil
 }
 
+func unknown(format string, args ...any) *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.CodeNoTarget, format, args...)
+}
+
+func serves(t table.Target, kind table.Kind) bool {
+	if t.Type == table.Service {
+		return kind.Service != "" && t.Service == kind.Service
+	}
+
+	return kind.Model != "" && t.Model == kind.Model
+}
+
+func checkForwarded(r *peer.ForwardRequest, t table.Target) *verdict.Error {
+	malformed := func(what string) *verdict.Error {
+		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the forwarded request has no valid %s", what)
+	}
+
+	switch {
+	case uuid.Validate(r.GetRequestId()) != nil:
+		return malformed("request id")
+	case len(r.GetBody()) > maxForwarded:
+		return malformed("body")
+	case len(r.GetKey()) > maxKeyBytes:
+		return malformed("idempotency key")
+	case r.GetFrom() > maxEvents, r.GetFrom() > 0 && !r.GetResume():
+		return malformed("first event")
+	case t.Type == table.Engine && r.GetPath() != pathChat && r.GetPath() != pathText, !strings.HasPrefix(r.GetPath(), "/"):
+		return malformed("path")
+	default:
+		return nil
+	}
+}
+
+// deadline returns the deadline of r, which is never later than that of any caller's request.
+func (s *Server) deadline(r *peer.ForwardRequest) time.Time {
+	latest := s.network.opts.Clock.Now().Add(maxDeadline)
+	asked := time.UnixMilli(r.GetDeadlineUnixMs())
+
+	if asked.After(latest) {
+		return latest
+	}
+
+	return asked
+}
+
 // send passes ans on to a peer, and its problem if it does not end whole.
 func send(stream grpc.ServerStreamingServer[peer.AnswerEvent], ans *answers.Answer, from uint64) error {
 	err := ans.Read(stream.Context(), from, func(seq uint64, data []byte) error {
@@ -151,6 +220,10 @@
 			Sequence: seq, Data: data, Status: uint32(max(meta.Status, 0)), ContentType: meta.ContentType, Target: string(meta.Target),
 		})
 	})
+	if err == nil && from > ans.Next() {
+		err = verdict.New(verdict.Ran, verdict.CodeBadRequest, "event %d is beyond the end of the answer", from)
+	}
+
 	if err != nil {
 		return stream.Send(&peer.AnswerEvent{Problem: peer.FromError(err)})
 	}
--- /dev/null
+++ b/internal/entry/peers/server_test.go
@@ -0,0 +1,369 @@
+package peers_test
+
+import (
+	"context"
+	"math"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
+	"github.com/dotterelflow/dotterelflow/internal/entry/peers"
+	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+const (
+	testBound = 10 * time.Second
+	day       = 24 * time.Hour
+)
+
+// local hears nothing.
+type local struct{}
+
+func (local) Fill(table.HostID, *peer.Digest) {}
+func (local) Hear(*peer.Digest)               {}
+
+// targets stands for the targets of a host: it answers and records what reached it.
+type targets struct {
+	mu   sync.Mutex
+	reqs []table.Request
+}
+
+func (r *targets) Run(_ context.Context, req table.Request, ans *answers.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.reqs = append(r.reqs, req)
+	ans.Append([]byte("answer"))
+	ans.Finish(nil)
+}
+
+func (r *targets) taken() []table.Request {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.reqs
+}
+
+// sent collects the events of one call.
+type sent struct {
+	grpc.ServerStream
+
+	ctx    context.Context
+	events []*peer.AnswerEvent
+}
+
+func (s *sent) Context() context.Context { return s.ctx }
+
+func (s *sent) Send(ev *peer.AnswerEvent) error {
+	s.events = append(s.events, ev)
+
+	return nil
+}
+
+func snapshot() *table.Snapshot {
+	return table.NewSnapshot(table.Config{
+		Accounts: []table.Account{{ID: "desk", Kinds: map[table.KindName]table.Kind{
+			"chat": {Name: "chat", Model: "m"}, "hold": {Name: "hold", Service: "s", AtMostOnce: true},
+		}}},
+		Targets: []table.Target{
+			{ID: "engine-1", Model: "m", DataCentre: "a"}, {ID: "engine-2", Model: "other", DataCentre: "a"},
+			{ID: "service-1", Type: table.Service, Service: "s", DataCentre: "a"},
+		},
+	})
+}
+
+func newServer(clock clockwork.Clock) (*peers.Server, *peers.Network, *targets, *answers.Table) {
+	network := peers.New(peers.Options{Clock: clock, Host: "here", DataCentre: "a", Address: "127.0.0.1:1", Local: local{}})
+	ran := &targets{}
+	held := answers.NewTable(answers.Options{Clock: clock})
+
+	return peers.NewServer(network, peers.Services{Snapshot: snapshot, Runner: ran, Held: held}), network, ran, held
+}
+
+func forwardRequest() *peer.ForwardRequest {
+	return &peer.ForwardRequest{
+		RequestId: uuid.NewString(), Account: "desk", Kind: "chat", Path: "/v1/completions", Body: []byte("{}"),
+		Target: "engine-1", DeadlineUnixMs: time.Now().Add(time.Minute).UnixMilli(),
+	}
+}
+
+func TestForwardRefusesWhatDoesNotFit(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(r *peer.ForwardRequest)
+		code   verdict.Code // empty if it runs
+	}{
+		{name: "whole", change: func(*peer.ForwardRequest) {}},
+		{name: "huge deadline", change: func(r *peer.ForwardRequest) { r.DeadlineUnixMs = math.MaxInt64 }},
+		{name: "unknown account", change: func(r *peer.ForwardRequest) { r.Account = "nobody" }, code: verdict.CodeNoTarget},
+		{name: "unknown kind", change: func(r *peer.ForwardRequest) { r.Kind = "other" }, code: verdict.CodeNoTarget},
+		{name: "no target", change: func(r *peer.ForwardRequest) { r.Target = "" }, code: verdict.CodeNoTarget},
+		{name: "unknown target", change: func(r *peer.ForwardRequest) { r.Target = "engine-9" }, code: verdict.CodeNoTarget},
+		{name: "engine of another model", change: func(r *peer.ForwardRequest) { r.Target = "engine-2" }, code: verdict.CodeNoTarget},
+		{name: "service for a model's kind", change: func(r *peer.ForwardRequest) { r.Target = "service-1" }, code: verdict.CodeNoTarget},
+		{name: "engine for a service's kind", change: func(r *peer.ForwardRequest) { r.Kind = "hold" }, code: verdict.CodeNoTarget},
+		{name: "other host in the path", change: func(r *peer.ForwardRequest) { r.Path = "@127.0.0.1:2/x" }, code: verdict.CodeBadRequest},
+		{name: "orders path", change: func(r *peer.ForwardRequest) { r.Path = "/orders" }, code: verdict.CodeBadRequest},
+		{name: "no request id", change: func(r *peer.ForwardRequest) { r.RequestId = "" }, code: verdict.CodeBadRequest},
+		{name: "request id with a line end", change: func(r *peer.ForwardRequest) { r.RequestId = "x\r\ny" }, code: verdict.CodeBadRequest},
+		{name: "long key", change: func(r *peer.ForwardRequest) { r.Key = strings.Repeat("k", 129) }, code: verdict.CodeBadRequest},
+		{name: "part of a fresh run", change: func(r *peer.ForwardRequest) { r.From = 1 }, code: verdict.CodeBadRequest},
+		{name: "huge first event", change: func(r *peer.ForwardRequest) { r.From, r.Resume = math.MaxUint64, true }, code: verdict.CodeBadRequest},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s, _, ran, _ := newServer(clockwork.NewRealClock())
+			r := forwardRequest()
+			tt.change(r)
+
+			out := &sent{ctx: t.Context()}
+			require.NoError(t, s.Forward(r, out))
+
+			last := out.events[len(out.events)-1]
+
+			if tt.code == "" {
+				require.True(t, last.GetLast())
+				require.Len(t, ran.taken(), 1)
+				require.LessOrEqual(t, time.Until(ran.taken()[0].Deadline), day)
+
+				return
+			}
+
+			require.Equal(t, string(tt.code), last.GetProblem().GetCode())
+			require.Equal(t, "not-run", last.GetProblem().GetVerdict())
+			require.Empty(t, ran.taken())
+		})
+	}
+}
+
+func TestJoinIsOfOneAccount(t *testing.T) {
+	s, _, _, held := newServer(clockwork.NewRealClock())
+	ans, _, _ := held.Start(answers.ID{Account: "desk", Key: "k"}, "f")
+	ans.Append([]byte("answer"))
+	ans.Finish(nil)
+
+	for name, tt := range map[string]struct {
+		req  *peer.JoinRequest
+		code verdict.Code
+	}{
+		"own":             {req: &peer.JoinRequest{Account: "desk", Key: "k"}},
+		"own, seen whole": {req: &peer.JoinRequest{Account: "desk", Key: "k", From: 1}},
+		"another's":       {req: &peer.JoinRequest{Account: "other", Key: "k"}, code: verdict.CodeNotFound},
+		"unknown":         {req: &peer.JoinRequest{Account: "desk", Key: "k2"}, code: verdict.CodeNotFound},
+		"empty":           {req: &peer.JoinRequest{}, code: verdict.CodeNotFound},
+		"beyond the end":  {req: &peer.JoinRequest{Account: "desk", Key: "k", From: math.MaxUint64}, code: verdict.CodeBadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			out := &sent{ctx: t.Context()}
+			require.NoError(t, s.Join(tt.req, out))
+
+			last := out.events[len(out.events)-1]
+			require.Equal(t, tt.code == "", last.GetLast())
+			require.Equal(t, string(tt.code), last.GetProblem().GetCode())
+		})
+	}
+}
+
+func TestHostileDigestsAreBounded(t *testing.T) {
+	s, network, _, _ := newServer(clockwork.NewFakeClock())
+
+	for i := range 10_000 {
+		_, err := s.Heartbeat(t.Context(), &peer.Digest{Host: uuid.NewString(), Address: uuid.NewString(), DataCentre: "a", Sequence: uint64(i)})
+		require.NoError(t, err)
+	}
+
+	_, err := s.Heartbeat(t.Context(), &peer.Digest{Host: strings.Repeat("h", 1<<20), Address: "x", DataCentre: "a"})
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(network.Live()), 4096)
+}
+
+func FuzzPeerMessages(f *testing.F) {
+	add := func(m proto.Message) {
+		raw, err := proto.Marshal(m)
+		require.NoError(f, err)
+		f.Add(raw)
+	}
+
+	add(forwardRequest())
+	add(&peer.JoinRequest{Account: "desk", Key: "k", From: math.MaxUint64})
+	add(&peer.Digest{Host: "h", Address: "127.0.0.1:2", DataCentre: "a", Sequence: math.MaxUint64, Suspects: []byte("{"), Loads: []*peer.Load{{
+		Target: "engine-1", AtUnixMs: math.MaxInt64, PrefillPending: math.MaxUint64, Role: math.MaxUint32,
+	}}})
+	add(&peer.ClaimRequest{Encoded: []byte("\xff")})
+	add(&peer.FetchConfigurationRequest{NewerThan: math.MaxUint64})
+	f.Add([]byte("\xff\xff\xff"))
+
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		ctx, cancel := context.WithTimeout(t.Context(), testBound)
+		defer cancel()
+
+		s, _, ran, held := newServer(clockwork.NewFakeClock())
+		ans, _, _ := held.Start(answers.ID{Account: "desk", Key: "k"}, "f")
+		ans.Finish(nil)
+
+		for _, m := range []proto.Message{&peer.Digest{}, &peer.ForwardRequest{}, &peer.JoinRequest{}, &peer.ClaimRequest{}, &peer.FetchConfigurationRequest{}} {
+			if proto.Unmarshal(raw, m) != nil {
+				continue
+			}
+
+			deliver(ctx, t, s, m)
+		}
+
+		for _, req := range ran.taken() {
+			_, known := snapshot().Target(req.Pinned)
+			require.True(t, known)
+			require.Equal(t, table.AccountID("desk"), req.Account)
+			require.True(t, strings.HasPrefix(req.Path, "/"))
+		}
+	})
+}
+
+// deliver hands m to its method; each call must end with a last event or a problem.
+func deliver(ctx context.Context, t *testing.T, s *peers.Server, m proto.Message) {
+	t.Helper()
+
+	out := &sent{ctx: ctx}
+
+	switch m := m.(type) {
+	case *peer.Digest:
+		_, err := s.Heartbeat(ctx, m)
+		require.NoError(t, err)
+	case *peer.ForwardRequest:
+		require.NoError(t, s.Forward(m, out))
+		require.NotEmpty(t, out.events)
+	case *peer.JoinRequest:
+		require.NoError(t, s.Join(m, out))
+		require.NotEmpty(t, out.events)
+	case *peer.ClaimRequest:
+		reply, err := s.Claim(ctx, m)
+		require.NoError(t, err)
+		require.NotNil(t, reply.GetProblem())
+	case *peer.FetchConfigurationRequest:
+		_, err := s.FetchConfiguration(ctx, m)
+		require.NoError(t, err)
+	}
+}
+
+// scripted answers each forwarded request by the next of its scripts.
+type scripted struct {
+	peer.UnimplementedPeerServer
+
+	mu      sync.Mutex
+	scripts [][]*peer.AnswerEvent
+}
+
+func (s *scripted) Heartbeat(context.Context, *peer.Digest) (*peer.Digest, error) {
+	return &peer.Digest{}, nil
+}
+
+func (s *scripted) Forward(_ *peer.ForwardRequest, stream grpc.ServerStreamingServer[peer.AnswerEvent]) error {
+	s.mu.Lock()
+	script := s.scripts[0]
+	s.scripts = s.scripts[1:]
+	s.mu.Unlock()
+
+	for _, ev := range script {
+		if err := stream.Send(ev); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+func TestForwardedAnswers(t *testing.T) {
+	type events = []*peer.AnswerEvent
+
+	part := func(seq uint64) *peer.AnswerEvent { return &peer.AnswerEvent{Sequence: seq, Data: []byte("x")} }
+	last := &peer.AnswerEvent{Last: true}
+	refused := &peer.AnswerEvent{Problem: peer.FromError(verdict.New(verdict.NotRun, verdict.CodeNoTarget, "no target"))}
+
+	tests := []struct {
+		name    string
+		scripts []events
+		resume  bool
+		want    uint64 // events of the answer
+		code    verdict.Code
+		verdict verdict.Verdict
+	}{
+		{name: "whole", scripts: []events{{part(0), part(1), last}}, want: 2},
+		{name: "doubled", scripts: []events{{part(0), part(0), part(1), last}}, want: 2},
+		{name: "cut, then resumed", scripts: []events{{part(0)}, {part(1), last}}, want: 2},
+		{name: "gap, then resumed", scripts: []events{{part(0), part(2), last}, {part(1), part(2), last}}, want: 3},
+		{name: "refused", scripts: []events{{refused}}, code: verdict.CodeNoTarget, verdict: verdict.NotRun},
+		{name: "cut, then refused", scripts: []events{{part(0)}, {refused}}, want: 1, code: verdict.CodeNoTarget, verdict: verdict.MayHaveRun},
+		{name: "taken up, then refused", scripts: []events{{refused}}, resume: true, code: verdict.CodeNoTarget, verdict: verdict.MayHaveRun},
+		{name: "always cut", scripts: []events{{part(0)}, {}}, want: 1, code: verdict.CodePeerLost, verdict: verdict.MayHaveRun},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewRealClock()
+			s, network, _, _ := newServer(clock)
+			far := &scripted{scripts: tt.scripts}
+
+			for _, host := range []string{"far-1", "far-2"} {
+				address := serveScripted(t, far)
+
+				_, err := s.Heartbeat(t.Context(), &peer.Digest{Host: host, Address: address, DataCentre: "b", Ready: true})
+				require.NoError(t, err)
+			}
+
+			ans := answers.New()
+			err := network.Forward(t.Context(), "b", "engine-9", table.Request{ID: "r", Deadline: time.Now().Add(testBound), Resume: tt.resume}, ans)
+
+			require.Equal(t, tt.want, ans.Next())
+
+			if tt.code == "" {
+				require.NoError(t, err)
+
+				return
+			}
+
+			require.Equal(t, tt.code, verdict.From(err).Code)
+			require.Equal(t, tt.verdict, verdict.Of(err))
+		})
+	}
+
+	t.Run("taken up where no host is left", func(t *testing.T) {
+		_, network, _, _ := newServer(clockwork.NewRealClock())
+
+		err := network.Forward(t.Context(), "b", "engine-9", table.Request{Resume: true}, answers.New())
+		require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+	})
+}
+
+func serveScripted(t *testing.T, s *scripted) string {
+	t.Helper()
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	server := peer.NewGRPCServer(s)
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+
+		_ = server.Serve(listener)
+	}()
+
+	t.Cleanup(func() {
+		server.Stop()
+		<-done
+	})
+
+	return listener.Addr().String()
+}
