Silent connections: found by their own limit, all of a kind replaced

Ruled out: closing the idle connections of one target only, as http.Transport has no call for it; the others reconnect.

--- a/internal/entry/peers/forward.go
+++ b/internal/entry/peers/forward.go
@@ -142,6 +142,9 @@
 			return lost(m, verdict.MayHaveRun, errSilent)
 		case errors.Is(err, io.EOF):
 			return lost(m, verdict.MayHaveRun, io.ErrUnexpectedEOF)
+		case err != nil && ctx.Err() == nil:
+			// A link that is dropped while it is silent shows as cancelled as well.
+			return lost(m, verdict.MayHaveRun, err)
 		case status.Code(err) == codes.Canceled, status.Code(err) == codes.DeadlineExceeded:
 			return verdict.New(verdict.MayHaveRun, verdict.CodeDeadline, "the forwarded request was given up").Because(err)
 		case err != nil:
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -129,7 +129,9 @@
 	var due []string
 
 	for address, period := range wait {
-		if n.busy[address] || n.due[address].After(now) {
+		// A seed that turns out to be a member does not wait for the seeds' longer period.
+		left := n.due[address].Sub(now)
+		if n.busy[address] || left > 0 && left <= period {
 			continue
 		}
 
--- a/internal/entry/peers/server_test.go
+++ b/internal/entry/peers/server_test.go
@@ -33,6 +33,19 @@
 func (local) Fill(table.HostID, *peer.Digest) {}
 func (local) Hear(*peer.Digest)               {}
 
+// ready says that its host takes forwarded requests.
+type ready struct{ local }
+
+func (ready) Fill(_ table.HostID, d *peer.Digest) { d.Ready = true }
+
+// forwarded is a request that a far host takes.
+func forwarded() table.Request {
+	return table.Request{
+		ID: table.RequestID(uuid.NewString()), Account: "desk", Kind: table.Kind{Name: "chat", Model: "m"},
+		Path: "/v1/completions", Body: []byte("{}"), Deadline: time.Now().Add(time.Minute),
+	}
+}
+
 // targets stands for the targets of a host: it answers and records what reached it.
 type targets struct {
 	mu   sync.Mutex
--- a/internal/wire/engine/client.go
+++ b/internal/wire/engine/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -114,9 +115,11 @@
 	return r, nil
 }
 
-// watchIdle returns a timer that cancels the call after the liveness limit.
+// watchIdle returns a timer that cancels the call after the liveness limit. The idle connections go
+// with it, as one that went silent seldom is the only one to its target.
 func (c *Client) watchIdle(cancel context.CancelCauseFunc) clockwork.Timer {
 	return c.opts.Clock.AfterFunc(c.opts.Liveness, func() {
+		c.http.CloseIdleConnections()
 		cancel(Error.New("no sign of life for %v", c.opts.Liveness))
 	})
 }
@@ -227,6 +230,12 @@
 		return report, Error.Wrap(err)
 	}
 
+	defer func() {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.http.CloseIdleConnections()
+		}
+	}()
+
 	resp, err := c.http.Do(r)
 	if err != nil {
 		return report, Error.Wrap(err)
--- a/internal/wire/service/client.go
+++ b/internal/wire/service/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -79,6 +80,13 @@
 		return Answer{}, verdict.New(verdict.NotRun, verdict.CodeInternal, "cannot form the service request").Because(err)
 	}
 
+	// One connection that went silent seldom is the only one to its target.
+	defer func() {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.http.CloseIdleConnections()
+		}
+	}()
+
 	r.Header.Set("Content-Type", req.ContentType)
 	r.Header.Set(headerRequestID, string(req.ID))
 	r.Header.Set(headerKey, req.Key)
