Drop idle platform connections after a failure; test silent ones

Cause: up to 16 idle connections to the platform that went silent together failed one call of 2 s each. After a failed call none of them is used again. TestSilentConnectionsCostOneRead fails without the change (the second call times out). TestSilentPlatformConnections silences the watch and all other connections over TCP, twice, and expects each edit in force within 5 s; it passed before the change too, in 7.82 s for both, and in 7.92 s after it.

--- a/internal/wire/platform/client.go
+++ b/internal/wire/platform/client.go
@@ -171,13 +171,24 @@
 	return r, nil
 }
 
+// do sends r. After a failure no idle connection is used again, as one that went silent seldom is
+// the only one.
+func (c *Client) do(r *http.Request) (*http.Response, error) {
+	resp, err := c.http.Do(r)
+	if err != nil {
+		c.http.CloseIdleConnections()
+	}
+
+	return resp, err
+}
+
 func (c *Client) read(ctx context.Context, path string, into any) error {
 	r, err := c.request(ctx, http.MethodGet, path, nil)
 	if err != nil {
 		return err
 	}
 
-	resp, err := c.http.Do(r)
+	resp, err := c.do(r)
 	if err != nil {
 		return unavailable(err)
 	}
@@ -209,7 +220,7 @@
 	r.GetBody = nil
 	r.Header.Set("If-Match", strconv.FormatUint(uint64(expect), 10))
 
-	resp, err := c.http.Do(r)
+	resp, err := c.do(r)
 	if err != nil {
 		return Error.Wrap(joined(ErrUnknown, err))
 	}
