Refuse to resume a stream from another run's answer

Cause: a keyed stream resumed by Last-Event-ID at a host where its answer was not held ran anew, and the caller got the rest of another generation behind its first part with a clean end (golden session resume-of-a-lost-answer; the old code answered 200 from event 2 on). Change: table.Request.Seen tells what the caller has; a fresh run for such a caller is refused as truncated, may-have-run. The key of a kind that may run twice stays free, that of one that must not stays taken.

--- a/internal/control/table/request.go
+++ b/internal/control/table/request.go
@@ -18,6 +18,8 @@
 	Arrived     time.Time
 	Deadline    time.Time
 
+	// Seen is the number of events of the answer that the caller already has; zero for none.
+	Seen uint64
 	// Forwarded is set on a request that came from a peer; it is not forwarded again.
 	Forwarded bool
 	// Preferred names the target to try first; empty for none.
--- a/internal/entry/requests/keyed.go
+++ b/internal/entry/requests/keyed.go
@@ -75,7 +75,7 @@
 	go func() {
 		defer cancel()
 
-		if problem != nil && problem.Verdict == verdict.NotRun {
+		if problem != nil && mayRunAgain(c.req, problem) {
 			s.logged(c.req, "withdraw the claim", s.opts.Claims.Abandon(ctx, record))
 
 			return
@@ -85,6 +85,11 @@
 	}()
 }
 
+// mayRunAgain reports whether a repeat of req may claim its key again after problem.
+func mayRunAgain(req table.Request, problem *verdict.Error) bool {
+	return problem.Verdict == verdict.NotRun || req.Seen > 0 && !req.Kind.AtMostOnce
+}
+
 // follow finds the answer of a request that another attempt holds. It never runs a kind that runs
 // at most once.
 func (s *Service) follow(ctx context.Context, c claimed, record claims.Record) {
--- a/internal/entry/requests/service.go
+++ b/internal/entry/requests/service.go
@@ -143,8 +143,16 @@
 	s.opts.Answers.Ended(id)
 }
 
-// produce admits and runs req, and finishes ans.
+// produce admits and runs req, and finishes ans. It does not run req for a caller that has seen a
+// part of an earlier run's answer, as the rest of another run's would not fit it.
 func (s *Service) produce(ctx context.Context, req table.Request, ans *answers.Answer) {
+	if req.Seen > 0 {
+		ans.Finish(verdict.New(verdict.MayHaveRun, verdict.CodeTruncated,
+			"the answer of which the caller has a part is not held any more; send the request without the last event's id").After(joinWait))
+
+		return
+	}
+
 	if s.opts.Quarantine != nil {
 		if err := s.opts.Quarantine.Check(req); err != nil {
 			ans.Finish(verdict.From(err))
--- a/internal/wire/caller/golden_test.go
+++ b/internal/wire/caller/golden_test.go
@@ -193,6 +193,10 @@
 			{path: textPath, header: bearer + keyAt(0, 3), body: text("m", "hello", true)},
 			{path: textPath, header: bearer + keyAt(0, 3) + "Last-Event-ID: 99\n", body: text("m", "hello", true)},
 		}},
+		{name: "resume-of-a-lost-answer", steps: []step{
+			{path: textPath, header: bearer + keyAt(0, 1) + "Last-Event-ID: 1\n", body: text("m", "hello", true)},
+			{path: chatPath, header: bearer + keyAt(0, 2) + "Last-Event-ID: 1\n", body: chat("m2", "hello", true)},
+		}},
 		{name: "too-many-open", opts: caller.Options{MaxOpen: -1}, steps: []step{{path: chatPath, header: bearer, body: chat("m", "hello", true)}}},
 	}
 }
--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -226,7 +226,7 @@
 		return
 	}
 
-	from, problem := resumeFrom(ctx.Request(), req.Key, stream)
+	req.Seen, problem = resumeFrom(ctx.Request(), req.Key, stream)
 	if problem != nil {
 		writeProblem(w, problem, "")
 
@@ -239,7 +239,7 @@
 	}
 
 	if stream {
-		s.stream(ctx, req, ans, from)
+		s.stream(ctx, req, ans)
 
 		return
 	}
--- a/internal/wire/caller/stream.go
+++ b/internal/wire/caller/stream.go
@@ -16,10 +16,10 @@
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
-// stream passes the answer's events on as server-sent events, from sequence number from. A stream
+// stream passes the answer's events on as server-sent events, from the first that the caller has not seen. A stream
 // that cannot be made whole ends with an "error" event that holds a problem document, never with a
 // clean close.
-func (s *Server) stream(ctx iris.Context, req table.Request, ans *answers.Answer, from uint64) {
+func (s *Server) stream(ctx iris.Context, req table.Request, ans *answers.Answer) {
 	out := s.newEventWriter(ctx, req)
 	defer out.unbound()
 
@@ -34,7 +34,7 @@
 		out.ping(reading, cancel)
 	}()
 
-	err := ans.Read(reading, from, out.event)
+	err := ans.Read(reading, req.Seen, out.event)
 
 	cancel()
 	<-pinging
@@ -44,7 +44,7 @@
 		problem = verdict.New(verdict.Of(err), verdict.CodeCallerGone, "the caller takes no events").Because(out.failed)
 	}
 
-	if problem == nil && from > ans.Next() {
+	if problem == nil && req.Seen > ans.Next() {
 		problem = verdict.New(verdict.Ran, verdict.CodeBadRequest, "%s is beyond the last event of this answer", HeaderResume)
 	}
 
@@ -71,7 +71,7 @@
 	mu     sync.Mutex
 	events int
 	first  time.Duration
-	latest time.Time // last write
+	latest time.Time // begin of the last write
 	failed error     // first error of a write
 }
 
@@ -113,13 +113,13 @@
 	}
 
 	e.bound()
+	e.latest = e.s.opts.Clock.Now()
 
 	_, err := fmt.Fprintf(e.w, format, args...)
 	if err == nil {
 		err = e.rc.Flush()
 	}
 
-	e.latest = e.s.opts.Clock.Now()
 	e.failed = err
 
 	return err
--- a/internal/wire/caller/stream_test.go
+++ b/internal/wire/caller/stream_test.go
@@ -206,3 +206,36 @@
 		require.Equal(t, http.StatusBadGateway, resp.StatusCode)
 	}
 }
+
+// TestKeyOfALostAnswerMayRunAgain expects that a refused resume leaves the key of a kind that may run
+// twice free, and that of one that must not taken.
+func TestKeyOfALostAnswerMayRunAgain(t *testing.T) {
+	s := newStreamed(t, caller.Options{Clock: clockwork.NewFakeClockAt(startTime)}, fakes{})
+
+	send := func(model, header string) int {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.url+textPath, strings.NewReader(text(model, "hello", true)))
+		require.NoError(t, err)
+
+		for line := range strings.Lines(bearer + header) {
+			name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+			r.Header.Set(name, value)
+		}
+
+		resp, err := s.client.Do(r)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+
+		<-s.outcomes
+
+		return resp.StatusCode
+	}
+
+	require.Equal(t, http.StatusBadGateway, send("m", keyAt(0, 1)+"Last-Event-ID: 1\n"))
+	require.Eventually(t, func() bool { return send("m", keyAt(0, 1)) == http.StatusOK }, testBound, pollEvery)
+
+	require.Equal(t, http.StatusBadGateway, send("m2", keyAt(0, 2)+"Last-Event-ID: 1\n"))
+
+	for range 20 {
+		require.Equal(t, http.StatusBadGateway, send("m2", keyAt(0, 2)))
+	}
+}
