--- a/internal/entry/requests/keyed.go
+++ b/internal/entry/requests/keyed.go
@@ -41,7 +41,7 @@
 	age := s.opts.Clock.Since(c.key.Time())
 
 	out, err := s.opts.Claims.Claim(ctx, ledger.Request{
-		Key: c.key, Fingerprint: claims.FingerprintOf(c.req.Kind.Name, c.req.Body), Nonce: claims.NewNonce(),
+		Key: c.key, Fingerprint: fingerprintOf(c.req), Nonce: claims.NewNonce(),
 		Claimant: s.opts.Host, DataCentre: s.opts.Home, Request: c.req.ID, Target: target,
 		// Only a request that must be claimed waits for the platform.
 		Patient: c.req.Kind.AtMostOnce && c.req.Kind.Urgency == table.Patient, Repeat: age > freshKey || age < -freshKey,
@@ -80,6 +80,11 @@
 	return cmp.Or(req.HandOver, t.ID)
 }
 
+// fingerprintOf tells requests apart that share a key by mistake.
+func fingerprintOf(req table.Request) claims.Fingerprint {
+	return claims.FingerprintOf(req.Kind.Name, append([]byte(req.Path+"\n"), req.Body...))
+}
+
 // runClaimed runs a request whose claim this host holds and records what it came to.
 func (s *Service) runClaimed(ctx context.Context, c claimed, record claims.Record) {
 	s.produce(ctx, c.req, c.ans)
@@ -92,7 +97,7 @@
 	go func() {
 		defer cancel()
 
-		if problem != nil && problem.Verdict == verdict.NotRun {
+		if problem != nil && mayRunAgain(c.req, problem) {
 			s.logged(c.req, "withdraw the claim", s.opts.Claims.Abandon(ctx, record))
 
 			return
@@ -102,6 +107,11 @@
 	}()
 }
 
+// mayRunAgain reports whether a repeat of req may claim its key again after problem.
+func mayRunAgain(req table.Request, problem *verdict.Error) bool {
+	return problem.Verdict == verdict.NotRun || req.Seen > 0 && !req.Kind.AtMostOnce
+}
+
 // follow finds the answer of a request that another attempt holds. It never runs a kind that runs
 // at most once.
 func (s *Service) follow(ctx context.Context, c claimed, record claims.Record) {
