Keep a heartbeat cheap with many members; share the fleet by data centre

Introductions sorted all live members for each heartbeat (TestHostileDigestsAreBounded: 126 s under -race), and the rule that a seed which became a member is due at once undid the rule of one exchange for a pair (TestOneHeartbeatForEachPair: 80 exchanges, bound 25). Admission divided the fleet by the hosts heard of, about 82 of 330 by arithmetic. Ruled out: a larger bound in either test. Change: introductions look at a few members; a heartbeat is brought forward only from beyond the overdue limit; a host takes the other data centres to have as many hosts as its own; digests of peers make a bounded number of pools. Conclusion: both rules hold together.

--- a/internal/control/members/table.go
+++ b/internal/control/members/table.go
@@ -128,6 +128,24 @@
 	return live
 }
 
+// Some returns up to n live members, others each time. It looks at few of the members, so that it
+// can be part of each heartbeat.
+func (t *Table) Some(now time.Time, n int) []Member {
+	var some []Member
+
+	for _, m := range t.hosts {
+		if len(some) == n {
+			break
+		}
+
+		if t.Alive(m, now) {
+			some = append(some, m)
+		}
+	}
+
+	return some
+}
+
 // Known returns the member host, live or not.
 func (t *Table) Known(host table.HostID) (Member, bool) {
 	m, ok := t.hosts[host]
--- a/internal/entry/host/digest.go
+++ b/internal/entry/host/digest.go
@@ -102,7 +102,8 @@
 		}
 	}
 
-	hosts := 1 + len(h.network.Live())
+	// Of other data centres a host hears only a few hosts; they are taken to have as many as this one.
+	hosts := max(1+len(h.network.Live()), h.network.Homes()*len(reachable))
 	loads := h.loads.All()
 
 	list := h.governor.Plans()
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -153,7 +152,7 @@
 	for address, period := range wait {
 		// A seed that turns out to be a member does not wait for the seeds' longer period.
 		left := n.due[address].Sub(now)
-		if n.busy[address] || left > 0 && left <= period {
+		if n.busy[address] || left > 0 && left <= period*overdue/100 {
 			continue
 		}
 
@@ -245,13 +244,10 @@
 	return d
 }
 
-// introductions returns a few live members in random order; the caller holds mu.
+// introductions returns the addresses of a few live members; the caller holds mu.
 func (n *Network) introductions() []string {
-	live := n.members.Live(n.opts.Clock.Now())
-	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-
 	var addresses []string
-	for _, m := range live[:min(len(live), introduced)] {
+	for _, m := range n.members.Some(n.opts.Clock.Now(), introduced) {
 		addresses = append(addresses, m.Address)
 	}
 
--- /dev/null
+++ b/internal/entry/requests/service_test.go
@@ -0,0 +1,112 @@
+package requests_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/claims"
+	"github.com/dotterelflow/dotterelflow/internal/control/ledger"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
+	"github.com/dotterelflow/dotterelflow/internal/entry/requests"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+// lateClaims shows to Claim what it held when the key was claimed, and to Lookup what it holds now.
+type lateClaims struct {
+	mu       sync.Mutex
+	claimed  claims.Record
+	now      claims.Record
+	finished chan struct{}
+}
+
+func (c *lateClaims) Claim(_ context.Context, req ledger.Request) (ledger.Outcome, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.claimed.Claimant != "" {
+		return ledger.Outcome{Record: c.claimed}, nil
+	}
+
+	c.claimed = claims.Record{Key: req.Key, Nonce: req.Nonce, Claimant: req.Claimant, Request: req.Request}
+
+	return ledger.Outcome{Mine: true, Record: c.claimed}, nil
+}
+
+func (c *lateClaims) Finish(_ context.Context, r claims.Record, res claims.Result) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.now = r
+	c.now.State, c.now.Result = claims.Done, res
+	close(c.finished)
+
+	return nil
+}
+
+func (c *lateClaims) Abandon(context.Context, claims.Record) error { return nil }
+
+func (c *lateClaims) Lookup(context.Context, claims.Key) (claims.Record, bool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.now, c.now.State == claims.Done, nil
+}
+
+// strangers are peers that this host has not heard of.
+type strangers struct{}
+
+func (strangers) Alive(table.HostID) bool { return false }
+
+func (strangers) Join(context.Context, table.HostID, table.AccountID, string, *answers.Answer) error {
+	return verdict.New(verdict.MayHaveRun, verdict.CodePeerLost, "not known")
+}
+
+type runner struct{ runs int }
+
+func (r *runner) Run(_ context.Context, _ table.Request, ans *answers.Answer) {
+	r.runs++
+	ans.Append([]byte("held"))
+	ans.Finish(nil)
+}
+
+type noRouter struct{}
+
+func (noRouter) Pick(table.Request, []table.TargetID) (table.Target, bool) {
+	return table.Target{}, false
+}
+
+func TestRepeatAtAHostThatDoesNotKnowTheClaimant(t *testing.T) {
+	var (
+		held = &lateClaims{finished: make(chan struct{})}
+		run  = &runner{}
+		req  = table.Request{
+			Account: "desk", Key: uuid.Must(uuid.NewV7()).String(), Fingerprint: "f",
+			Kind:     table.Kind{Name: "hold", Service: "s", AtMostOnce: true},
+			Deadline: time.Now().Add(time.Minute),
+		}
+	)
+
+	for _, host := range []table.HostID{"first", "second"} {
+		service := requests.New(requests.Options{
+			Host: host, Runner: run, Router: noRouter{}, Claims: held, Peers: strangers{},
+			Answers: answers.NewTable(answers.Options{}),
+		})
+
+		ans, err := service.Submit(t.Context(), req)
+		require.NoError(t, err)
+
+		events, err := ans.Wait(t.Context())
+		require.NoError(t, err, "host %s", host)
+		require.Equal(t, [][]byte{[]byte("held")}, events)
+
+		<-held.finished
+	}
+
+	require.Equal(t, 1, run.runs)
+}
--- a/internal/entry/suspects/guard.go
+++ b/internal/entry/suspects/guard.go
@@ -16,6 +16,9 @@
 // askEvery is the time between two requests for a trial by one waiting request.
 const askEvery = 200 * time.Millisecond
 
+// maxPools bounds the pools that digests of peers can make.
+const maxPools = 256
+
 // Options are the parts of a Guard. Self is required.
 type Options struct {
 	Clock      clockwork.Clock // nil means the real clock
@@ -344,6 +347,10 @@
 	defer g.mu.Unlock()
 
 	for _, d := range digests {
+		if _, known := g.tables[d.Pool]; !known && len(g.tables) >= maxPools {
+			continue // no fleet has so many models
+		}
+
 		g.of(d.Pool).Merge(g.opts.Clock.Now(), from, d.Digest)
 	}
 
