Give a target that refused work no new work for half a second

Ruled out: retries outside the budget, which would let a retry storm through. Change: a refusal as not run keeps the target out of the draw for 500 ms, and a draw goes on without the target that it just rejected. Without the change TestTargetThatRefusedIsAvoidedForAWhile fails.

--- a/internal/entry/routes/router.go
+++ b/internal/entry/routes/router.go
@@ -17,9 +17,10 @@
 )
 
 const (
-	pickTries   = 4
-	downFor     = 2 * time.Second // a target that could not be reached gets no work for this long
-	ledgerEvery = 64              // refreshes between clean-ups of the ledger
+	pickTries   = 8
+	downFor     = 2 * time.Second        // a target that could not be reached gets no work for this long
+	refusedFor  = 500 * time.Millisecond // one that refused work gets none for this long
+	ledgerEvery = 64                     // refreshes between clean-ups of the ledger
 )
 
 // Options are the parts that a Router works with. The zero value of all but Home works.
@@ -183,11 +184,11 @@
 
 	defer r.rngs.Put(rng)
 
-	for range pickTries {
-		if len(tried) > 0 {
-			q.Avoid = tried[len(tried)-1]
-		}
+	if len(tried) > 0 {
+		q.Avoid = tried[len(tried)-1]
+	}
 
+	for range pickTries {
 		choice, ok := view.Pick(rng, q)
 		if !ok {
 			return table.Target{}, false
@@ -197,6 +198,9 @@
 		if ok && !slices.Contains(tried, choice.Target) && takes(t) {
 			return t, true
 		}
+
+		// The least loaded target is often the one that just refused; the next draw goes without it.
+		q.Avoid = choice.Target
 	}
 
 	return table.Target{}, false
@@ -263,10 +267,27 @@
 	}
 
 	var e *verdict.Error
-	if errors.As(err, &e) && e.Code == verdict.CodeTargetLost {
-		r.mu.Lock()
-		r.down[t] = r.opts.Clock.Now().Add(downFor)
-		r.mu.Unlock()
+	if !errors.As(err, &e) {
+		return
+	}
+
+	switch {
+	case e.Code == verdict.CodeTargetLost:
+		r.avoid(t, downFor)
+	case e.Code == verdict.CodeOverloaded && e.Verdict == verdict.NotRun:
+		// A target that is full, or whose new role the load reports do not show yet.
+		r.avoid(t, refusedFor)
+	}
+}
+
+// avoid gives t no new work for d.
+func (r *Router) avoid(t table.TargetID, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	until := r.opts.Clock.Now().Add(d)
+	if until.After(r.down[t]) {
+		r.down[t] = until
 	}
 }
 
--- /dev/null
+++ b/internal/entry/routes/router_test.go
@@ -0,0 +1,74 @@
+package routes_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/entry/routes"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+const picks = 50
+
+func newRouter(clock clockwork.Clock, engines ...table.TargetID) (*routes.Router, *table.Snapshot) {
+	var cfg table.Config
+	for _, id := range engines {
+		cfg.Targets = append(cfg.Targets, table.Target{
+			ID: id, DataCentre: "a", Model: "m", Slots: 16, PrefillRate: 16_000, DecodeRate: 1_200,
+		})
+	}
+
+	r, snapshot := routes.New(routes.Options{Clock: clock, Home: "a", Seed: 1}), table.NewSnapshot(cfg)
+	r.Refresh(snapshot, routes.State{Hosts: 1})
+
+	return r, snapshot
+}
+
+// picked returns how often each target is picked for req.
+func picked(t *testing.T, r *routes.Router, req table.Request) map[table.TargetID]int {
+	t.Helper()
+
+	counts := map[table.TargetID]int{}
+
+	for range picks {
+		target, ok := r.Pick(req, nil)
+		require.True(t, ok)
+
+		counts[target.ID]++
+	}
+
+	return counts
+}
+
+func TestTargetThatRefusedIsAvoidedForAWhile(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r, snapshot := newRouter(clock, "engine-1", "engine-2")
+	req := table.Request{Kind: table.Kind{Name: "note", Model: "m"}, Prefill: 10, Decode: 10}
+
+	require.True(t, r.Begin("engine-1", req))
+	r.End("engine-1", req, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "busy"))
+	require.Equal(t, map[table.TargetID]int{"engine-2": picks}, picked(t, r, req))
+
+	clock.Advance(time.Second)
+	r.Refresh(snapshot, routes.State{Hosts: 1})
+	require.Len(t, picked(t, r, req), 2)
+}
+
+func TestNewWorkOnALeavingTargetDoesNotBegin(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r, snapshot := newRouter(clock, "engine-1", "engine-2")
+	req := table.Request{Kind: table.Kind{Name: "note", Model: "m"}, Prefill: 10, Decode: 10}
+
+	// Picked before the plan, sent after it.
+	r.Refresh(snapshot, routes.State{Hosts: 1, Leaving: map[table.TargetID]bool{"engine-1": true}})
+	require.False(t, r.Begin("engine-1", req))
+	require.Zero(t, r.Open("engine-1"))
+	require.Equal(t, map[table.TargetID]int{"engine-2": picks}, picked(t, r, req))
+
+	req.Resume = true
+	require.True(t, r.Begin("engine-1", req), "an answer under way is still taken up")
+}
