Let a target that refused come last instead of not at all

Cause: TestRefusalsAreTrue: the only service refused once and the same key, sent again at once, got no-target although the service would take it. Change: a target that refused work within 500 ms is taken only where no other one can be drawn.

--- a/internal/entry/routes/phases.go
+++ b/internal/entry/routes/phases.go
@@ -25,7 +25,8 @@
 		return table.Target{}, false
 	}
 
-	if t, ok := find(snapshot, req.HandOver); ok && len(tried) == 0 && t.DataCentre == near && r.decodes(t, req) {
+	if t, ok := find(snapshot, req.HandOver); ok && len(tried) == 0 && t.DataCentre == near && r.decodes(t, req) &&
+		!r.refusedLately(t.ID) {
 		return t, true
 	}
 
--- a/internal/entry/routes/router.go
+++ b/internal/entry/routes/router.go
@@ -19,7 +19,7 @@
 const (
 	pickTries   = 8
 	downFor     = 2 * time.Second        // a target that could not be reached gets no work for this long
-	refusedFor  = 500 * time.Millisecond // one that refused work gets none for this long
+	refusedFor  = 500 * time.Millisecond // one that refused work comes last for this long
 	ledgerEvery = 64                     // refreshes between clean-ups of the ledger
 )
 
@@ -45,8 +45,9 @@
 	rounds   int
 	leaving  atomic.Pointer[map[table.TargetID]bool]
 
-	mu   sync.Mutex
-	down map[table.TargetID]time.Time // no new work until then
+	mu      sync.Mutex
+	down    map[table.TargetID]time.Time // no new work until then
+	refused map[table.TargetID]time.Time // comes last until then
 }
 
 // New returns a Router without targets.
@@ -57,7 +58,7 @@
 
 	r := &Router{
 		opts: opts, ledger: routing.NewLedger(), prefixes: routing.NewPrefixes(0),
-		down: map[table.TargetID]time.Time{},
+		down: map[table.TargetID]time.Time{}, refused: map[table.TargetID]time.Time{},
 	}
 	r.rngs.New = func() any { return rand.New(rand.NewSource(opts.Seed + r.seeds.Add(1))) }
 
@@ -150,7 +151,8 @@
 		return t, ok && (req.Resume || !r.leaves(req.Pinned))
 	}
 
-	if t, ok := find(snapshot, req.Preferred); ok && len(tried) == 0 && r.usable(t, req) && r.Role(t.ID) != table.Decode {
+	if t, ok := find(snapshot, req.Preferred); ok && len(tried) == 0 && r.usable(t, req) && !r.refusedLately(t.ID) &&
+		r.Role(t.ID) != table.Decode {
 		return t, true
 	}
 
@@ -188,14 +190,21 @@
 		q.Avoid = tried[len(tried)-1]
 	}
 
+	var refused table.Target
+
 	for range pickTries {
 		choice, ok := view.Pick(rng, q)
 		if !ok {
-			return table.Target{}, false
+			break
 		}
 
 		t, ok := r.Target(choice.Target)
-		if ok && !slices.Contains(tried, choice.Target) && takes(t) {
+
+		switch {
+		case !ok || slices.Contains(tried, choice.Target) || !takes(t):
+		case r.refusedLately(t.ID):
+			refused = t
+		default:
 			return t, true
 		}
 
@@ -203,7 +212,7 @@
 		q.Avoid = choice.Target
 	}
 
-	return table.Target{}, false
+	return refused, refused.ID != ""
 }
 
 // usable rules out a target that failed since the last refresh, and a second hop of a forwarded request.
@@ -273,22 +282,35 @@
 
 	switch {
 	case e.Code == verdict.CodeTargetLost:
-		r.avoid(t, downFor)
+		r.note(r.down, t, downFor)
 	case e.Code == verdict.CodeOverloaded && e.Verdict == verdict.NotRun:
 		// A target that is full, or whose new role the load reports do not show yet.
-		r.avoid(t, refusedFor)
+		r.note(r.refused, t, refusedFor)
 	}
 }
 
-// avoid gives t no new work for d.
-func (r *Router) avoid(t table.TargetID, d time.Duration) {
+// note enters t into m for d.
+func (r *Router) note(m map[table.TargetID]time.Time, t table.TargetID, d time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	until := r.opts.Clock.Now().Add(d)
-	if until.After(r.down[t]) {
-		r.down[t] = until
+	m[t] = r.opts.Clock.Now().Add(d)
+}
+
+// refusedLately reports whether t has just refused work. It gets work only where nothing else can
+// take it.
+func (r *Router) refusedLately(t table.TargetID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	until, ok := r.refused[t]
+	if ok && !until.After(r.opts.Clock.Now()) {
+		delete(r.refused, t)
+
+		return false
 	}
+
+	return ok
 }
 
 // Open returns the number of this host's requests in flight on a target.
--- a/internal/entry/routes/router_test.go
+++ b/internal/entry/routes/router_test.go
@@ -53,6 +53,11 @@
 	r.End("engine-1", req, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "busy"))
 	require.Equal(t, map[table.TargetID]int{"engine-2": picks}, picked(t, r, req))
 
+	// With nothing else to take the work, it goes to the target that refused.
+	again, ok := r.Pick(req, []table.TargetID{"engine-2"})
+	require.True(t, ok)
+	require.Equal(t, table.TargetID("engine-1"), again.ID)
+
 	clock.Advance(time.Second)
 	r.Refresh(snapshot, routes.State{Hosts: 1})
 	require.Len(t, picked(t, r, req), 2)
