--- a/internal/entry/dispatch/direct.go
+++ b/internal/entry/dispatch/direct.go
@@ -59,7 +59,7 @@
 		resumed = call.Resume
 	)
 
-	for range r.opts.TrySameFor {
+	for range r.opts.Resumes {
 		call.ResumeFrom = ans.Next()
 
 		err := r.opts.Engines.Stream(ctx, t, call, func(ev engine.Event) error {
--- a/internal/entry/dispatch/runner.go
+++ b/internal/entry/dispatch/runner.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	maxTries     = 3
-	maxResumes   = 4
-	noTargetWait = 2 * time.Second
+	maxTries       = 3
+	defaultResumes = 4
+	noTargetWait   = 2 * time.Second
 )
 
 // Engines runs requests on model engines.
@@ -63,17 +63,17 @@
 
 // Options are the parts that a Runner works with. Engines, Services and Router are required.
 type Options struct {
-	Clock      clockwork.Clock // nil means the real clock
-	Home       table.DataCentre
-	Engines    Engines
-	Services   Services
-	Peers      Peers   // nil means that no request is forwarded
-	Retries    Retries // nil allows each retry that the verdict allows
-	Guard      Guard   // nil lets each request run anywhere
-	Phases     Phases  // nil runs each request on one engine
-	Router     Router
-	Log        *log.Logger // nil means the default logger
-	TrySameFor int         // resumes of one stream; zero means 4
+	Clock    clockwork.Clock // nil means the real clock
+	Home     table.DataCentre
+	Engines  Engines
+	Services Services
+	Peers    Peers   // nil means that no request is forwarded
+	Retries  Retries // nil allows each retry that the verdict allows
+	Guard    Guard   // nil lets each request run anywhere
+	Phases   Phases  // nil runs each request on one engine
+	Router   Router
+	Log      *log.Logger // nil means the default logger
+	Resumes  int         // resumes of one stream; zero means 4
 }
 
 // Runner runs requests. It is safe for concurrent use.
@@ -92,8 +92,8 @@
 		opts.Log = &log.DefaultLogger
 	}
 
-	if opts.TrySameFor == 0 {
-		opts.TrySameFor = maxResumes
+	if opts.Resumes == 0 {
+		opts.Resumes = defaultResumes
 	}
 
 	return &Runner{opts: opts}
--- a/internal/entry/dispatch/runner_test.go
+++ b/internal/entry/dispatch/runner_test.go
@@ -171,7 +171,7 @@
 }
 
 func (w *world) runner(clock clockwork.Clock) *dispatch.Runner {
-	return dispatch.New(dispatch.Options{Clock: clock, Home: "a", Engines: w, Services: w, Peers: w, Router: w, TrySameFor: 2})
+	return dispatch.New(dispatch.Options{Clock: clock, Home: "a", Engines: w, Services: w, Peers: w, Router: w, Resumes: 2})
 }
 
 func TestRun(t *testing.T) {
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -254,8 +254,8 @@
 	return addresses
 }
 
-// listen takes addresses that a peer told; the caller holds mu.
-func (n *Network) listen(addresses []string) {
+// noteRumours takes addresses that a peer told; the caller holds mu.
+func (n *Network) noteRumours(addresses []string) {
 	until := n.opts.Clock.Now().Add(rumourLife)
 
 	for _, address := range addresses[:min(len(addresses), introduced)] {
@@ -270,7 +270,7 @@
 
 func (n *Network) hear(d *peer.Digest) {
 	n.mu.Lock()
-	n.listen(d.GetKnown())
+	n.noteRumours(d.GetKnown())
 	n.members.Note(members.Member{
 		Host: table.HostID(d.GetHost()), Address: d.GetAddress(), DataCentre: table.DataCentre(d.GetDataCentre()),
 		Generation: table.Generation(d.GetGeneration()), Ready: d.GetReady(), Stopping: d.GetStopping(),
