--- /dev/null
+++ b/cmd/dotterelflow-front/main.go
@@ -0,0 +1,74 @@
+// Command dotterelflow-front is the entry host on the platform. It links little, since it starts often.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/phuslu/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/dotterelflow/dotterelflow/internal/site/logging"
+	"github.com/dotterelflow/dotterelflow/platform/host"
+	"github.com/dotterelflow/dotterelflow/platform/settings"
+)
+
+func main() {
+	app := &cli.Command{
+		Name:  "dotterelflow-front",
+		Usage: "serve callers as an entry host on the platform",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Sources: cli.EnvVars(settings.PathVariable), Required: true, Usage: "settings file of the platform"},
+			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "least level that is logged"},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		Action: run,
+	}
+
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "dotterelflow-front:", err)
+		os.Exit(1)
+	}
+}
+
+func run(_ context.Context, c *cli.Command) error {
+	cfg, err := settings.Read(c.String("settings"))
+	if err != nil || c.Bool("check") {
+		return err
+	}
+
+	logger := logging.New(os.Stdout, c.String("log-level"), cfg.Host)
+	log.DefaultLogger = *logger
+
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+
+	h, err := host.Start(cfg, logger)
+	if err != nil {
+		return err
+	}
+
+	logger.Info().Str("data-centre", string(cfg.DataCentre)).Str("callers", cfg.CallerAddress).Msg("started")
+
+	for {
+		select {
+		case err := <-h.Failed():
+			return err
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				logger.Info().Msg("settings reloaded: nothing to change while running")
+
+				continue
+			}
+
+			logger.Info().Str("signal", s.String()).Msg("stopping")
+			err := h.Stop()
+			logger.Info().Err(err).Msg("stopped")
+
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/placing/board.go
@@ -0,0 +1,242 @@
+// Package placing chooses the targets of a request by the work that all entry hosts have under way.
+//
+// A Board adds up the work of this host and what its peers last said of theirs, remembers which model
+// replica has read which part of a prompt, and learns how fast each replica reads. Its choices answer
+// uneven load, shared prompt prefixes and targets that fail or turn slow.
+package placing
+
+import (
+	"cmp"
+	"sync"
+	"time"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+const (
+	// ranks is the number of ranks that are told apart; less urgent ones share the last.
+	ranks = 4
+	// peerLife is the age at which what a peer said of its work no longer counts: several heartbeats.
+	peerLife = 3 * time.Second
+)
+
+// Use is the work under way on one target.
+type Use struct {
+	Target  table.TargetID
+	Reading [ranks]table.Tokens // prompt tokens not read yet, by rank
+	Runs    int                 // answers under way
+	Held    table.Tokens        // KV cache of those answers
+}
+
+func (u *Use) empty() bool {
+	return *u == Use{Target: u.Target}
+}
+
+func (u *Use) add(v *Use) {
+	for i := range u.Reading {
+		u.Reading[i] += v.Reading[i]
+	}
+
+	u.Runs += v.Runs
+	u.Held += v.Held
+}
+
+// Board is safe for concurrent use. Make it with New.
+type Board struct {
+	mu      sync.Mutex
+	own     map[table.TargetID]*Use
+	peers   map[table.HostID]peerUse
+	targets map[table.TargetID]*record
+	cache   *cache
+	pace    float64 // prompt tokens per second of a replica in the mean
+}
+
+type peerUse struct {
+	at   time.Time
+	uses map[table.TargetID]Use
+}
+
+// New returns a Board that knows of no work.
+func New() *Board {
+	return &Board{
+		own:     map[table.TargetID]*Use{},
+		peers:   map[table.HostID]peerUse{},
+		targets: map[table.TargetID]*record{},
+		cache:   newCache(),
+		pace:    initialPace,
+	}
+}
+
+// Export returns the work of this host, without idle targets.
+func (b *Board) Export() []Use {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	var uses []Use
+
+	for id, u := range b.own {
+		if u.empty() {
+			delete(b.own, id)
+
+			continue
+		}
+
+		uses = append(uses, *u)
+	}
+
+	return uses
+}
+
+// Merge takes the work that the host from has under way, in place of what it said before.
+func (b *Board) Merge(now time.Time, from table.HostID, uses []Use) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	p := peerUse{at: now, uses: make(map[table.TargetID]Use, len(uses))}
+	for _, u := range uses {
+		p.uses[u.Target] = u
+	}
+
+	b.peers[from] = p
+}
+
+// Tick forgets silent peers, and targets for which keep returns false.
+func (b *Board) Tick(now time.Time, keep func(table.TargetID) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	for id, p := range b.peers {
+		if now.Sub(p.at) > peerLife {
+			delete(b.peers, id)
+		}
+	}
+
+	for id := range b.targets {
+		if !keep(id) {
+			delete(b.targets, id)
+		}
+	}
+}
+
+// total adds up what is known of the work on id; the caller holds mu.
+func (b *Board) total(id table.TargetID) Use {
+	sum := Use{Target: id}
+
+	if u, ok := b.own[id]; ok {
+		sum.add(u)
+	}
+
+	for _, p := range b.peers {
+		if u, ok := p.uses[id]; ok {
+			sum.add(&u)
+		}
+	}
+
+	return sum
+}
+
+func (b *Board) ownUse(id table.TargetID) *Use {
+	u, ok := b.own[id]
+	if !ok {
+		u = &Use{Target: id}
+		b.own[id] = u
+	}
+
+	return u
+}
+
+func rankIndex(rank int) int {
+	return min(max(rank, 0), ranks-1)
+}
+
+// Claim is work that was counted on a target. The zero value counts nothing.
+type Claim struct {
+	board *Board
+	use   Use
+}
+
+// Release takes the work back; further calls have no effect.
+func (c *Claim) Release() {
+	if c.board == nil {
+		return
+	}
+
+	c.board.mu.Lock()
+	defer c.board.mu.Unlock()
+
+	u := c.board.ownUse(c.use.Target)
+	for i := range u.Reading {
+		u.Reading[i] -= c.use.Reading[i]
+	}
+
+	u.Runs -= c.use.Runs
+	u.Held -= c.use.Held
+	c.board = nil
+}
+
+// claim counts use; the caller holds mu.
+func (b *Board) claim(use Use) Claim {
+	b.ownUse(use.Target).add(&use)
+
+	return Claim{board: b, use: use}
+}
+
+func (b *Board) record(id table.TargetID) *record {
+	r, ok := b.targets[id]
+	if !ok {
+		r = &record{}
+		b.targets[id] = r
+	}
+
+	return r
+}
+
+// Share returns the part of the prompt tokens under way that wait on the replica that has most, of
+// all targets with reading work, and the sum of these tokens.
+func (b *Board) Reading(ids []table.TargetID) table.Tokens {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	var sum table.Tokens
+
+	for _, id := range ids {
+		u := b.total(id)
+		for _, n := range u.Reading {
+			sum += n
+		}
+	}
+
+	return sum
+}
+
+// Pace returns the prompt tokens that a replica reads in a second, as learned so far.
+func (b *Board) Pace() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.pace
+}
+
+// Load is the work on a group of model replicas.
+type Load struct {
+	Runs int
+	Held table.Tokens
+}
+
+// Running returns the answers under way on ids.
+func (b *Board) Running(ids []table.TargetID) Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	var l Load
+
+	for _, id := range ids {
+		u := b.total(id)
+		l.Runs += u.Runs
+		l.Held += u.Held
+	}
+
+	return l
+}
+
+func orElse(v, other float64) float64 { return cmp.Or(v, other) }
--- /dev/null
+++ b/internal/control/placing/choose.go
@@ -0,0 +1,237 @@
+package placing
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+const (
+	// farPenalty is what a replica in another data centre must gain, as seconds of reading, to be chosen.
+	farPenalty = 0.01
+	// homePart is the part of an unknown prefix that its home replica is credited with, so that hosts that
+	// see a prefix first at the same time choose the same replica.
+	homePart = 0.3
+	// fullAt is the part of a replica's KV cache above which it gets no further answers while another has room.
+	fullAt = 0.92
+	// farRun is the penalty of another data centre for an answer, as part of a replica's load.
+	farRun = 0.04
+	// runWeight weighs the slots in use against the KV cache in use.
+	runWeight = 0.5
+	// faultRun is the load that a target that always fails is counted with on top of its own.
+	faultRun = 3
+)
+
+// Job is the work of one request that asks for a target.
+type Job struct {
+	ID     table.RequestID
+	Prompt table.Tokens
+	Output table.Tokens // expected
+	Parts  []Part
+	Rank   int
+	Near   table.DataCentre
+	Avoid  []table.TargetID
+}
+
+func (j *Job) avoids(id table.TargetID) bool {
+	for _, a := range j.Avoid {
+		if a == id {
+			return true
+		}
+	}
+
+	return false
+}
+
+// Placement is a chosen target with the work counted there. Release the claim when the work has ended.
+type Placement struct {
+	Target fleet.Target
+	Claim  Claim
+	Cached table.Tokens  // of the prompt, thought to be held by the target
+	Wait   time.Duration // expected until the prompt is read; zero for plain services
+	Full   bool          // the target has no room for the KV cache; only set when none has
+	work   table.Tokens  // ahead of the end of the reading, this prompt included
+}
+
+// ForPrompt chooses the replica on which the prompt of job is expected to be read first.
+// It reports false if candidates has no target that job accepts.
+func (b *Board) ForPrompt(now time.Time, candidates []fleet.Target, job Job) (Placement, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	held := b.cache.cached(job.Parts)
+	home := b.home(candidates, job)
+	rank := rankIndex(job.Rank)
+
+	var (
+		best      Placement
+		bestScore float64
+		found     bool
+	)
+
+	for pass := range 2 {
+		for _, t := range candidates {
+			if job.avoids(t.ID) || pass == 0 && b.paused(now, t.ID) {
+				continue
+			}
+
+			cached := min(held[t.ID], job.Prompt)
+			use := b.total(t.ID)
+			work := job.Prompt - cached
+
+			for i := range rank + 1 {
+				work += use.Reading[i]
+			}
+
+			r := b.record(t.ID)
+			seconds := float64(work) / b.pace * r.slowness(b.pace)
+			score := seconds * (1 + r.faults)
+
+			if t.DataCentre != job.Near {
+				score += farPenalty
+			}
+
+			if len(held) == 0 && t.ID == home {
+				score -= homePart * float64(job.Prompt) / b.pace
+			}
+
+			if !found || score < bestScore {
+				best = Placement{Target: t, Cached: cached, Wait: time.Duration(seconds * float64(time.Second)), work: work}
+				bestScore, found = score, true
+			}
+		}
+
+		if found {
+			break
+		}
+	}
+
+	if found {
+		use := Use{Target: best.Target.ID}
+		use.Reading[rank] = job.Prompt - best.Cached
+		best.Claim = b.claim(use)
+	}
+
+	return best, found
+}
+
+// home returns the replica that a prompt belongs to as long as none is known to hold its first parts.
+func (b *Board) home(candidates []fleet.Target, job Job) table.TargetID {
+	shared := len(job.Parts) - 1
+	if shared < 1 {
+		return ""
+	}
+
+	deepest := prefixes(job.Parts[:shared])[shared-1]
+
+	var (
+		home table.TargetID
+		best uint64
+	)
+
+	for _, t := range candidates {
+		var hash xxhash.Digest
+
+		hash.Reset()
+
+		_, _ = hash.WriteString(string(t.ID)) // never fails
+
+		if score := hash.Sum64() ^ uint64(deepest)*0x9e3779b97f4a7c15; home == "" || score > best {
+			home, best = t.ID, score
+		}
+	}
+
+	return home
+}
+
+func (b *Board) paused(now time.Time, id table.TargetID) bool {
+	r, ok := b.targets[id]
+
+	return ok && now.Before(r.until)
+}
+
+// ForAnswer chooses the model replica that generates the answer to job; capacity is the KV cache of each.
+// It reports false if candidates has no target that job accepts.
+func (b *Board) ForAnswer(now time.Time, candidates []fleet.Target, job Job, capacity table.Tokens) (Placement, bool) {
+	need := job.Prompt + job.Output
+
+	return b.choose(now, candidates, job, Use{Runs: 1, Held: need}, func(u *Use, t fleet.Target) (float64, bool) {
+		load := runWeight * float64(u.Runs) / float64(t.Slots)
+		full := u.Runs >= t.Slots
+
+		if capacity > 0 {
+			part := float64(u.Held+need) / float64(capacity)
+			load += part
+			full = full || part > fullAt
+		}
+
+		return load, full
+	})
+}
+
+// ForCall chooses the replica of a plain service for job.
+// It reports false if candidates has no target that job accepts.
+func (b *Board) ForCall(now time.Time, candidates []fleet.Target, job Job) (Placement, bool) {
+	return b.choose(now, candidates, job, Use{Runs: 1}, func(u *Use, t fleet.Target) (float64, bool) {
+		return float64(u.Runs) / float64(t.Slots), false
+	})
+}
+
+// choose takes the target with the least load. Full targets and those that were lost come last.
+func (b *Board) choose(now time.Time, candidates []fleet.Target, job Job, use Use, load func(*Use, fleet.Target) (float64, bool)) (Placement, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	const last = 100 // beyond any load
+
+	var (
+		best      Placement
+		bestScore float64
+		found     bool
+	)
+
+	start := 0
+	if len(candidates) > 0 {
+		// Hosts with equal knowledge begin at different targets.
+		start = int(xxhash.Sum64String(string(job.ID)) % uint64(len(candidates)))
+	}
+
+	for i := range candidates {
+		t := candidates[(start+i)%len(candidates)]
+		if job.avoids(t.ID) {
+			continue
+		}
+
+		u := b.total(t.ID)
+		score, full := load(&u, t)
+		r := b.record(t.ID)
+		score += faultRun * r.faults
+
+		if t.DataCentre != job.Near {
+			score += farRun
+		}
+
+		if full {
+			score += last
+		}
+
+		if now.Before(r.until) {
+			score += 2 * last
+		}
+
+		if !found || score < bestScore {
+			best = Placement{Target: t, Full: full}
+			bestScore, found = score, true
+		}
+	}
+
+	if found {
+		use.Target = best.Target.ID
+		best.Claim = b.claim(use)
+	}
+
+	return best, found
+}
--- /dev/null
+++ b/internal/control/placing/record.go
@@ -0,0 +1,94 @@
+package placing
+
+import (
+	"time"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+const (
+	// initialPace is the reading speed, in tokens per second, assumed before any prompt was read.
+	initialPace = 50_000
+	// paceWeight and ownPaceWeight are the weights of the newest reading in the mean of all replicas and of one.
+	paceWeight    = 0.02
+	ownPaceWeight = 0.15
+	// paceTokens is the least reading from which a speed is learned; shorter ones are mostly fixed cost.
+	paceTokens = 2_000
+	// maxSlowness bounds how slow a replica is thought to be against the mean, so that it is tried again.
+	maxSlowness = 10
+
+	// faultWeight is the weight of the newest outcome in a target's share of failures.
+	faultWeight = 0.2
+	// firstPause and longestPause bound the time for which a target that was lost gets no work.
+	firstPause   = 500 * time.Millisecond
+	longestPause = 4 * time.Second
+)
+
+// record is what was learned of one target.
+type record struct {
+	pace   float64 // prompt tokens per second; zero: none learned
+	faults float64 // recent share of failures
+	pause  time.Duration
+	until  time.Time // no work until then
+}
+
+func (r *record) slowness(mean float64) float64 {
+	if r.pace == 0 {
+		return 1
+	}
+
+	return min(max(mean/r.pace, 1), maxSlowness)
+}
+
+// Outcome says how work on a target ended.
+type Outcome uint8
+
+const (
+	// Served means a whole answer.
+	Served Outcome = iota
+	// Failed means an answer that reports a failure, or one that broke off.
+	Failed
+	// Lost means that the target could not be reached or did not answer in time.
+	Lost
+)
+
+// Note learns from how work on target ended at now.
+func (b *Board) Note(now time.Time, target table.TargetID, o Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	r := b.record(target)
+	fault := 1.0
+
+	if o == Served {
+		fault = 0
+		r.pause = 0
+		r.until = time.Time{}
+	}
+
+	r.faults += faultWeight * (fault - r.faults)
+
+	if o == Lost && !now.Before(r.until) {
+		r.pause = min(max(2*r.pause, firstPause), longestPause)
+		r.until = now.Add(r.pause)
+	}
+}
+
+// Read learns that target read the prompt of p in took.
+func (b *Board) Read(p Placement, parts []Part, took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.cache.add(p.Target.ID, parts)
+
+	tokens := float64(p.work)
+	if tokens < paceTokens || took <= 0 {
+		return
+	}
+
+	pace := tokens / took.Seconds()
+	r := b.record(p.Target.ID)
+	r.pace = orElse(r.pace, b.pace)
+	r.pace += ownPaceWeight * (pace - r.pace)
+	b.pace += paceWeight * (pace - b.pace)
+}
--- /dev/null
+++ b/internal/control/retries/window.go
@@ -0,0 +1,106 @@
+package retries
+
+import (
+	"sync"
+	"time"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+// buckets is the number of parts into which a Window's span is divided.
+const buckets = 20
+
+// WindowOptions set the bound on the repeats of each service over all entry hosts.
+type WindowOptions struct {
+	Ratio  float64       // repeats per request
+	Slack  float64       // repeats beyond the ratio, over all hosts
+	Span   time.Duration // sliding time over which both count
+	Margin float64       // part of the bound to use, within (0, 1]; the rest covers hosts that restart
+}
+
+// Window keeps the share of one entry host in a bound on repeats that all hosts have in common. Each
+// host may use the ratio on the requests that it saw itself and an equal part of the slack, so that the
+// sum keeps the bound without any message. It is safe for concurrent use. Make it with NewWindow.
+type Window struct {
+	opts WindowOptions
+
+	mu       sync.Mutex
+	epoch    time.Time // the first time seen; ages are monotonic, so that a clock that steps does no harm
+	hosts    int
+	services map[table.ServiceName]*counts
+}
+
+// counts are those of one service in a ring of buckets.
+type counts struct {
+	seen, spent [buckets]float64
+	last        int64 // number of the newest bucket
+}
+
+// NewWindow returns a Window that has seen nothing.
+func NewWindow(opts WindowOptions) *Window {
+	return &Window{opts: opts, hosts: 1, services: map[table.ServiceName]*counts{}}
+}
+
+// SetHosts states the number of entry hosts that share the bound.
+func (w *Window) SetHosts(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.hosts = max(n, 1)
+}
+
+// Seen counts a caller's request for service.
+func (w *Window) Seen(now time.Time, service table.ServiceName) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	c := w.at(now, service)
+	c.seen[c.last%buckets]++
+}
+
+// Take reports whether one more repeat may be sent to service, and counts it if so.
+func (w *Window) Take(now time.Time, service table.ServiceName) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	c := w.at(now, service)
+
+	var seen, spent float64
+	for i := range buckets {
+		seen += c.seen[i]
+		spent += c.spent[i]
+	}
+
+	allowed := w.opts.Margin * (w.opts.Ratio*seen + w.opts.Slack/float64(w.hosts))
+	if spent+1 > allowed+rounding {
+		return false
+	}
+
+	c.spent[c.last%buckets]++
+
+	return true
+}
+
+// at returns the counts of service with the buckets that have passed emptied; the caller holds mu.
+func (w *Window) at(now time.Time, service table.ServiceName) *counts {
+	if w.epoch.IsZero() {
+		w.epoch = now
+	}
+
+	n := int64(now.Sub(w.epoch) / max(w.opts.Span/buckets, 1))
+
+	c, ok := w.services[service]
+	if !ok {
+		c = &counts{last: n}
+		w.services[service] = c
+	}
+
+	for i := 0; c.last < n && i < buckets; i++ {
+		c.last++
+		c.seen[c.last%buckets], c.spent[c.last%buckets] = 0, 0
+	}
+
+	c.last = max(c.last, n)
+
+	return c
+}
--- /dev/null
+++ b/internal/entry/relay/events.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"io"
+)
+
+// errPartial says that a stream ended within an event.
+var errPartial = errors.New("the stream ended within an event")
+
+// maxEvent bounds one event, in bytes.
+const maxEvent = 1 << 20
+
+// events splits a stream of server-sent events into whole ones, without a change of their bytes.
+type events struct {
+	body  io.Reader
+	buf   []byte
+	chunk [16 << 10]byte
+}
+
+// next returns the bytes of one or more whole events and the id of the last of them, which is empty where
+// none is stated. It returns io.EOF at the end of a stream that ended after a whole event.
+func (e *events) next() ([]byte, string, error) {
+	for {
+		if n := wholeEvents(e.buf); n > 0 {
+			out := bytes.Clone(e.buf[:n])
+			e.buf = append(e.buf[:0], e.buf[n:]...)
+
+			return out, lastID(out), nil
+		}
+
+		if len(e.buf) > maxEvent {
+			return nil, "", errors.New("an event is too large")
+		}
+
+		n, err := e.body.Read(e.chunk[:])
+		e.buf = append(e.buf, e.chunk[:n]...)
+
+		if n > 0 || err == nil {
+			continue
+		}
+
+		if errors.Is(err, io.EOF) && len(e.buf) > 0 {
+			err = errPartial
+		}
+
+		return nil, "", err
+	}
+}
+
+// wholeEvents returns the length of the whole events at the start of p.
+func wholeEvents(p []byte) int {
+	lf, crlf := bytes.LastIndex(p, []byte("\n\n")), bytes.LastIndex(p, []byte("\r\n\r\n"))
+
+	end := 0
+	if lf >= 0 {
+		end = lf + 2
+	}
+
+	if crlf >= 0 {
+		end = max(end, crlf+4)
+	}
+
+	return end
+}
+
+// lastID returns the value of the last id field in p.
+func lastID(p []byte) string {
+	id := ""
+
+	for line := range bytes.Lines(p) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id = string(bytes.TrimSpace(value))
+		}
+	}
+
+	return id
+}
