--- a/internal/control/fleet/view.go
+++ b/internal/control/fleet/view.go
@@ -21,7 +21,6 @@
 	Slots      int
 	Leaving    bool
 	Role       table.Role // of a model replica
-	Orders     uint64     // number of orders that it has accepted
 }
 
 const (
--- a/internal/control/members/table.go
+++ b/internal/control/members/table.go
@@ -42,11 +42,17 @@
 	hosts map[table.HostID]Member
 	// period is kept because each look at a member's age needs it.
 	period time.Duration
+	least  time.Duration
 }
 
 // New returns a Table of the other members, as seen by the host self in the data centre home.
 func New(self table.HostID, home table.DataCentre) *Table {
-	return &Table{self: self, home: home, hosts: map[table.HostID]Member{}, period: minPeriod}
+	return NewPaced(self, home, minPeriod)
+}
+
+// NewPaced returns a Table like New whose period is at least least, also with few members.
+func NewPaced(self table.HostID, home table.DataCentre, least time.Duration) *Table {
+	return &Table{self: self, home: home, hosts: map[table.HostID]Member{}, period: least, least: least}
 }
 
 // Note takes what a member said. An older sequence than the last one has no effect, nor has a
@@ -105,7 +111,7 @@
 		partners += n
 	}
 
-	t.period = max(minPeriod, time.Duration(partners)*periodPerPeer)
+	t.period = max(t.least, time.Duration(partners)*periodPerPeer)
 }
 
 // Alive reports whether m has been heard lately enough.
--- a/internal/control/placing/board.go
+++ b/internal/control/placing/board.go
@@ -191,22 +191,19 @@
 	return r
 }
 
-// Share returns the part of the prompt tokens under way that wait on the replica that has most, of
-// all targets with reading work, and the sum of these tokens.
-func (b *Board) Reading(ids []table.TargetID) table.Tokens {
+// Busy returns the requests under way on target, and the prompt tokens in place of requests where it reads.
+func (b *Board) Busy(target table.TargetID) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	var sum table.Tokens
+	u := b.total(target)
+	busy := u.Runs
 
-	for _, id := range ids {
-		u := b.total(id)
-		for _, n := range u.Reading {
-			sum += n
-		}
+	for _, n := range u.Reading {
+		busy += int(n)
 	}
 
-	return sum
+	return busy
 }
 
 // Pace returns the prompt tokens that a replica reads in a second, as learned so far.
--- /dev/null
+++ b/internal/entry/exchange/exchange.go
@@ -0,0 +1,98 @@
+// Package exchange shares with the other entry hosts what placing needs to know: work under way on each
+// target and who has read which part of a prompt.
+package exchange
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
+)
+
+// maxUses bounds the targets that a peer may report; a fleet has some hundred.
+const maxUses = 4096
+
+// Options are the parts of an Exchange. Board and Ready are required.
+type Options struct {
+	Clock    clockwork.Clock // nil means the real clock
+	Board    *placing.Board
+	Ready    func() bool
+	Stopping func() bool // nil means never
+	Version  func() uint64
+}
+
+// Exchange fills and hears digests. It implements peers.Local and is safe for concurrent use.
+type Exchange struct {
+	opts Options
+}
+
+// New returns an Exchange.
+func New(opts Options) *Exchange {
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
+
+	if opts.Stopping == nil {
+		opts.Stopping = func() bool { return false }
+	}
+
+	return &Exchange{opts: opts}
+}
+
+// Fill implements peers.Local.
+func (x *Exchange) Fill(to table.HostID, d *peer.Digest) {
+	d.Ready = x.opts.Ready()
+	d.Stopping = x.opts.Stopping()
+	d.Generation = x.opts.Version()
+
+	for _, u := range x.opts.Board.Export() {
+		work := &peer.TargetWork{Target: string(u.Target), Runs: int64(u.Runs), Held: int64(u.Held)}
+		for _, n := range u.Reading {
+			work.Reading = append(work.Reading, int64(n))
+		}
+
+		d.Work = append(d.Work, work)
+	}
+
+	if to == "" {
+		return // not known yet: news would be lost for the next digest
+	}
+
+	for _, n := range x.opts.Board.News(to) {
+		d.Held = append(d.Held, &peer.HeldPrefix{Prefix: uint64(n.Prefix), Target: string(n.Target)})
+	}
+}
+
+// Hear implements peers.Local.
+func (x *Exchange) Hear(d *peer.Digest) {
+	x.opts.Board.Merge(x.now(), table.HostID(d.GetHost()), uses(d.GetWork()))
+
+	news := make([]placing.News, 0, len(d.GetHeld()))
+	for _, n := range d.GetHeld() {
+		news = append(news, placing.News{Prefix: placing.Prefix(n.GetPrefix()), Target: table.TargetID(n.GetTarget())})
+	}
+
+	x.opts.Board.Hear(news)
+}
+
+func (x *Exchange) now() time.Time { return x.opts.Clock.Now() }
+
+func uses(work []*peer.TargetWork) []placing.Use {
+	work = work[:min(len(work), maxUses)]
+	list := make([]placing.Use, 0, len(work))
+
+	for _, w := range work {
+		u := placing.Use{Target: table.TargetID(w.GetTarget()), Runs: int(w.GetRuns()), Held: table.Tokens(w.GetHeld())}
+
+		for i := range min(len(u.Reading), len(w.GetReading())) {
+			u.Reading[i] = table.Tokens(w.GetReading()[i])
+		}
+
+		list = append(list, u)
+	}
+
+	return list
+}
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -15,13 +15,15 @@
 )
 
 const (
-	beatBound    = 700 * time.Millisecond
-	roundEvery   = 250 * time.Millisecond
-	seedInterval = 5 * time.Second
-	overdue      = 150 // percent of a period after which a host does not wait for a peer's heartbeat
-	introduced   = 3   // addresses told with each heartbeat
-	rumourLife   = time.Minute
-	maxRumours   = 1024
+	beatBound  = 700 * time.Millisecond
+	roundEvery = 250 * time.Millisecond
+	// roundsPerPeriod keeps a short period from being missed by a whole round.
+	roundsPerPeriod = 4
+	seedInterval    = 5 * time.Second
+	overdue         = 150 // percent of a period after which a host does not wait for a peer's heartbeat
+	introduced      = 3   // addresses told with each heartbeat
+	rumourLife      = time.Minute
+	maxRumours      = 1024
 )
 
 // Local is what the other parts of this host say and hear by heartbeat.
@@ -41,6 +43,7 @@
 	Address    string   // ip:port of the own peer API
 	Seeds      []string // ip:port of peers known from the start
 	Local      Local
+	Period     time.Duration // least time between two heartbeats to a member; zero means 1 s
 }
 
 // Network exchanges heartbeats with the other hosts. It is safe for concurrent use.
@@ -69,8 +72,13 @@
 		opts.Log = &log.DefaultLogger
 	}
 
+	known := members.New(opts.Host, opts.DataCentre)
+	if opts.Period > 0 {
+		known = members.NewPaced(opts.Host, opts.DataCentre, opts.Period)
+	}
+
 	return &Network{
-		opts: opts, done: make(chan struct{}), urgent: make(chan struct{}, 1), members: members.New(opts.Host, opts.DataCentre),
+		opts: opts, done: make(chan struct{}), urgent: make(chan struct{}, 1), members: known,
 		due: map[string]time.Time{}, busy: map[string]bool{}, rumours: map[string]time.Time{},
 	}
 }
@@ -90,7 +98,12 @@
 
 	var beats sync.WaitGroup
 
-	tick := n.opts.Clock.NewTicker(roundEvery)
+	round := roundEvery
+	if n.opts.Period > 0 {
+		round = min(round, n.opts.Period/roundsPerPeriod)
+	}
+
+	tick := n.opts.Clock.NewTicker(round)
 	defer tick.Stop()
 
 	for {
--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -57,6 +57,15 @@
 // Ready reports whether the host knows enough to serve.
 func (s *Site) Ready() bool { return s.Catalog() != nil && s.Fleet() != nil }
 
+// Version returns the version of the configuration in force; zero before the first one.
+func (s *Site) Version() catalog.Version {
+	if c := s.Catalog(); c != nil {
+		return c.Version
+	}
+
+	return 0
+}
+
 // Limits returns the limits in force; the zero value before the first configuration.
 func (s *Site) Limits() catalog.Limits {
 	if c := s.Catalog(); c != nil {
