Count holders of a longer prefix as holders of the shorter ones

Cause: a replica counted as holder of a prompt's second part only if it was among the last three readers of the first one, which three things share; 2.6 M tokens were read again where another replica held them. Ruled out: eviction on the replicas (guessed 2.64 M kept, 2.83 M really were). Change: a holder of a prefix holds all shorter ones; reading again weighs four times the wait of the request.

--- a/internal/control/placing/cache.go
+++ b/internal/control/placing/cache.go
@@ -118,11 +118,11 @@
 			break
 		}
 
-		before := sum
 		sum += parts[i].Tokens
 
+		// Whoever has read this prefix has read the shorter ones, also where it is not among their latest readers.
 		for _, id := range h {
-			if id != "" && held[id] == before {
+			if id != "" {
 				held[id] = sum
 			}
 		}
--- a/internal/control/placing/choose.go
+++ b/internal/control/placing/choose.go
@@ -15,6 +15,9 @@
 	// homePart is the part of an unknown prefix that its home replica is credited with, so that hosts that
 	// see a prefix first at the same time choose the same replica.
 	homePart = 0.3
+	// rereadWeight weighs the reading of tokens that another replica holds, which delays all that come after,
+	// against the wait of this request.
+	rereadWeight = 4
 	// fullAt is the part of a replica's KV cache above which it gets no further answers while another has room.
 	fullAt = 0.92
 	// farRun is the penalty of another data centre for an answer, as part of a replica's load.
@@ -88,7 +91,7 @@
 
 			r := b.record(t.ID)
 			seconds := float64(work) / b.pace * r.slowness(b.pace)
-			score := seconds * (1 + r.faults)
+			score := seconds*(1+r.faults) + rereadWeight*float64(job.Prompt-cached)/b.pace
 
 			if t.DataCentre != job.Near {
 				score += farPenalty
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -172,7 +172,10 @@
 		return nil, true
 	}
 
-	j.opts.Board.Read(place, j.r.Parts, j.now().Sub(sent))
+	took := j.now().Sub(sent)
+	j.opts.Board.Read(place, j.r.Parts, took)
+	j.opts.Log.Debug().Str("request", string(j.r.ID)).Str("target", string(place.Target.ID)).Int64("prompt", int64(j.r.Prompt)).
+		Int64("cached", int64(place.Cached)).Dur("expected", place.Wait).Dur("took", took).Interface("parts", j.r.Parts).Msg("prompt read")
 
 	return handle, false
 }
