Read the list again after a watch was cut; keep the revision of a silent one

Ruled out: the pause after a failure (50 to 100 ms), the decoding of the configuration. Change: list after any failed watch; go on from the last revision with a change, so that dropped history shows as gone.

--- a/internal/entry/follow/follow.go
+++ b/internal/entry/follow/follow.go
@@ -148,18 +148,23 @@
 	}
 
 	if err != nil {
+		// A watch that was cut may have been deaf before, so what it missed is read again.
+		f.listed = false
+
 		return 0, err
 	}
 
 	f.answered()
-	f.revision = revision
-	f.opts.Sink.Changed(f.opts.Clock.Now(), changes, revision)
 
-	if len(changes) > 0 {
-		return f.opts.Batch, nil
+	if len(changes) == 0 {
+		// The revision stays, so that the store has to tell if it dropped changes that were not heard.
+		return 0, nil
 	}
 
-	return 0, nil
+	f.revision = revision
+	f.opts.Sink.Changed(f.opts.Clock.Now(), changes, revision)
+
+	return f.opts.Batch, nil
 }
 
 func (f *Follower) answered() {
