--- /dev/null
+++ b/internal/control/fleet/view_test.go
@@ -0,0 +1,196 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+var start = time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
+
+func target(instance string, run int) fleet.Target {
+	return fleet.Target{
+		ID: table.TargetID(fmt.Sprintf("%s@%d", instance, run)), Instance: instance, Service: "s", Address: "10.0.0.1:80", Slots: 1,
+	}
+}
+
+func instances(t *testing.T, v *fleet.View) []string {
+	t.Helper()
+
+	list, changed := v.Take()
+	require.True(t, changed)
+
+	names := []string{}
+	for _, x := range list {
+		names = append(names, x.Instance)
+	}
+
+	return names
+}
+
+func TestEntryThatLapsedWhileThePlatformWasAwayIsHeldForTwoSeconds(t *testing.T) {
+	v := fleet.New()
+	v.Replace(start, []fleet.Target{target("a", 1), target("b", 1)})
+	require.Equal(t, []string{"a", "b"}, instances(t, v))
+
+	v.Lost()
+
+	back := start.Add(5 * time.Second)
+	v.Answered(back)
+	v.Replace(back, []fleet.Target{target("a", 1)})
+	v.Tick(back.Add(2 * time.Second))
+
+	_, changed := v.Take()
+	require.False(t, changed, "b may still be registering again")
+
+	v.Tick(back.Add(3 * time.Second))
+	require.Equal(t, []string{"a"}, instances(t, v), "b is gone")
+}
+
+func TestEntryThatComesBackInTimeStays(t *testing.T) {
+	v := fleet.New()
+	v.Replace(start, []fleet.Target{target("a", 1)})
+	v.Lost()
+	v.Answered(start.Add(time.Second))
+	v.Replace(start.Add(time.Second), nil)
+	v.Set(target("a", 1))
+	v.Tick(start.Add(time.Minute))
+	require.Equal(t, []string{"a"}, instances(t, v))
+}
+
+func TestEndOfAnEntryCountsAtOnceWhileThePlatformAnswers(t *testing.T) {
+	v := fleet.New()
+	v.Answered(start)
+	v.Replace(start, []fleet.Target{target("a", 1), target("b", 1)})
+	v.Remove(start.Add(time.Second), "a")
+	require.Equal(t, []string{"b"}, instances(t, v))
+}
+
+func TestLeavingEntryIsNotHeld(t *testing.T) {
+	v := fleet.New()
+	leaving := target("a", 1)
+	leaving.Leaving = true
+	v.Replace(start, []fleet.Target{leaving, target("b", 1)})
+	v.Lost()
+	v.Answered(start)
+	v.Remove(start, "a")
+	require.Equal(t, []string{"b"}, instances(t, v))
+}
+
+func TestReplicaThatStartsAgainIsAnotherTarget(t *testing.T) {
+	v := fleet.New()
+	v.Set(target("a", 1))
+	v.Set(target("a", 2))
+
+	list, _ := v.Take()
+	require.Len(t, list, 1)
+	require.Equal(t, table.TargetID("a@2"), list[0].ID)
+
+	s := fleet.NewSnapshot(list)
+	_, ok := s.Target("a@1")
+	require.False(t, ok)
+}
+
+func TestLeavingTargetsTakeNoNewWork(t *testing.T) {
+	leaving := target("a", 1)
+	leaving.Leaving = true
+
+	s := fleet.NewSnapshot([]fleet.Target{leaving, target("b", 1)})
+	require.Len(t, s.Of("s"), 1)
+	require.Empty(t, (*fleet.Snapshot)(nil).Of("s"))
+
+	_, ok := s.Target("a@1")
+	require.True(t, ok, "work under way there goes on")
+}
+
+// TestViewFollowsTheList plays lists, changes and absences at random. Once the platform has answered for
+// longer than an entry may take to come back, the view is the list.
+func TestViewFollowsTheList(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var (
+			v    = fleet.New()
+			now  = start
+			list = map[string]int{}
+			seen []fleet.Target
+			lost bool
+		)
+
+		all := func() []fleet.Target {
+			var targets []fleet.Target
+			for name, run := range list {
+				targets = append(targets, target(name, run))
+			}
+
+			return targets
+		}
+
+		rt.Repeat(map[string]func(*rapid.T){
+			"set": func(rt *rapid.T) {
+				name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "name")
+				list[name] = rapid.IntRange(1, 3).Draw(rt, "run")
+
+				if !lost {
+					v.Set(target(name, list[name]))
+				}
+			},
+			"remove": func(rt *rapid.T) {
+				name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "name")
+				delete(list, name)
+
+				if !lost {
+					v.Remove(now, name)
+				}
+			},
+			"lost": func(*rapid.T) { lost = true; v.Lost() },
+			"back": func(*rapid.T) { lost = false; v.Answered(now); v.Replace(now, all()) },
+			"wait": func(rt *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(rt, "ms")) * time.Millisecond)
+				v.Tick(now)
+			},
+			"": func(rt *rapid.T) {
+				if got, changed := v.Take(); changed {
+					seen = got
+				}
+
+				byName := map[string]bool{}
+
+				for _, x := range seen {
+					if byName[x.Instance] {
+						rt.Fatalf("%s is listed twice", x.Instance)
+					}
+
+					byName[x.Instance] = true
+				}
+			},
+		})
+
+		v.Answered(now)
+		v.Replace(now, all())
+		v.Tick(now.Add(3 * time.Second))
+
+		if got, changed := v.Take(); changed {
+			seen = got
+		}
+
+		want := map[table.TargetID]bool{}
+		for _, x := range all() {
+			want[x.ID] = true
+		}
+
+		if len(seen) != len(want) {
+			rt.Fatalf("view has %v, list %v", seen, want)
+		}
+
+		for _, x := range seen {
+			if !want[x.ID] {
+				rt.Fatalf("view has %v, list %v", seen, want)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/placing/placing_test.go
@@ -0,0 +1,210 @@
+package placing_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
+	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+var now = time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
+
+func replicas(n int) []fleet.Target {
+	var list []fleet.Target
+	for i := range n {
+		list = append(list, fleet.Target{ID: table.TargetID(fmt.Sprint("r", i)), Service: "s", DataCentre: "x", Slots: 4})
+	}
+
+	return list
+}
+
+func job(prompt table.Tokens, parts ...placing.Part) placing.Job {
+	return placing.Job{ID: "q", Prompt: prompt, Parts: parts, Near: "x"}
+}
+
+// read has a prompt read by the replica that the board chooses.
+func read(t *testing.T, b *placing.Board, all []fleet.Target, j placing.Job) table.TargetID {
+	t.Helper()
+
+	p, ok := b.ForPrompt(now, all, j)
+	require.True(t, ok)
+	p.Claim.Release()
+	b.Read(p, j.Parts, 0)
+
+	return p.Target.ID
+}
+
+func TestPromptGoesToTheReplicaThatHasReadItsSharedParts(t *testing.T) {
+	b := placing.New()
+	all := replicas(8)
+	shared := []placing.Part{{ID: 1, Tokens: 500}, {ID: 2, Tokens: 5000}}
+
+	first := read(t, b, all, job(9000, append(shared, placing.Part{ID: 10, Tokens: 3500})...))
+
+	p, ok := b.ForPrompt(now, all, job(9000, append(shared, placing.Part{ID: 11, Tokens: 3500})...))
+	require.True(t, ok)
+	require.Equal(t, first, p.Target.ID)
+	require.Equal(t, table.Tokens(5500), p.Cached)
+}
+
+// The first part of a prompt is shared by so many that a holder of a longer prefix drops out of its latest
+// readers. It still holds both.
+func TestHolderOfALongerPrefixHoldsTheShorterOnes(t *testing.T) {
+	b := placing.New()
+	all := replicas(8)
+	common := placing.Part{ID: 1, Tokens: 500}
+	deep := []placing.Part{common, {ID: 2, Tokens: 5000}, {ID: 3, Tokens: 100}}
+	holder := read(t, b, all, job(5600, deep...))
+
+	var others []placing.News
+
+	for i := range 6 {
+		id := table.TargetID(fmt.Sprint("r", i))
+		if id != holder {
+			helper := placing.New()
+			read(t, helper, []fleet.Target{{ID: id, DataCentre: "x"}}, job(500, common))
+			others = append(others, helper.News("board")...)
+		}
+	}
+
+	b.Hear(others)
+
+	p, ok := b.ForPrompt(now, all, job(5700, common, placing.Part{ID: 2, Tokens: 5000}, placing.Part{ID: 4, Tokens: 200}))
+	require.True(t, ok)
+	require.Equal(t, holder, p.Target.ID)
+	require.Equal(t, table.Tokens(5500), p.Cached)
+}
+
+func TestHostsThatSeeAPrefixFirstChooseTheSameReplica(t *testing.T) {
+	all := replicas(8)
+
+	for i := range 20 {
+		shared := placing.Part{ID: uint64(100 + i), Tokens: 5000}
+
+		one, ok := placing.New().ForPrompt(now, all, job(6000, shared, placing.Part{ID: 1, Tokens: 1000}))
+		require.True(t, ok)
+
+		two, ok := placing.New().ForPrompt(now, all, job(6000, shared, placing.Part{ID: 2, Tokens: 1000}))
+		require.True(t, ok)
+		require.Equal(t, one.Target.ID, two.Target.ID)
+	}
+}
+
+func TestReadingUnderWayElsewhereIsCounted(t *testing.T) {
+	b := placing.New()
+	all := replicas(2)
+
+	b.Merge(now, "peer", []placing.Use{{Target: "r0", Reading: [4]table.Tokens{0, 0, 40_000}}})
+
+	j := job(1000, placing.Part{ID: 1, Tokens: 1000})
+	j.Rank = 2
+
+	p, ok := b.ForPrompt(now, all, j)
+	require.True(t, ok)
+	require.Equal(t, table.TargetID("r1"), p.Target.ID)
+	p.Claim.Release()
+
+	b.Tick(now.Add(time.Minute), func(table.TargetID) bool { return true })
+	require.Zero(t, b.Busy("r0"), "a silent peer's work no longer counts")
+}
+
+func TestUrgentPromptDoesNotCountLessUrgentReading(t *testing.T) {
+	b := placing.New()
+	b.Merge(now, "peer", []placing.Use{{Target: "r0", Reading: [4]table.Tokens{0, 0, 0, 50_000}}})
+
+	p, ok := b.ForPrompt(now, replicas(1), job(1000))
+	require.True(t, ok)
+	require.Less(t, p.Wait, 100*time.Millisecond)
+}
+
+func TestAnswersSpreadByMemoryAndFullReplicasComeLast(t *testing.T) {
+	b := placing.New()
+	all := replicas(2)
+
+	const capacity = 100_000
+
+	b.Merge(now, "peer", []placing.Use{{Target: "r0", Runs: 1, Held: 95_000}, {Target: "r1", Runs: 3, Held: 30_000}})
+
+	p, ok := b.ForAnswer(now, all, job(10_000), capacity)
+	require.True(t, ok)
+	require.Equal(t, table.TargetID("r1"), p.Target.ID)
+	require.False(t, p.Full)
+
+	p, ok = b.ForAnswer(now, all, job(80_000), capacity)
+	require.True(t, ok)
+	require.True(t, p.Full, "no replica has room")
+}
+
+func TestLostTargetRestsAndIsTriedAgain(t *testing.T) {
+	b := placing.New()
+	all := replicas(2)
+	b.Note(now, "r0", placing.Lost)
+
+	for i := range 5 {
+		p, ok := b.ForCall(now, all, placing.Job{ID: table.RequestID(fmt.Sprint(i)), Near: "x"})
+		require.True(t, ok)
+		require.Equal(t, table.TargetID("r1"), p.Target.ID)
+	}
+
+	later := now.Add(5 * time.Second)
+	b.Note(later, "r0", placing.Served)
+
+	chosen := map[table.TargetID]bool{}
+
+	for i := range 20 {
+		p, ok := b.ForCall(later, all, placing.Job{ID: table.RequestID(fmt.Sprint(i)), Near: "x"})
+		require.True(t, ok)
+
+		chosen[p.Target.ID] = true
+	}
+
+	require.True(t, chosen["r0"])
+}
+
+func TestOnlyTargetIsChosenAlsoWhenItRests(t *testing.T) {
+	b := placing.New()
+	b.Note(now, "r0", placing.Lost)
+
+	_, ok := b.ForCall(now, replicas(1), job(0))
+	require.True(t, ok)
+
+	_, ok = b.ForPrompt(now, replicas(1), job(100))
+	require.True(t, ok)
+
+	_, ok = b.ForCall(now, replicas(1), placing.Job{Avoid: []table.TargetID{"r0"}})
+	require.False(t, ok)
+}
+
+func TestClaimsAreTakenBackOnce(t *testing.T) {
+	b := placing.New()
+
+	p, ok := b.ForCall(now, replicas(1), job(0))
+	require.True(t, ok)
+	require.Len(t, b.Export(), 1)
+
+	p.Claim.Release()
+	p.Claim.Release()
+	require.Empty(t, b.Export())
+}
+
+func TestNewsIsToldOncePerPeer(t *testing.T) {
+	b := placing.New()
+	read(t, b, replicas(1), job(100, placing.Part{ID: 1, Tokens: 100}))
+	require.Len(t, b.News("one"), 1)
+	require.Empty(t, b.News("one"))
+	require.Len(t, b.News("two"), 1)
+}
+
+func TestPatienceFollowsTheCaller(t *testing.T) {
+	p := placing.Pacing{Objective: 800 * time.Millisecond, Gap: 250 * time.Millisecond}
+	require.Equal(t, 3200*time.Millisecond, p.Abandoned())
+	require.Equal(t, 2*time.Second, placing.Pacing{}.Abandoned())
+	require.True(t, p.Worthwhile(time.Second, 0))
+	require.False(t, p.Worthwhile(time.Second, 2*time.Second))
+	require.Less(t, p.Silent(), p.Abandoned()/2, "half of the time is left for the other replica")
+}
--- /dev/null
+++ b/internal/control/retries/window_test.go
@@ -0,0 +1,82 @@
+package retries_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/retries"
+)
+
+func TestWindowRefillsWithTime(t *testing.T) {
+	now := time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
+	w := retries.NewWindow(retries.WindowOptions{Ratio: 0.2, Slack: 2, Span: 10 * time.Second, Margin: 1})
+
+	require.True(t, w.Take(now, "s"))
+	require.True(t, w.Take(now, "s"))
+	require.False(t, w.Take(now, "s"))
+	require.True(t, w.Take(now, "other"), "each service has its own bound")
+
+	for range 5 {
+		w.Seen(now, "s")
+	}
+
+	require.True(t, w.Take(now, "s"), "five requests earn one repeat")
+	require.False(t, w.Take(now, "s"))
+	require.True(t, w.Take(now.Add(11*time.Second), "s"))
+}
+
+// TestHostsTogetherKeepTheBound lets hosts ask at will. In each window of the stated length their repeats stay
+// within the slack and the ratio of the requests in that window, the one before it or the one half a window
+// before it, whichever has most. A margin of a half covers requests that are spread over two of these.
+func TestHostsTogetherKeepTheBound(t *testing.T) {
+	const (
+		ratio = 0.2
+		slack = 54
+		span  = 10 * time.Second
+		step  = span / 20 // to which a Window rounds
+	)
+
+	rapid.Check(t, func(rt *rapid.T) {
+		now := time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
+		hosts := make([]*retries.Window, rapid.IntRange(1, 9).Draw(rt, "hosts"))
+
+		for i := range hosts {
+			hosts[i] = retries.NewWindow(retries.WindowOptions{Ratio: ratio, Slack: slack, Span: span, Margin: 0.5})
+			hosts[i].SetHosts(len(hosts))
+		}
+
+		var seen, repeats []time.Time
+
+		for range rapid.IntRange(10, 300).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(rt, "ms")) * time.Millisecond)
+			host := hosts[rapid.IntRange(0, len(hosts)-1).Draw(rt, "host")]
+
+			if rapid.Bool().Draw(rt, "request") {
+				host.Seen(now, "s")
+
+				seen = append(seen, now)
+			} else if host.Take(now, "s") {
+				repeats = append(repeats, now)
+			}
+
+			between := func(list []time.Time, oldest, newest time.Duration) (n float64) {
+				for _, at := range list {
+					if age := now.Sub(at); newest <= age && age <= oldest {
+						n++
+					}
+				}
+
+				return n
+			}
+
+			requests := max(between(seen, span, 0), between(seen, 3*span/2, span/2), between(seen, 2*span, span))
+
+			if got, most := between(repeats, span-step, 0), ratio*requests+slack; got > most {
+				rt.Fatalf("%v repeats, at most %v", got, most)
+			}
+		}
+	})
+}
--- a/internal/entry/follow/follow.go
+++ b/internal/entry/follow/follow.go
@@ -46,11 +46,11 @@
 }
 
 const (
-	// defaultWait bounds the time for which a connection that has gone silent hides changes, together with
-	// the keep-alive probes of the connection.
-	defaultWait = 5 * time.Second
-	// defaultBatch gathers changes that come in series into fewer calls; well under the bounds on their age.
-	defaultBatch = 150 * time.Millisecond
+	// defaultWait keeps idle watches few; the keep-alive probes of the connection find one that has gone silent.
+	defaultWait = 15 * time.Second
+	// defaultBatch gathers changes that come in series into fewer calls. It is a fifth of the least bound on
+	// their age that the platform states.
+	defaultBatch = 400 * time.Millisecond
 
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
@@ -63,8 +63,8 @@
 	Source Source
 	Sink   Sink
 	Kind   string
-	Wait   time.Duration // longest wait of one watch; zero means 5 s
-	Batch  time.Duration // pause after changes before the next watch; zero means 150 ms
+	Wait   time.Duration // longest wait of one watch; zero means 15 s
+	Batch  time.Duration // pause after changes before the next watch; zero means 400 ms
 }
 
 // Follower reads one kind. Make it with Start.
--- /dev/null
+++ b/internal/entry/relay/fakes_test.go
@@ -0,0 +1,194 @@
+package relay_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
+	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
+	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/control/retries"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/entry/relay"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+var errReset = errors.New("connection reset")
+
+func mayHaveRun() error {
+	return verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "no answer").Because(errReset)
+}
+
+func notRun() error {
+	return verdict.New(verdict.NotRun, verdict.CodeTargetLost, "refused").Because(errReset)
+}
+
+// targets answers sends from a script and records them.
+type targets struct {
+	mu       sync.Mutex
+	runs     []relay.Send
+	reads    []relay.Send
+	released []relay.Handle
+	run      func(n int, ctx context.Context, s relay.Send) (*relay.Answer, error)
+	read     func(n int, s relay.Send) (*relay.Handle, *relay.Answer, error)
+}
+
+func (f *targets) Run(ctx context.Context, _ *relay.Request, s relay.Send) (*relay.Answer, error) {
+	f.mu.Lock()
+	f.runs = append(f.runs, s)
+	n := len(f.runs)
+	f.mu.Unlock()
+
+	return f.run(n, ctx, s)
+}
+
+func (f *targets) Read(_ context.Context, _ *relay.Request, s relay.Send) (*relay.Handle, *relay.Answer, error) {
+	f.mu.Lock()
+	f.reads = append(f.reads, s)
+	n := len(f.reads)
+	f.mu.Unlock()
+
+	if f.read != nil {
+		return f.read(n, s)
+	}
+
+	return &relay.Handle{Target: s.Target, Name: "kv"}, nil, nil
+}
+
+func (f *targets) Release(_ context.Context, h relay.Handle) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.released = append(f.released, h)
+
+	return nil
+}
+
+// reply records what the caller gets.
+type reply struct {
+	status  int
+	header  http.Header
+	body    bytes.Buffer
+	broken  bool
+	refused *verdict.Error
+	finals  int
+	onEvent func() error
+}
+
+func (r *reply) Whole(status int, header http.Header, body []byte) {
+	r.finals++
+	r.status, r.header = status, header
+	r.body.Write(body)
+}
+
+func (r *reply) Begin(status int, header http.Header) {
+	r.finals++
+	r.status, r.header = status, header
+}
+
+func (r *reply) Event(p []byte) error {
+	r.body.Write(p)
+
+	if r.onEvent != nil {
+		return r.onEvent()
+	}
+
+	return nil
+}
+
+func (r *reply) Break() { r.broken = true }
+
+func (r *reply) Refuse(err *verdict.Error) {
+	r.finals++
+	r.refused = err
+}
+
+func answer(status int, body string) *relay.Answer {
+	return &relay.Answer{Status: status, Header: http.Header{"Signature": {body}}, Body: io.NopCloser(strings.NewReader(body))}
+}
+
+// cut is a body that ends with an error.
+func cut(body string, err error) io.ReadCloser {
+	return io.NopCloser(io.MultiReader(strings.NewReader(body), errReader{err}))
+}
+
+type errReader struct{ err error }
+
+func (e errReader) Read([]byte) (int, error) { return 0, e.err }
+
+// silent is a body that ends when ctx does.
+type silent struct{ ctx context.Context }
+
+func (s silent) Read([]byte) (int, error) {
+	<-s.ctx.Done()
+
+	return 0, s.ctx.Err()
+}
+
+func (silent) Close() error { return nil }
+
+type world struct {
+	targets *targets
+	board   *placing.Board
+	relay   *relay.Relay
+}
+
+// newWorld has two replicas that read, two that generate and two of a plain service.
+func newWorld(t *testing.T, route catalog.Route, slack float64) *world {
+	t.Helper()
+
+	route.Host, route.Prefix = "host", "/p/"
+	service := table.ServiceName("plain")
+
+	if route.Streaming {
+		service = "model"
+	}
+
+	route.Shares = []catalog.Share{{Service: service, Weight: 1}}
+	c := catalog.Build(1, catalog.Limits{}, []catalog.Route{route}, []catalog.Service{
+		{Name: "plain"}, {Name: "model", Engine: &catalog.Engine{KVCapacity: 100_000}},
+	})
+	list := fleet.NewSnapshot([]fleet.Target{
+		{ID: "d1", Service: "model", Role: table.Decode, Slots: 4}, {ID: "d2", Service: "model", Role: table.Decode, Slots: 4},
+		{ID: "p1", Service: "model", Role: table.Prefill, Slots: 4}, {ID: "p2", Service: "model", Role: table.Prefill, Slots: 4},
+		{ID: "s1", Service: "plain", Slots: 4}, {ID: "s2", Service: "plain", Slots: 4},
+	})
+
+	w := &world{targets: &targets{}, board: placing.New()}
+	w.relay = relay.New(relay.Options{
+		Log: &log.Logger{Level: log.PanicLevel}, Catalog: func() *catalog.Catalog { return c }, Fleet: func() *fleet.Snapshot { return list },
+		Board: w.board, Targets: w.targets,
+		Retries: retries.NewWindow(retries.WindowOptions{Ratio: 0, Slack: slack, Span: 10 * time.Second, Margin: 1}),
+	})
+
+	return w
+}
+
+func (w *world) serve(t *testing.T, ctx context.Context) *reply {
+	t.Helper()
+
+	out := &reply{}
+	w.serveTo(t, ctx, out)
+
+	return out
+}
+
+func (w *world) serveTo(t *testing.T, ctx context.Context, out *reply) {
+	t.Helper()
+
+	w.relay.Serve(ctx, &relay.Request{
+		ID: "q", Method: "POST", URI: "/p/x", Host: "host", Path: "/p/x", Arrived: time.Now(), Limit: 10 * time.Second, Prompt: 100,
+	}, out)
+	require.Equal(t, 1, out.finals, "each request gets one final answer")
+	require.Empty(t, w.board.Export(), "no work stays counted")
+}
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -186,7 +186,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
-	watch := j.opts.Clock.AfterFunc(j.patience(handle), cancel)
+	watch := j.opts.Clock.AfterFunc(j.firstPatience(handle), cancel)
 	defer watch.Stop()
 
 	answer, err := j.opts.Targets.Run(ctx, j.r, Send{
@@ -223,16 +223,22 @@
 	return false, j.pass(w, answer, place, p, watch.Reset)
 }
 
+// firstPatience is how long a replica may take to its first event. One that has to read the prompt itself gets
+// all the time that the caller waits.
+func (j *job) firstPatience(handle *Handle) time.Duration {
+	if handle == nil {
+		return max(j.patience(), j.pacing().Abandoned())
+	}
+
+	return j.patience()
+}
+
 // patience is how long a replica may be silent. A stream that can't go on elsewhere is waited for.
-func (j *job) patience(handle *Handle) time.Duration {
+func (j *job) patience() time.Duration {
 	if j.route.Repeat != catalog.Resumable {
 		return j.left()
 	}
 
-	if handle == nil {
-		return j.pacing().Abandoned()
-	}
-
 	return j.pacing().Silent()
 }
 
@@ -281,7 +287,7 @@
 			j.begin(w, answer, p)
 		}
 
-		reset(j.patience(nil))
+		reset(j.patience())
 
 		if id != "" {
 			p.last = id
