--- a/internal/entry/serving/server.go
+++ b/internal/entry/serving/server.go
@@ -47,6 +47,8 @@
 	opts     Options
 	callers  *http.Server
 	others   []*http.Server
+	address  string // of callers
+	ready    string
 	stopping atomic.Bool
 	failed   chan error
 }
@@ -66,14 +68,17 @@
 	s.callers = &http.Server{
 		Handler: opts.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	if err := s.open(s.callers, opts.Callers); err != nil {
+
+	var err error
+
+	if s.address, err = s.open(s.callers, opts.Callers); err != nil {
 		return nil, err
 	}
 
-	ready := &http.Server{Handler: http.HandlerFunc(s.ready), ReadHeaderTimeout: headerTimeout}
+	ready := &http.Server{Handler: http.HandlerFunc(s.answerReady), ReadHeaderTimeout: headerTimeout}
 	s.others = append(s.others, ready)
 
-	if err := s.open(ready, opts.Ready); err != nil {
+	if s.ready, err = s.open(ready, opts.Ready); err != nil {
 		s.close()
 
 		return nil, err
@@ -86,7 +91,7 @@
 	page := &http.Server{Handler: opts.MetricsPage, ReadHeaderTimeout: headerTimeout}
 	s.others = append(s.others, page)
 
-	if err := s.open(page, opts.Metrics); err != nil {
+	if _, err := s.open(page, opts.Metrics); err != nil {
 		s.close()
 
 		return nil, err
@@ -95,10 +100,11 @@
 	return s, nil
 }
 
-func (s *Server) open(server *http.Server, address string) error {
+// open serves at address and returns it with the port that was taken where it states none.
+func (s *Server) open(server *http.Server, address string) (string, error) {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
-		return Error.Wrap(err)
+		return "", Error.Wrap(err)
 	}
 
 	go func() {
@@ -107,16 +113,20 @@
 		}
 	}()
 
-	return nil
+	return l.Addr().String(), nil
 }
 
+// Addresses returns where callers connect and where readiness is asked.
+func (s *Server) Addresses() (callers, ready string) { return s.address, s.ready }
+
 // Failed receives the error of a listener that ended by itself.
 func (s *Server) Failed() <-chan error { return s.failed }
 
 // Closing reports whether callers are asked to use other connections.
 func (s *Server) Closing() bool { return s.stopping.Load() }
 
-func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+// answerReady tells the balancer whether to send callers here.
+func (s *Server) answerReady(w http.ResponseWriter, _ *http.Request) {
 	if s.stopping.Load() || !s.opts.IsReady() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 
