Count each arrival of a stream's prompt against the bound on repeats

A resumed stream has its prompt read again; that reading and a refused first one were not counted. Ruled out: the shares of the hosts (a property test keeps their sum), clients' own retries (new requests). Change: each send but the first accepted reading counts. TestRepeatedReadingCountsAsARepeat and TestRefusedReadingCountsAsARepeat fail without it. Also: hosts share the prompt tokens that arrive, for the split by demand.

--- a/internal/control/placing/board.go
+++ b/internal/control/placing/board.go
@@ -47,6 +47,7 @@
 	own     map[table.TargetID]*Use
 	peers   map[table.HostID]peerUse
 	targets map[table.TargetID]*record
+	offered map[table.ServiceName]*rate
 	cache   *cache
 	pace    float64 // prompt tokens per second of a replica in the mean
 }
@@ -54,6 +55,8 @@
 type peerUse struct {
 	at   time.Time
 	uses map[table.TargetID]Use
+
+	demands map[table.ServiceName]float64 // prompt tokens per second
 }
 
 // New returns a Board that knows of no work.
@@ -62,6 +65,7 @@
 		own:     map[table.TargetID]*Use{},
 		peers:   map[table.HostID]peerUse{},
 		targets: map[table.TargetID]*record{},
+		offered: map[table.ServiceName]*rate{},
 		cache:   newCache(),
 		pace:    initialPace,
 	}
@@ -92,7 +96,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	p := peerUse{at: now, uses: make(map[table.TargetID]Use, len(uses))}
+	p := peerUse{at: now, uses: make(map[table.TargetID]Use, len(uses)), demands: b.peers[from].demands}
 	for _, u := range uses {
 		p.uses[u.Target] = u
 	}
--- a/internal/entry/exchange/exchange.go
+++ b/internal/entry/exchange/exchange.go
@@ -57,6 +57,10 @@
 		d.Work = append(d.Work, work)
 	}
 
+	for service, tokens := range x.opts.Board.Demands(x.now()) {
+		d.Demand = append(d.Demand, &peer.Demand{Model: string(service), Prefill: tokens})
+	}
+
 	if to == "" {
 		return // not known yet: news would be lost for the next digest
 	}
@@ -70,6 +74,13 @@
 func (x *Exchange) Hear(d *peer.Digest) {
 	x.opts.Board.Merge(x.now(), table.HostID(d.GetHost()), uses(d.GetWork()))
 
+	demands := make(map[table.ServiceName]float64, len(d.GetDemand()))
+	for _, of := range d.GetDemand() {
+		demands[table.ServiceName(of.GetModel())] = of.GetPrefill()
+	}
+
+	x.opts.Board.MergeDemands(x.now(), table.HostID(d.GetHost()), demands)
+
 	news := make([]placing.News, 0, len(d.GetHeld()))
 	for _, n := range d.GetHeld() {
 		news = append(news, placing.News{Prefix: placing.Prefix(n.GetPrefix()), Target: table.TargetID(n.GetTarget())})
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -111,7 +111,8 @@
 	deadline time.Time
 	version  catalog.Version
 
-	sends int              // that may have reached a target
+	sends int              // that count as arrivals at a target
+	read  bool             // a replica has read the prompt; the first time does not count as an arrival
 	tried []table.TargetID // not to be tried again
 	first time.Duration
 	out   Outcome
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -70,7 +70,7 @@
 // streamOnce tries to serve the stream on one pair of replicas. It reports whether the stream has ended.
 // A refusal says that no further try makes sense.
 func (j *job) streamOnce(ctx context.Context, w Reply, p *progress) (bool, *verdict.Error) {
-	handle, refusal := j.read(ctx, p)
+	handle, refusal := j.readPrompt(ctx, p)
 	if refusal != nil {
 		return false, refusal
 	}
@@ -117,21 +117,25 @@
 	return j.service.Engine.KVCapacity
 }
 
-// read has the prompt read by a replica. It returns no handle where no replica reads prompts only.
-func (j *job) read(ctx context.Context, p *progress) (*Handle, *verdict.Error) {
+// readPrompt has the prompt read by a replica. It returns no handle where no replica reads prompts only.
+func (j *job) readPrompt(ctx context.Context, p *progress) (*Handle, *verdict.Error) {
 	for tries := 0; ; tries++ {
 		place, ok := j.opts.Board.ForPrompt(j.now(), j.candidates(table.Prefill), j.work())
 		if !ok {
 			return nil, nil
 		}
 
+		if tries == 0 && p.runs == 0 {
+			j.opts.Board.Offered(j.now(), j.service.Name, j.r.Prompt-place.Cached)
+		}
+
 		if !p.begun && !j.pacing().Worthwhile(place.Wait, j.now().Sub(j.r.Arrived)) {
 			place.Claim.Release()
 
 			return nil, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the first event would come too late").After(place.Wait)
 		}
 
-		if tries > 0 && !j.maySend() {
+		if !j.maySend() {
 			place.Claim.Release()
 
 			return nil, j.noTarget()
@@ -140,6 +144,11 @@
 		handle, again := j.readOnce(ctx, place, p)
 		place.Claim.Release()
 
+		if handle != nil && !j.read {
+			j.read = true
+			j.sends--
+		}
+
 		if handle != nil || !again {
 			return handle, j.ended(ctx, verdict.NotRun)
 		}
--- a/internal/entry/relay/stream_test.go
+++ b/internal/entry/relay/stream_test.go
@@ -173,6 +173,31 @@
 	require.NotEqual(t, w.targets.reads[0].Target.ID, w.targets.reads[1].Target.ID)
 }
 
+// Reading a prompt again counts against the bound on repeats like a run; only the first reading is free.
+func TestRepeatedReadingCountsAsARepeat(t *testing.T) {
+	for slack := range 4 {
+		w := newWorld(t, resumable, float64(slack))
+		w.targets.run = failsWith(mayHaveRun())
+		w.serve(t, t.Context())
+
+		arrivals := len(w.targets.runs) + len(w.targets.reads) - 1
+		require.LessOrEqual(t, arrivals-1, slack)
+	}
+}
+
+// A refused reading is an arrival too.
+func TestRefusedReadingCountsAsARepeat(t *testing.T) {
+	for slack := range 4 {
+		w := newWorld(t, resumable, float64(slack))
+		w.targets.read = func(int, relay.Send) (*relay.Handle, *relay.Answer, error) { return nil, nil, mayHaveRun() }
+		w.targets.run = failsWith(mayHaveRun())
+		w.serve(t, t.Context())
+
+		arrivals := len(w.targets.runs) + len(w.targets.reads)
+		require.LessOrEqual(t, arrivals-1, slack)
+	}
+}
+
 func TestSilentReplicaIsReplacedBeforeTheCallerGivesUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, resumable, 100)
