Let replicas that change their role or refuse work rest; shift the split by demand

Ruled out: too few replicas left to generate (1.8 of 6 needed at that moment). Change: the holder tells which replicas change with each heartbeat; a target that refuses rests for 250 ms, doubling.

--- a/internal/control/placing/board.go
+++ b/internal/control/placing/board.go
@@ -49,7 +49,8 @@
 	targets map[table.TargetID]*record
 	offered map[table.ServiceName]*rate
 	cache   *cache
-	pace    float64 // prompt tokens per second of a replica in the mean
+	pace    float64 // prompt tokens per second of a replica in the mean, as its load lets it
+	alone   float64 // the same of a replica that reads one prompt only
 }
 
 type peerUse struct {
@@ -68,6 +69,7 @@
 		offered: map[table.ServiceName]*rate{},
 		cache:   newCache(),
 		pace:    initialPace,
+		alone:   initialPace,
 	}
 }
 
@@ -210,12 +212,12 @@
 	return busy
 }
 
-// Pace returns the prompt tokens that a replica reads in a second, as learned so far.
+// Pace returns the prompt tokens that an otherwise idle replica reads in a second, as learned so far.
 func (b *Board) Pace() float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	return b.pace
+	return b.alone
 }
 
 // Load is the work on a group of model replicas.
--- a/internal/control/placing/choose.go
+++ b/internal/control/placing/choose.go
@@ -57,6 +57,7 @@
 	Wait   time.Duration // expected until the prompt is read; zero for plain services
 	Full   bool          // the target has no room for the KV cache; only set when none has
 	work   table.Tokens  // ahead of the end of the reading, this prompt included
+	alone  bool          // nothing else is being read there
 }
 
 // ForPrompt chooses the replica on which the prompt of job is expected to be read first.
@@ -102,7 +103,10 @@
 			}
 
 			if !found || score < bestScore {
-				best = Placement{Target: t, Cached: cached, Wait: time.Duration(seconds * float64(time.Second)), work: work}
+				best = Placement{
+					Target: t, Cached: cached, Wait: time.Duration(seconds * float64(time.Second)), work: work,
+					alone: use.Reading == [ranks]table.Tokens{},
+				}
 				bestScore, found = score, true
 			}
 		}
--- a/internal/control/placing/record.go
+++ b/internal/control/placing/record.go
@@ -22,6 +22,10 @@
 	// firstPause and longestPause bound the time for which a target that was lost gets no work.
 	firstPause   = 500 * time.Millisecond
 	longestPause = 4 * time.Second
+	// refusedPause and longestRefused do so for a target that refused work: it is back when work of others ends,
+	// or its change of role.
+	refusedPause   = 250 * time.Millisecond
+	longestRefused = 2 * time.Second
 )
 
 // record is what was learned of one target.
@@ -50,6 +54,8 @@
 	Failed
 	// Lost means that the target could not be reached or did not answer in time.
 	Lost
+	// Refused means that the target did not take the work: it is full, or is changing its role.
+	Refused
 )
 
 // Note learns from how work on target ended at now.
@@ -58,19 +64,38 @@
 	defer b.mu.Unlock()
 
 	r := b.record(target)
-	fault := 1.0
 
-	if o == Served {
-		fault = 0
-		r.pause = 0
-		r.until = time.Time{}
+	switch o {
+	case Served:
+		r.faults -= faultWeight * r.faults
+		r.pause, r.until = 0, time.Time{}
+	case Failed:
+		r.faults += faultWeight * (1 - r.faults)
+	case Lost:
+		r.faults += faultWeight * (1 - r.faults)
+		r.rest(now, firstPause, longestPause)
+	case Refused:
+		r.rest(now, refusedPause, longestRefused)
 	}
+}
+
+// rest gives the target no work for a time that doubles with each such end in a row.
+func (r *record) rest(now time.Time, first, longest time.Duration) {
+	if now.Before(r.until) {
+		return
+	}
+
+	r.pause = min(max(2*r.pause, first), longest)
+	r.until = now.Add(r.pause)
+}
 
-	r.faults += faultWeight * (fault - r.faults)
+// Rest gives target no work until until, since it is known to take none.
+func (b *Board) Rest(target table.TargetID, until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 
-	if o == Lost && !now.Before(r.until) {
-		r.pause = min(max(2*r.pause, firstPause), longestPause)
-		r.until = now.Add(r.pause)
+	if r := b.record(target); until.After(r.until) {
+		r.until = until
 	}
 }
 
@@ -87,6 +112,10 @@
 	}
 
 	pace := tokens / took.Seconds()
+	if p.alone {
+		b.alone += paceWeight * (pace - b.alone)
+	}
+
 	r := b.record(p.Target.ID)
 	r.pace = orElse(r.pace, b.pace)
 	r.pace += ownPaceWeight * (pace - r.pace)
--- a/internal/control/split/machine.go
+++ b/internal/control/split/machine.go
@@ -20,6 +20,14 @@
 	// settleTime is how long the parts must be wrong before a replica is changed under load, so that one
 	// that is back soon is waited for.
 	settleTime = 4 * time.Second
+	// adaptTime is how long one side must be short before a replica changes over: the time that a change takes.
+	adaptTime = 3 * time.Second
+	// A side is short above these parts of its replicas. Answers are slowed down late, prompts early by load.
+	shortRead   = 0.95
+	shortAnswer = 0.9
+	// The other side can spare a replica if the rest stay below these parts.
+	spareRead   = 0.6
+	spareAnswer = 0.5
 	// underway bounds the replicas in change at a time under load.
 	underway = 2
 	// lateOrder is the time after which an order without effect is no longer expected to be carried out.
@@ -40,6 +48,13 @@
 	Targets []fleet.Target // model replicas of one service that do not leave
 	Busy    func(table.TargetID) int
 	Loaded  bool // requests have come
+	Need    Need
+}
+
+// Need is the demand, as replicas that it would keep busy all the time. The zero value is no demand.
+type Need struct {
+	Read   float64 // prompts
+	Answer float64 // answers, by the scarcer of slots and KV cache
 }
 
 // pending is an order that was given and has no effect yet.
@@ -53,6 +68,10 @@
 	pending map[table.TargetID]pending
 	refused map[table.TargetID]time.Time // until when a replica that refused an order gets none
 	wrong   time.Time                    // since when the parts are wrong; zero: they are not
+
+	shift float64   // of the part of the readers, by demand
+	side  float64   // step that the demand asks for
+	short time.Time // since when it does; zero: it does not
 }
 
 // New returns a Machine that has given no order.
@@ -76,7 +95,9 @@
 		}
 	}
 
-	missing := wanted(len(in.Targets)) - readers
+	m.adapt(in, readers)
+
+	missing := m.wanted(len(in.Targets)) - readers
 	if missing == 0 {
 		m.wrong = time.Time{}
 
@@ -101,8 +122,39 @@
 }
 
 // wanted returns the replicas of n that are to read prompts.
-func wanted(n int) int {
-	return min(max(int(math.Round(startPart*float64(n))), 1), n-1)
+func (m *Machine) wanted(n int) int {
+	return min(max(int(math.Round((startPart+m.shift)*float64(n))), 1), n-1)
+}
+
+// adapt shifts the part of the readers by one replica at a time, once one side has been short for a while
+// and the other side can spare it.
+func (m *Machine) adapt(in Input, readers int) {
+	n, answerers := float64(len(in.Targets)), float64(len(in.Targets)-readers)
+	step := 0.0
+
+	switch {
+	case in.Need.Read > shortRead*float64(readers) && in.Need.Answer < spareAnswer*(answerers-1):
+		step = 1 / n
+	case in.Need.Answer > shortAnswer*answerers && in.Need.Read < spareRead*float64(readers-1):
+		step = -1 / n
+	}
+
+	if step == 0 || !in.Loaded || len(m.pending) > 0 || step*m.side < 0 {
+		m.side, m.short = step, time.Time{}
+
+		return
+	}
+
+	if m.short.IsZero() {
+		m.side, m.short = step, in.Now
+
+		return
+	}
+
+	if in.Now.Sub(m.short) >= adaptTime {
+		m.shift += step
+		m.short = in.Now
+	}
 }
 
 // settle forgets orders that took effect, came to nothing, or went to a replica that is gone.
@@ -189,6 +241,16 @@
 	return first
 }
 
+// Changing returns the replicas whose orders have not taken effect yet.
+func (m *Machine) Changing() []table.TargetID {
+	ids := make([]table.TargetID, 0, len(m.pending))
+	for id := range m.pending {
+		ids = append(ids, id)
+	}
+
+	return ids
+}
+
 // Refused takes back an order that had no effect.
 func (m *Machine) Refused(now time.Time, o Order) {
 	delete(m.pending, o.Target.ID)
--- a/internal/entry/conduct/conductor.go
+++ b/internal/entry/conduct/conductor.go
@@ -20,6 +20,8 @@
 
 const (
 	tickEvery = 200 * time.Millisecond
+	// changingLife is how long word of a changing replica counts: several steps and heartbeats.
+	changingLife = time.Second
 	// orderBound bounds one order's call.
 	orderBound = time.Second
 
@@ -93,6 +95,9 @@
 	taken    time.Time   // when this host first held under fence
 	fenced   bool        // a later holder has given orders
 	machines map[table.ServiceName]*split.Machine
+
+	changing  []table.TargetID // gathered within a step
+	published atomic.Pointer[[]table.TargetID]
 }
 
 // Start runs a Conductor until ctx ends.
@@ -138,6 +143,8 @@
 
 	fence, held := c.lease.Held(now)
 	if !held || c.stopping.Load() {
+		c.publish(nil)
+
 		return
 	}
 
@@ -152,11 +159,34 @@
 		return
 	}
 
+	c.changing = nil
+
 	for _, s := range c.opts.Catalog().Services() {
 		if s.Engine != nil {
 			c.conduct(ctx, s)
 		}
 	}
+
+	c.publish(c.changing)
+}
+
+// publish tells what changes; replicas that change take no work until then.
+func (c *Conductor) publish(changing []table.TargetID) {
+	until := c.opts.Clock.Now().Add(changingLife)
+	for _, id := range changing {
+		c.opts.Board.Rest(id, until)
+	}
+
+	c.published.Store(&changing)
+}
+
+// Changing returns the replicas that carry out this host's orders; none where it does not hold the lease.
+func (c *Conductor) Changing() []table.TargetID {
+	if ids := c.published.Load(); ids != nil {
+		return *ids
+	}
+
+	return nil
 }
 
 func (c *Conductor) conduct(ctx context.Context, s catalog.Service) {
@@ -166,13 +196,50 @@
 		c.machines[s.Name] = m
 	}
 
-	orders := m.Tick(split.Input{
-		Now: c.opts.Clock.Now(), Targets: c.opts.Fleet().Of(s.Name), Loaded: c.opts.Loaded(), Busy: c.opts.Board.Busy,
-	})
+	now := c.opts.Clock.Now()
+	targets := c.opts.Fleet().Of(s.Name)
+	need := c.need(now, s, targets)
+
+	orders := m.Tick(split.Input{Now: now, Targets: targets, Loaded: c.opts.Loaded(), Busy: c.opts.Board.Busy, Need: need})
+	if len(orders) > 0 {
+		c.opts.Log.Info().Str("service", string(s.Name)).Int("targets", len(targets)).Int("orders", len(orders)).
+			Float64("need-read", need.Read).Float64("need-answer", need.Answer).Msg("roles are wrong")
+	}
 
 	for _, o := range orders {
 		c.give(ctx, m, o)
 	}
+
+	c.changing = append(c.changing, m.Changing()...)
+}
+
+// need returns the demand for s, as all hosts see it.
+func (c *Conductor) need(now time.Time, s catalog.Service, targets []fleet.Target) split.Need {
+	var (
+		ids   []table.TargetID
+		slots int
+	)
+
+	for _, t := range targets {
+		ids = append(ids, t.ID)
+		slots += t.Slots
+	}
+
+	if len(ids) == 0 || slots == 0 {
+		return split.Need{}
+	}
+
+	load := c.opts.Board.Running(ids)
+	need := split.Need{
+		Read:   c.opts.Board.Demand(now, s.Name) / c.opts.Board.Pace(),
+		Answer: float64(load.Runs) / float64(slots) * float64(len(ids)),
+	}
+
+	if s.Engine.KVCapacity > 0 {
+		need.Answer = max(need.Answer, float64(load.Held)/float64(s.Engine.KVCapacity))
+	}
+
+	return need
 }
 
 // give asks a replica for its state and sends one order, if the lease still holds right before.
--- a/internal/entry/exchange/exchange.go
+++ b/internal/entry/exchange/exchange.go
@@ -15,6 +15,9 @@
 // maxUses bounds the targets that a peer may report; a fleet has some hundred.
 const maxUses = 4096
 
+// changingLife is how long word of a changing replica counts: several heartbeats.
+const changingLife = time.Second
+
 // Options are the parts of an Exchange. Board and Ready are required.
 type Options struct {
 	Clock    clockwork.Clock // nil means the real clock
@@ -22,6 +25,7 @@
 	Ready    func() bool
 	Stopping func() bool // nil means never
 	Version  func() uint64
+	Changing func() []table.TargetID // replicas that carry out this host's orders; nil means none
 }
 
 // Exchange fills and hears digests. It implements peers.Local and is safe for concurrent use.
@@ -39,6 +43,10 @@
 		opts.Stopping = func() bool { return false }
 	}
 
+	if opts.Changing == nil {
+		opts.Changing = func() []table.TargetID { return nil }
+	}
+
 	return &Exchange{opts: opts}
 }
 
@@ -57,6 +65,10 @@
 		d.Work = append(d.Work, work)
 	}
 
+	for _, id := range x.opts.Changing() {
+		d.Loads = append(d.Loads, &peer.Load{Target: string(id), Changing: true})
+	}
+
 	for service, tokens := range x.opts.Board.Demands(x.now()) {
 		d.Demand = append(d.Demand, &peer.Demand{Model: string(service), Prefill: tokens})
 	}
@@ -74,6 +86,12 @@
 func (x *Exchange) Hear(d *peer.Digest) {
 	x.opts.Board.Merge(x.now(), table.HostID(d.GetHost()), uses(d.GetWork()))
 
+	for _, l := range d.GetLoads()[:min(len(d.GetLoads()), maxUses)] {
+		if l.GetChanging() {
+			x.opts.Board.Rest(table.TargetID(l.GetTarget()), x.now().Add(changingLife))
+		}
+	}
+
 	demands := make(map[table.ServiceName]float64, len(d.GetDemand()))
 	for _, of := range d.GetDemand() {
 		demands[table.ServiceName(of.GetModel())] = of.GetPrefill()
--- a/internal/entry/relay/stream_test.go
+++ b/internal/entry/relay/stream_test.go
@@ -166,7 +166,9 @@
 
 		return &relay.Handle{Target: s.Target, Name: "kv"}, nil, nil
 	}
-	w.targets.run = func(int, context.Context, relay.Send) (*relay.Answer, error) { return answer(200, eventsFrom(1, 1)), nil }
+	w.targets.run = func(int, context.Context, relay.Send) (*relay.Answer, error) {
+		return answer(200, eventsFrom(1, 1)), nil
+	}
 
 	require.Equal(t, 200, w.serve(t, t.Context()).status)
 	require.Len(t, w.targets.reads, 2)
@@ -270,7 +272,9 @@
 
 func TestCallerThatCannotBeWrittenToEndsTheStream(t *testing.T) {
 	w := newWorld(t, resumable, 100)
-	w.targets.run = func(int, context.Context, relay.Send) (*relay.Answer, error) { return answer(200, eventsFrom(1, 9)), nil }
+	w.targets.run = func(int, context.Context, relay.Send) (*relay.Answer, error) {
+		return answer(200, eventsFrom(1, 9)), nil
+	}
 
 	out := &reply{onEvent: func() error { return errors.New("broken pipe") }}
 	w.serveTo(t, t.Context(), out)
