Feed a host that the store turns away from a peer; find peers through the store; reload settings

Cause: a host without the store kept an old view or knew nothing after a restart; seeds may all be gone; a suspended machine's lease seemed to hold, since the monotonic clock stands still; SIGHUP changed nothing. Change: heartbeats carry version and revision; a host that the store does not answer fetches both from a peer. The lease is measured by the boot-time clock. Settings are read again on SIGHUP or when the file changed: bounds on repeats and stops, seeds.

--- a/cmd/dotterelflow-front/main.go
+++ b/cmd/dotterelflow-front/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/phuslu/log"
 	"github.com/urfave/cli/v3"
@@ -16,6 +17,9 @@
 	"github.com/dotterelflow/dotterelflow/platform/settings"
 )
 
+// lookEvery is the time between two looks at the settings file, which may change without a signal.
+const lookEvery = 2 * time.Second
+
 func main() {
 	app := &cli.Command{
 		Name:  "dotterelflow-front",
@@ -53,13 +57,29 @@
 
 	logger.Info().Str("data-centre", string(cfg.DataCentre)).Str("callers", cfg.CallerAddress).Msg("started")
 
+	return supervise(h, c.String("settings"), signals, logger)
+}
+
+// supervise runs h until it is told to stop, and takes changed settings over, with a signal or without.
+func supervise(h *host.Host, path string, signals <-chan os.Signal, logger *log.Logger) error {
+	looks := time.NewTicker(lookEvery)
+	defer looks.Stop()
+
+	known := modified(path)
+
 	for {
 		select {
 		case err := <-h.Failed():
 			return err
+		case <-looks.C:
+			if now := modified(path); now != known {
+				known = now
+				reload(h, path, logger)
+			}
 		case s := <-signals:
 			if s == syscall.SIGHUP {
-				logger.Info().Msg("settings reloaded: nothing to change while running")
+				known = modified(path)
+				reload(h, path, logger)
 
 				continue
 			}
@@ -72,3 +92,25 @@
 		}
 	}
 }
+
+// modified returns when the file at path last changed; zero if that cannot be told.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+
+	return info.ModTime()
+}
+
+// reload takes the settings at path over. Settings that are not understood change nothing.
+func reload(h *host.Host, path string, logger *log.Logger) {
+	cfg, err := settings.Read(path)
+	if err != nil {
+		logger.Error().Err(err).Msg("settings not understood; those in force stay")
+
+		return
+	}
+
+	h.Reload(cfg)
+}
--- a/internal/control/retries/window.go
+++ b/internal/control/retries/window.go
@@ -49,6 +49,18 @@
 	w.hosts = max(n, 1)
 }
 
+// SetOptions states another bound from now on. What was counted stays, unless the span changes.
+func (w *Window) SetOptions(opts WindowOptions) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if opts.Span != w.opts.Span {
+		clear(w.services)
+	}
+
+	w.opts = opts
+}
+
 // Seen counts a caller's request for service.
 func (w *Window) Seen(now time.Time, service table.ServiceName) {
 	w.mu.Lock()
--- a/internal/entry/conduct/conductor.go
+++ b/internal/entry/conduct/conductor.go
@@ -71,6 +71,7 @@
 // Options are the parts of a Conductor. All are required but Clock and Log.
 type Options struct {
 	Clock    clockwork.Clock // nil means the real clock
+	Lease    clockwork.Clock // measures the lease; it must also count suspensions; nil means Clock
 	Log      *log.Logger     // nil means the default logger
 	Host     table.HostID
 	Store    authority.Store
@@ -106,12 +107,16 @@
 		opts.Clock = clockwork.NewRealClock()
 	}
 
+	if opts.Lease == nil {
+		opts.Lease = opts.Clock
+	}
+
 	if opts.Log == nil {
 		opts.Log = &log.DefaultLogger
 	}
 
 	c := &Conductor{opts: opts, done: make(chan struct{}), machines: map[table.ServiceName]*split.Machine{}}
-	c.lease = authority.Start(ctx, opts.Clock, opts.Store, c, authority.Options{
+	c.lease = authority.Start(ctx, opts.Lease, opts.Store, c, authority.Options{
 		DataCentre: "all", Host: opts.Host, Lease: lease, Renew: renew, Poll: poll, Margin: margin,
 	}, opts.Seed)
 
@@ -139,7 +144,7 @@
 }
 
 func (c *Conductor) step(ctx context.Context) {
-	now := c.opts.Clock.Now()
+	now := c.opts.Lease.Now()
 
 	fence, held := c.lease.Held(now)
 	if !held || c.stopping.Load() {
@@ -259,7 +264,7 @@
 		return
 	}
 
-	if f, held := c.lease.Held(c.opts.Clock.Now()); !held || f != c.fence || c.fenced {
+	if f, held := c.lease.Held(c.opts.Lease.Now()); !held || f != c.fence || c.fenced {
 		m.Refused(c.opts.Clock.Now(), o)
 
 		return
--- a/internal/entry/exchange/exchange.go
+++ b/internal/entry/exchange/exchange.go
@@ -26,6 +26,9 @@
 	Stopping func() bool // nil means never
 	Version  func() uint64
 	Changing func() []table.TargetID // replicas that carry out this host's orders; nil means none
+	Revision func() uint64           // of the store, up to which this host knows the targets; nil means none
+	// Told is called with the version and the revision that a peer has; nil for nobody.
+	Told func(host table.HostID, version, revision uint64)
 }
 
 // Exchange fills and hears digests. It implements peers.Local and is safe for concurrent use.
@@ -43,6 +46,14 @@
 		opts.Stopping = func() bool { return false }
 	}
 
+	if opts.Revision == nil {
+		opts.Revision = func() uint64 { return 0 }
+	}
+
+	if opts.Told == nil {
+		opts.Told = func(table.HostID, uint64, uint64) {}
+	}
+
 	if opts.Changing == nil {
 		opts.Changing = func() []table.TargetID { return nil }
 	}
@@ -55,6 +66,7 @@
 	d.Ready = x.opts.Ready()
 	d.Stopping = x.opts.Stopping()
 	d.Generation = x.opts.Version()
+	d.TargetsRevision = x.opts.Revision()
 
 	for _, u := range x.opts.Board.Export() {
 		work := &peer.TargetWork{Target: string(u.Target), Runs: int64(u.Runs), Held: int64(u.Held)}
@@ -84,6 +96,7 @@
 
 // Hear implements peers.Local.
 func (x *Exchange) Hear(d *peer.Digest) {
+	x.opts.Told(table.HostID(d.GetHost()), d.GetGeneration(), d.GetTargetsRevision())
 	x.opts.Board.Merge(x.now(), table.HostID(d.GetHost()), uses(d.GetWork()))
 
 	for _, l := range d.GetLoads()[:min(len(d.GetLoads()), maxUses)] {
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -309,6 +310,16 @@
 	n.due[d.GetAddress()] = n.opts.Clock.Now().Add(n.members.Period() * overdue / 100)
 }
 
+// Introduce makes the network try addresses that may be peers.
+func (n *Network) Introduce(addresses []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	for part := range slices.Chunk(addresses, introduced) {
+		n.noteRumours(part)
+	}
+}
+
 // Live returns the live members.
 func (n *Network) Live() []members.Member {
 	n.mu.Lock()
--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -30,9 +30,11 @@
 	catalog atomic.Pointer[catalog.Catalog]
 	fleet   atomic.Pointer[fleet.Snapshot]
 
-	mu   sync.Mutex
-	view *fleet.View
-	bad  map[string]uint64 // revisions of entries that could not be decoded, logged once
+	mu     sync.Mutex
+	view   *fleet.View
+	bad    map[string]uint64 // revisions of entries that could not be decoded, logged once
+	copied Copy              // what was read, for peers
+	lost   bool              // the store does not answer about targets
 }
 
 // New returns a Site that knows nothing yet.
@@ -45,7 +47,7 @@
 		opts.Log = &log.DefaultLogger
 	}
 
-	return &Site{opts: opts, view: fleet.New(), bad: map[string]uint64{}}
+	return &Site{opts: opts, view: fleet.New(), bad: map[string]uint64{}, copied: Copy{Targets: map[string][]byte{}}}
 }
 
 // Catalog returns the configuration in force, or nil before the first one.
@@ -93,6 +95,7 @@
 	}
 
 	s.catalog.Store(c)
+	s.copied.Configuration = value
 	s.opts.Log.Info().Uint64("configuration", uint64(c.Version)).Str("from", from).Msg("configuration in force")
 }
 
@@ -144,7 +147,13 @@
 
 type targets struct{ *Site }
 
-func (t targets) Replaced(now time.Time, entries []follow.Entry, _ uint64) {
+// read notes an answer of the store at revision; the caller holds mu.
+func (t targets) read(revision uint64) {
+	t.lost = false
+	t.copied.Revision = max(t.copied.Revision, revision)
+}
+
+func (t targets) Replaced(now time.Time, entries []follow.Entry, revision uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
@@ -156,9 +165,16 @@
 		}
 	}
 
+	t.read(revision)
 	t.view.Answered(now)
 	t.view.Replace(now, list)
 
+	clear(t.copied.Targets)
+
+	for _, e := range entries {
+		t.copied.Targets[e.Name] = e.Value
+	}
+
 	if t.fleet.Load() == nil && len(list) == 0 {
 		t.fleet.Store(fleet.NewSnapshot(nil))
 	}
@@ -166,13 +182,20 @@
 	t.publish()
 }
 
-func (t targets) Changed(now time.Time, changes []follow.Change, _ uint64) {
+func (t targets) Changed(now time.Time, changes []follow.Change, revision uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
+	t.read(revision)
 	t.view.Answered(now)
 
 	for _, ch := range changes {
+		if ch.Deleted {
+			delete(t.copied.Targets, ch.Name)
+		} else {
+			t.copied.Targets[ch.Name] = ch.Value
+		}
+
 		if ch.Deleted {
 			t.view.Remove(now, ch.Name)
 		} else if target, ok := t.decode(ch.Entry); ok {
@@ -189,6 +212,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
+	t.lost = true
 	t.view.Lost()
 }
 
