--- a/internal/entry/relay/call_test.go
+++ b/internal/entry/relay/call_test.go
@@ -28,7 +28,7 @@
 	w := newWorld(t, atMostOnce, 100)
 	w.targets.run = failsWith(mayHaveRun())
 
-	out := w.serve(t, t.Context())
+	out := w.serve(t.Context(), t)
 	require.Len(t, w.targets.runs, 1)
 	require.Equal(t, verdict.MayHaveRun, out.refused.Verdict, "the caller must not be told that it has not run")
 }
@@ -53,7 +53,7 @@
 				return answer(200, "done"), nil
 			}
 
-			out := w.serve(t, t.Context())
+			out := w.serve(t.Context(), t)
 			require.Equal(t, 200, out.status)
 			require.Len(t, w.targets.runs, 2)
 			require.NotEqual(t, w.targets.runs[0].Target.ID, w.targets.runs[1].Target.ID)
@@ -70,7 +70,7 @@
 		return a, nil
 	}
 
-	out := w.serve(t, t.Context())
+	out := w.serve(t.Context(), t)
 	require.Equal(t, verdict.NotRun, out.refused.Verdict)
 	require.Positive(t, out.refused.RetryAfter)
 }
@@ -79,7 +79,7 @@
 	w := newWorld(t, repeatable, 0)
 	w.targets.run = failsWith(mayHaveRun())
 
-	out := w.serve(t, t.Context())
+	out := w.serve(t.Context(), t)
 	require.Len(t, w.targets.runs, 1, "no repeat is left")
 	require.Equal(t, verdict.MayHaveRun, out.refused.Verdict)
 }
@@ -95,11 +95,11 @@
 
 	w := newWorld(t, repeatable, 100)
 	w.targets.run = script
-	require.Equal(t, 200, w.serve(t, t.Context()).status)
+	require.Equal(t, 200, w.serve(t.Context(), t).status)
 
 	w = newWorld(t, atMostOnce, 100)
 	w.targets.run = script
-	out := w.serve(t, t.Context())
+	out := w.serve(t.Context(), t)
 	require.Equal(t, 500, out.status, "the target's own answer is passed on")
 	require.Equal(t, "failed", out.body.String())
 }
@@ -108,7 +108,7 @@
 	w := newWorld(t, repeatable, 100)
 	w.targets.run = func(int, context.Context, relay.Send) (*relay.Answer, error) { return answer(500, "failed"), nil }
 
-	out := w.serve(t, t.Context())
+	out := w.serve(t.Context(), t)
 	require.Equal(t, 500, out.status)
 	require.Len(t, w.targets.runs, 2)
 }
@@ -122,7 +122,7 @@
 		return a, nil
 	}
 
-	out := w.serve(t, t.Context())
+	out := w.serve(t.Context(), t)
 	require.Empty(t, out.body.String())
 	require.Equal(t, verdict.MayHaveRun, out.refused.Verdict)
 }
@@ -141,7 +141,7 @@
 		}
 
 		start := time.Now()
-		require.Equal(t, 200, w.serve(t, t.Context()).status)
+		require.Equal(t, 200, w.serve(t.Context(), t).status)
 		require.LessOrEqual(t, time.Since(start), 4*repeatable.Objective)
 	})
 }
@@ -156,7 +156,7 @@
 		}
 
 		start := time.Now()
-		out := w.serve(t, t.Context())
+		out := w.serve(t.Context(), t)
 		require.Equal(t, verdict.CodeDeadline, out.refused.Code)
 		require.Less(t, time.Since(start), atMostOnce.Timeout+500*time.Millisecond)
 		require.LessOrEqual(t, w.targets.runs[0].Limit, atMostOnce.Timeout, "the target gets no more time than is left")
--- a/internal/entry/relay/fakes_test.go
+++ b/internal/entry/relay/fakes_test.go
@@ -174,16 +174,16 @@
 	return w
 }
 
-func (w *world) serve(t *testing.T, ctx context.Context) *reply {
+func (w *world) serve(ctx context.Context, t *testing.T) *reply {
 	t.Helper()
 
 	out := &reply{}
-	w.serveTo(t, ctx, out)
+	w.serveTo(ctx, t, out)
 
 	return out
 }
 
-func (w *world) serveTo(t *testing.T, ctx context.Context, out *reply) {
+func (w *world) serveTo(ctx context.Context, t *testing.T, out *reply) {
 	t.Helper()
 
 	w.relay.Serve(ctx, &relay.Request{
--- a/internal/entry/relay/stream_test.go
+++ b/internal/entry/relay/stream_test.go
@@ -48,7 +48,7 @@
 		return answer(200, eventsFrom(1, 5)), nil
 	}
 
-	out := w.serve(t, t.Context())
+	out := w.serve(t.Context(), t)
 	require.Equal(t, eventsFrom(1, 5), out.body.String())
 	require.False(t, out.broken)
 	require.Len(t, w.targets.reads, 1)
@@ -69,7 +69,7 @@
 		return answer(200, eventsFrom(4, 6)), nil
 	}
 
-	out := w.serve(t, t.Context())
+	out := w.serve(t.Context(), t)
 	require.Equal(t, eventsFrom(1, 6), out.body.String(), "each event once, in order")
 	require.Equal(t, []string{"first"}, out.header["Signature"], "headers are those of the first replica")
 	require.False(t, out.broken)
@@ -85,7 +85,7 @@
 		return a, nil
 	}
 
-	out := w.serve(t, t.Context())
+	out := w.serve(t.Context(), t)
 	require.True(t, out.broken, "it must not look complete")
 	require.Len(t, w.targets.runs, 1)
 }
@@ -96,7 +96,7 @@
 		return answer(200, eventsFrom(1, 2)+"id: 3\nda"), nil
 	}
 
-	out := w.serve(t, t.Context())
+	out := w.serve(t.Context(), t)
 	require.True(t, out.broken)
 	require.Equal(t, eventsFrom(1, 2), out.body.String(), "only whole events are passed on")
 }
@@ -104,7 +104,7 @@
 func TestStreamThatMayHaveRunIsNotSentAgainUnlessItMayBeResumed(t *testing.T) {
 	w := newWorld(t, plainStream, 100)
 	w.targets.run = failsWith(mayHaveRun())
-	out := w.serve(t, t.Context())
+	out := w.serve(t.Context(), t)
 	require.Len(t, w.targets.runs, 1)
 	require.Equal(t, verdict.MayHaveRun, out.refused.Verdict)
 
@@ -116,7 +116,7 @@
 
 		return answer(200, eventsFrom(1, 2)), nil
 	}
-	require.Equal(t, 200, w.serve(t, t.Context()).status)
+	require.Equal(t, 200, w.serve(t.Context(), t).status)
 }
 
 func TestRefusedAnswerTakesTheSameKVCacheElsewhere(t *testing.T) {
@@ -132,7 +132,7 @@
 		return answer(200, eventsFrom(1, 2)), nil
 	}
 
-	require.Equal(t, 200, w.serve(t, t.Context()).status)
+	require.Equal(t, 200, w.serve(t.Context(), t).status)
 	require.Len(t, w.targets.reads, 1, "the prompt is read once")
 }
 
@@ -146,7 +146,7 @@
 			return a, nil
 		}
 
-		out := w.serve(t, t.Context())
+		out := w.serve(t.Context(), t)
 		require.Equal(t, verdict.NotRun, out.refused.Verdict)
 		require.Positive(t, out.refused.RetryAfter)
 		synctest.Wait()
@@ -170,7 +170,7 @@
 		return answer(200, eventsFrom(1, 1)), nil
 	}
 
-	require.Equal(t, 200, w.serve(t, t.Context()).status)
+	require.Equal(t, 200, w.serve(t.Context(), t).status)
 	require.Len(t, w.targets.reads, 2)
 	require.NotEqual(t, w.targets.reads[0].Target.ID, w.targets.reads[1].Target.ID)
 }
@@ -180,7 +180,7 @@
 	for slack := range 4 {
 		w := newWorld(t, resumable, float64(slack))
 		w.targets.run = failsWith(mayHaveRun())
-		w.serve(t, t.Context())
+		w.serve(t.Context(), t)
 
 		arrivals := len(w.targets.runs) + len(w.targets.reads) - 1
 		require.LessOrEqual(t, arrivals-1, slack)
@@ -193,7 +193,7 @@
 		w := newWorld(t, resumable, float64(slack))
 		w.targets.read = func(int, relay.Send) (*relay.Handle, *relay.Answer, error) { return nil, nil, mayHaveRun() }
 		w.targets.run = failsWith(mayHaveRun())
-		w.serve(t, t.Context())
+		w.serve(t.Context(), t)
 
 		arrivals := len(w.targets.runs) + len(w.targets.reads)
 		require.LessOrEqual(t, arrivals-1, slack)
@@ -220,7 +220,7 @@
 		}
 
 		start := time.Now()
-		out := w.serve(t, t.Context())
+		out := w.serve(t.Context(), t)
 		require.Equal(t, eventsFrom(1, 3), out.body.String())
 
 		abandoned := placing.Pacing{Objective: resumable.Objective, Gap: resumable.Gap}.Abandoned()
@@ -263,7 +263,7 @@
 
 		left := time.Now().Add(300 * time.Millisecond)
 		time.AfterFunc(300*time.Millisecond, leave)
-		w.serve(t, ctx)
+		w.serve(ctx, t)
 		synctest.Wait()
 		require.WithinDuration(t, left, stopped, 500*time.Millisecond)
 		require.Len(t, w.targets.runs, 1, "nothing is sent for a caller that has gone")
@@ -277,6 +277,6 @@
 	}
 
 	out := &reply{onEvent: func() error { return errors.New("broken pipe") }}
-	w.serveTo(t, t.Context(), out)
+	w.serveTo(t.Context(), t, out)
 	require.Len(t, w.targets.runs, 1)
 }
