--- a/cmd/dotterelflow-front/main.go
+++ b/cmd/dotterelflow-front/main.go
@@ -44,13 +44,16 @@
 		return err
 	}
 
-	logger := logging.New(os.Stdout, c.String("log-level"), cfg.Host)
+	lines := logging.NewBounded(os.Stdout)
+	defer lines.Close()
+
+	logger := logging.NewWith(lines, c.String("log-level"), cfg.Host)
 	log.DefaultLogger = *logger
 
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 
-	h, err := host.Start(cfg, logger)
+	h, err := host.Start(cfg, logger, lines.Dropped)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/cmd/dotterelflow-front/soak_test.go
@@ -0,0 +1,420 @@
+package main_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/standin/forwarder"
+	"github.com/dotterelflow/dotterelflow/platform/standin"
+)
+
+const (
+	// seedsVariable asks for that many fresh seeds instead of the kept ones.
+	seedsVariable = "DOTTERELFLOW_SOAK_SEEDS"
+
+	hosts        = 3
+	soakTime     = 6 * time.Second
+	callers      = 6
+	recoverBound = 15 * time.Second // the platform's bound on recovery
+	events       = 6
+)
+
+// Seeds that failed once, each with its cause, and one that CI plays for any change.
+var keptSeeds = []uint64{1}
+
+// process is one host's program with what lies between it and the store.
+type process struct {
+	t        *testing.T
+	program  string
+	settings string
+	callers  string
+	ready    string
+	store    *forwarder.Forwarder
+
+	restarting sync.Mutex
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+}
+
+func (p *process) start() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.cmd = exec.CommandContext(context.Background(), p.program, "--settings", p.settings, "--log-level", "error")
+	p.cmd.Stderr = os.Stderr
+	require.NoError(p.t, p.cmd.Start())
+}
+
+// signal sends s to the process that this test started.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if err := p.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		p.t.Error(err)
+	}
+}
+
+// restart ends the process by s and starts it again. A process that does not end in time is killed, as the
+// platform does. Signals that come meanwhile go to the process that ends.
+func (p *process) restart(s syscall.Signal) {
+	if !p.restarting.TryLock() {
+		p.signal(s)
+
+		return
+	}
+	defer p.restarting.Unlock()
+
+	p.signal(syscall.SIGCONT)
+	p.signal(s)
+
+	p.mu.Lock()
+	cmd := p.cmd
+	p.mu.Unlock()
+
+	kill := time.AfterFunc(8*time.Second, func() { p.signal(syscall.SIGKILL) })
+	_ = cmd.Wait() // a killed process ends with an error
+
+	kill.Stop()
+	p.start()
+}
+
+type soak struct {
+	t         *testing.T
+	rand      *rand.Rand
+	store     *standin.Store
+	replicas  map[string]*standin.Replica
+	processes []*process
+	version   int
+
+	mu     sync.Mutex
+	served int
+	notRun map[string]bool // requests that were refused as not run
+	faults []string
+}
+
+func buildProgram(t *testing.T) string {
+	t.Helper()
+
+	program := filepath.Join(t.TempDir(), "dotterelflow-front")
+	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, ".").CombinedOutput()
+	require.NoError(t, err, string(out))
+
+	return program
+}
+
+func newSoak(t *testing.T, program string, seed uint64) *soak {
+	t.Helper()
+
+	s := &soak{t: t, rand: rand.New(rand.NewPCG(seed, 0)), store: standin.NewStore(), replicas: map[string]*standin.Replica{}, notRun: map[string]bool{}}
+	t.Cleanup(s.store.Close)
+	s.configure()
+
+	for _, name := range []string{"p1", "p2", "p3", "d1", "d2", "s1", "s2", "s3"} {
+		o := standin.ReplicaOptions{Name: name, Service: "plain", Zone: "z", Born: 1, Events: events, Pause: 5 * time.Millisecond}
+
+		switch name[0] {
+		case 'p':
+			o.Service, o.Phase = "model", "prefill"
+		case 'd':
+			o.Service, o.Phase = "model", "decode"
+		}
+
+		r := standin.NewReplica(o)
+		t.Cleanup(r.Close)
+		r.Register(s.store, "ready")
+		s.replicas[name] = r
+	}
+
+	base := 20_000 + int(seed%1000)*20
+
+	for i := range hosts {
+		f, err := forwarder.Listen(s.store.Address())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = f.Close() })
+
+		p := &process{
+			t: t, program: program, store: f, settings: filepath.Join(t.TempDir(), "local.toml"),
+			callers: fmt.Sprintf("127.0.0.1:%d", base+4*i), ready: fmt.Sprintf("127.0.0.1:%d", base+4*i+1),
+		}
+		content := fmt.Sprintf(`node = "h%d"
+ip = "127.0.0.1"
+zone = "z"
+seeds = ["127.0.0.1:%d"]
+[listen]
+front = %q
+ready_address = %q
+control = "127.0.0.1:%d"
+[limits]
+memory_mb = 256
+[bounds]
+grace_s = 6
+lease_ms = 300
+retry_budget_ratio = 0.2
+budget_window_s = 10
+retry_budget_slack = 54
+[platform]
+address = %q
+`, i, base+2, p.callers, p.ready, base+4*i+2, f.Address())
+		require.NoError(t, os.WriteFile(p.settings, []byte(content), 0o600))
+		p.start()
+		t.Cleanup(func() {
+			p.signal(syscall.SIGKILL)
+			_ = p.cmd.Wait() // it was killed
+		})
+		s.processes = append(s.processes, p)
+	}
+
+	for _, p := range s.processes {
+		require.Eventually(t, p.isReady, recoverBound, 20*time.Millisecond)
+	}
+
+	return s
+}
+
+func (p *process) isReady() bool {
+	resp, err := http.Get("http://" + p.ready + "/-/ready")
+	if err != nil {
+		return false
+	}
+
+	_ = resp.Body.Close()
+
+	return resp.StatusCode == http.StatusOK
+}
+
+// configure puts the next configuration in force; only its version changes.
+func (s *soak) configure() {
+	s.version += 1 + s.rand.IntN(3)
+	route := func(name, kind, service string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": "h.example", "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 4000, "target_latency_ms": 300,
+			"service": service, "max_attempts": attempts, "resumable": resumable, "gap_target_ms": 200,
+		}
+	}
+	s.store.Put("config", "main", map[string]any{
+		"version": s.version,
+		"routes": []any{
+			route("unsafe", "unsafe", "plain", 2, false), route("safe", "safe", "plain", 2, false),
+			route("draft", "streaming", "model", 2, true), route("note", "streaming", "model", 1, false),
+		},
+		"services": []any{map[string]any{"name": "plain"}, map[string]any{"name": "model", "engine": map[string]any{"slots": 8, "kv_capacity_tokens": 100000}}},
+	})
+}
+
+// fault injects one fault, which may overlap others, and notes it.
+func (s *soak) fault() {
+	p := s.processes[s.rand.IntN(hosts)]
+	names := []string{"p1", "p2", "p3", "d1", "d2", "s1", "s2", "s3"}
+	name := names[s.rand.IntN(len(names))]
+	r := s.replicas[name]
+	length := time.Duration(100+s.rand.IntN(1500)) * time.Millisecond
+	after := func(f func()) { time.AfterFunc(length, f) }
+
+	faults := []struct {
+		what string
+		do   func()
+	}{
+		{"kill " + p.callers, func() { go p.restart(syscall.SIGKILL) }},
+		{"stop " + p.callers, func() { go p.restart(syscall.SIGTERM) }},
+		{"pause " + p.callers, func() { p.signal(syscall.SIGSTOP); after(func() { p.signal(syscall.SIGCONT) }) }},
+		{"reload " + p.callers, func() { p.signal(syscall.SIGHUP) }},
+		{"silence the store to " + p.callers, func() { p.store.Silence() }},
+		{"store away", func() { s.store.Set(standin.Fault(1 + s.rand.IntN(6))); after(func() { s.store.Set(standin.Healthy) }) }},
+		{"store forgets", s.store.Compact},
+		{"configure", s.configure},
+		{"script of " + name, func() { r.Set(standin.Script(1 + s.rand.IntN(6))); after(func() { r.Set(standin.Serve) }) }},
+		{"leave " + name, func() { r.Register(s.store, "draining"); after(func() { r.Register(s.store, "ready") }) }},
+		{"lapse of " + name, func() { s.store.Delete("servers", name); after(func() { r.Register(s.store, "ready") }) }},
+	}
+	f := faults[s.rand.IntN(len(faults))]
+
+	s.mu.Lock()
+	s.faults = append(s.faults, f.what)
+	s.mu.Unlock()
+	f.do()
+}
+
+// call sends one request through a host and checks what its caller sees.
+func (s *soak) call(client *http.Client, kind, id string, p *process) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.callers+"/"+kind+"/x", strings.NewReader(id))
+	if err != nil {
+		s.t.Error(err)
+
+		return
+	}
+
+	r.Host = "h.example"
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Deadline-Ms", "4000")
+	r.Header.Set("Token-Usage", "100,10")
+
+	resp, err := client.Do(r)
+	if err != nil {
+		return // the caller knows nothing; the request may have run
+	}
+
+	defer func() { _ = resp.Body.Close() }()
+
+	body, err := io.ReadAll(bufio.NewReader(resp.Body))
+
+	switch {
+	case resp.StatusCode == 503 || resp.StatusCode == 429:
+		s.mu.Lock()
+		s.notRun[id] = true
+		s.mu.Unlock()
+	case resp.StatusCode == 404 || resp.StatusCode == 400:
+		s.t.Errorf("%s: status %d for a proper request", id, resp.StatusCode)
+	case resp.StatusCode == 200 && err == nil:
+		s.mu.Lock()
+		s.served++
+		s.mu.Unlock()
+		s.check(id, kind, resp.Header.Get("Response-Signature"), string(body))
+	}
+}
+
+// check fails the test if an answer that ended as complete is not whole.
+func (s *soak) check(id, kind, signature, body string) {
+	want := "done by " + signature
+
+	if kind == "draft" || kind == "note" {
+		var b strings.Builder
+		for i := range events {
+			fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i+1, i+1)
+		}
+
+		want = b.String()
+	}
+
+	if signature == "" || body != want {
+		s.t.Errorf("%s: answer %q signed %q ended as complete", id, body, signature)
+	}
+}
+
+// checkRuns fails the test if a request ran more often than its kind allows, or although it was refused.
+func (s *soak) checkRuns() {
+	runs := map[string]int{}
+
+	for _, r := range s.replicas {
+		for _, run := range r.Runs() {
+			runs[run.Request]++
+
+			if run.Body != run.Request {
+				s.t.Errorf("%s: ran with body %q", run.Request, run.Body)
+			}
+		}
+	}
+
+	for id, n := range runs {
+		kind, _, _ := strings.Cut(id, "-")
+
+		if most := map[string]int{"unsafe": 1, "note": 1, "safe": 2, "draft": 2}[kind]; n > most {
+			s.t.Errorf("%s: ran %d times, at most %d", id, n, most)
+		}
+
+		if s.notRun[id] && (kind == "unsafe" || kind == "note") {
+			s.t.Errorf("%s: refused as not run, but ran", id)
+		}
+	}
+}
+
+func (s *soak) play() {
+	var callersDone sync.WaitGroup
+
+	ctx, cancel := context.WithTimeout(context.Background(), soakTime)
+	defer cancel()
+
+	for c := range callers {
+		callersDone.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+
+			for n := 0; ctx.Err() == nil; n++ {
+				kind := []string{"unsafe", "safe", "draft", "note"}[(n+c)%4]
+				s.call(client, kind, fmt.Sprintf("%s-%d-%d", kind, c, n), s.processes[(n+c)%hosts])
+			}
+		})
+	}
+
+	for ctx.Err() == nil {
+		s.fault()
+		time.Sleep(time.Duration(50+s.rand.IntN(400)) * time.Millisecond)
+	}
+
+	callersDone.Wait()
+}
+
+// recovered waits until each host serves again after the faults have ended.
+func (s *soak) recovered() {
+	time.Sleep(2 * time.Second) // the last faults end
+	s.store.Set(standin.Healthy)
+
+	for _, r := range s.replicas {
+		r.Set(standin.Serve)
+		r.Register(s.store, "ready")
+	}
+
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+	for i, p := range s.processes {
+		p.signal(syscall.SIGCONT)
+
+		n := 0
+		require.Eventually(s.t, func() bool {
+			before := s.served
+			n++
+			s.call(client, "draft", fmt.Sprintf("draft-last-%d-%d", i, n), p)
+
+			return s.served > before
+		}, recoverBound, 50*time.Millisecond, "%s does not serve again", p.callers)
+	}
+}
+
+func soakOnce(t *testing.T, program string, seed uint64) {
+	t.Helper()
+
+	s := newSoak(t, program, seed)
+	s.play()
+	s.recovered()
+	s.checkRuns()
+
+	t.Logf("seed %d: %d served, %d refused, faults: %s", seed, s.served, len(s.notRun), strings.Join(s.faults, "; "))
+	require.Positive(t, s.served)
+}
+
+// TestSoak runs the real program as several processes, with faults from outside that overlap, and checks what
+// callers and replicas see.
+func TestSoak(t *testing.T) {
+	program := buildProgram(t)
+	seeds := keptSeeds
+
+	if n, err := strconv.Atoi(os.Getenv(seedsVariable)); err == nil {
+		seeds = nil
+		for range n {
+			seeds = append(seeds, rand.Uint64N(1_000_000))
+		}
+	}
+
+	for _, seed := range seeds {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { soakOnce(t, program, seed) })
+	}
+}
--- /dev/null
+++ b/internal/site/logging/bounded_test.go
@@ -0,0 +1,55 @@
+package logging_test
+
+import (
+	"bytes"
+	"io"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/site/logging"
+)
+
+// stuck is an output that takes nothing until released.
+type stuck struct {
+	free chan struct{}
+	buf  bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.free
+
+	return s.buf.Write(p)
+}
+
+func TestLoggingNeverBlocksAndKeepsFailures(t *testing.T) {
+	out := &stuck{free: make(chan struct{})}
+	b := logging.NewBounded(out)
+	l := logging.NewWith(b, "info", "h1")
+
+	const lines = 10_000
+	for range lines {
+		l.Info().Msg("answered")
+	}
+
+	require.Greater(t, b.Dropped(), uint64(lines/2))
+
+	for range 500 {
+		l.Warn().Msg("failed")
+	}
+
+	close(out.free)
+	b.Close()
+	require.Equal(t, 500, bytes.Count(out.buf.Bytes(), []byte("failed")), "room is kept for failures")
+	require.Contains(t, out.buf.String(), `"host":"h1"`)
+}
+
+func TestOutputThatFailsIsCounted(t *testing.T) {
+	r, w := io.Pipe()
+	require.NoError(t, r.Close())
+
+	b := logging.NewBounded(w)
+	logging.NewWith(b, "info", "h").Error().Msg("x")
+	b.Close()
+	require.Equal(t, uint64(1), b.Dropped())
+}
