--- a/cmd/dotterelflow-front/soak_test.go
+++ b/cmd/dotterelflow-front/soak_test.go
@@ -33,6 +33,10 @@
 	callers      = 6
 	recoverBound = 15 * time.Second // the platform's bound on recovery
 	events       = 6
+
+	// The ports of hosts lie below those that the kernel gives to outgoing connections.
+	firstPort = 10_000
+	portSets  = 1_500
 )
 
 // Seeds that failed once, each with its cause, and one that CI plays for any change.
@@ -143,7 +147,7 @@
 		s.replicas[name] = r
 	}
 
-	base := 20_000 + int(seed%1000)*20
+	base := firstPort + int(seed%portSets)*4*hosts
 
 	for i := range hosts {
 		f, err := forwarder.Listen(s.store.Address())
--- a/internal/control/split/machine.go
+++ b/internal/control/split/machine.go
@@ -20,10 +20,10 @@
 	// settleTime is how long the parts must be wrong before a replica is changed under load, so that one
 	// that is back soon is waited for.
 	settleTime = 4 * time.Second
-	// adaptTime is how long one side must be short before a replica changes over: the time that a change takes.
-	adaptTime = 3 * time.Second
+	// adaptTime is how long one side must be short before a replica changes over: twice the time that a change takes.
+	adaptTime = 6 * time.Second
 	// A side is short above these parts of its replicas. Answers are slowed down late, prompts early by load.
-	shortRead   = 0.95
+	shortRead   = 1.1
 	shortAnswer = 0.9
 	// The other side can spare a replica if the rest stay below these parts.
 	spareRead   = 0.6
