--- a/internal/control/placing/board.go
+++ b/internal/control/placing/board.go
@@ -47,6 +47,7 @@
 	own     map[table.TargetID]*Use
 	peers   map[table.HostID]peerUse
 	targets map[table.TargetID]*record
+	centres map[table.DataCentre]*centre
 	offered map[table.ServiceName]*rate
 	cache   *cache
 	pace    float64 // prompt tokens per second of a replica in the mean, as its load lets it
@@ -66,6 +67,7 @@
 		own:     map[table.TargetID]*Use{},
 		peers:   map[table.HostID]peerUse{},
 		targets: map[table.TargetID]*record{},
+		centres: map[table.DataCentre]*centre{},
 		offered: map[table.ServiceName]*rate{},
 		cache:   newCache(),
 		pace:    initialPace,
--- a/internal/control/placing/choose.go
+++ b/internal/control/placing/choose.go
@@ -78,7 +78,7 @@
 
 	for pass := range 2 {
 		for _, t := range candidates {
-			if job.avoids(t.ID) || pass == 0 && b.paused(now, t.ID) {
+			if job.avoids(t.ID) || pass == 0 && b.paused(now, t, job.Near) {
 				continue
 			}
 
@@ -154,8 +154,13 @@
 	return home
 }
 
-func (b *Board) paused(now time.Time, id table.TargetID) bool {
-	r, ok := b.targets[id]
+// paused reports whether t gets no work for now, as seen by work that comes from the data centre near.
+func (b *Board) paused(now time.Time, t fleet.Target, near table.DataCentre) bool {
+	if c, ok := b.centres[t.DataCentre]; ok && t.DataCentre != near && now.Before(c.until) {
+		return true
+	}
+
+	r, ok := b.targets[t.ID]
 
 	return ok && now.Before(r.until)
 }
@@ -225,7 +230,7 @@
 			score += last
 		}
 
-		if now.Before(r.until) {
+		if b.paused(now, t, job.Near) {
 			score += 2 * last
 		}
 
--- a/internal/control/placing/placing_test.go
+++ b/internal/control/placing/placing_test.go
@@ -143,7 +143,7 @@
 func TestLostTargetRestsAndIsTriedAgain(t *testing.T) {
 	b := placing.New()
 	all := replicas(2)
-	b.Note(now, "r0", placing.Lost)
+	b.Note(now, all[0], placing.Lost)
 
 	for i := range 5 {
 		p, ok := b.ForCall(now, all, placing.Job{ID: table.RequestID(fmt.Sprint(i)), Near: "x"})
@@ -152,7 +152,7 @@
 	}
 
 	later := now.Add(5 * time.Second)
-	b.Note(later, "r0", placing.Served)
+	b.Note(later, all[0], placing.Served)
 
 	chosen := map[table.TargetID]bool{}
 
@@ -166,9 +166,51 @@
 	require.True(t, chosen["r0"])
 }
 
+// Work from a host whose data centre is cut off stays at home once a few targets elsewhere were lost in a row.
+func TestDataCentreThatLosesTargetAfterTargetRests(t *testing.T) {
+	b := placing.New()
+
+	var all []fleet.Target
+
+	for i := range 12 {
+		dc := table.DataCentre("far")
+		if i == 0 {
+			dc = "x"
+		}
+
+		all = append(all, fleet.Target{ID: table.TargetID(fmt.Sprint("r", i)), DataCentre: dc, Slots: 1})
+	}
+
+	b.Merge(now, "peer", []placing.Use{{Target: "r0", Runs: 20}})
+
+	lost := 0
+
+	for i := range 20 {
+		p, ok := b.ForCall(now, all, placing.Job{ID: table.RequestID(fmt.Sprint(i)), Near: "x"})
+		require.True(t, ok)
+
+		if p.Target.DataCentre == "far" {
+			b.Note(now, p.Target, placing.Lost)
+
+			lost++
+		}
+
+		p.Claim.Release()
+	}
+
+	require.LessOrEqual(t, lost, 4)
+
+	later := now.Add(5 * time.Second)
+	b.Note(later, all[5], placing.Served)
+
+	p, ok := b.ForCall(later, all, placing.Job{ID: "q", Near: "x"})
+	require.True(t, ok)
+	require.Equal(t, table.DataCentre("far"), p.Target.DataCentre, "it is reached again")
+}
+
 func TestOnlyTargetIsChosenAlsoWhenItRests(t *testing.T) {
 	b := placing.New()
-	b.Note(now, "r0", placing.Lost)
+	b.Note(now, replicas(1)[0], placing.Lost)
 
 	_, ok := b.ForCall(now, replicas(1), job(0))
 	require.True(t, ok)
--- a/internal/control/placing/record.go
+++ b/internal/control/placing/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
 )
 
@@ -22,6 +23,9 @@
 	// firstPause and longestPause bound the time for which a target that was lost gets no work.
 	firstPause   = 500 * time.Millisecond
 	longestPause = 4 * time.Second
+	// cutOffAfter is the number of targets lost in a row after which their data centre counts as cut off: more
+	// than crash together as a rule.
+	cutOffAfter = 4
 	// refusedPause and longestRefused do so for a target that refused work: it is back when work of others ends,
 	// or its change of role.
 	refusedPause   = 250 * time.Millisecond
@@ -58,12 +62,14 @@
 	Refused
 )
 
-// Note learns from how work on target ended at now.
-func (b *Board) Note(now time.Time, target table.TargetID, o Outcome) {
+// Note learns from how work on t ended at now.
+func (b *Board) Note(now time.Time, t fleet.Target, o Outcome) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	r := b.record(target)
+	b.noteCentre(now, t.DataCentre, o)
+
+	r := b.record(t.ID)
 
 	switch o {
 	case Served:
@@ -79,6 +85,32 @@
 	}
 }
 
+// centre is what was learned of the way to one data centre.
+type centre struct {
+	record
+	lost int // targets lost there since one answered
+}
+
+// noteCentre learns whether a data centre can be reached: one that is cut off loses one target after the
+// other, and each costs a request the time of a connection that is not made. The caller holds mu.
+func (b *Board) noteCentre(now time.Time, dc table.DataCentre, o Outcome) {
+	c, ok := b.centres[dc]
+	if !ok {
+		c = &centre{}
+		b.centres[dc] = c
+	}
+
+	if o != Lost {
+		*c = centre{}
+
+		return
+	}
+
+	if c.lost++; c.lost >= cutOffAfter {
+		c.rest(now, firstPause, longestPause)
+	}
+}
+
 // rest gives the target no work for a time that doubles with each such end in a row.
 func (r *record) rest(now time.Time, first, longest time.Duration) {
 	if now.Before(r.until) {
--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -68,12 +68,12 @@
 		case answer.NotRun:
 			j.refused(p.Target, answer.Status)
 		case answer.Status >= 500 && j.route.Repeat == catalog.Repeatable:
-			j.opts.Board.Note(j.now(), p.Target.ID, placing.Failed)
+			j.opts.Board.Note(j.now(), p.Target, placing.Failed)
 			j.tried = append(j.tried, p.Target.ID)
 			kept, content = answer, body
 			runs++
 		default:
-			j.opts.Board.Note(j.now(), p.Target.ID, outcomeOf(answer.Status))
+			j.opts.Board.Note(j.now(), p.Target, outcomeOf(answer.Status))
 			j.deliver(w, answer, body)
 
 			return
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -185,7 +185,7 @@
 
 	v := verdict.Of(err)
 	if !errors.Is(err, context.Canceled) {
-		j.opts.Board.Note(j.now(), t.ID, placing.Lost)
+		j.opts.Board.Note(j.now(), t, placing.Lost)
 	}
 
 	j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Str("target", string(t.ID)).
@@ -197,7 +197,7 @@
 // refused notes a target's word that it has not run the request.
 func (j *job) refused(t fleet.Target, status int) {
 	j.tried = append(j.tried, t.ID)
-	j.opts.Board.Note(j.now(), t.ID, placing.Refused)
+	j.opts.Board.Note(j.now(), t, placing.Refused)
 	j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Str("target", string(t.ID)).
 		Int("status", status).Msg("target refused")
 }
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -278,7 +278,7 @@
 	for {
 		event, id, err := stream.next()
 		if errors.Is(err, io.EOF) {
-			j.opts.Board.Note(j.now(), place.Target.ID, placing.Served)
+			j.opts.Board.Note(j.now(), place.Target, placing.Served)
 			j.out.Status = answer.Status
 
 			if !p.begun {
