Read the store with three hosts of each data centre in a large fleet, and feed the others

Change: beyond 16 hosts a host leaves the store to the readers of its data centre as long as it has heard one within 2 s; readers tell at once what they have read. Peers are not told of the end of an entry that is still held.

--- a/internal/control/fleet/view.go
+++ b/internal/control/fleet/view.go
@@ -103,6 +103,9 @@
 	v.changed = true
 }
 
+// Holding reports whether entries are held that the list no longer has.
+func (v *View) Holding() bool { return len(v.lapsed) > 0 }
+
 // Tick drops the entries that were held and have not come back.
 func (v *View) Tick(now time.Time) {
 	for name, until := range v.lapsed {
--- a/internal/entry/exchange/exchange.go
+++ b/internal/entry/exchange/exchange.go
@@ -27,8 +27,18 @@
 	Version  func() uint64
 	Changing func() []table.TargetID // replicas that carry out this host's orders; nil means none
 	Revision func() uint64           // of the store, up to which this host knows the targets; nil means none
-	// Told is called with the version and the revision that a peer has; nil for nobody.
-	Told func(host table.HostID, version, revision uint64)
+	Reads    func() bool             // whether this host reads the store and it answers; nil means no
+	// Told is called with each peer's digest; nil for nobody.
+	Told func(Told)
+}
+
+// Told is what a peer says of its knowledge.
+type Told struct {
+	Host       table.HostID
+	DataCentre table.DataCentre
+	Version    uint64 // of its configuration
+	Revision   uint64 // of the store, up to which it knows the targets
+	Reads      bool   // from the store itself, which answers it
 }
 
 // Exchange fills and hears digests. It implements peers.Local and is safe for concurrent use.
@@ -51,7 +61,11 @@
 	}
 
 	if opts.Told == nil {
-		opts.Told = func(table.HostID, uint64, uint64) {}
+		opts.Told = func(Told) {}
+	}
+
+	if opts.Reads == nil {
+		opts.Reads = func() bool { return false }
 	}
 
 	if opts.Changing == nil {
@@ -67,6 +81,7 @@
 	d.Stopping = x.opts.Stopping()
 	d.Generation = x.opts.Version()
 	d.TargetsRevision = x.opts.Revision()
+	d.ReadsStore = x.opts.Reads()
 
 	for _, u := range x.opts.Board.Export() {
 		work := &peer.TargetWork{Target: string(u.Target), Runs: int64(u.Runs), Held: int64(u.Held)}
@@ -96,7 +111,10 @@
 
 // Hear implements peers.Local.
 func (x *Exchange) Hear(d *peer.Digest) {
-	x.opts.Told(table.HostID(d.GetHost()), d.GetGeneration(), d.GetTargetsRevision())
+	x.opts.Told(Told{
+		Host: table.HostID(d.GetHost()), DataCentre: table.DataCentre(d.GetDataCentre()), Version: d.GetGeneration(),
+		Revision: d.GetTargetsRevision(), Reads: d.GetReadsStore(),
+	})
 	x.opts.Board.Merge(x.now(), table.HostID(d.GetHost()), uses(d.GetWork()))
 
 	for _, l := range d.GetLoads()[:min(len(d.GetLoads()), maxUses)] {
--- a/internal/entry/feed/feed.go
+++ b/internal/entry/feed/feed.go
@@ -18,16 +18,19 @@
 
 // Site is what a host believes of its deployment.
 type Site interface {
+	// Behind reports whether version or revision are newer than what this host knows.
 	Behind(version, revision uint64) bool
 	Import(now time.Time, encoded []byte, from string) error
 }
 
-// Options are the parts of a Feed. Site and Fetch are required.
+// Options are the parts of a Feed. All are required but Clock and Log.
 type Options struct {
 	Clock clockwork.Clock // nil means the real clock
 	Log   *log.Logger     // nil means the default logger
 	Site  Site
 	Fetch func(ctx context.Context, from table.HostID) ([]byte, error)
+	// Wanted reports whether this host takes what a peer in the data centre dc knows.
+	Wanted func(dc table.DataCentre) bool
 }
 
 // Feed is safe for concurrent use. Make it with New.
@@ -49,10 +52,10 @@
 	return &Feed{opts: opts}
 }
 
-// Told takes what the peer from says that it knows, and fetches it in the background if this host lacks it.
-// One fetch is under way at a time.
-func (f *Feed) Told(from table.HostID, version, revision uint64) {
-	if !f.opts.Site.Behind(version, revision) || !f.busy.CompareAndSwap(false, true) {
+// Told takes what the peer from says that it knows, and fetches it in the background if this host lacks it
+// and Wanted agrees. One fetch is under way at a time.
+func (f *Feed) Told(from table.HostID, dc table.DataCentre, version, revision uint64) {
+	if !f.opts.Wanted(dc) || !f.opts.Site.Behind(version, revision) || !f.busy.CompareAndSwap(false, true) {
 		return
 	}
 
--- /dev/null
+++ b/internal/entry/feed/readers.go
@@ -0,0 +1,57 @@
+package feed
+
+import (
+	"sync"
+	"time"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+const (
+	// FewHosts is the number of hosts up to which each reads the store itself.
+	FewHosts = 16
+	// heardBound is the age at which word of a reader no longer counts. It leaves time to read the store
+	// oneself within the bounds on the age of what was read.
+	heardBound = 2 * time.Second
+	// ReadersPerCentre is the number of hosts of each data centre that read the store in a large fleet.
+	ReadersPerCentre = 3
+)
+
+// Readers knows which hosts read the store for the others of their data centre, so that its calls do not
+// grow with the hosts. It is safe for concurrent use. Make it with NewReaders.
+type Readers struct {
+	home table.DataCentre
+
+	mu    sync.Mutex
+	heard time.Time // last word of a reader of this data centre that the store answers
+}
+
+// NewReaders returns a Readers for a host in the data centre home.
+func NewReaders(home table.DataCentre) *Readers {
+	return &Readers{home: home}
+}
+
+// Hear notes at now that a host in the data centre dc reads the store, and that the store answers it.
+func (r *Readers) Hear(now time.Time, dc table.DataCentre) {
+	if dc != r.home {
+		return
+	}
+
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.heard = now
+}
+
+// Rest reports whether this host leaves the store to others: in a fleet of hosts it is not among the
+// readers of its data centre, and has heard one of them lately.
+func (r *Readers) Rest(now time.Time, hosts int, reader bool) bool {
+	if hosts <= FewHosts || reader {
+		return false
+	}
+
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return !r.heard.IsZero() && now.Sub(r.heard) < heardBound
+}
--- a/internal/entry/follow/follow.go
+++ b/internal/entry/follow/follow.go
@@ -52,6 +52,9 @@
 	// their age that the platform states.
 	defaultBatch = 400 * time.Millisecond
 
+	// restPause is the time between two looks at whether another host still reads for this one.
+	restPause = 100 * time.Millisecond
+
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
 )
@@ -65,6 +68,7 @@
 	Kind   string
 	Wait   time.Duration // longest wait of one watch; zero means 15 s
 	Batch  time.Duration // pause after changes before the next watch; zero means 400 ms
+	Rest   func() bool   // whether another host reads for this one; nil means never
 }
 
 // Follower reads one kind. Make it with Start.
@@ -87,6 +91,10 @@
 		opts.Log = &log.DefaultLogger
 	}
 
+	if opts.Rest == nil {
+		opts.Rest = func() bool { return false }
+	}
+
 	if opts.Wait == 0 {
 		opts.Wait = defaultWait
 	}
@@ -127,6 +135,12 @@
 
 // step makes one call and returns the pause before the next one.
 func (f *Follower) step(ctx context.Context) (time.Duration, error) {
+	if f.opts.Rest() {
+		f.listed = false
+
+		return restPause, nil
+	}
+
 	if !f.listed {
 		entries, revision, err := f.opts.Source.List(ctx, f.opts.Kind)
 		if err != nil {
--- a/internal/entry/site/copy.go
+++ b/internal/entry/site/copy.go
@@ -20,16 +20,15 @@
 	Targets       map[string][]byte `json:"targets,omitempty"`
 }
 
-// Revision returns the revision of the store up to which this host knows the targets; zero for none.
+// Revision returns the revision of the store up to which this host knows the targets for certain; zero for none.
 func (s *Site) Revision() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return s.copied.Revision
+	return s.shown
 }
 
-// Behind reports whether a peer that knows revision and version can tell this host more. A host that the
-// store answers asks nobody.
+// Behind reports whether a peer that knows version and revision can tell this host more.
 func (s *Site) Behind(version, revision uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -39,7 +38,15 @@
 		known = uint64(c.Version)
 	}
 
-	return (s.lost || s.fleet.Load() == nil) && (revision > s.copied.Revision || version > known)
+	return revision > s.copied.Revision || version > known
+}
+
+// Answered reports whether the store answers this host: its last call about targets succeeded.
+func (s *Site) Answered() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return !s.lost && s.fleet.Load() != nil
 }
 
 // Export returns the encoded Copy of this host.
@@ -47,7 +54,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	encoded, err := json.Marshal(s.copied)
+	c := s.copied
+	c.Revision = s.shown
+	encoded, err := json.Marshal(c)
 
 	return encoded, Error.Wrap(err)
 }
--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -34,6 +34,7 @@
 	view   *fleet.View
 	bad    map[string]uint64 // revisions of entries that could not be decoded, logged once
 	copied Copy              // what was read, for peers
+	shown  uint64            // revision that peers are told: they must not take an end for true that is not certain here
 	lost   bool              // the store does not answer about targets
 }
 
@@ -110,6 +111,10 @@
 
 // publish makes a changed view known; the caller holds mu.
 func (s *Site) publish() {
+	if !s.view.Holding() {
+		s.shown = s.copied.Revision
+	}
+
 	if list, changed := s.view.Take(); changed {
 		s.fleet.Store(fleet.NewSnapshot(list))
 	}
--- a/internal/entry/site/site_test.go
+++ b/internal/entry/site/site_test.go
@@ -92,3 +92,38 @@
 	s.Tick(back.Add(3 * time.Second))
 	require.Empty(t, s.Fleet().Of("s"))
 }
+
+func TestPeersAreNotToldOfAnEndThatIsNotCertain(t *testing.T) {
+	s := newSite()
+	s.Targets().Replaced(now, []follow.Entry{{Name: "a", Value: []byte("x")}}, 5)
+	require.Equal(t, uint64(5), s.Revision())
+
+	s.Targets().Lost(now, errors.New("down"))
+	require.False(t, s.Answered())
+
+	s.Targets().Replaced(now.Add(time.Second), nil, 9)
+	require.True(t, s.Answered())
+	require.Equal(t, uint64(5), s.Revision(), "a may be registering again")
+
+	s.Tick(now.Add(4 * time.Second))
+	require.Equal(t, uint64(9), s.Revision())
+}
+
+func TestCopyOfAPeerIsTakenIfItIsNewer(t *testing.T) {
+	from, to := newSite(), newSite()
+	from.Adopt([]byte("7"), "store")
+	from.Targets().Replaced(now, []follow.Entry{{Name: "a", Value: []byte("x")}, {Name: "bad"}}, 5)
+	require.True(t, to.Behind(7, 5))
+
+	encoded, err := from.Export()
+	require.NoError(t, err)
+	require.NoError(t, to.Import(now, encoded, "peer"))
+	require.True(t, to.Ready())
+	require.Len(t, to.Fleet().Of("s"), 1)
+	require.False(t, to.Behind(7, 5))
+
+	to.Targets().Changed(now, []follow.Change{{Entry: follow.Entry{Name: "b", Value: []byte("x")}}}, 8)
+	require.NoError(t, to.Import(now, encoded, "peer"))
+	require.Len(t, to.Fleet().Of("s"), 2, "an older copy changes nothing")
+	require.Error(t, to.Import(now, []byte("{"), "peer"))
+}
