--- a/cmd/dotterelflow-front/soak_test.go
+++ b/cmd/dotterelflow-front/soak_test.go
@@ -283,13 +283,13 @@
 	body, err := io.ReadAll(bufio.NewReader(resp.Body))
 
 	switch {
-	case resp.StatusCode == 503 || resp.StatusCode == 429:
+	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
 		s.mu.Lock()
 		s.notRun[id] = true
 		s.mu.Unlock()
-	case resp.StatusCode == 404 || resp.StatusCode == 400:
+	case resp.StatusCode == http.StatusNotFound || resp.StatusCode == http.StatusBadRequest:
 		s.t.Errorf("%s: status %d for a proper request", id, resp.StatusCode)
-	case resp.StatusCode == 200 && err == nil:
+	case resp.StatusCode == http.StatusOK && err == nil:
 		s.mu.Lock()
 		s.served++
 		s.mu.Unlock()
--- /dev/null
+++ b/internal/control/gossip/log_test.go
@@ -0,0 +1,24 @@
+package gossip_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/gossip"
+)
+
+func TestEachPeerIsToldOnceAndMissesTheOldest(t *testing.T) {
+	l := gossip.NewLog[int](3)
+	require.Empty(t, l.Untold("a"))
+
+	l.Add(1)
+	l.Add(2)
+	require.Equal(t, []int{1, 2}, l.Untold("a"))
+	require.Empty(t, l.Untold("a"))
+
+	l.Add(3)
+	l.Add(4)
+	require.Equal(t, []int{3, 4}, l.Untold("a"))
+	require.Equal(t, []int{2, 3, 4}, l.Untold("b"))
+}
--- a/internal/control/placing/cache.go
+++ b/internal/control/placing/cache.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 
+	"github.com/dotterelflow/dotterelflow/internal/control/gossip"
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
 )
 
@@ -39,9 +40,7 @@
 // cache remembers which replica has read which prefix. What replicas evict is not known, so it is a guess.
 type cache struct {
 	held *lru.Cache[Prefix, holders]
-	news []News // ring of what this host learned
-	next uint64 // number of the next entry of news
-	told map[table.HostID]uint64
+	news *gossip.Log[News]
 }
 
 func newCache() *cache {
@@ -50,7 +49,7 @@
 		panic(err) // only for a size below 1
 	}
 
-	return &cache{held: held, news: make([]News, maxNews), told: map[table.HostID]uint64{}}
+	return &cache{held: held, news: gossip.NewLog[News](maxNews)}
 }
 
 // prefixes returns the prefixes of parts, the shortest first.
@@ -76,12 +75,9 @@
 // add notes that target has read all of parts.
 func (c *cache) add(target table.TargetID, parts []Part) {
 	for _, p := range prefixes(parts) {
-		if !c.note(p, target) {
-			continue
+		if c.note(p, target) {
+			c.news.Add(News{Prefix: p, Target: target})
 		}
-
-		c.news[c.next%maxNews] = News{Prefix: p, Target: target}
-		c.next++
 	}
 }
 
@@ -136,17 +132,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	c := b.cache
-	from := max(c.told[to], c.next-min(c.next, maxNews))
-	news := make([]News, 0, c.next-from)
-
-	for n := from; n < c.next; n++ {
-		news = append(news, c.news[n%maxNews])
-	}
-
-	c.told[to] = c.next
-
-	return news
+	return b.cache.news.Untold(to)
 }
 
 // Hear takes what a peer has learned.
--- a/internal/control/split/machine_test.go
+++ b/internal/control/split/machine_test.go
@@ -161,3 +161,46 @@
 	s = newSite(2, 1)
 	require.Empty(t, s.tick())
 }
+
+func (s *site) tickWith(n split.Need) []split.Order {
+	return s.m.Tick(split.Input{
+		Now: s.now, Targets: s.targets, Loaded: s.loaded, Busy: func(table.TargetID) int { return 0 }, Need: n,
+	})
+}
+
+// play carries orders out as they come for d.
+func (s *site) play(d time.Duration, n split.Need) (orders int) {
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(200 * time.Millisecond) {
+		given := s.tickWith(n)
+		orders += len(given)
+		s.carryOut(given)
+	}
+
+	return orders
+}
+
+func TestMixThatTurnsToAnswersChangesReadersOver(t *testing.T) {
+	s := newSite(18, 11)
+	s.loaded = true
+	s.play(2*time.Minute, split.Need{Read: 2, Answer: 13})
+
+	answerers := len(s.targets) - s.readers()
+	require.GreaterOrEqual(t, answerers, 13)
+	require.GreaterOrEqual(t, s.readers(), 2)
+}
+
+func TestMixThatTurnsToPromptsChangesAnswerersOver(t *testing.T) {
+	s := newSite(18, 11)
+	s.loaded = true
+	s.play(2*time.Minute, split.Need{Read: 14, Answer: 1.5})
+	require.Greater(t, s.readers(), 11)
+	require.GreaterOrEqual(t, len(s.targets)-s.readers(), 4, "answers keep room")
+}
+
+func TestShortBurstOrTwoShortSidesChangeNothing(t *testing.T) {
+	s := newSite(18, 11)
+	s.loaded = true
+	require.Zero(t, s.play(5*time.Second, split.Need{Read: 20, Answer: 1}))
+	require.Zero(t, s.play(time.Minute, split.Need{Read: 8, Answer: 4}))
+	require.Zero(t, s.play(time.Minute, split.Need{Read: 20, Answer: 9}))
+}
--- a/internal/entry/exchange/exchange.go
+++ b/internal/entry/exchange/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/dotterelflow/dotterelflow/internal/control/crashers"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
 	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
@@ -18,10 +19,11 @@
 // changingLife is how long word of a changing replica counts: several heartbeats.
 const changingLife = time.Second
 
-// Options are the parts of an Exchange. Board and Ready are required.
+// Options are the parts of an Exchange. Board, Crashers, Ready and Version are required.
 type Options struct {
 	Clock    clockwork.Clock // nil means the real clock
 	Board    *placing.Board
+	Crashers *crashers.Table
 	Ready    func() bool
 	Stopping func() bool // nil means never
 	Version  func() uint64
@@ -104,6 +106,10 @@
 		return // not known yet: news would be lost for the next digest
 	}
 
+	for _, l := range x.opts.Crashers.News(to) {
+		d.Losses = append(d.Losses, &peer.RequestLoss{Request: uint64(l.Request), Target: string(l.Target)})
+	}
+
 	for _, n := range x.opts.Board.News(to) {
 		d.Held = append(d.Held, &peer.HeldPrefix{Prefix: uint64(n.Prefix), Target: string(n.Target)})
 	}
@@ -130,6 +136,13 @@
 
 	x.opts.Board.MergeDemands(x.now(), table.HostID(d.GetHost()), demands)
 
+	losses := make([]crashers.Loss, 0, len(d.GetLosses()))
+	for _, l := range d.GetLosses() {
+		losses = append(losses, crashers.Loss{Request: crashers.Fingerprint(l.GetRequest()), Target: table.TargetID(l.GetTarget())})
+	}
+
+	x.opts.Crashers.Hear(x.now(), losses)
+
 	news := make([]placing.News, 0, len(d.GetHeld()))
 	for _, n := range d.GetHeld() {
 		news = append(news, placing.News{Prefix: placing.Prefix(n.GetPrefix()), Target: table.TargetID(n.GetTarget())})
--- a/internal/entry/relay/fakes_test.go
+++ b/internal/entry/relay/fakes_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
+	"github.com/dotterelflow/dotterelflow/internal/control/crashers"
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
 	"github.com/dotterelflow/dotterelflow/internal/control/retries"
@@ -143,7 +144,7 @@
 	relay   *relay.Relay
 }
 
-// newWorld has two replicas that read, two that generate and two of a plain service.
+// newWorld has two replicas that read, four that generate and two of a plain service.
 func newWorld(t *testing.T, route catalog.Route, slack float64) *world {
 	t.Helper()
 
@@ -160,6 +161,7 @@
 	})
 	list := fleet.NewSnapshot([]fleet.Target{
 		{ID: "d1", Service: "model", Role: table.Decode, Slots: 4}, {ID: "d2", Service: "model", Role: table.Decode, Slots: 4},
+		{ID: "d3", Service: "model", Role: table.Decode, Slots: 4}, {ID: "d4", Service: "model", Role: table.Decode, Slots: 4},
 		{ID: "p1", Service: "model", Role: table.Prefill, Slots: 4}, {ID: "p2", Service: "model", Role: table.Prefill, Slots: 4},
 		{ID: "s1", Service: "plain", Slots: 4}, {ID: "s2", Service: "plain", Slots: 4},
 	})
@@ -167,7 +169,7 @@
 	w := &world{targets: &targets{}, board: placing.New()}
 	w.relay = relay.New(relay.Options{
 		Log: &log.Logger{Level: log.PanicLevel}, Catalog: func() *catalog.Catalog { return c }, Fleet: func() *fleet.Snapshot { return list },
-		Board: w.board, Targets: w.targets,
+		Board: w.board, Targets: w.targets, Crashers: crashers.New(),
 		Retries: retries.NewWindow(retries.WindowOptions{Ratio: 0, Slack: slack, Span: 10 * time.Second, Margin: 1}),
 	})
 
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
+	"github.com/dotterelflow/dotterelflow/internal/control/crashers"
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
 	"github.com/dotterelflow/dotterelflow/internal/control/retries"
@@ -28,15 +29,16 @@
 
 // Options are the parts of a Relay. All are required but Clock and Log.
 type Options struct {
-	Clock   clockwork.Clock // nil means the real clock
-	Log     *log.Logger     // nil means the default logger
-	Home    table.DataCentre
-	Catalog func() *catalog.Catalog
-	Fleet   func() *fleet.Snapshot
-	Board   *placing.Board
-	Retries *retries.Window
-	Targets Targets
-	Observe func(Outcome) // nil for nobody
+	Clock    clockwork.Clock // nil means the real clock
+	Log      *log.Logger     // nil means the default logger
+	Home     table.DataCentre
+	Catalog  func() *catalog.Catalog
+	Fleet    func() *fleet.Snapshot
+	Board    *placing.Board
+	Retries  *retries.Window
+	Crashers *crashers.Table
+	Targets  Targets
+	Observe  func(Outcome) // nil for nobody
 }
 
 // Relay serves requests.
@@ -93,7 +95,9 @@
 	ctx, cancel := clockwork.WithDeadline(ctx, l.opts.Clock, j.deadline)
 	defer cancel()
 
-	if route.Streaming {
+	if after, refused := l.opts.Crashers.Refuses(r.Arrived, j.print); refused {
+		j.refuse(w, verdict.New(verdict.NotRun, verdict.CodeQuarantined, "targets were lost to this request").After(after))
+	} else if route.Streaming {
 		j.stream(ctx, w)
 	} else {
 		j.call(ctx, w)
@@ -110,6 +114,7 @@
 	service  catalog.Service
 	deadline time.Time
 	version  catalog.Version
+	print    crashers.Fingerprint
 
 	sends int              // that count as arrivals at a target
 	read  bool             // a replica has read the prompt; the first time does not count as an arrival
@@ -130,7 +135,10 @@
 		limit = defaultLimit
 	}
 
-	return &job{Relay: l, r: r, route: route, service: service, deadline: r.Arrived.Add(limit), version: c.Version}
+	return &job{
+		Relay: l, r: r, route: route, service: service, deadline: r.Arrived.Add(limit), version: c.Version,
+		print: crashers.Of(r.Host, r.URI, r.Body),
+	}
 }
 
 // defaultLimit bounds a request that neither its caller nor its route bounds.
@@ -170,6 +178,10 @@
 		return false
 	}
 
+	if _, refused := j.opts.Crashers.Refuses(j.now(), j.print); refused {
+		return false
+	}
+
 	if j.sends > 0 && !j.opts.Retries.Take(j.now(), j.service.Name) {
 		return false
 	}
@@ -186,6 +198,11 @@
 	v := verdict.Of(err)
 	if !errors.Is(err, context.Canceled) {
 		j.opts.Board.Note(j.now(), t, placing.Lost)
+
+		// Silence is no sign of a crash.
+		if v == verdict.MayHaveRun && !errors.Is(err, context.DeadlineExceeded) {
+			j.opts.Crashers.Lost(j.now(), crashers.Loss{Request: j.print, Target: t.ID})
+		}
 	}
 
 	j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Str("target", string(t.ID)).
--- a/internal/entry/relay/stream_test.go
+++ b/internal/entry/relay/stream_test.go
@@ -200,6 +200,24 @@
 	}
 }
 
+// Whoever sends it again, under whatever id, a request that has lost three targets reaches no other.
+func TestRequestThatCrashesItsTargetsIsRefused(t *testing.T) {
+	w := newWorld(t, resumable, 100)
+	w.targets.run = failsWith(mayHaveRun())
+
+	for range 5 {
+		w.serve(t.Context(), t)
+	}
+
+	runs := len(w.targets.runs)
+	require.LessOrEqual(t, runs, 4)
+
+	out := w.serve(t.Context(), t)
+	require.Equal(t, verdict.CodeQuarantined, out.refused.Code)
+	require.Equal(t, verdict.NotRun, out.refused.Verdict)
+	require.Len(t, w.targets.runs, runs)
+}
+
 func TestSilentReplicaIsReplacedBeforeTheCallerGivesUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, resumable, 100)
