Weigh the reading of what another replica holds by eight

Cause: the price of shared parts read again is the largest on all sites; such reading also delays what comes after.

--- a/internal/control/placing/choose.go
+++ b/internal/control/placing/choose.go
@@ -17,7 +17,7 @@
 	homePart = 0.3
 	// rereadWeight weighs the reading of tokens that another replica holds, which delays all that come after,
 	// against the wait of this request.
-	rereadWeight = 4
+	rereadWeight = 8
 	// fullAt is the part of a replica's KV cache above which it gets no further answers while another has room.
 	fullAt = 0.92
 	// farRun is the penalty of another data centre for an answer, as part of a replica's load.
