Test replicas' calls, listeners, heartbeats, the roster and the feed

Cause: these parts were covered by the tests of the whole host only. Each has tests of its own now; fuzz targets for a replica's answers and for heartbeats.

--- /dev/null
+++ b/internal/entry/exchange/exchange_test.go
@@ -0,0 +1,108 @@
+package exchange_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/crashers"
+	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
+	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/entry/exchange"
+	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
+)
+
+type host struct {
+	*exchange.Exchange
+	board    *placing.Board
+	crashers *crashers.Table
+	told     []exchange.Told
+}
+
+func newHost(clock clockwork.Clock, changing ...table.TargetID) *host {
+	h := &host{board: placing.New(), crashers: crashers.New()}
+	h.Exchange = exchange.New(exchange.Options{
+		Clock: clock, Board: h.board, Crashers: h.crashers, Ready: func() bool { return true },
+		Version: func() uint64 { return 7 }, Revision: func() uint64 { return 40 }, Reads: func() bool { return true },
+		Changing: func() []table.TargetID { return changing },
+		Told:     func(t exchange.Told) { h.told = append(h.told, t) },
+	})
+
+	return h
+}
+
+// tell carries one digest from a to b as it goes over the wire.
+func tell(t *testing.T, a, b *host) {
+	t.Helper()
+
+	d := &peer.Digest{Host: "a", DataCentre: "z"}
+	a.Fill("b", d)
+
+	wire, err := proto.Marshal(d)
+	require.NoError(t, err)
+
+	got := &peer.Digest{}
+	require.NoError(t, proto.Unmarshal(wire, got))
+	b.Hear(got)
+}
+
+func TestHostsShareWhatPlacingNeeds(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	a, b := newHost(clock, "r2"), newHost(clock)
+	targets := []fleet.Target{{ID: "r1", DataCentre: "z", Slots: 4}, {ID: "r2", DataCentre: "z", Slots: 4}}
+	parts := []placing.Part{{ID: 1, Tokens: 5000}, {ID: 2, Tokens: 100}}
+
+	p, ok := a.board.ForPrompt(clock.Now(), targets[:1], placing.Job{Prompt: 5100, Parts: parts, Near: "z"})
+	require.True(t, ok)
+	a.board.Read(p, parts, 100*time.Millisecond)
+	a.board.Offered(clock.Now(), "s", 5100)
+	a.crashers.Lost(clock.Now(), crashers.Loss{Request: 9, Target: "x"})
+	tell(t, a, b)
+
+	require.Equal(t, 5100, b.board.Busy("r1"), "the peer's reading counts here")
+	require.Positive(t, b.board.Demand(clock.Now(), "s"))
+	require.Equal(t, []exchange.Told{{Host: "a", DataCentre: "z", Version: 7, Revision: 40, Reads: true}}, b.told)
+
+	p, ok = b.board.ForPrompt(clock.Now(), targets, placing.Job{
+		Prompt: 5200, Parts: []placing.Part{parts[0], {ID: 3, Tokens: 200}}, Near: "z",
+	})
+	require.True(t, ok)
+	require.Equal(t, table.TargetID("r1"), p.Target.ID, "who has read the prefix, and who is changing its role, is known")
+	require.Equal(t, table.Tokens(5000), p.Cached)
+
+	b.crashers.Lost(clock.Now(), crashers.Loss{Request: 9, Target: "y"})
+	b.crashers.Lost(clock.Now(), crashers.Loss{Request: 9, Target: "z"})
+
+	_, refused := b.crashers.Refuses(clock.Now(), 9)
+	require.True(t, refused, "the peer's loss counts here")
+}
+
+func FuzzHear(f *testing.F) {
+	d := &peer.Digest{Host: "a", Work: []*peer.TargetWork{{Target: "r", Reading: []int64{-1, 2, 3, 4, 5, 6}, Runs: -9}}}
+
+	seed, err := proto.Marshal(d)
+	if err != nil {
+		f.Fatal(err)
+	}
+
+	f.Add(seed)
+	f.Add([]byte{0xff})
+
+	f.Fuzz(func(t *testing.T, wire []byte) {
+		d := &peer.Digest{}
+		if proto.Unmarshal(wire, d) != nil {
+			return
+		}
+
+		h := newHost(clockwork.NewFakeClock())
+		h.Hear(d)
+
+		targets := []fleet.Target{{ID: "r", Slots: 1}}
+		_, ok := h.board.ForCall(time.Time{}, targets, placing.Job{})
+		require.True(t, ok)
+	})
+}
--- /dev/null
+++ b/internal/entry/feed/feed_test.go
@@ -0,0 +1,70 @@
+package feed_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/entry/feed"
+)
+
+type site struct {
+	mu       sync.Mutex
+	behind   bool
+	imported []string
+}
+
+func (s *site) Behind(uint64, uint64) bool { return s.behind }
+
+func (s *site) Import(_ time.Time, encoded []byte, from string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.imported = append(s.imported, from+":"+string(encoded))
+
+	return nil
+}
+
+func TestOneFetchAtATimeFromAWantedPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &site{behind: true}
+		f := feed.New(feed.Options{
+			Log: &log.Logger{Level: log.PanicLevel}, Site: s,
+			Wanted: func(dc table.DataCentre) bool { return dc == "x" },
+			Fetch: func(_ context.Context, from table.HostID) ([]byte, error) {
+				time.Sleep(100 * time.Millisecond)
+
+				if from == "bad" {
+					return nil, errors.New("gone")
+				}
+
+				return []byte("copy"), nil
+			},
+		})
+
+		f.Told("a", "y", 1, 1)
+		f.Told("a", "x", 1, 1)
+		f.Told("b", "x", 1, 1)
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"a:copy"}, s.imported)
+
+		f.Told("bad", "x", 1, 1)
+		time.Sleep(time.Second)
+		f.Told("b", "x", 1, 1)
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"a:copy", "b:copy"}, s.imported)
+
+		s.behind = false
+
+		f.Told("b", "x", 1, 1)
+		time.Sleep(time.Second)
+		require.Len(t, s.imported, 2)
+	})
+}
