--- a/internal/control/placing/board.go
+++ b/internal/control/placing/board.go
@@ -6,7 +6,6 @@
 package placing
 
 import (
-	"cmp"
 	"sync"
 	"time"
 
@@ -243,5 +242,3 @@
 
 	return l
 }
-
-func orElse(v, other float64) float64 { return cmp.Or(v, other) }
--- a/internal/control/placing/record.go
+++ b/internal/control/placing/record.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
@@ -149,7 +150,7 @@
 	}
 
 	r := b.record(p.Target.ID)
-	r.pace = orElse(r.pace, b.pace)
+	r.pace = cmp.Or(r.pace, b.pace)
 	r.pace += ownPaceWeight * (pace - r.pace)
 	b.pace += paceWeight * (pace - b.pace)
 }
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -27,7 +27,7 @@
 	releaseBound = time.Second
 )
 
-// Options are the parts of a Relay. All are required but Clock and Log.
+// Options are the parts of a Relay. All are required but Clock, Log and Observe.
 type Options struct {
 	Clock    clockwork.Clock // nil means the real clock
 	Log      *log.Logger     // nil means the default logger
@@ -36,7 +36,7 @@
 	Fleet    func() *fleet.Snapshot
 	Board    *placing.Board
 	Retries  *retries.Window
-	Crashers *crashers.Table
+	Crashers *crashers.Table // requests that take down their targets
 	Targets  Targets
 	Observe  func(Outcome) // nil for nobody
 }
