Keep the sum of the work of all hosts beside its parts

Cause: each choice of a target added up what every peer had said of every target: 85 hosts and 90 targets make 7,650 lookups for one prompt, 330 and 600 make 198,000.

Ruled out: sampling a few targets, which gives up the held prefixes; a copy per choice, which is the same work at another time.

Change: a heartbeat subtracts what the peer said before and adds what it says now; a claim does the same. Prefixes of a prompt are hashed once, and the home of an unknown prefix is looked up only where it counts. A property test compares the sums with a plain count while hosts tell, fall silent and return.

Conclusion: a choice no longer grows with the number of hosts.

--- a/internal/control/placing/board.go
+++ b/internal/control/placing/board.go
@@ -40,11 +40,21 @@
 	u.Held += v.Held
 }
 
+func (u *Use) subtract(v *Use) {
+	for i := range u.Reading {
+		u.Reading[i] -= v.Reading[i]
+	}
+
+	u.Runs -= v.Runs
+	u.Held -= v.Held
+}
+
 // Board is safe for concurrent use. Make it with New.
 type Board struct {
 	mu      sync.Mutex
 	own     map[table.TargetID]*Use
 	peers   map[table.HostID]peerUse
+	sums    map[table.TargetID]*Use // of own and peers, since each choice looks at all targets
 	targets map[table.TargetID]*record
 	centres map[table.DataCentre]*centre
 	offered map[table.ServiceName]*rate
@@ -55,7 +65,7 @@
 
 type peerUse struct {
 	at   time.Time
-	uses map[table.TargetID]Use
+	uses []Use
 
 	demands map[table.ServiceName]float64 // prompt tokens per second
 }
@@ -65,6 +75,7 @@
 	return &Board{
 		own:     map[table.TargetID]*Use{},
 		peers:   map[table.HostID]peerUse{},
+		sums:    map[table.TargetID]*Use{},
 		targets: map[table.TargetID]*record{},
 		centres: map[table.DataCentre]*centre{},
 		offered: map[table.ServiceName]*rate{},
@@ -94,17 +105,31 @@
 	return uses
 }
 
-// Merge takes the work that the host from has under way, in place of what it said before.
+// Merge takes the work that the host from has under way, in place of what it said before. The Board keeps uses.
 func (b *Board) Merge(now time.Time, from table.HostID, uses []Use) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	p := peerUse{at: now, uses: make(map[table.TargetID]Use, len(uses)), demands: b.peers[from].demands}
-	for _, u := range uses {
-		p.uses[u.Target] = u
+	old := b.peers[from]
+	b.peers[from] = peerUse{at: now, uses: uses, demands: old.demands}
+
+	b.subtract(old.uses)
+
+	for i := range uses {
+		entry(b.sums, uses[i].Target).add(&uses[i])
 	}
+}
+
+// subtract takes what a peer said out of the sums; the caller holds mu.
+func (b *Board) subtract(uses []Use) {
+	for i := range uses {
+		sum := entry(b.sums, uses[i].Target)
+		sum.subtract(&uses[i])
 
-	b.peers[from] = p
+		if sum.empty() {
+			delete(b.sums, uses[i].Target)
+		}
+	}
 }
 
 // Tick forgets silent peers, and targets for which keep returns false.
@@ -114,6 +139,7 @@
 
 	for id, p := range b.peers {
 		if now.Sub(p.at) > peerLife {
+			b.subtract(p.uses)
 			delete(b.peers, id)
 		}
 	}
@@ -125,28 +151,20 @@
 	}
 }
 
-// total adds up what is known of the work on id; the caller holds mu.
+// total returns what is known of the work on id; the caller holds mu.
 func (b *Board) total(id table.TargetID) Use {
-	sum := Use{Target: id}
-
-	if u, ok := b.own[id]; ok {
-		sum.add(u)
+	if sum, ok := b.sums[id]; ok {
+		return *sum
 	}
 
-	for _, p := range b.peers {
-		if u, ok := p.uses[id]; ok {
-			sum.add(&u)
-		}
-	}
-
-	return sum
+	return Use{Target: id}
 }
 
-func (b *Board) ownUse(id table.TargetID) *Use {
-	u, ok := b.own[id]
+func entry(uses map[table.TargetID]*Use, id table.TargetID) *Use {
+	u, ok := uses[id]
 	if !ok {
 		u = &Use{Target: id}
-		b.own[id] = u
+		uses[id] = u
 	}
 
 	return u
@@ -171,19 +189,15 @@
 	c.board.mu.Lock()
 	defer c.board.mu.Unlock()
 
-	u := c.board.ownUse(c.use.Target)
-	for i := range u.Reading {
-		u.Reading[i] -= c.use.Reading[i]
-	}
-
-	u.Runs -= c.use.Runs
-	u.Held -= c.use.Held
+	entry(c.board.own, c.use.Target).subtract(&c.use)
+	c.board.subtract([]Use{c.use})
 	c.board = nil
 }
 
 // claim counts use; the caller holds mu.
 func (b *Board) claim(use Use) Claim {
-	b.ownUse(use.Target).add(&use)
+	entry(b.own, use.Target).add(&use)
+	entry(b.sums, use.Target).add(&use)
 
 	return Claim{board: b, use: use}
 }
--- a/internal/control/placing/cache.go
+++ b/internal/control/placing/cache.go
@@ -102,13 +102,14 @@
 	return true
 }
 
-// cached returns the tokens of parts that each replica is thought to hold, for the replicas that hold any.
-func (c *cache) cached(parts []Part) map[table.TargetID]table.Tokens {
+// cached returns the tokens of parts, whose prefixes are names, that each replica is thought to hold, for the
+// replicas that hold any.
+func (c *cache) cached(names []Prefix, parts []Part) map[table.TargetID]table.Tokens {
 	held := map[table.TargetID]table.Tokens{}
 
 	var sum table.Tokens
 
-	for i, p := range prefixes(parts) {
+	for i, p := range names {
 		h, ok := c.held.Get(p)
 		if !ok {
 			break
--- a/internal/control/placing/choose.go
+++ b/internal/control/placing/choose.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -44,13 +45,7 @@
 }
 
 func (j *Job) avoids(id table.TargetID) bool {
-	for _, a := range j.Avoid {
-		if a == id {
-			return true
-		}
-	}
-
-	return false
+	return slices.Contains(j.Avoid, id)
 }
 
 // Placement is a chosen target with the work counted there. Release the claim when the work has ended.
@@ -70,11 +65,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	held := b.cache.cached(job.Parts)
-	home := b.home(candidates, job)
+	names := prefixes(job.Parts)
+	held := b.cache.cached(names, job.Parts)
 	unseen := b.unseen(now, candidates)
 	rank := rankIndex(job.Rank)
 
+	var home table.TargetID
+	if shared := len(names) - 1; len(held) == 0 && shared > 0 {
+		home = homeOf(names[shared-1], candidates)
+	}
+
 	var (
 		best      Placement
 		bestScore float64
@@ -105,7 +105,7 @@
 				score += farPenalty
 			}
 
-			if len(held) == 0 && t.ID == home {
+			if t.ID == home {
 				score -= homePart * float64(job.Prompt) / b.pace
 			}
 
@@ -168,15 +168,8 @@
 	return float64(hash.Sum64()>>11) / (1 << 53)
 }
 
-// home returns the replica that a prompt belongs to as long as none is known to hold its first parts.
-func (b *Board) home(candidates []fleet.Target, job Job) table.TargetID {
-	shared := len(job.Parts) - 1
-	if shared < 1 {
-		return ""
-	}
-
-	deepest := prefixes(job.Parts[:shared])[shared-1]
-
+// homeOf returns the replica that a prefix belongs to as long as none is known to hold it.
+func homeOf(p Prefix, candidates []fleet.Target) table.TargetID {
 	var (
 		home table.TargetID
 		best uint64
@@ -189,7 +182,7 @@
 
 		_, _ = hash.WriteString(string(t.ID)) // never fails
 
-		if score := hash.Sum64() ^ uint64(deepest)*0x9e3779b97f4a7c15; home == "" || score > best {
+		if score := hash.Sum64() ^ uint64(p)*0x9e3779b97f4a7c15; home == "" || score > best {
 			home, best = t.ID, score
 		}
 	}
--- a/internal/control/placing/load_test.go
+++ b/internal/control/placing/load_test.go
@@ -145,7 +145,7 @@
 	return table.Tokens(1 + mean*math.Exp(spread*p.rand.NormFloat64()-spread*spread/2))
 }
 
-func (p *play) arrive(k *kind) {
+func (p *play) job(k *kind) placing.Job {
 	common, deep := p.rand.IntN(k.common), p.rand.IntN(k.deep)
 	fixed := rand.New(rand.NewPCG(uint64(k.rank), uint64(common))) // a shared part has the same size each time
 	parts := []placing.Part{
@@ -159,6 +159,12 @@
 		job.Prompt += part.Tokens
 	}
 
+	return job
+}
+
+func (p *play) arrive(k *kind) {
+	job := p.job(k)
+	parts := job.Parts
 	board := p.boards[p.rand.IntN(len(p.boards))]
 
 	place, ok := board.ForPrompt(p.clock(), p.list, job)
--- /dev/null
+++ b/internal/control/placing/property_test.go
@@ -0,0 +1,92 @@
+package placing_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
+	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+// TestWorkOfAllHostsAddsUp compares a board with a plain count while hosts tell, fall silent and come back, and
+// work starts and ends here.
+func TestWorkOfAllHostsAddsUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var (
+			board  = placing.New()
+			at     = now
+			all    = []fleet.Target{{ID: "a", Slots: 4}, {ID: "b", Slots: 4}, {ID: "c", Slots: 4}}
+			told   = map[table.HostID]map[table.TargetID]int{}
+			heard  = map[table.HostID]time.Time{}
+			claims []placing.Placement
+		)
+
+		t.Repeat(map[string]func(*rapid.T){
+			"tell": func(t *rapid.T) {
+				host := table.HostID(fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "host")))
+				told[host], heard[host] = map[table.TargetID]int{}, at
+
+				var uses []placing.Use
+
+				for _, target := range all {
+					if n := rapid.IntRange(0, 3).Draw(t, "runs"); n > 0 {
+						told[host][target.ID] = n
+						uses = append(uses, placing.Use{Target: target.ID, Runs: n})
+					}
+				}
+
+				board.Merge(at, host, uses)
+			},
+			"wait": func(t *rapid.T) {
+				at = at.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+				board.Tick(at, func(table.TargetID) bool { return true })
+
+				for host, last := range heard {
+					if at.Sub(last) > 3*time.Second {
+						delete(told, host)
+						delete(heard, host)
+					}
+				}
+			},
+			"start": func(*rapid.T) {
+				place, ok := board.ForCall(at, all, placing.Job{ID: "q"})
+				require.True(t, ok)
+
+				claims = append(claims, place)
+			},
+			"end": func(t *rapid.T) {
+				if len(claims) == 0 {
+					t.Skip("nothing under way")
+				}
+
+				last := len(claims) - 1
+				claims[last].Claim.Release()
+				claims[last].Claim.Release()
+
+				claims = claims[:last]
+			},
+			"": func(*rapid.T) {
+				want := map[table.TargetID]int{}
+
+				for _, uses := range told {
+					for id, n := range uses {
+						want[id] += n
+					}
+				}
+
+				for _, place := range claims {
+					want[place.Target.ID]++
+				}
+
+				for _, target := range all {
+					require.Equal(t, want[target.ID], board.Busy(target.ID))
+				}
+			},
+		})
+	})
+}
--- /dev/null
+++ b/internal/control/placing/size_test.go
@@ -0,0 +1,42 @@
+package placing_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
+	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+// BenchmarkForPrompt chooses among the targets of a fleet whose hosts all have work on some of them.
+func BenchmarkForPrompt(b *testing.B) {
+	const usedByEach = 20
+
+	for _, size := range []struct{ hosts, targets int }{{7, 18}, {85, 90}, {330, 600}} {
+		b.Run(fmt.Sprintf("hosts=%d/targets=%d", size.hosts, size.targets), func(b *testing.B) {
+			board := placing.New()
+
+			var all []fleet.Target
+			for i := range size.targets {
+				all = append(all, fleet.Target{ID: table.TargetID(fmt.Sprint("t", i)), Slots: 48})
+			}
+
+			for i := range size.hosts {
+				var uses []placing.Use
+				for k := range min(usedByEach, size.targets) {
+					uses = append(uses, placing.Use{Target: all[(i+k)%size.targets].ID, Runs: 1})
+				}
+
+				board.Merge(now, table.HostID(fmt.Sprint("h", i)), uses)
+			}
+
+			work := job(12_000, placing.Part{ID: 1, Tokens: 512}, placing.Part{ID: 2, Tokens: 4870}, placing.Part{ID: 3, Tokens: 6610})
+
+			for b.Loop() {
+				place, _ := board.ForPrompt(now, all, work)
+				place.Claim.Release()
+			}
+		})
+	}
+}
