Have one host of a cell place its prompts

Cause: hosts chose the replica that reads a prompt by what the others had said up to 200 ms (7 hosts) or 1.3 s (85 hosts) before, and with more than 26 partners by what a third of them had said. A prompt is read in a fifth of a second, so choices met work that nobody had told of.

Change: the replicas that read prompts form cells, one up to 16 hosts, else one for each data centre. In a cell one host, by rendezvous hashing over its ready members, places the prompts (Place, EndPlace over gRPC); its name in other data centres comes with heartbeats. A prompt goes to cells by the hash of its shared prefix, weighted by replicas, and to a second cell if the wait in the first is above half of its objective. A placer that does not answer in 100 ms is passed over for 0.5 to 4 s and the host chooses for itself as before; claims that nobody ends expire. Nothing but the quality of the choice depends on it.

Answers are still placed by each host for itself.

--- /dev/null
+++ b/internal/control/cells/cells_test.go
@@ -0,0 +1,97 @@
+package cells_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/cells"
+	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
+	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+)
+
+const many = cells.FewHosts + 1
+
+// replicas returns n replicas in each data centre named.
+func replicas(counts map[table.DataCentre]int) []fleet.Target {
+	var all []fleet.Target
+
+	for dc, n := range counts {
+		for i := range n {
+			all = append(all, fleet.Target{ID: table.TargetID(fmt.Sprint(dc, i)), DataCentre: dc})
+		}
+	}
+
+	return all
+}
+
+func prompt(shared, own uint64) placing.Job {
+	return placing.Job{ID: table.RequestID(fmt.Sprint(own)), Parts: []placing.Part{{ID: shared, Tokens: 500}, {ID: own, Tokens: 700}}}
+}
+
+func TestFewHostsShareOneCell(t *testing.T) {
+	all := replicas(map[table.DataCentre]int{"a": 3, "b": 2})
+
+	require.Equal(t, []table.DataCentre{cells.Whole}, cells.Rank(all, cells.FewHosts, prompt(1, 2)))
+	require.Len(t, cells.In(cells.Whole, all), 5)
+	require.Len(t, cells.In("b", all), 2)
+	require.Empty(t, cells.Rank(nil, many, prompt(1, 2)))
+}
+
+func TestPromptsWithASharedBeginningHaveTheSameCells(t *testing.T) {
+	all := replicas(map[table.DataCentre]int{"a": 5, "b": 5, "c": 5})
+
+	for shared := range uint64(50) {
+		require.Equal(t, cells.Rank(all, many, prompt(shared, 1)), cells.Rank(all, 2*many, prompt(shared, 2)))
+	}
+}
+
+// TestCellsAreUsedInProportion draws many prompts for cells of unequal size.
+func TestCellsAreUsedInProportion(t *testing.T) {
+	const draws = 20_000
+
+	all := replicas(map[table.DataCentre]int{"a": 10, "b": 20, "c": 10})
+	first := map[table.DataCentre]float64{}
+
+	for shared := range uint64(draws) {
+		first[cells.Rank(all, many, prompt(shared, 1))[0]]++
+	}
+
+	require.InDelta(t, 0.5, first["b"]/draws, 0.02)
+	require.InDelta(t, 0.25, first["a"]/draws, 0.02)
+}
+
+// TestLostReplicaMovesFewPrompts checks that prefixes stay where they were read when a cell shrinks.
+func TestLostReplicaMovesFewPrompts(t *testing.T) {
+	before := replicas(map[table.DataCentre]int{"a": 10, "b": 10})
+	after := replicas(map[table.DataCentre]int{"a": 10, "b": 9})
+	moved := 0
+
+	for shared := range uint64(1000) {
+		if cells.Rank(before, many, prompt(shared, 1))[0] != cells.Rank(after, many, prompt(shared, 1))[0] {
+			moved++
+		}
+	}
+
+	require.Less(t, moved, 50)
+}
+
+func TestPlacerChangesOnlyWithItsLoss(t *testing.T) {
+	hosts := []table.HostID{"h1", "h2", "h3", "h4", "h5"}
+	placer := cells.Placer("a", hosts)
+
+	require.Contains(t, hosts, placer)
+	require.Empty(t, cells.Placer("a", nil))
+
+	for i, h := range hosts {
+		rest := append(append([]table.HostID{}, hosts[:i]...), hosts[i+1:]...)
+
+		if h == placer {
+			require.NotEqual(t, placer, cells.Placer("a", rest))
+		} else {
+			require.Equal(t, placer, cells.Placer("a", rest))
+		}
+	}
+}
--- a/internal/control/placing/cache.go
+++ b/internal/control/placing/cache.go
@@ -72,6 +72,18 @@
 	return all
 }
 
+// Shared returns the prefix that all but the last of parts make, which is the caller's own.
+// It reports false if there is none.
+func Shared(parts []Part) (Prefix, bool) {
+	if len(parts) < 2 {
+		return 0, false
+	}
+
+	names := prefixes(parts[:len(parts)-1])
+
+	return names[len(names)-1], true
+}
+
 // add notes that target has read all of parts.
 func (c *cache) add(target table.TargetID, parts []Part) {
 	for _, p := range prefixes(parts) {
--- a/internal/control/placing/choose.go
+++ b/internal/control/placing/choose.go
@@ -42,6 +42,8 @@
 	Rank   int
 	Near   table.DataCentre
 	Avoid  []table.TargetID
+	Sole   bool          // no other host places prompts on the candidates
+	Enough time.Duration // a shorter wait is not worth a look at further replicas
 }
 
 func (j *Job) avoids(id table.TargetID) bool {
@@ -55,8 +57,15 @@
 	Cached table.Tokens  // of the prompt, thought to be held by the target
 	Wait   time.Duration // expected until the prompt is read; zero for plain services
 	Full   bool          // the target has no room for the KV cache; only set when none has
-	work   table.Tokens  // ahead of the end of the reading, this prompt included
-	alone  bool          // nothing else is being read there
+	Work   table.Tokens  // ahead of the end of the reading, this prompt included
+	Alone  bool          // nothing else is being read there
+}
+
+// Ending is how a placed prompt ended. The zero value is that of one that was not sent.
+type Ending struct {
+	Sent    bool
+	Outcome Outcome       // of a prompt that was sent
+	Took    time.Duration // to read it; zero if it was not read
 }
 
 // ForPrompt chooses the replica on which the prompt of job is expected to be read first.
@@ -68,6 +77,11 @@
 	names := prefixes(job.Parts)
 	held := b.cache.cached(names, job.Parts)
 	unseen := b.unseen(now, candidates)
+
+	if job.Sole {
+		unseen = 0
+	}
+
 	rank := rankIndex(job.Rank)
 
 	var home table.TargetID
@@ -111,8 +125,8 @@
 
 			if !found || score < bestScore {
 				best = Placement{
-					Target: t, Cached: cached, Wait: time.Duration(seconds * float64(time.Second)), work: work,
-					alone: use.Reading == [ranks]table.Tokens{},
+					Target: t, Cached: cached, Wait: time.Duration(seconds * float64(time.Second)), Work: work,
+					Alone: use.Reading == [ranks]table.Tokens{},
 				}
 				bestScore, found = score, true
 			}
--- a/internal/control/placing/load_test.go
+++ b/internal/control/placing/load_test.go
@@ -77,12 +77,19 @@
 	list   []fleet.Target
 	reader map[table.TargetID]*reader
 	kinds  []*kind
+	spread float64 // of the sizes of callers' own parts
+	most   float64 // tokens of such a part
 }
 
 const tokensPerSecond = 56_600
 
-func newPlay(hosts, readers int) *play {
-	p := &play{rand: rand.New(rand.NewPCG(7, 7)), reader: map[table.TargetID]*reader{}, kinds: sheet()}
+func newPlay(hosts, readers int) *play { return newPlayOf(hosts, readers, 1) }
+
+// newPlayOf plays scale times the requests of the sheet.
+func newPlayOf(hosts, readers int, scale float64) *play {
+	p := &play{
+		rand: rand.New(rand.NewPCG(7, 7)), reader: map[table.TargetID]*reader{}, kinds: sheet(), spread: 0.8, most: math.Inf(1),
+	}
 
 	for i := range readers {
 		t := fleet.Target{ID: table.TargetID(fmt.Sprint("r", i)), DataCentre: table.DataCentre(fmt.Sprint(i % 4)), Slots: 64}
@@ -95,6 +102,7 @@
 	}
 
 	for _, k := range p.kinds {
+		k.rate *= scale
 		p.next(k)
 	}
 
@@ -140,9 +148,9 @@
 
 // size draws a part's size with a long tail.
 func (p *play) size(mean float64) table.Tokens {
-	const spread = 0.8
+	drawn := mean * math.Exp(p.spread*p.rand.NormFloat64()-p.spread*p.spread/2)
 
-	return table.Tokens(1 + mean*math.Exp(spread*p.rand.NormFloat64()-spread*spread/2))
+	return table.Tokens(1 + min(drawn, p.most))
 }
 
 func (p *play) job(k *kind) placing.Job {
@@ -154,7 +162,7 @@
 		{ID: p.rand.Uint64(), Tokens: p.size(k.sizes[2])},
 	}
 
-	job := placing.Job{ID: table.RequestID(fmt.Sprint(p.rand.Uint64())), Parts: parts, Rank: k.rank, Near: "0"}
+	job := placing.Job{ID: table.RequestID(fmt.Sprint(p.rand.Uint64())), Parts: parts, Rank: k.rank, Near: "0", Sole: len(p.boards) == 1}
 	for _, part := range parts {
 		job.Prompt += part.Tokens
 	}
@@ -254,3 +262,11 @@
 	p.run(30 * time.Second)
 	p.requireInTime(t)
 }
+
+// TestOneHostPlacesForManyHosts plays three and a half times the sheet, as 85 hosts and 40 readers get it, with
+// one host that places: what 95 in 100 of a plan for few hosts get, these get too.
+func TestOneHostPlacesForManyHosts(t *testing.T) {
+	p := newPlayOf(1, 40, 3.5)
+	p.run(20 * time.Second)
+	p.requireInTime(t)
+}
--- a/internal/control/placing/record.go
+++ b/internal/control/placing/record.go
@@ -139,13 +139,13 @@
 
 	b.cache.add(p.Target.ID, parts)
 
-	tokens := float64(p.work)
+	tokens := float64(p.Work)
 	if tokens < paceTokens || took <= 0 {
 		return
 	}
 
 	pace := tokens / took.Seconds()
-	if p.alone {
+	if p.Alone {
 		b.alone += paceWeight * (pace - b.alone)
 	}
 
@@ -154,3 +154,16 @@
 	r.pace += ownPaceWeight * (pace - r.pace)
 	b.pace += paceWeight * (pace - b.pace)
 }
+
+// End takes back the claim of a prompt that was placed here for another host, and learns how it ended.
+func (b *Board) End(now time.Time, p Placement, parts []Part, e Ending) {
+	p.Claim.Release()
+
+	switch {
+	case !e.Sent:
+	case e.Outcome == Served:
+		b.Read(p, parts, e.Took)
+	default:
+		b.Note(now, p.Target, e.Outcome)
+	}
+}
--- a/internal/entry/exchange/exchange.go
+++ b/internal/entry/exchange/exchange.go
@@ -30,6 +30,8 @@
 	Changing func() []table.TargetID // replicas that carry out this host's orders; nil means none
 	Revision func() uint64           // of the store, up to which this host knows the targets; nil means none
 	Reads    func() bool             // whether this host reads the store and it answers; nil means no
+	// Placer returns the address of the host that places the prompts of this data centre; nil means none.
+	Placer func() string
 	// Told is called with each peer's digest; nil for nobody.
 	Told func(Told)
 }
@@ -41,6 +43,7 @@
 	Version    uint64 // of its configuration
 	Revision   uint64 // of the store, up to which it knows the targets
 	Reads      bool   // from the store itself, which answers it
+	Placer     string // peer address of the host that places the prompts of DataCentre; "" for none
 }
 
 // Exchange fills and hears digests. It implements peers.Local and is safe for concurrent use.
@@ -70,6 +73,10 @@
 		opts.Reads = func() bool { return false }
 	}
 
+	if opts.Placer == nil {
+		opts.Placer = func() string { return "" }
+	}
+
 	if opts.Changing == nil {
 		opts.Changing = func() []table.TargetID { return nil }
 	}
@@ -84,6 +91,7 @@
 	d.Generation = x.opts.Version()
 	d.TargetsRevision = x.opts.Revision()
 	d.ReadsStore = x.opts.Reads()
+	d.Placer = x.opts.Placer()
 
 	for _, u := range x.opts.Board.Export() {
 		work := &peer.TargetWork{Target: string(u.Target), Runs: int64(u.Runs), Held: int64(u.Held)}
@@ -119,7 +127,7 @@
 func (x *Exchange) Hear(d *peer.Digest) {
 	x.opts.Told(Told{
 		Host: table.HostID(d.GetHost()), DataCentre: table.DataCentre(d.GetDataCentre()), Version: d.GetGeneration(),
-		Revision: d.GetTargetsRevision(), Reads: d.GetReadsStore(),
+		Revision: d.GetTargetsRevision(), Reads: d.GetReadsStore(), Placer: d.GetPlacer(),
 	})
 	x.opts.Board.Merge(x.now(), table.HostID(d.GetHost()), uses(d.GetWork()))
 
--- a/internal/entry/peers/forward.go
+++ b/internal/entry/peers/forward.go
@@ -265,3 +265,27 @@
 
 	return reply.GetEncoded(), nil
 }
+
+// Place asks the host at address to place a prompt.
+func (n *Network) Place(ctx context.Context, address string, r *peer.PlaceRequest) (*peer.PlaceReply, error) {
+	client, err := n.links.To(address)
+	if err != nil {
+		return nil, err
+	}
+
+	reply, err := client.Place(ctx, r)
+
+	return reply, peer.Error.Wrap(err)
+}
+
+// EndPlace tells the host at address that a prompt it placed has ended.
+func (n *Network) EndPlace(ctx context.Context, address string, r *peer.EndPlaceRequest) error {
+	client, err := n.links.To(address)
+	if err != nil {
+		return err
+	}
+
+	_, err = client.EndPlace(ctx, r)
+
+	return peer.Error.Wrap(err)
+}
--- a/internal/entry/peers/server.go
+++ b/internal/entry/peers/server.go
@@ -35,6 +35,12 @@
 	Find(id answers.ID) (*answers.Answer, bool)
 }
 
+// Desk places prompts for other hosts.
+type Desk interface {
+	Place(r *peer.PlaceRequest) *peer.PlaceReply
+	End(r *peer.EndPlaceRequest)
+}
+
 // Services are the parts of this host that peers call. Snapshot, Runner and Held are required.
 type Services struct {
 	Snapshot func() *table.Snapshot
@@ -44,6 +50,8 @@
 	Configuration func() (table.Generation, []byte)
 	// Claim handles an encoded claim of another host; nil serves none.
 	Claim func(ctx context.Context, encoded []byte) ([]byte, error)
+	// Desk places prompts for other hosts; nil places none.
+	Desk Desk
 	// Burn returns this host's encoded service-level counts; nil serves none.
 	Burn func() []byte
 }
@@ -98,6 +106,24 @@
 	return &peer.ClaimReply{Encoded: encoded, Problem: peer.FromError(err)}, nil
 }
 
+// Place implements peer.PeerServer.
+func (s *Server) Place(_ context.Context, r *peer.PlaceRequest) (*peer.PlaceReply, error) {
+	if s.services.Desk == nil {
+		return &peer.PlaceReply{}, nil
+	}
+
+	return s.services.Desk.Place(r), nil
+}
+
+// EndPlace implements peer.PeerServer.
+func (s *Server) EndPlace(_ context.Context, r *peer.EndPlaceRequest) (*peer.EndPlaceReply, error) {
+	if s.services.Desk != nil {
+		s.services.Desk.End(r)
+	}
+
+	return &peer.EndPlaceReply{}, nil
+}
+
 // FetchBurn implements peer.PeerServer.
 func (s *Server) FetchBurn(context.Context, *peer.FetchBurnRequest) (*peer.Burn, error) {
 	if s.services.Burn == nil {
--- /dev/null
+++ b/internal/entry/placer/placer.go
@@ -0,0 +1,300 @@
+// Package placer has the prompts of each cell placed by one entry host, and places them here while that
+// host does not answer.
+package placer
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/phuslu/log"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/cells"
+	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
+	"github.com/dotterelflow/dotterelflow/internal/control/members"
+	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/entry/relay"
+	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
+)
+
+const (
+	// askBound is the time after which a placer counts as away: many times the way between data centres and
+	// back, and a small part of the objectives of streams.
+	askBound = 100 * time.Millisecond
+	// endBound bounds the word that a prompt has ended, after which its claim expires by itself.
+	endBound = time.Second
+	// firstPause and longestPause bound the time for which a placer that did not answer is not asked.
+	firstPause   = 500 * time.Millisecond
+	longestPause = 4 * time.Second
+	// asked is the number of cells whose placers are asked for one prompt.
+	asked = 2
+)
+
+// Peers are the other entry hosts.
+type Peers interface {
+	Live() []members.Member
+	Place(ctx context.Context, address string, r *peer.PlaceRequest) (*peer.PlaceReply, error)
+	EndPlace(ctx context.Context, address string, r *peer.EndPlaceRequest) error
+}
+
+// Options are the parts of a Placer. All are required but Clock and Log.
+type Options struct {
+	Clock      clockwork.Clock // nil means the real clock
+	Log        *log.Logger     // nil means the default logger
+	Host       table.HostID
+	DataCentre table.DataCentre
+	Address    string // ip:port of the own peer API
+	Board      *placing.Board
+	Peers      Peers
+	Ready      func() bool // whether this host may place prompts
+}
+
+// Placer implements relay.Prompts. It is safe for concurrent use.
+type Placer struct {
+	opts Options
+	here relay.Prompts
+
+	mu     sync.Mutex
+	alone  int64                       // prompts placed without their placer
+	told   map[table.DataCentre]string // addresses of the placers of other data centres
+	pauses map[string]pause            // by address
+}
+
+// pause is how long a placer that did not answer is not asked.
+type pause struct {
+	length time.Duration
+	until  time.Time
+}
+
+// New returns a Placer.
+func New(opts Options) *Placer {
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
+
+	if opts.Log == nil {
+		opts.Log = &log.DefaultLogger
+	}
+
+	return &Placer{opts: opts, here: relay.Here(opts.Clock, opts.Board), told: map[table.DataCentre]string{}, pauses: map[string]pause{}}
+}
+
+// Hear notes that a host in dc says that the host at address places the prompts there; "" for nobody.
+func (p *Placer) Hear(dc table.DataCentre, address string) {
+	if address == "" {
+		return
+	}
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.told[dc] = address
+}
+
+// Home returns the address of the host that places the prompts of this data centre, or "" for none.
+func (p *Placer) Home() string { return p.placer(p.opts.DataCentre, p.opts.Peers.Live()) }
+
+// placer returns the address of the host that places the prompts of cell, or "" if none is known.
+func (p *Placer) placer(cell table.DataCentre, live []members.Member) string {
+	if cell != cells.Whole && cell != p.opts.DataCentre {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+
+		return p.told[cell]
+	}
+
+	addresses := map[table.HostID]string{}
+	if p.opts.Ready() {
+		addresses[p.opts.Host] = p.opts.Address
+	}
+
+	for _, m := range live {
+		if m.Ready && !m.Stopping && (cell == cells.Whole || cell == m.DataCentre) {
+			addresses[m.Host] = m.Address
+		}
+	}
+
+	hosts := make([]table.HostID, 0, len(addresses))
+	for h := range addresses {
+		hosts = append(hosts, h)
+	}
+
+	return addresses[cells.Placer(cell, hosts)]
+}
+
+// Place implements relay.Prompts.
+func (p *Placer) Place(
+	ctx context.Context, service table.ServiceName, candidates []fleet.Target, job placing.Job, hold time.Duration,
+) (relay.Prompt, bool) {
+	live := p.opts.Peers.Live()
+	order := cells.Rank(candidates, len(live)+1, job)
+
+	var best relay.Prompt
+
+	for _, cell := range order[:min(asked, len(order))] {
+		prompt := p.placeIn(ctx, cell, p.placer(cell, live), service, candidates, job, hold)
+
+		switch {
+		case prompt == nil:
+			continue
+		case best == nil:
+			best = prompt
+		case prompt.Placement().Wait < best.Placement().Wait:
+			best.End(placing.Ending{})
+			best = prompt
+		default:
+			prompt.End(placing.Ending{})
+		}
+
+		if best.Placement().Wait <= job.Enough {
+			break
+		}
+	}
+
+	if best != nil {
+		return best, true
+	}
+
+	p.mu.Lock()
+	p.alone++
+	p.mu.Unlock()
+
+	return p.here.Place(ctx, service, candidates, job, hold)
+}
+
+// Alone returns the number of prompts that were placed here because no placer could be asked.
+func (p *Placer) Alone() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.alone
+}
+
+// placeIn has the placer at address choose in cell. It returns nil if that does not work out.
+func (p *Placer) placeIn(
+	ctx context.Context, cell table.DataCentre, address string, service table.ServiceName, candidates []fleet.Target, job placing.Job,
+	hold time.Duration,
+) relay.Prompt {
+	switch {
+	case address == "":
+		return nil
+	case address == p.opts.Address:
+		job.Sole = true
+
+		if here, ok := p.here.Place(ctx, service, cells.In(cell, candidates), job, hold); ok {
+			return here
+		}
+
+		return nil
+	case p.paused(address):
+		return nil
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, askBound)
+	defer cancel()
+
+	reply, err := p.opts.Peers.Place(ctx, address, request(cell, service, job, hold))
+	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return nil // the caller has gone, which says nothing of the placer
+	}
+
+	p.note(address, err)
+
+	if err != nil || reply.GetClaim() == 0 {
+		return nil
+	}
+
+	there := &remote{placer: p, address: address, claim: reply.GetClaim()}
+
+	i := slices.IndexFunc(candidates, func(t fleet.Target) bool { return t.ID == table.TargetID(reply.GetTarget()) })
+	if i < 0 || slices.Contains(job.Avoid, candidates[i].ID) {
+		there.End(placing.Ending{}) // it knows other targets than this host
+
+		return nil
+	}
+
+	there.place = placing.Placement{
+		Target: candidates[i], Cached: table.Tokens(reply.GetCached()), Wait: time.Duration(reply.GetWaitUs()) * time.Microsecond,
+		Work: table.Tokens(reply.GetWork()), Alone: reply.GetAlone(),
+	}
+
+	return there
+}
+
+func (p *Placer) paused(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.opts.Clock.Now().Before(p.pauses[address].until)
+}
+
+// note learns whether the placer at address answers.
+func (p *Placer) note(address string, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if err == nil {
+		delete(p.pauses, address)
+
+		return
+	}
+
+	now := p.opts.Clock.Now()
+	pause := p.pauses[address]
+
+	// Calls that were under way together count once.
+	if now.Before(pause.until) {
+		return
+	}
+
+	pause.length = min(max(2*pause.length, firstPause), longestPause)
+	pause.until = now.Add(pause.length)
+	p.pauses[address] = pause
+	p.opts.Log.Info().Str("peer", address).Dur("pause", pause.length).Err(err).Msg("prompts are placed without a peer")
+}
+
+// remote is a prompt that was placed by another host.
+type remote struct {
+	placer  *Placer
+	address string
+	claim   uint64
+	place   placing.Placement
+}
+
+func (r *remote) Placement() placing.Placement { return r.place }
+
+// End tells the placer without holding up the request.
+func (r *remote) End(e placing.Ending) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), endBound)
+		defer cancel()
+
+		err := r.placer.opts.Peers.EndPlace(ctx, r.address, &peer.EndPlaceRequest{
+			Claim: r.claim, Sent: e.Sent, Outcome: uint32(e.Outcome), TookUs: e.Took.Microseconds(),
+		})
+		if err != nil {
+			r.placer.opts.Log.Debug().Str("peer", r.address).Err(err).Msg("end of a prompt not told; its claim expires")
+		}
+	}()
+}
+
+func request(cell table.DataCentre, service table.ServiceName, job placing.Job, hold time.Duration) *peer.PlaceRequest {
+	r := &peer.PlaceRequest{
+		Request: string(job.ID), Service: string(service), DataCentre: string(cell), Near: string(job.Near),
+		Prompt: int64(job.Prompt), Output: int64(job.Output), Rank: uint32(max(job.Rank, 0)), HoldMs: hold.Milliseconds(),
+	}
+
+	for _, part := range job.Parts {
+		r.Parts = append(r.Parts, &peer.PromptPart{Id: part.ID, Tokens: int64(part.Tokens)})
+	}
+
+	for _, id := range job.Avoid {
+		r.Avoid = append(r.Avoid, string(id))
+	}
+
+	return r
+}
--- /dev/null
+++ b/internal/entry/placer/placer_test.go
@@ -0,0 +1,389 @@
+package placer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/cells"
+	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
+	"github.com/dotterelflow/dotterelflow/internal/control/members"
+	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/control/table"
+	"github.com/dotterelflow/dotterelflow/internal/entry/placer"
+	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
+)
+
+const hold = 2 * time.Second
+
+var errAway = errors.New("away")
+
+// network is the hosts of a test, each of which knows all others.
+type network struct {
+	t     *testing.T
+	clock *clockwork.FakeClock
+	fleet *fleet.Snapshot
+	hosts []*host
+	ended sync.WaitGroup
+	calls map[string]int // of Place, by address
+	away  map[string]error
+	cut   func(address string) // during a call of Place; nil for nothing
+}
+
+// host is one entry host.
+type host struct {
+	*placer.Placer
+
+	network *network
+	id      table.HostID
+	dc      table.DataCentre
+	ready   bool
+	board   *placing.Board
+	desk    *placer.Desk
+}
+
+func (h *host) address() string { return "at-" + string(h.id) }
+
+// newNetwork has count hosts and the replicas, which read prompts, spread over two data centres.
+func newNetwork(t *testing.T, count, replicas int) *network {
+	t.Helper()
+
+	n := &network{t: t, clock: clockwork.NewFakeClock(), calls: map[string]int{}, away: map[string]error{}}
+
+	var all []fleet.Target
+	for i := range replicas {
+		all = append(all, fleet.Target{
+			ID: table.TargetID(fmt.Sprint("r", i)), Service: "llm", DataCentre: centre(i), Slots: 8, Role: table.Prefill,
+		})
+	}
+
+	n.fleet = fleet.NewSnapshot(all)
+
+	for i := range count {
+		h := &host{network: n, id: table.HostID(fmt.Sprint("h", i)), dc: centre(i), ready: true, board: placing.New()}
+		h.desk = placer.NewDesk(placer.DeskOptions{
+			Clock: n.clock, Board: h.board, Fleet: func() *fleet.Snapshot { return n.fleet }, Ready: func() bool { return h.ready },
+		})
+		h.Placer = placer.New(placer.Options{
+			Clock: n.clock, Log: &log.Logger{Writer: log.IOWriter{Writer: t.Output()}}, Host: h.id, DataCentre: h.dc, Address: h.address(),
+			Board: h.board, Peers: link{h}, Ready: func() bool { return h.ready },
+		})
+		n.hosts = append(n.hosts, h)
+	}
+
+	for _, from := range n.hosts {
+		for _, to := range n.hosts {
+			to.Hear(from.dc, from.Home())
+		}
+	}
+
+	return n
+}
+
+func centre(i int) table.DataCentre { return table.DataCentre(fmt.Sprint("dc", i%2)) }
+
+func (n *network) at(address string) *host {
+	for _, h := range n.hosts {
+		if h.address() == address {
+			return h
+		}
+	}
+
+	n.t.Fatalf("nobody at %q", address)
+
+	return nil
+}
+
+// link is how a host reaches the others.
+type link struct{ *host }
+
+// Live implements placer.Peers.
+func (h link) Live() []members.Member {
+	var live []members.Member
+
+	for _, other := range h.network.hosts {
+		if other != h.host {
+			live = append(live, members.Member{Host: other.id, Address: other.address(), DataCentre: other.dc, Ready: other.ready})
+		}
+	}
+
+	return live
+}
+
+// Place implements placer.Peers.
+func (h link) Place(ctx context.Context, address string, r *peer.PlaceRequest) (*peer.PlaceReply, error) {
+	h.network.calls[address]++
+
+	if h.network.cut != nil {
+		h.network.cut(address)
+	}
+
+	if err := errors.Join(ctx.Err(), h.network.away[address]); err != nil {
+		return nil, err
+	}
+
+	h.network.ended.Add(1)
+
+	return h.network.at(address).desk.Place(r), nil
+}
+
+// EndPlace implements placer.Peers.
+func (h link) EndPlace(_ context.Context, address string, r *peer.EndPlaceRequest) error {
+	defer h.network.ended.Done()
+
+	h.network.at(address).desk.End(r)
+
+	return nil
+}
+
+func prompt(id int, parts ...placing.Part) placing.Job {
+	j := placing.Job{ID: table.RequestID(fmt.Sprint("q", id)), Parts: parts, Near: "dc0"}
+	for _, p := range parts {
+		j.Prompt += p.Tokens
+	}
+
+	return j
+}
+
+// own is a part that no other prompt has.
+func own(id int, tokens table.Tokens) placing.Part {
+	return placing.Part{ID: uint64(1000 + id), Tokens: tokens}
+}
+
+// claims returns the number of replicas that are claimed, each as often as it is.
+func (n *network) claims() int {
+	claims := 0
+
+	for _, h := range n.hosts {
+		for _, u := range h.board.Export() {
+			claims += int(math.Round(float64(u.Reading[0]) / 10_000))
+		}
+	}
+
+	return claims
+}
+
+// placerOf returns the host that places the prompts where there is one cell.
+func (n *network) placerOf() *host {
+	ids := make([]table.HostID, len(n.hosts))
+	for i, h := range n.hosts {
+		ids[i] = h.id
+	}
+
+	return n.at("at-" + string(cells.Placer(cells.Whole, ids)))
+}
+
+// TestPromptsOfAllHostsKnowOfEachOther places one prompt at each of many hosts at the same moment, with no
+// heartbeat between them: each gets a replica of its own.
+func TestPromptsOfAllHostsKnowOfEachOther(t *testing.T) {
+	const hosts = 8
+
+	n := newNetwork(t, hosts, hosts)
+	used := map[table.TargetID]bool{}
+
+	for i, h := range n.hosts {
+		p, ok := h.Place(t.Context(), "llm", n.fleet.Of("llm"), prompt(i, own(i, 8000)), hold)
+		require.True(t, ok)
+
+		used[p.Placement().Target.ID] = true
+	}
+
+	require.Len(t, used, hosts)
+	require.Equal(t, hosts-1, n.calls[n.placerOf().address()], "the placer asks nobody")
+}
+
+// TestPrefixReadForOneHostIsFoundForAnother has a prompt read for one host and places another with the same
+// beginning at the next host.
+func TestPrefixReadForOneHostIsFoundForAnother(t *testing.T) {
+	n := newNetwork(t, 4, 8)
+	shared := placing.Part{ID: 7, Tokens: 5000}
+
+	first, ok := n.hosts[0].Place(t.Context(), "llm", n.fleet.Of("llm"), prompt(1, shared, own(1, 500)), hold)
+	require.True(t, ok)
+	first.End(placing.Ending{Sent: true, Outcome: placing.Served, Took: 100 * time.Millisecond})
+	n.ended.Wait()
+
+	if n.hosts[0] == n.placerOf() {
+		// Its own relay notes what was read.
+		n.hosts[0].board.Read(first.Placement(), prompt(1, shared, own(1, 500)).Parts, 100*time.Millisecond)
+	}
+
+	second, ok := n.hosts[1].Place(t.Context(), "llm", n.fleet.Of("llm"), prompt(2, shared, own(2, 500)), hold)
+	require.True(t, ok)
+	require.Equal(t, first.Placement().Target.ID, second.Placement().Target.ID)
+	require.Equal(t, shared.Tokens, second.Placement().Cached)
+}
+
+// TestPlacerThatIsAwayIsReplacedAtOnce loses the placer: prompts are placed without it, it is not asked for a
+// while, and then used again.
+func TestPlacerThatIsAwayIsReplacedAtOnce(t *testing.T) {
+	n := newNetwork(t, 4, 8)
+	away := n.placerOf()
+	n.away[away.address()] = errAway
+
+	asker := n.hosts[0]
+	if asker == away {
+		asker = n.hosts[1]
+	}
+
+	place := func(i int) {
+		t.Helper()
+
+		p, ok := asker.Place(t.Context(), "llm", n.fleet.Of("llm"), prompt(i, own(i, 8000)), hold)
+		require.True(t, ok)
+		p.End(placing.Ending{})
+	}
+
+	for i := range 5 {
+		place(i)
+	}
+
+	require.Equal(t, 1, n.calls[away.address()])
+	require.EqualValues(t, 5, asker.Alone())
+
+	delete(n.away, away.address())
+	n.clock.Advance(time.Second)
+	place(6)
+	place(7)
+	n.ended.Wait()
+
+	require.Equal(t, 3, n.calls[away.address()])
+	require.EqualValues(t, 5, asker.Alone())
+}
+
+// TestCallerThatLeavesSaysNothingOfThePlacer ends the request while the placer is asked.
+func TestCallerThatLeavesSaysNothingOfThePlacer(t *testing.T) {
+	n := newNetwork(t, 4, 8)
+
+	asker := n.hosts[0]
+	if asker == n.placerOf() {
+		asker = n.hosts[1]
+	}
+
+	ctx, leave := context.WithCancel(t.Context())
+	n.cut = func(string) { leave() }
+
+	p, ok := asker.Place(ctx, "llm", n.fleet.Of("llm"), prompt(1, own(1, 8000)), hold)
+	require.True(t, ok)
+	p.End(placing.Ending{})
+
+	n.cut = nil
+	p, ok = asker.Place(t.Context(), "llm", n.fleet.Of("llm"), prompt(2, own(2, 8000)), hold)
+	require.True(t, ok)
+	p.End(placing.Ending{})
+	n.ended.Wait()
+
+	require.Equal(t, 2, n.calls[n.placerOf().address()])
+}
+
+// TestTargetThatTheAskerDoesNotKnowIsNotUsed has the placer choose a replica that the asker sees as leaving.
+func TestTargetThatTheAskerDoesNotKnowIsNotUsed(t *testing.T) {
+	n := newNetwork(t, 4, 2)
+
+	for _, h := range n.hosts {
+		known := n.fleet.Of("llm")[1:]
+
+		for i := range 4 {
+			p, ok := h.Place(t.Context(), "llm", known, prompt(i, own(i, 8000)), hold)
+			require.True(t, ok)
+			require.Equal(t, known[0].ID, p.Placement().Target.ID)
+			p.End(placing.Ending{})
+		}
+	}
+
+	n.ended.Wait()
+
+	for _, target := range n.fleet.Of("llm") {
+		require.Zero(t, n.placerOf().board.Busy(target.ID), "claims that were not used are taken back")
+	}
+}
+
+// TestClaimOfALostHostExpires never ends a claim.
+func TestClaimOfALostHostExpires(t *testing.T) {
+	n := newNetwork(t, 4, 1)
+	desk := n.placerOf()
+
+	asker := n.hosts[0]
+	if asker == desk {
+		asker = n.hosts[1]
+	}
+
+	p, ok := asker.Place(t.Context(), "llm", n.fleet.Of("llm"), prompt(1, own(1, 8000)), hold)
+	require.True(t, ok)
+	require.NotZero(t, desk.board.Busy("r0"))
+
+	n.clock.Advance(p.Placement().Wait + hold)
+	desk.desk.Tick(n.clock.Now())
+	require.NotZero(t, desk.board.Busy("r0"))
+
+	n.clock.Advance(time.Millisecond)
+	desk.desk.Tick(n.clock.Now())
+	require.Zero(t, desk.board.Busy("r0"))
+
+	p.End(placing.Ending{Sent: true, Outcome: placing.Served}) // too late, and of no effect
+	n.ended.Wait()
+	require.Zero(t, desk.board.Busy("r0"))
+}
+
+// TestLongWaitIsComparedWithAnotherCell fills one cell of many hosts and expects the other to be used.
+func TestLongWaitIsComparedWithAnotherCell(t *testing.T) {
+	n := newNetwork(t, cells.FewHosts+2, 4)
+	asker := n.hosts[0]
+	shared := placing.Part{ID: 7, Tokens: 100}
+	centres := map[table.DataCentre]int{}
+
+	for i := range 8 {
+		j := prompt(i, shared, own(i, 10_000))
+		j.Enough = 100 * time.Millisecond
+
+		p, ok := asker.Place(t.Context(), "llm", n.fleet.Of("llm"), j, hold)
+		require.True(t, ok)
+
+		centres[p.Placement().Target.DataCentre]++
+
+		// The claim in the cell that was not chosen is taken back in the background.
+		require.Eventually(t, func() bool { return n.claims() == i+1 }, 5*time.Second, time.Millisecond)
+	}
+
+	require.Equal(t, map[table.DataCentre]int{"dc0": 4, "dc1": 4}, centres)
+}
+
+// TestHostThatIsNotReadyPlacesNothing asks a host that stops or knows no configuration.
+func TestHostThatIsNotReadyPlacesNothing(t *testing.T) {
+	n := newNetwork(t, 2, 2)
+	h := n.hosts[0]
+	ask := &peer.PlaceRequest{Service: "llm", Prompt: 10}
+
+	require.NotZero(t, h.desk.Place(ask).GetClaim())
+
+	h.ready = false
+	require.Zero(t, h.desk.Place(ask).GetClaim())
+	require.Equal(t, n.hosts[1].address(), n.hosts[1].Home())
+}
+
+// TestOversizeAsksAreTurnedAway sends what no host of this fleet sends.
+func TestOversizeAsksAreTurnedAway(t *testing.T) {
+	n := newNetwork(t, 2, 2)
+	desk := n.hosts[0].desk
+
+	require.Zero(t, desk.Place(&peer.PlaceRequest{Service: "llm", Prompt: -1}).GetClaim())
+	require.Zero(t, desk.Place(&peer.PlaceRequest{Service: "llm", Parts: make([]*peer.PromptPart, 1000)}).GetClaim())
+	require.Zero(t, desk.Place(&peer.PlaceRequest{Service: "llm", Avoid: make([]string, 1000)}).GetClaim())
+	require.Zero(t, desk.Place(&peer.PlaceRequest{Service: "unknown"}).GetClaim())
+
+	far := desk.Place(&peer.PlaceRequest{Service: "llm", Prompt: 10, HoldMs: 1 << 50})
+	require.NotZero(t, far.GetClaim())
+
+	desk.End(&peer.EndPlaceRequest{Claim: 12345})
+	n.clock.Advance(time.Hour)
+	desk.Tick(n.clock.Now())
+	require.Zero(t, n.hosts[0].board.Busy("r0")+n.hosts[0].board.Busy("r1"))
+}
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -23,11 +23,14 @@
 	noTargetRetry = time.Second
 	// maxSends bounds the targets that one request is offered to, those that refused it included.
 	maxSends = 4
+	// enoughPart is the part of a route's objective above which the wait for a replica is compared with that
+	// for others. The rest is needed to generate the first event.
+	enoughPart = 2
 	// releaseBound bounds the call that frees a KV cache.
 	releaseBound = time.Second
 )
 
-// Options are the parts of a Relay. All are required but Clock, Log and Observe.
+// Options are the parts of a Relay. All are required but Clock, Log, Prompts and Observe.
 type Options struct {
 	Clock    clockwork.Clock // nil means the real clock
 	Log      *log.Logger     // nil means the default logger
@@ -35,6 +38,7 @@
 	Catalog  func() *catalog.Catalog
 	Fleet    func() *fleet.Snapshot
 	Board    *placing.Board
+	Prompts  Prompts // nil means that this host places all prompts itself
 	Retries  *retries.Window
 	Crashers *crashers.Table // requests that take down their targets
 	Targets  Targets
@@ -56,6 +60,10 @@
 		opts.Log = &log.DefaultLogger
 	}
 
+	if opts.Prompts == nil {
+		opts.Prompts = Here(opts.Clock, opts.Board)
+	}
+
 	if opts.Observe == nil {
 		opts.Observe = func(Outcome) {}
 	}
@@ -151,6 +159,7 @@
 func (j *job) work() placing.Job {
 	return placing.Job{
 		ID: j.r.ID, Prompt: j.r.Prompt, Output: j.r.Output, Parts: j.r.Parts, Rank: j.route.Rank, Near: j.opts.Home, Avoid: j.tried,
+		Enough: j.route.Objective / enoughPart,
 	}
 }
 
