Count a less urgent prompt that a replica has begun to read

Cause: the wait of an urgent prompt was taken as the work of its own rank and above. A replica that has begun to read a less urgent prompt reads it to its end, up to 54,600 tokens or a second.

Ruled out: the sizes of prompts (same at both), links (20 to 60 ms after the reading).

Change: a board keeps the prompts that it has placed in order, and adds what is left of the first one if it is less urgent.

--- a/internal/control/placing/board.go
+++ b/internal/control/placing/board.go
@@ -55,6 +55,7 @@
 	own     map[table.TargetID]*Use
 	peers   map[table.HostID]peerUse
 	sums    map[table.TargetID]*Use // of own and peers, since each choice looks at all targets
+	queues  map[table.TargetID][]*queued
 	targets map[table.TargetID]*record
 	centres map[table.DataCentre]*centre
 	offered map[table.ServiceName]*rate
@@ -76,6 +77,7 @@
 		own:     map[table.TargetID]*Use{},
 		peers:   map[table.HostID]peerUse{},
 		sums:    map[table.TargetID]*Use{},
+		queues:  map[table.TargetID][]*queued{},
 		targets: map[table.TargetID]*record{},
 		centres: map[table.DataCentre]*centre{},
 		offered: map[table.ServiceName]*rate{},
@@ -176,8 +178,9 @@
 
 // Claim is work that was counted on a target. The zero value counts nothing.
 type Claim struct {
-	board *Board
-	use   Use
+	board  *Board
+	use    Use
+	queued *queued // nil for work that is no prompt
 }
 
 // Release takes the work back; further calls have no effect.
@@ -191,6 +194,7 @@
 
 	entry(c.board.own, c.use.Target).subtract(&c.use)
 	c.board.subtract([]Use{c.use})
+	c.board.leave(c.use.Target, c.queued)
 	c.board = nil
 }
 
--- a/internal/control/placing/choose.go
+++ b/internal/control/placing/choose.go
@@ -109,6 +109,8 @@
 				work += use.Reading[i]
 			}
 
+			work += b.begun(now, t.ID, rank)
+
 			r := b.record(t.ID)
 			seconds := float64(work) / b.pace * r.slowness(b.pace)
 			score := seconds*(1+r.faults) + rereadWeight*float64(job.Prompt-cached)/b.pace
@@ -141,6 +143,7 @@
 		use := Use{Target: best.Target.ID}
 		use.Reading[rank] = job.Prompt - best.Cached
 		best.Claim = b.claim(use)
+		best.Claim.queued = b.enqueue(best.Target.ID, rank, use.Reading[rank])
 	}
 
 	return best, found
--- a/internal/control/placing/load_test.go
+++ b/internal/control/placing/load_test.go
@@ -263,6 +263,19 @@
 	p.requireInTime(t)
 }
 
+// TestPromptThatWasBegunDelaysUrgentOnes plays prompts with the long tail that the Dombud platform sends, up to
+// 54,600 tokens of their own: an urgent prompt should not be placed behind one of those that was begun. One host
+// places all.
+func TestPromptThatWasBegunDelaysUrgentOnes(t *testing.T) {
+	p := newPlay(1, 11)
+	p.spread, p.most = 1.3, 54_600
+	p.run(60 * time.Second)
+
+	for _, k := range p.kinds[1:] {
+		require.GreaterOrEqual(t, float64(k.inTime), 0.99*float64(k.total), "rank %d: %d of %d", k.rank, k.inTime, k.total)
+	}
+}
+
 // TestOneHostPlacesForManyHosts plays three and a half times the sheet, as 85 hosts and 40 readers get it, with
 // one host that places: what 95 in 100 of a plan for few hosts get, these get too.
 func TestOneHostPlacesForManyHosts(t *testing.T) {
