Verify changes from a peer by a sum over all targets

Change: a reply always has what changed since the asker's revision, by each entry's own revision, and a sum over the names and targets of all entries at its end. An asker that would not reach that sum takes nothing and asks for a whole copy.

--- a/internal/entry/site/copy.go
+++ b/internal/entry/site/copy.go
@@ -1,10 +1,13 @@
 package site
 
 import (
+	"cmp"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
@@ -14,7 +17,7 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("site")
 
-// maxGone bounds the ends of targets that are remembered for peers; a peer that has missed more gets a whole copy.
+// maxGone bounds the ends of targets that are remembered for peers; a peer that has missed more needs a whole copy.
 const maxGone = 1024
 
 // Copy is what a host has read from the store, in the store's own form, for peers that leave the store to it or
@@ -25,6 +28,7 @@
 	Revision      uint64            `json:"revision"`                // of the store, up to which the targets are known
 	Targets       map[string][]byte `json:"targets,omitempty"`
 	Gone          []string          `json:"gone,omitempty"`
+	Sum           *uint64           `json:"sum,omitempty"` // of all targets at Revision; nil: not known
 }
 
 // entry is a target as it was read. An entry that is written again without a change to the target keeps its revision.
@@ -32,6 +36,7 @@
 	value    []byte
 	target   fleet.Target // the zero value for an entry that names none
 	revision uint64       // of the store, at which the target was found changed
+	hash     uint64       // of its name and target
 }
 
 // ended is an entry that has ended.
@@ -47,7 +52,9 @@
 	old, known := s.entries[e.Name]
 
 	if !known || old.target != target {
-		old = entry{target: target, revision: revision}
+		s.sum ^= old.hash
+		old = entry{target: target, revision: revision, hash: hashOf(e.Name, target)}
+		s.sum ^= old.hash
 		s.revision = max(s.revision, revision)
 	}
 
@@ -61,6 +68,7 @@
 // have read it between two reads of this host.
 func (s *Site) drop(name string, revision uint64) {
 	old := s.entries[name]
+	s.sum ^= old.hash
 	delete(s.entries, name)
 
 	old.revision = revision
@@ -68,14 +76,17 @@
 	s.revision = max(s.revision, revision)
 
 	if over := len(s.gone) - maxGone; over > 0 {
-		s.floor = s.gone[over-1].revision
 		s.gone = slices.Delete(s.gone, 0, over)
 	}
 }
 
+// hashOf returns a hash of an entry, as far as it matters to a host.
+func hashOf(name string, target fleet.Target) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s %+v", name, target))
+}
+
 // takeAll notes all entries of the store as they were read at revision, and returns the targets; the caller holds mu.
-// Which entries came and went since the last read is not known, so a list is news, and peers that know an earlier
-// revision get a whole copy.
+// Which entries came and went since the last read is not known, so a list is news for peers.
 func (s *Site) takeAll(entries []follow.Entry, revision uint64) []fleet.Target {
 	list := make([]fleet.Target, 0, len(entries))
 	read := make(map[string]bool, len(entries))
@@ -83,7 +94,7 @@
 	for _, e := range entries {
 		read[e.Name] = true
 
-		if target, ok := s.take(e, revision); ok {
+		if target, ok := s.take(e, cmp.Or(e.Revision, revision)); ok {
 			list = append(list, target)
 		}
 	}
@@ -95,7 +106,6 @@
 	}
 
 	s.revision = max(s.revision, revision)
-	s.floor = s.revision
 
 	return list
 }
@@ -114,14 +124,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	if s.whole {
+		return uint64(s.Version()), 0
+	}
+
 	return uint64(s.Version()), s.revision
 }
 
 // Behind reports whether a peer that knows version and revision can tell this host more.
 func (s *Site) Behind(version, revision uint64) bool {
-	ownVersion, ownRevision := s.Known()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 
-	return revision > ownRevision || version > ownVersion
+	return revision > s.revision || version > uint64(s.Version())
 }
 
 // Answered reports whether the store answers this host: its last call about targets succeeded.
@@ -137,13 +152,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	c := Copy{Revision: s.shown, Targets: map[string][]byte{}}
+	c := Copy{Since: revision, Revision: s.shown, Targets: map[string][]byte{}}
 	if uint64(s.Version()) > version {
 		c.Configuration = s.configuration
 	}
 
-	if revision >= s.floor {
-		c.Since = revision
+	if s.shown == s.revision {
+		sum := s.sum
+		c.Sum = &sum
 	}
 
 	for name, e := range s.entries {
@@ -170,7 +186,8 @@
 }
 
 // Import takes the encoded Copy of the peer from, as far as it is newer. Entries that are missing in a whole copy
-// count as gone, since the peer has read their end from the store.
+// count as gone, since the peer has read their end from the store. Changes that do not lead to the targets that the
+// peer knows are not taken; the next fetch then asks for a whole copy.
 func (s *Site) Import(now time.Time, encoded []byte, from string) error {
 	var c Copy
 
@@ -189,6 +206,13 @@
 		return nil
 	}
 
+	if c.Since > 0 && c.Sum != nil && *c.Sum != s.sumAfter(c) {
+		s.whole = true
+		s.opts.Log.Info().Str("from", from).Uint64("revision", c.Revision).Msg("changes from a peer are not enough; all targets are fetched")
+
+		return nil
+	}
+
 	if c.Since == 0 {
 		entries := make([]follow.Entry, 0, len(c.Targets))
 		for name, value := range c.Targets {
@@ -201,6 +225,7 @@
 	}
 
 	s.revision = c.Revision
+	s.whole = false
 	s.publish()
 
 	if s.fleet.Load() == nil {
@@ -213,6 +238,22 @@
 	return nil
 }
 
+// sumAfter returns what the sum would be after the changes that c tells; the caller holds mu.
+func (s *Site) sumAfter(c Copy) uint64 {
+	sum := s.sum
+
+	for _, name := range c.Gone {
+		sum ^= s.entries[name].hash
+	}
+
+	for name, value := range c.Targets {
+		target, _ := s.decode(follow.Entry{Name: name, Revision: c.Revision, Value: value})
+		sum ^= s.entries[name].hash ^ hashOf(name, target)
+	}
+
+	return sum
+}
+
 // change takes the changes that c tells; the caller holds mu.
 func (s *Site) change(now time.Time, c Copy) {
 	for _, name := range c.Gone {
--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -35,11 +35,12 @@
 	bad           map[string]uint64 // revisions of entries that could not be decoded, logged once
 	configuration []byte            // in force, as it was read
 	entries       map[string]entry  // of targets, by name
-	gone          []ended           // entries that ended after floor, in order
-	floor         uint64
-	revision      uint64 // of the store, at the last change of a target
-	shown         uint64 // revision that peers are told: they must not take an end for true that is not certain here
-	lost          bool   // the store does not answer about targets
+	gone          []ended           // entries that ended lately, in order
+	sum           uint64            // of all entries, whatever their order
+	whole         bool              // a peer's changes were not enough
+	revision      uint64            // of the store, at the last change of a target
+	shown         uint64            // revision that peers are told: they must not take an end for true that is not certain here
+	lost          bool              // the store does not answer about targets
 }
 
 // New returns a Site that knows nothing yet.
