--- a/internal/control/placing/choose.go
+++ b/internal/control/placing/choose.go
@@ -21,7 +21,7 @@
 	rereadWeight = 8
 	// unseenWeight weighs the reading that peers have not told of yet; prompts come in clumps of several.
 	unseenWeight = 4
-	// fewPeers is the number of peers with which half of that weight counts: a host among few sees most itself.
+	// fewPeers is the number of peers with which half of what others do counts: a host among few sees most itself.
 	fewPeers = 16
 	// fullAt is the part of a replica's KV cache above which it gets no further answers while another has room.
 	fullAt = 0.92
--- a/internal/control/placing/placing_test.go
+++ b/internal/control/placing/placing_test.go
@@ -250,3 +250,48 @@
 	require.False(t, p.Worthwhile(time.Second, 2*time.Second))
 	require.Less(t, p.Silent(), p.Abandoned()/2, "half of the time is left for the other replica")
 }
+
+// crowd gives b the peers of a large fleet.
+func crowd(b *placing.Board) {
+	for i := range 20 {
+		b.Merge(now, table.HostID(fmt.Sprint("peer", i)), nil)
+	}
+}
+
+// TestFewHostsFindOutThemselves tells a host with few peers of a target that was full for a moment.
+func TestFewHostsFindOutThemselves(t *testing.T) {
+	a, b := placing.New(), placing.New()
+	a.Note(now, fleet.Target{ID: "a"}, placing.Refused)
+	b.HearResting(now, a.Resting(now))
+	require.Empty(t, b.Resting(now))
+}
+
+// TestWordOfARestingTargetEnds has two hosts tell each other of a refusal again and again, with a delay on the way.
+func TestWordOfARestingTargetEnds(t *testing.T) {
+	a, b := placing.New(), placing.New()
+	target := fleet.Target{ID: "a"}
+	at := now
+
+	crowd(a)
+	crowd(b)
+
+	a.Note(at, target, placing.Refused)
+	require.Len(t, a.Resting(at), 1)
+
+	for range 20 {
+		told := a.Resting(at)
+		at = at.Add(50 * time.Millisecond)
+		b.HearResting(at, told)
+
+		told = b.Resting(at)
+		at = at.Add(50 * time.Millisecond)
+		a.HearResting(at, told)
+	}
+
+	require.Empty(t, a.Resting(at))
+	require.Empty(t, b.Resting(at))
+
+	a.Note(at, target, placing.Refused)
+	b.HearResting(at, a.Resting(at))
+	require.Len(t, b.Resting(at), 1, "a new refusal is news")
+}
--- a/internal/control/placing/record.go
+++ b/internal/control/placing/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"time"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
@@ -29,7 +30,11 @@
 	cutOffAfter = 4
 	// refusedPause and longestRefused do so for a target that refused work: it is back when work of others ends,
 	// or its change of role.
-	refusedPause   = 250 * time.Millisecond
+	refusedPause = 250 * time.Millisecond
+	// maxResting bounds the resting targets that hosts tell each other; a handful rest at a time.
+	maxResting = 32
+	// changingLife is how long word of a changing replica counts: several heartbeats of few hosts.
+	changingLife   = time.Second
 	longestRefused = 2 * time.Second
 )
 
@@ -39,6 +44,8 @@
 	faults float64 // recent share of failures
 	pause  time.Duration
 	until  time.Time // no work until then
+	said   time.Time // the same by the target's own word, or by that of the host that gave it an order
+	words  uint32    // such words so far, of which hosts tell each other only new ones
 }
 
 func (r *record) slowness(mean float64) float64 {
@@ -75,7 +82,7 @@
 	switch o {
 	case Served:
 		r.faults -= faultWeight * r.faults
-		r.pause, r.until = 0, time.Time{}
+		r.pause, r.until, r.said = 0, time.Time{}, time.Time{}
 	case Failed:
 		r.faults += faultWeight * (1 - r.faults)
 	case Lost:
@@ -83,6 +90,8 @@
 		r.rest(now, firstPause, longestPause)
 	case Refused:
 		r.rest(now, refusedPause, longestRefused)
+		r.said = r.until
+		r.words++
 	}
 }
 
@@ -122,13 +131,71 @@
 	r.until = now.Add(r.pause)
 }
 
-// Rest gives target no work until until, since it is known to take none.
-func (b *Board) Rest(target table.TargetID, until time.Time) {
+// Changing gives target no work for a while, since it is carrying out an order and takes none.
+func (b *Board) Changing(now time.Time, target table.TargetID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	if r := b.record(target); until.After(r.until) {
-		r.until = until
+	until := now.Add(changingLife)
+	if r := b.record(target); until.After(r.said) {
+		r.said = until
+		r.until = later(r.until, until)
+		r.words++
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+
+	return b
+}
+
+// Resting is a target that takes no work for now.
+type Resting struct {
+	Target table.TargetID
+	Left   time.Duration
+	Words  uint32 // refusals and orders so far; hosts take a higher number only, so that word of mouth ends
+}
+
+// Resting returns the targets that take no work, by their own word or that of the host that gave them an order.
+// Targets that this host alone cannot reach are not among them.
+func (b *Board) Resting(now time.Time) []Resting {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	var resting []Resting
+
+	for id, r := range b.targets {
+		if left := r.said.Sub(now); left > 0 && len(resting) < maxResting {
+			resting = append(resting, Resting{Target: id, Left: left, Words: r.words})
+		}
+	}
+
+	return resting
+}
+
+// HearResting takes what another host knows of resting targets. Each host comes back to them at another time, since
+// a target that still refuses would refuse all. Few hosts find out with few refusals, and lose more by staying away
+// from a target that was full for a moment, so they take nothing.
+func (b *Board) HearResting(now time.Time, resting []Resting) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	if len(b.peers) < fewPeers {
+		return
+	}
+
+	for _, t := range resting[:min(len(resting), maxResting)] {
+		r := b.record(t.Target)
+		if t.Words <= r.words {
+			continue
+		}
+
+		r.words = t.Words
+		r.said = now.Add(min(t.Left, longestRefused))
+		r.until = later(r.until, r.said.Add(rand.N(longestRefused)))
 	}
 }
 
--- a/internal/entry/conduct/conductor.go
+++ b/internal/entry/conduct/conductor.go
@@ -20,8 +20,6 @@
 
 const (
 	tickEvery = 200 * time.Millisecond
-	// changingLife is how long word of a changing replica counts: several steps and heartbeats.
-	changingLife = time.Second
 	// orderBound bounds one order's call.
 	orderBound = time.Second
 
@@ -90,6 +88,7 @@
 	opts     Options
 	lease    *authority.Runner
 	stopping atomic.Bool
+	giving   atomic.Bool // an order may be on its way
 	done     chan struct{}
 
 	fence    table.Fence // of the orders given last
@@ -133,7 +132,7 @@
 
 // Authority implements authority.Surroundings.
 func (c *Conductor) Authority() authority.Tick {
-	return authority.Tick{Standby: c.opts.Standby(), Quiet: true, Stop: c.stopping.Load()}
+	return authority.Tick{Standby: c.opts.Standby(), Quiet: !c.giving.Load(), Stop: c.stopping.Load()}
 }
 
 func (c *Conductor) run(ctx context.Context) {
@@ -177,9 +176,8 @@
 
 // publish tells what changes; replicas that change take no work until then.
 func (c *Conductor) publish(changing []table.TargetID) {
-	until := c.opts.Clock.Now().Add(changingLife)
 	for _, id := range changing {
-		c.opts.Board.Rest(id, until)
+		c.opts.Board.Changing(c.opts.Clock.Now(), id)
 	}
 
 	c.published.Store(&changing)
@@ -264,6 +262,9 @@
 		return
 	}
 
+	c.giving.Store(true)
+	defer c.giving.Store(false)
+
 	if f, held := c.lease.Held(c.opts.Lease.Now()); !held || f != c.fence || c.fenced {
 		m.Refused(c.opts.Clock.Now(), o)
 
--- a/internal/entry/exchange/exchange.go
+++ b/internal/entry/exchange/exchange.go
@@ -16,9 +16,6 @@
 // maxUses bounds the targets that a peer may report; a fleet has some hundred.
 const maxUses = 4096
 
-// changingLife is how long word of a changing replica counts: several heartbeats.
-const changingLife = time.Second
-
 // Options are the parts of an Exchange. Board, Crashers, Ready and Version are required.
 type Options struct {
 	Clock    clockwork.Clock // nil means the real clock
@@ -133,7 +130,7 @@
 
 	for _, l := range d.GetLoads()[:min(len(d.GetLoads()), maxUses)] {
 		if l.GetChanging() {
-			x.opts.Board.Rest(table.TargetID(l.GetTarget()), x.now().Add(changingLife))
+			x.opts.Board.Changing(x.now(), table.TargetID(l.GetTarget()))
 		}
 	}
 
--- a/internal/entry/placer/desk.go
+++ b/internal/entry/placer/desk.go
@@ -63,6 +63,7 @@
 
 	now := d.opts.Clock.Now()
 	job := jobOf(r)
+	hearResting(d.opts.Board, now, r.GetResting())
 
 	var candidates []fleet.Target
 
@@ -91,7 +92,7 @@
 
 	return &peer.PlaceReply{
 		Claim: d.last, Target: string(place.Target.ID), Cached: int64(place.Cached), WaitUs: place.Wait.Microseconds(),
-		Work: int64(place.Work), Alone: place.Alone,
+		Work: int64(place.Work), Alone: place.Alone, Resting: resting(d.opts.Board, now),
 	}
 }
 
--- a/internal/entry/placer/placer.go
+++ b/internal/entry/placer/placer.go
@@ -197,12 +197,16 @@
 	ctx, cancel := context.WithTimeout(ctx, askBound)
 	defer cancel()
 
-	reply, err := p.opts.Peers.Place(ctx, address, request(cell, service, job, hold))
+	r := request(cell, service, job, hold)
+	r.Resting = resting(p.opts.Board, p.opts.Clock.Now())
+
+	reply, err := p.opts.Peers.Place(ctx, address, r)
 	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return nil // the caller has gone, which says nothing of the placer
 	}
 
 	p.note(address, err)
+	hearResting(p.opts.Board, p.opts.Clock.Now(), reply.GetResting())
 
 	if err != nil || reply.GetClaim() == 0 {
 		return nil
@@ -282,6 +286,30 @@
 	}()
 }
 
+func resting(board *placing.Board, now time.Time) []*peer.RestingTarget {
+	var all []*peer.RestingTarget
+	for _, t := range board.Resting(now) {
+		all = append(all, &peer.RestingTarget{Target: string(t.Target), LeftMs: uint32(t.Left.Milliseconds()), Words: t.Words})
+	}
+
+	return all
+}
+
+func hearResting(board *placing.Board, now time.Time, told []*peer.RestingTarget) {
+	if len(told) == 0 {
+		return
+	}
+
+	all := make([]placing.Resting, 0, len(told))
+	for _, t := range told {
+		all = append(all, placing.Resting{
+			Target: table.TargetID(t.GetTarget()), Left: time.Duration(t.GetLeftMs()) * time.Millisecond, Words: t.GetWords(),
+		})
+	}
+
+	board.HearResting(now, all)
+}
+
 func request(cell table.DataCentre, service table.ServiceName, job placing.Job, hold time.Duration) *peer.PlaceRequest {
 	r := &peer.PlaceRequest{
 		Request: string(job.ID), Service: string(service), DataCentre: string(cell), Near: string(job.Near),
--- a/internal/entry/placer/placer_test.go
+++ b/internal/entry/placer/placer_test.go
@@ -387,3 +387,41 @@
 	desk.Tick(n.clock.Now())
 	require.Zero(t, n.hosts[0].board.Busy("r0")+n.hosts[0].board.Busy("r1"))
 }
+
+// TestRefusalAtOneHostIsKnownAtAll has a replica refuse one host's work. The next prompts of the others, and their
+// answers, go elsewhere; what one host alone cannot reach stays its own matter.
+func TestRefusalAtOneHostIsKnownAtAll(t *testing.T) {
+	n := newNetwork(t, cells.FewHosts+1, 8)
+	all := n.fleet.Of("llm")
+
+	for _, h := range n.hosts {
+		for _, other := range n.hosts {
+			h.board.Merge(n.clock.Now(), other.id, nil)
+		}
+	}
+
+	n.hosts[0].board.Note(n.clock.Now(), all[3], placing.Refused)
+	n.hosts[0].board.Note(n.clock.Now(), all[4], placing.Lost)
+
+	for round := range 8 {
+		for i, h := range n.hosts {
+			p, ok := h.Place(t.Context(), "llm", all, prompt(i, own(100*round+i, 100)), hold)
+			require.True(t, ok)
+			p.End(placing.Ending{})
+		}
+	}
+
+	n.ended.Wait()
+
+	for i, h := range n.hosts {
+		resting := h.board.Resting(n.clock.Now())
+		require.Len(t, resting, 1, "host %d", i)
+		require.Equal(t, all[3].ID, resting[0].Target)
+	}
+
+	n.clock.Advance(5 * time.Second)
+
+	for _, h := range n.hosts {
+		require.Empty(t, h.board.Resting(n.clock.Now()), "word of mouth does not keep it up")
+	}
+}
