Take a retry from the budget only if it is made

The last try of the two within a split and of the three over targets also asked the account's budget for a retry, which was then not made: a request that met the engine without KV caches took 3 of the account's 10 retries, four such requests 12. As a rule the router learns to avoid that engine after one or two; on a busy machine its report comes late and all four met it.

Ruled out: the stand-in's KV cache (it was told to lose them); the verdict (not run is true).

Change: the budget is asked only while a try is left. TestOnlyRetriesThatAreMadeAreTaken, no clock or load: before 3 and 9 retries taken for 2 and 5 made; after 2 and 5.

--- a/internal/entry/dispatch/phases.go
+++ b/internal/entry/dispatch/phases.go
@@ -48,7 +48,7 @@
 		latest *verdict.Error
 	)
 
-	for range decodeTries {
+	for try := range decodeTries {
 		if source == "" {
 			held, err := r.prefill(ctx, req, t)
 			if err != nil {
@@ -76,7 +76,7 @@
 			worst = verdict.MayHaveRun
 		}
 
-		if ctx.Err() != nil || !r.mayRetry(req, latest, ans) {
+		if ctx.Err() != nil || !r.mayRetry(req, latest, ans, try+1 < decodeTries) {
 			break
 		}
 
--- a/internal/entry/dispatch/runner.go
+++ b/internal/entry/dispatch/runner.go
@@ -130,7 +130,7 @@
 		worst = verdict.MayHaveRun
 	}
 
-	for range maxTries {
+	for try := range maxTries {
 		t, ok := r.opts.Router.Pick(req, tried)
 		if !ok {
 			return final(worst, latest, noTarget(req))
@@ -164,7 +164,7 @@
 			return latest
 		}
 
-		if !r.mayRetry(req, latest, ans) {
+		if !r.mayRetry(req, latest, ans, try+1 < maxTries) {
 			break
 		}
 	}
@@ -172,8 +172,8 @@
 	return final(worst, latest, noTarget(req))
 }
 
-// mayRetry reports whether req may go to another target after err.
-func (r *Runner) mayRetry(req table.Request, err *verdict.Error, ans *answers.Answer) bool {
+// mayRetry reports whether req goes to another target after err, and takes that retry from its budget.
+func (r *Runner) mayRetry(req table.Request, err *verdict.Error, ans *answers.Answer, triesLeft bool) bool {
 	if err.Verdict != verdict.NotRun && req.Kind.AtMostOnce {
 		return false
 	}
@@ -183,7 +183,7 @@
 		return false
 	}
 
-	return r.opts.Retries == nil || r.opts.Retries.Allow(req, err)
+	return triesLeft && (r.opts.Retries == nil || r.opts.Retries.Allow(req, err))
 }
 
 // attempt runs req on t, or on the engine that the guard names instead.
--- a/internal/entry/dispatch/runner_test.go
+++ b/internal/entry/dispatch/runner_test.go
@@ -332,3 +332,63 @@
 	require.Equal(t, verdict.MayHaveRun, problem.Verdict)
 	require.Equal(t, []table.TargetID{"e1"}, w.cancels)
 }
+
+// retriesTaken allows all retries and counts them.
+type retriesTaken struct{ n int }
+
+func (r *retriesTaken) Allow(table.Request, error) bool {
+	r.n++
+
+	return true
+}
+
+// phases has e1, e2 and e3 read prompts and d1, d2 generate.
+type phases struct{}
+
+func (phases) Role(table.TargetID) table.Role { return table.Prefill }
+
+func (phases) PickDecode(_ table.Request, _ table.DataCentre, tried []table.TargetID) (table.Target, bool) {
+	if len(tried) > 0 {
+		return target("d2", table.Engine), true
+	}
+
+	return target("d1", table.Engine), true
+}
+
+// TestOnlyRetriesThatAreMadeAreTaken has all targets refuse: the last try must take nothing from the budget.
+func TestOnlyRetriesThatAreMadeAreTaken(t *testing.T) {
+	refused := reply{err: errNotRun}
+	kvLost := reply{err: verdict.New(verdict.NotRun, verdict.CodeKVLost, "no such KV cache")}
+
+	for name, c := range map[string]struct {
+		phases  dispatch.Phases
+		replies map[table.TargetID][]reply
+		calls   int
+		retries int
+	}{
+		"one phase": {
+			replies: map[table.TargetID][]reply{"e1": {refused}, "e2": {refused}, "e3": {refused}}, calls: 3, retries: 2,
+		},
+		// Each of three targets reads the prompt twice, for one retry within and one to the next target.
+		"KV caches are lost": {
+			phases: phases{},
+			replies: map[table.TargetID][]reply{
+				"e1": {{}, {}}, "e2": {{}, {}}, "e3": {{}, {}}, "d1": {kvLost, kvLost, kvLost, kvLost, kvLost, kvLost},
+			},
+			calls: 12, retries: 5,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, taken := &world{replies: c.replies}, &retriesTaken{}
+			r := dispatch.New(dispatch.Options{Home: "a", Engines: w, Services: w, Router: w, Retries: taken, Phases: c.phases})
+
+			ans := answers.New()
+			r.Run(t.Context(), table.Request{ID: "q", Deadline: time.Now().Add(testBound)}, ans)
+
+			_, problem := ans.Ended()
+			require.Equal(t, verdict.NotRun, problem.Verdict)
+			require.Len(t, w.calls, c.calls)
+			require.Equal(t, c.retries, taken.n)
+		})
+	}
+}
