--- a/cmd/dotterelflow/main.go
+++ b/cmd/dotterelflow/main.go
@@ -17,6 +17,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/command/report"
 	"github.com/dotterelflow/dotterelflow/internal/command/settings"
 	"github.com/dotterelflow/dotterelflow/internal/command/status"
+	"github.com/dotterelflow/dotterelflow/platform/sheet"
 )
 
 func main() {
@@ -34,7 +35,7 @@
 			plan.Command(),
 			status.Command(),
 			report.Command(),
-			experiment.Command(),
+			experiment.Command(experiment.Sheets{Load: sheet.Load, LoadDay: sheet.LoadDay}),
 			load.Command(),
 		},
 	}
--- a/internal/command/experiment/command.go
+++ b/internal/command/experiment/command.go
@@ -22,11 +22,11 @@
    dotterelflow experiment roles --deployment dombud --seeds 5 --plot roles.svg`
 
 // Command returns the command. It writes to the Writer of the root command.
-func Command() *cli.Command {
+func Command(sheets Sheets) *cli.Command {
 	return &cli.Command{
 		Name:     "experiment",
 		Usage:    "measure decisions on virtual time",
-		Commands: []*cli.Command{rolesCommand()},
+		Commands: []*cli.Command{rolesCommand(), ceilingCommand(sheets)},
 	}
 }
 
--- a/internal/command/experiment/command_test.go
+++ b/internal/command/experiment/command_test.go
@@ -17,7 +17,7 @@
 
 	var out bytes.Buffer
 
-	cmd := experiment.Command()
+	cmd := experiment.Command(experiment.Sheets{})
 	cmd.Writer = &out
 	err := cmd.Run(t.Context(), append([]string{"experiment"}, args...))
 
