--- a/internal/entry/placer/desk.go
+++ b/internal/entry/placer/desk.go
@@ -31,7 +31,7 @@
 	Ready func() bool
 }
 
-// Desk places prompts and answers for other hosts. It is safe for concurrent use.
+// Desk places prompts for other hosts. It is safe for concurrent use.
 type Desk struct {
 	opts DeskOptions
 
@@ -41,10 +41,9 @@
 }
 
 type claim struct {
-	place  placing.Placement
-	answer bool
-	parts  []placing.Part
-	until  time.Time
+	place placing.Placement
+	parts []placing.Part
+	until time.Time
 }
 
 // NewDesk returns a Desk.
@@ -56,7 +55,7 @@
 	return &Desk{opts: opts, claims: map[uint64]claim{}}
 }
 
-// Place chooses a replica for a prompt or an answer of another host. A reply without a claim means that it has none to offer.
+// Place chooses a replica for a prompt of another host. A reply without a claim means that it has none to offer.
 func (d *Desk) Place(r *peer.PlaceRequest) *peer.PlaceReply {
 	if !d.opts.Ready() || len(r.GetParts()) > maxParts || len(r.GetAvoid()) > maxAvoid || r.GetPrompt() < 0 {
 		return &peer.PlaceReply{}
@@ -68,13 +67,8 @@
 
 	var candidates []fleet.Target
 
-	role := table.Prefill
-	if r.GetAnswer() {
-		role = table.Decode
-	}
-
 	for _, t := range cells.In(table.DataCentre(r.GetDataCentre()), d.opts.Fleet().Of(table.ServiceName(r.GetService()))) {
-		if t.Role == role {
+		if t.Role == table.Prefill {
 			candidates = append(candidates, t)
 		}
 	}
@@ -86,7 +80,7 @@
 		return &peer.PlaceReply{}
 	}
 
-	place, ok := d.choose(now, candidates, job, r)
+	place, ok := d.opts.Board.ForPrompt(now, candidates, job)
 	if !ok {
 		return &peer.PlaceReply{}
 	}
@@ -94,20 +88,12 @@
 	hold := min(max(time.Duration(r.GetHoldMs())*time.Millisecond, 0), maxHold)
 
 	d.last++
-	d.claims[d.last] = claim{place: place, answer: r.GetAnswer(), parts: job.Parts, until: now.Add(place.Wait + hold)}
+	d.claims[d.last] = claim{place: place, parts: job.Parts, until: now.Add(place.Wait + hold)}
 
 	return &peer.PlaceReply{
 		Claim: d.last, Target: string(place.Target.ID), Cached: int64(place.Cached), WaitUs: place.Wait.Microseconds(),
-		Work: int64(place.Work), Alone: place.Alone, Full: place.Full, Resting: resting(d.opts.Board, now),
-	}
-}
-
-func (d *Desk) choose(now time.Time, candidates []fleet.Target, job placing.Job, r *peer.PlaceRequest) (placing.Placement, bool) {
-	if r.GetAnswer() {
-		return d.opts.Board.ForAnswer(now, candidates, job, table.Tokens(max(r.GetCapacity(), 0)))
+		Work: int64(place.Work), Alone: place.Alone, Resting: resting(d.opts.Board, now),
 	}
-
-	return d.opts.Board.ForPrompt(now, candidates, job)
 }
 
 func jobOf(r *peer.PlaceRequest) placing.Job {
@@ -144,13 +130,6 @@
 		outcome = placing.Outcome(r.GetOutcome())
 	}
 
-	// Whoever generates an answer fetches the prompt's KV cache, and does not read prompts.
-	if c.answer && outcome == placing.Served {
-		c.place.Claim.Release()
-
-		return
-	}
-
 	d.opts.Board.End(d.opts.Clock.Now(), c.place, c.parts, placing.Ending{
 		Sent: r.GetSent(), Outcome: outcome, Took: time.Duration(r.GetTookUs()) * time.Microsecond,
 	})
--- a/internal/entry/placer/placer.go
+++ b/internal/entry/placer/placer.go
@@ -1,5 +1,5 @@
-// Package placer has the prompts and answers of each cell placed by one entry host, and places them here while
-// that host does not answer.
+// Package placer has the prompts of each cell placed by one entry host, and places them here while that
+// host does not answer.
 package placer
 
 import (
@@ -53,10 +53,10 @@
 	Ready      func() bool // whether this host may place prompts
 }
 
-// Placer implements relay.Places. It is safe for concurrent use.
+// Placer implements relay.Prompts. It is safe for concurrent use.
 type Placer struct {
 	opts Options
-	here relay.Places
+	here relay.Prompts
 
 	mu     sync.Mutex
 	alone  int64                       // prompts placed without their placer
@@ -126,28 +126,28 @@
 	return addresses[cells.Placer(cell, hosts)]
 }
 
-// Prompt implements relay.Places.
-func (p *Placer) Prompt(
+// Place implements relay.Prompts.
+func (p *Placer) Place(
 	ctx context.Context, service table.ServiceName, candidates []fleet.Target, job placing.Job, hold time.Duration,
-) (relay.Placed, bool) {
+) (relay.Prompt, bool) {
 	live := p.opts.Peers.Live()
 	order := cells.Rank(candidates, len(live)+1, job)
 
-	var best relay.Placed
+	var best relay.Prompt
 
 	for _, cell := range order[:min(asked, len(order))] {
-		placed := p.placeIn(ctx, live, ask{cell: cell, service: service, candidates: candidates, job: job, hold: hold})
+		prompt := p.placeIn(ctx, cell, p.placer(cell, live), service, candidates, job, hold)
 
 		switch {
-		case placed == nil:
+		case prompt == nil:
 			continue
 		case best == nil:
-			best = placed
-		case placed.Placement().Wait < best.Placement().Wait:
+			best = prompt
+		case prompt.Placement().Wait < best.Placement().Wait:
 			best.End(placing.Ending{})
-			best = placed
+			best = prompt
 		default:
-			placed.End(placing.Ending{})
+			prompt.End(placing.Ending{})
 		}
 
 		if best.Placement().Wait <= job.Enough {
@@ -159,43 +159,11 @@
 		return best, true
 	}
 
-	p.placedAlone()
-
-	return p.here.Prompt(ctx, service, candidates, job, hold)
-}
-
-// Answer implements relay.Places. The cell is that of the replica that has read the prompt, which is near.
-func (p *Placer) Answer(
-	ctx context.Context, service table.ServiceName, candidates []fleet.Target, job placing.Job, capacity table.Tokens, hold time.Duration,
-) (relay.Placed, bool) {
-	live := p.opts.Peers.Live()
-
-	cell := job.Near
-	if len(live) < cells.FewHosts {
-		cell = cells.Whole
-	}
-
-	placed := p.placeIn(ctx, live, ask{
-		cell: cell, service: service, candidates: candidates, job: job, hold: hold, answer: true, capacity: capacity,
-	})
-	if placed != nil && !placed.Placement().Full {
-		return placed, true
-	}
-
-	if placed != nil {
-		placed.End(placing.Ending{}) // another cell may have room
-	}
-
-	p.placedAlone()
-
-	return p.here.Answer(ctx, service, candidates, job, capacity, hold)
-}
-
-func (p *Placer) placedAlone() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-
 	p.alone++
+	p.mu.Unlock()
+
+	return p.here.Place(ctx, service, candidates, job, hold)
 }
 
 // Alone returns the number of prompts that were placed here because no placer could be asked.
@@ -206,26 +174,22 @@
 	return p.alone
 }
 
-// ask is a choice that a placer is asked for.
-type ask struct {
-	cell       table.DataCentre
-	service    table.ServiceName
-	candidates []fleet.Target
-	job        placing.Job
-	hold       time.Duration
-	answer     bool
-	capacity   table.Tokens // of each replica, for an answer
-}
-
-// placeIn has the placer of the cell choose. It returns nil if that does not work out.
-func (p *Placer) placeIn(ctx context.Context, live []members.Member, a ask) relay.Placed {
-	address := p.placer(a.cell, live)
-
+// placeIn has the placer at address choose in cell. It returns nil if that does not work out.
+func (p *Placer) placeIn(
+	ctx context.Context, cell table.DataCentre, address string, service table.ServiceName, candidates []fleet.Target, job placing.Job,
+	hold time.Duration,
+) relay.Prompt {
 	switch {
 	case address == "":
 		return nil
 	case address == p.opts.Address:
-		return p.placeHere(ctx, a)
+		job.Sole = true
+
+		if here, ok := p.here.Place(ctx, service, cells.In(cell, candidates), job, hold); ok {
+			return here
+		}
+
+		return nil
 	case p.paused(address):
 		return nil
 	}
@@ -233,7 +197,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askBound)
 	defer cancel()
 
-	r := request(a)
+	r := request(cell, service, job, hold)
 	r.Resting = resting(p.opts.Board, p.opts.Clock.Now())
 
 	reply, err := p.opts.Peers.Place(ctx, address, r)
@@ -248,45 +212,18 @@
 		return nil
 	}
 
-	return p.taken(address, reply, a)
-}
-
-// placeHere chooses in a cell that this host places. It returns nil if the cell has no candidate.
-func (p *Placer) placeHere(ctx context.Context, a ask) relay.Placed {
-	a.job.Sole = true
-
-	var (
-		placed relay.Placed
-		ok     bool
-	)
-
-	if in := cells.In(a.cell, a.candidates); a.answer {
-		placed, ok = p.here.Answer(ctx, a.service, in, a.job, a.capacity, a.hold)
-	} else {
-		placed, ok = p.here.Prompt(ctx, a.service, in, a.job, a.hold)
-	}
-
-	if !ok {
-		return nil
-	}
-
-	return placed
-}
-
-// taken returns what the placer at address has chosen, or nil if this host knows better.
-func (p *Placer) taken(address string, reply *peer.PlaceReply, a ask) relay.Placed {
 	there := &remote{placer: p, address: address, claim: reply.GetClaim()}
 
-	i := slices.IndexFunc(a.candidates, func(t fleet.Target) bool { return t.ID == table.TargetID(reply.GetTarget()) })
-	if i < 0 || slices.Contains(a.job.Avoid, a.candidates[i].ID) {
+	i := slices.IndexFunc(candidates, func(t fleet.Target) bool { return t.ID == table.TargetID(reply.GetTarget()) })
+	if i < 0 || slices.Contains(job.Avoid, candidates[i].ID) {
 		there.End(placing.Ending{}) // it knows other targets than this host
 
 		return nil
 	}
 
 	there.place = placing.Placement{
-		Target: a.candidates[i], Cached: table.Tokens(reply.GetCached()), Wait: time.Duration(reply.GetWaitUs()) * time.Microsecond,
-		Work: table.Tokens(reply.GetWork()), Alone: reply.GetAlone(), Full: reply.GetFull(),
+		Target: candidates[i], Cached: table.Tokens(reply.GetCached()), Wait: time.Duration(reply.GetWaitUs()) * time.Microsecond,
+		Work: table.Tokens(reply.GetWork()), Alone: reply.GetAlone(),
 	}
 
 	return there
@@ -373,12 +310,10 @@
 	board.HearResting(now, all)
 }
 
-func request(a ask) *peer.PlaceRequest {
-	job := a.job
+func request(cell table.DataCentre, service table.ServiceName, job placing.Job, hold time.Duration) *peer.PlaceRequest {
 	r := &peer.PlaceRequest{
-		Request: string(job.ID), Service: string(a.service), DataCentre: string(a.cell), Near: string(job.Near),
-		Prompt: int64(job.Prompt), Output: int64(job.Output), Rank: uint32(max(job.Rank, 0)), HoldMs: a.hold.Milliseconds(),
-		Answer: a.answer, Capacity: int64(a.capacity),
+		Request: string(job.ID), Service: string(service), DataCentre: string(cell), Near: string(job.Near),
+		Prompt: int64(job.Prompt), Output: int64(job.Output), Rank: uint32(max(job.Rank, 0)), HoldMs: hold.Milliseconds(),
 	}
 
 	for _, part := range job.Parts {
--- a/internal/entry/placer/placer_test.go
+++ b/internal/entry/placer/placer_test.go
@@ -190,7 +190,7 @@
 	used := map[table.TargetID]bool{}
 
 	for i, h := range n.hosts {
-		p, ok := h.Prompt(t.Context(), "llm", n.fleet.Of("llm"), prompt(i, own(i, 8000)), hold)
+		p, ok := h.Place(t.Context(), "llm", n.fleet.Of("llm"), prompt(i, own(i, 8000)), hold)
 		require.True(t, ok)
 
 		used[p.Placement().Target.ID] = true
@@ -206,7 +206,7 @@
 	n := newNetwork(t, 4, 8)
 	shared := placing.Part{ID: 7, Tokens: 5000}
 
-	first, ok := n.hosts[0].Prompt(t.Context(), "llm", n.fleet.Of("llm"), prompt(1, shared, own(1, 500)), hold)
+	first, ok := n.hosts[0].Place(t.Context(), "llm", n.fleet.Of("llm"), prompt(1, shared, own(1, 500)), hold)
 	require.True(t, ok)
 	first.End(placing.Ending{Sent: true, Outcome: placing.Served, Took: 100 * time.Millisecond})
 	n.ended.Wait()
@@ -216,7 +216,7 @@
 		n.hosts[0].board.Read(first.Placement(), prompt(1, shared, own(1, 500)).Parts, 100*time.Millisecond)
 	}
 
-	second, ok := n.hosts[1].Prompt(t.Context(), "llm", n.fleet.Of("llm"), prompt(2, shared, own(2, 500)), hold)
+	second, ok := n.hosts[1].Place(t.Context(), "llm", n.fleet.Of("llm"), prompt(2, shared, own(2, 500)), hold)
 	require.True(t, ok)
 	require.Equal(t, first.Placement().Target.ID, second.Placement().Target.ID)
 	require.Equal(t, shared.Tokens, second.Placement().Cached)
@@ -237,7 +237,7 @@
 	place := func(i int) {
 		t.Helper()
 
-		p, ok := asker.Prompt(t.Context(), "llm", n.fleet.Of("llm"), prompt(i, own(i, 8000)), hold)
+		p, ok := asker.Place(t.Context(), "llm", n.fleet.Of("llm"), prompt(i, own(i, 8000)), hold)
 		require.True(t, ok)
 		p.End(placing.Ending{})
 	}
@@ -271,12 +271,12 @@
 	ctx, leave := context.WithCancel(t.Context())
 	n.cut = func(string) { leave() }
 
-	p, ok := asker.Prompt(ctx, "llm", n.fleet.Of("llm"), prompt(1, own(1, 8000)), hold)
+	p, ok := asker.Place(ctx, "llm", n.fleet.Of("llm"), prompt(1, own(1, 8000)), hold)
 	require.True(t, ok)
 	p.End(placing.Ending{})
 
 	n.cut = nil
-	p, ok = asker.Prompt(t.Context(), "llm", n.fleet.Of("llm"), prompt(2, own(2, 8000)), hold)
+	p, ok = asker.Place(t.Context(), "llm", n.fleet.Of("llm"), prompt(2, own(2, 8000)), hold)
 	require.True(t, ok)
 	p.End(placing.Ending{})
 	n.ended.Wait()
@@ -292,7 +292,7 @@
 		known := n.fleet.Of("llm")[1:]
 
 		for i := range 4 {
-			p, ok := h.Prompt(t.Context(), "llm", known, prompt(i, own(i, 8000)), hold)
+			p, ok := h.Place(t.Context(), "llm", known, prompt(i, own(i, 8000)), hold)
 			require.True(t, ok)
 			require.Equal(t, known[0].ID, p.Placement().Target.ID)
 			p.End(placing.Ending{})
@@ -316,7 +316,7 @@
 		asker = n.hosts[1]
 	}
 
-	p, ok := asker.Prompt(t.Context(), "llm", n.fleet.Of("llm"), prompt(1, own(1, 8000)), hold)
+	p, ok := asker.Place(t.Context(), "llm", n.fleet.Of("llm"), prompt(1, own(1, 8000)), hold)
 	require.True(t, ok)
 	require.NotZero(t, desk.board.Busy("r0"))
 
@@ -344,7 +344,7 @@
 		j := prompt(i, shared, own(i, 10_000))
 		j.Enough = 100 * time.Millisecond
 
-		p, ok := asker.Prompt(t.Context(), "llm", n.fleet.Of("llm"), j, hold)
+		p, ok := asker.Place(t.Context(), "llm", n.fleet.Of("llm"), j, hold)
 		require.True(t, ok)
 
 		centres[p.Placement().Target.DataCentre]++
@@ -405,7 +405,7 @@
 
 	for round := range 8 {
 		for i, h := range n.hosts {
-			p, ok := h.Prompt(t.Context(), "llm", all, prompt(i, own(100*round+i, 100)), hold)
+			p, ok := h.Place(t.Context(), "llm", all, prompt(i, own(100*round+i, 100)), hold)
 			require.True(t, ok)
 			p.End(placing.Ending{})
 		}
--- a/internal/entry/relay/places.go
+++ b/internal/entry/relay/places.go
@@ -11,26 +11,21 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
 )
 
-// Places chooses the replicas of a stream.
-type Places interface {
-	// Prompt chooses which of candidates reads the prompt. A claim that is not ended counts for hold after its
-	// expected wait. It reports false if no candidate accepts job.
-	Prompt(ctx context.Context, service table.ServiceName, candidates []fleet.Target, job placing.Job, hold time.Duration) (Placed, bool)
-	// Answer chooses which of candidates, each with room for capacity tokens, generates the answer.
-	// It reports false if no candidate accepts job.
-	Answer(
-		ctx context.Context, service table.ServiceName, candidates []fleet.Target, job placing.Job, capacity table.Tokens, hold time.Duration,
-	) (Placed, bool)
+// Prompts chooses which replica reads a prompt.
+type Prompts interface {
+	// Place chooses among candidates of service. The claim of a prompt that is not ended counts for hold after
+	// its expected wait. It reports false if no candidate accepts job.
+	Place(ctx context.Context, service table.ServiceName, candidates []fleet.Target, job placing.Job, hold time.Duration) (Prompt, bool)
 }
 
-// Placed is a placed prompt or answer. End must be called once.
-type Placed interface {
+// Prompt is a placed prompt. End must be called once.
+type Prompt interface {
 	Placement() placing.Placement
 	End(e placing.Ending)
 }
 
-// Here returns Places that this host alone chooses, with what board knows.
-func Here(clock clockwork.Clock, board *placing.Board) Places {
+// Here returns Prompts that are placed by this host alone, with what board knows.
+func Here(clock clockwork.Clock, board *placing.Board) Prompts {
 	return here{clock, board}
 }
 
@@ -39,25 +34,17 @@
 	board *placing.Board
 }
 
-func (h here) Prompt(
+func (h here) Place(
 	_ context.Context, _ table.ServiceName, candidates []fleet.Target, job placing.Job, _ time.Duration,
-) (Placed, bool) {
+) (Prompt, bool) {
 	place, ok := h.board.ForPrompt(h.clock.Now(), candidates, job)
 
 	return &placedHere{place}, ok
 }
 
-func (h here) Answer(
-	_ context.Context, _ table.ServiceName, candidates []fleet.Target, job placing.Job, capacity table.Tokens, _ time.Duration,
-) (Placed, bool) {
-	place, ok := h.board.ForAnswer(h.clock.Now(), candidates, job, capacity)
-
-	return &placedHere{place}, ok
-}
-
 type placedHere struct{ place placing.Placement }
 
 func (p *placedHere) Placement() placing.Placement { return p.place }
 
-// End implements Placed. What the ending tells, the relay notes on the board itself.
+// End implements Prompt. What the ending tells, the relay notes on the board itself.
 func (p *placedHere) End(placing.Ending) { p.place.Claim.Release() }
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -30,7 +30,7 @@
 	releaseBound = time.Second
 )
 
-// Options are the parts of a Relay. All are required but Clock, Log, Places and Observe.
+// Options are the parts of a Relay. All are required but Clock, Log, Prompts and Observe.
 type Options struct {
 	Clock    clockwork.Clock // nil means the real clock
 	Log      *log.Logger     // nil means the default logger
@@ -38,7 +38,7 @@
 	Catalog  func() *catalog.Catalog
 	Fleet    func() *fleet.Snapshot
 	Board    *placing.Board
-	Places   Places // nil means that this host chooses all replicas itself
+	Prompts  Prompts // nil means that this host places all prompts itself
 	Retries  *retries.Window
 	Crashers *crashers.Table // requests that take down their targets
 	Targets  Targets
@@ -60,8 +60,8 @@
 		opts.Log = &log.DefaultLogger
 	}
 
-	if opts.Places == nil {
-		opts.Places = Here(opts.Clock, opts.Board)
+	if opts.Prompts == nil {
+		opts.Prompts = Here(opts.Clock, opts.Board)
 	}
 
 	if opts.Observe == nil {
