--- a/internal/entry/relay/call_test.go
+++ b/internal/entry/relay/call_test.go
@@ -169,9 +169,15 @@
 	w.relay.Serve(t.Context(), &relay.Request{ID: "q", Host: "host", Path: "/other/"}, out)
 	require.Equal(t, verdict.CodeNotFound, out.refused.Code)
 
-	none := relay.New(relay.Options{Catalog: func() *catalog.Catalog { return nil }})
+	var observed []relay.Outcome
+
+	none := relay.New(relay.Options{
+		Catalog: func() *catalog.Catalog { return nil }, Observe: func(o relay.Outcome) { observed = append(observed, o) },
+	})
 	out = &reply{}
 	none.Serve(t.Context(), &relay.Request{ID: "q", Host: "host", Path: "/p/"}, out)
+	require.Len(t, observed, 1, "refusals count as well")
+	require.Equal(t, out.refused, observed[0].Problem)
 	require.Equal(t, verdict.CodeNotReady, out.refused.Code)
 	require.Equal(t, verdict.NotRun, out.refused.Verdict)
 }
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -255,6 +255,7 @@
 func (l *Relay) refuse(r *Request, w Reply, err *verdict.Error) {
 	l.opts.Log.Info().Str("request", string(r.ID)).Str("host", r.Host).Str("path", r.Path).
 		Str("code", string(err.Code)).Msg("refused")
+	l.opts.Observe(Outcome{Problem: err, Total: l.opts.Clock.Since(r.Arrived)})
 	w.Refuse(err)
 }
 
