--- /dev/null
+++ b/internal/entry/peers/place_test.go
@@ -0,0 +1,55 @@
+package peers_test
+
+import (
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/entry/peers"
+	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
+)
+
+// desk places each prompt on the target that is named as its request, and keeps the ends.
+type desk struct{ ended []uint64 }
+
+func (*desk) Place(r *peer.PlaceRequest) *peer.PlaceReply {
+	return &peer.PlaceReply{Claim: 7, Target: r.GetRequest()}
+}
+
+func (d *desk) End(r *peer.EndPlaceRequest) { d.ended = append(d.ended, r.GetClaim()) }
+
+// serve serves the desk d, which may be nil, and returns its address.
+func serve(t *testing.T, d peers.Desk) string {
+	t.Helper()
+
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	server := peers.NewGRPCServer(peers.New(peers.Options{Host: "b", DataCentre: "x", Address: l.Addr().String(), Local: local{}}), peers.Services{Desk: d})
+	t.Cleanup(server.Stop)
+
+	go func() { _ = server.Serve(l) }() // ends with Stop
+
+	return l.Addr().String()
+}
+
+func TestPromptsArePlacedByAPeer(t *testing.T) {
+	n := peers.New(peers.Options{Host: "a", DataCentre: "x", Address: "127.0.0.1:1", Local: local{}})
+	d := &desk{}
+	address := serve(t, d)
+
+	reply, err := n.Place(t.Context(), address, &peer.PlaceRequest{Request: "r3"})
+	require.NoError(t, err)
+	require.Equal(t, "r3", reply.GetTarget())
+	require.NoError(t, n.EndPlace(t.Context(), address, &peer.EndPlaceRequest{Claim: reply.GetClaim()}))
+	require.Equal(t, []uint64{7}, d.ended)
+
+	// A host of the own interface places for nobody.
+	reply, err = n.Place(t.Context(), serve(t, nil), &peer.PlaceRequest{Request: "r3"})
+	require.NoError(t, err)
+	require.Zero(t, reply.GetClaim())
+
+	_, err = n.Place(t.Context(), "127.0.0.1:1", &peer.PlaceRequest{Request: "r3"})
+	require.Error(t, err)
+}
--- a/internal/entry/placer/desk.go
+++ b/internal/entry/placer/desk.go
@@ -19,8 +19,10 @@
 	// maxParts and maxAvoid bound what one prompt may bring along.
 	maxParts = 64
 	maxAvoid = 64
-	// maxHold bounds the time for which a claim counts that is not ended.
+	// maxHold bounds the time for which a claim counts that is not ended, its expected wait included.
 	maxHold = time.Minute
+	// maxTokens bounds a prompt; the longest contexts of models are a tenth of it.
+	maxTokens = 16 << 20
 )
 
 // DeskOptions are the parts of a Desk. All are required but Clock.
@@ -57,7 +59,7 @@
 
 // Place chooses a replica for a prompt of another host. A reply without a claim means that it has none to offer.
 func (d *Desk) Place(r *peer.PlaceRequest) *peer.PlaceReply {
-	if !d.opts.Ready() || len(r.GetParts()) > maxParts || len(r.GetAvoid()) > maxAvoid || r.GetPrompt() < 0 {
+	if !d.opts.Ready() || len(r.GetParts()) > maxParts || len(r.GetAvoid()) > maxAvoid || r.GetPrompt() < 0 || r.GetPrompt() > maxTokens {
 		return &peer.PlaceReply{}
 	}
 
@@ -85,10 +87,10 @@
 		return &peer.PlaceReply{}
 	}
 
-	hold := min(max(time.Duration(r.GetHoldMs())*time.Millisecond, 0), maxHold)
+	hold := min(place.Wait+min(max(time.Duration(r.GetHoldMs())*time.Millisecond, 0), maxHold), maxHold)
 
 	d.last++
-	d.claims[d.last] = claim{place: place, parts: job.Parts, until: now.Add(place.Wait + hold)}
+	d.claims[d.last] = claim{place: place, parts: job.Parts, until: now.Add(hold)}
 
 	return &peer.PlaceReply{
 		Claim: d.last, Target: string(place.Target.ID), Cached: int64(place.Cached), WaitUs: place.Wait.Microseconds(),
--- a/internal/entry/placer/placer_test.go
+++ b/internal/entry/placer/placer_test.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/cells"
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
@@ -425,3 +426,43 @@
 		require.Empty(t, h.board.Resting(n.clock.Now()), "word of mouth does not keep it up")
 	}
 }
+
+// FuzzDesk takes any messages: a claim is always of a target in the fleet, and all claims end.
+func FuzzDesk(f *testing.F) {
+	add := func(m proto.Message) {
+		raw, err := proto.Marshal(m)
+		require.NoError(f, err)
+		f.Add(raw)
+	}
+
+	add(&peer.PlaceRequest{Service: "llm", Prompt: 1 << 60, Rank: 1 << 31, HoldMs: -1, Parts: []*peer.PromptPart{{Id: 1, Tokens: -5}}})
+	add(&peer.PlaceRequest{Service: "llm", Prompt: 5, DataCentre: "dc1", Avoid: []string{"r1", ""}, Resting: []*peer.RestingTarget{{Target: "r0", LeftMs: 1 << 31, Words: 9}}})
+	add(&peer.EndPlaceRequest{Claim: 1, Sent: true, Outcome: 200, TookUs: -1})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		n := newNetwork(t, 1, 3)
+		h := n.hosts[0]
+
+		var (
+			place peer.PlaceRequest
+			end   peer.EndPlaceRequest
+		)
+
+		if proto.Unmarshal(raw, &place) == nil {
+			if reply := h.desk.Place(&place); reply.GetClaim() != 0 {
+				_, known := n.fleet.Target(table.TargetID(reply.GetTarget()))
+				require.True(t, known)
+			}
+		}
+
+		if proto.Unmarshal(raw, &end) == nil {
+			h.desk.End(&end)
+		}
+
+		n.clock.Advance(24 * time.Hour)
+		h.desk.Tick(n.clock.Now())
+
+		for _, target := range n.fleet.Of("llm") {
+			require.Zero(t, h.board.Busy(target.ID))
+		}
+	})
+}
