Rest only while two readers of the store are heard that hold themselves readers

Change: only a host that counts itself among the three readers of its data centre says that it reads, it takes two of them for a host to rest, and a reader that stops being one is dropped at its next word.

--- a/internal/entry/feed/readers.go
+++ b/internal/entry/feed/readers.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -18,6 +19,11 @@
 	heardPeriods = 2
 	// ReadersPerCentre is the number of hosts of each data centre that read the store in a large fleet.
 	ReadersPerCentre = 3
+	// forgetAfter is the age at which word of a reader is dropped: more than any number of periods that count.
+	forgetAfter = time.Minute
+	// restAfter is the number of readers that a host must hear to rest. As hosts start, or a reader is lost, they
+	// differ for a while about who reads, and one reader may be about to rest itself.
+	restAfter = 2
 )
 
 // Readers knows which hosts read the store for the others of their data centre, so that its calls do not
@@ -26,16 +32,16 @@
 	home table.DataCentre
 
 	mu    sync.Mutex
-	heard time.Time // last word of a reader of this data centre that the store answers
+	heard map[table.HostID]time.Time // last word of the readers of this data centre that the store answers
 }
 
 // NewReaders returns a Readers for a host in the data centre home.
 func NewReaders(home table.DataCentre) *Readers {
-	return &Readers{home: home}
+	return &Readers{home: home, heard: map[table.HostID]time.Time{}}
 }
 
-// Hear notes at now that a host in the data centre dc reads the store, and that the store answers it.
-func (r *Readers) Hear(now time.Time, dc table.DataCentre) {
+// Hear notes at now whether host, in the data centre dc, is a reader that the store answers.
+func (r *Readers) Hear(now time.Time, host table.HostID, dc table.DataCentre, reads bool) {
 	if dc != r.home {
 		return
 	}
@@ -43,11 +49,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	r.heard = now
+	maps.DeleteFunc(r.heard, func(_ table.HostID, at time.Time) bool { return now.Sub(at) > forgetAfter })
+	delete(r.heard, host)
+
+	if reads {
+		r.heard[host] = now
+	}
 }
 
 // Rest reports whether this host leaves the store to others: in a fleet of hosts that exchange heartbeats every
-// period it is not among the readers of its data centre, and has heard one of them lately.
+// period it is not among the readers of its data centre, and has heard several of them lately.
 func (r *Readers) Rest(now time.Time, hosts int, period time.Duration, reader bool) bool {
 	if hosts <= FewHosts || reader {
 		return false
@@ -56,5 +67,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	return !r.heard.IsZero() && now.Sub(r.heard) < max(heardBound, heardPeriods*period)
+	heard := 0
+
+	for _, at := range r.heard {
+		if now.Sub(at) < max(heardBound, heardPeriods*period) {
+			heard++
+		}
+	}
+
+	return heard >= restAfter
 }
