Let one piece serve where the change had written it again

Read through once more; behaviour stays as it is.

- A pause that doubles with each failure stood in control/placing (targets, data centres) and again in entry/placer (peers): control/pauses serves the three.
A data centre no longer carries the rest of a target's record.
- The hash of a pair of names for rendezvous ranking stood in control/members twice and in control/cells: control/rendezvous.
- A placer worked out the share of unseen work and then dropped it; a mutex guarded a counter; constants of refusals stood apart from their comment.

--- a/internal/control/cells/cells.go
+++ b/internal/control/cells/cells.go
@@ -15,6 +15,7 @@
 
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/control/rendezvous"
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
 )
 
@@ -94,7 +95,7 @@
 	)
 
 	for _, h := range hosts {
-		if score := xxhash.Sum64String(string(cell) + "\x00" + string(h)); placer == "" || score > best {
+		if score := rendezvous.Score(string(cell), string(h)); placer == "" || score > best {
 			placer, best = h, score
 		}
 	}
--- a/internal/control/members/table.go
+++ b/internal/control/members/table.go
@@ -5,8 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/dotterelflow/dotterelflow/internal/control/rendezvous"
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
 )
 
@@ -136,6 +135,19 @@
 	return live
 }
 
+// Count returns the number of live members.
+func (t *Table) Count(now time.Time) int {
+	n := 0
+
+	for _, m := range t.hosts {
+		if t.Alive(m, now) {
+			n++
+		}
+	}
+
+	return n
+}
+
 // Some returns up to n live members, others each time. It looks at few of the members, so that it
 // can be part of each heartbeat.
 func (t *Table) Some(now time.Time, n int) []Member {
@@ -227,7 +239,7 @@
 }
 
 func (t *Table) weight(host table.HostID) uint64 {
-	return xxhash.Sum64String(string(t.self) + "\x00" + string(host))
+	return rendezvous.Score(string(t.self), string(host))
 }
 
 // Mine reports whether the host self is among the n live hosts of the data centre home that look
@@ -246,5 +258,5 @@
 }
 
 func score(host table.HostID, key string) uint64 {
-	return xxhash.Sum64String(string(host) + "\x00" + key)
+	return rendezvous.Score(string(host), key)
 }
--- a/internal/control/placing/choose.go
+++ b/internal/control/placing/choose.go
@@ -76,10 +76,10 @@
 
 	names := prefixes(job.Parts)
 	held := b.cache.cached(names, job.Parts)
-	unseen := b.unseen(now, candidates)
 
-	if job.Sole {
-		unseen = 0
+	var unseen float64
+	if !job.Sole {
+		unseen = b.unseen(now, candidates)
 	}
 
 	rank := rankIndex(job.Rank)
@@ -209,13 +209,13 @@
 
 // paused reports whether t gets no work for now, as seen by work that comes from the data centre near.
 func (b *Board) paused(now time.Time, t fleet.Target, near table.DataCentre) bool {
-	if c, ok := b.centres[t.DataCentre]; ok && t.DataCentre != near && now.Before(c.until) {
+	if c, ok := b.centres[t.DataCentre]; ok && t.DataCentre != near && c.pause.Lasts(now) {
 		return true
 	}
 
 	r, ok := b.targets[t.ID]
 
-	return ok && now.Before(r.until)
+	return ok && r.pause.Lasts(now)
 }
 
 // ForAnswer chooses the model replica that generates the answer to job; capacity is the KV cache of each.
--- a/internal/control/placing/record.go
+++ b/internal/control/placing/record.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
+	"github.com/dotterelflow/dotterelflow/internal/control/pauses"
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
 )
 
@@ -30,21 +31,20 @@
 	cutOffAfter = 4
 	// refusedPause and longestRefused do so for a target that refused work: it is back when work of others ends,
 	// or its change of role.
-	refusedPause = 250 * time.Millisecond
+	refusedPause   = 250 * time.Millisecond
+	longestRefused = 2 * time.Second
+	// changingLife is how long word of a changing replica counts: several heartbeats of few hosts.
+	changingLife = time.Second
 	// maxResting bounds the resting targets that hosts tell each other; a handful rest at a time.
 	maxResting = 32
-	// changingLife is how long word of a changing replica counts: several heartbeats of few hosts.
-	changingLife   = time.Second
-	longestRefused = 2 * time.Second
 )
 
 // record is what was learned of one target.
 type record struct {
 	pace   float64 // prompt tokens per second; zero: none learned
 	faults float64 // recent share of failures
-	pause  time.Duration
-	until  time.Time // no work until then
-	said   time.Time // the same by the target's own word, or by that of the host that gave it an order
+	pause  pauses.Pause
+	said   time.Time // end of the pause by the target's own word, or by that of the host that gave it an order
 	words  uint32    // such words so far, of which hosts tell each other only new ones
 }
 
@@ -82,23 +82,23 @@
 	switch o {
 	case Served:
 		r.faults -= faultWeight * r.faults
-		r.pause, r.until, r.said = 0, time.Time{}, time.Time{}
+		r.pause, r.said = pauses.Pause{}, time.Time{}
 	case Failed:
 		r.faults += faultWeight * (1 - r.faults)
 	case Lost:
 		r.faults += faultWeight * (1 - r.faults)
-		r.rest(now, firstPause, longestPause)
+		r.pause.Fail(now, firstPause, longestPause)
 	case Refused:
-		r.rest(now, refusedPause, longestRefused)
-		r.said = r.until
+		r.pause.Fail(now, refusedPause, longestRefused)
+		r.said = r.pause.End()
 		r.words++
 	}
 }
 
 // centre is what was learned of the way to one data centre.
 type centre struct {
-	record
-	lost int // targets lost there since one answered
+	pause pauses.Pause
+	lost  int // targets lost there since one answered
 }
 
 // noteCentre learns whether a data centre can be reached: one that is cut off loses one target after the
@@ -117,20 +117,10 @@
 	}
 
 	if c.lost++; c.lost >= cutOffAfter {
-		c.rest(now, firstPause, longestPause)
+		c.pause.Fail(now, firstPause, longestPause)
 	}
 }
 
-// rest gives the target no work for a time that doubles with each such end in a row.
-func (r *record) rest(now time.Time, first, longest time.Duration) {
-	if now.Before(r.until) {
-		return
-	}
-
-	r.pause = min(max(2*r.pause, first), longest)
-	r.until = now.Add(r.pause)
-}
-
 // Changing gives target no work for a while, since it is carrying out an order and takes none.
 func (b *Board) Changing(now time.Time, target table.TargetID) {
 	b.mu.Lock()
@@ -139,19 +129,11 @@
 	until := now.Add(changingLife)
 	if r := b.record(target); until.After(r.said) {
 		r.said = until
-		r.until = later(r.until, until)
+		r.pause.Extend(until)
 		r.words++
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-
-	return b
-}
-
 // Resting is a target that takes no work for now.
 type Resting struct {
 	Target table.TargetID
@@ -195,7 +177,7 @@
 
 		r.words = t.Words
 		r.said = now.Add(min(t.Left, longestRefused))
-		r.until = later(r.until, r.said.Add(rand.N(longestRefused)))
+		r.pause.Extend(r.said.Add(rand.N(longestRefused)))
 	}
 }
 
--- a/internal/entry/host/digest.go
+++ b/internal/entry/host/digest.go
@@ -114,7 +114,7 @@
 	}
 
 	// Of other data centres a host hears only a few hosts; they are taken to have as many as this one.
-	hosts := max(1+len(h.network.Live()), h.network.Homes()*len(reachable))
+	hosts := max(h.network.Hosts(), h.network.Homes()*len(reachable))
 	loads := h.loads.All()
 
 	list := h.governor.Plans()
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -136,7 +136,7 @@
 		wait[seed] = seedInterval
 
 		// A host that knows nobody yet asks more often.
-		if len(n.members.Live(now)) == 0 {
+		if n.members.Count(now) == 0 {
 			wait[seed] = n.members.Period()
 		}
 	}
@@ -332,6 +332,14 @@
 	return n.members.Live(n.opts.Clock.Now())
 }
 
+// Hosts returns the number of live hosts, this one included.
+func (n *Network) Hosts() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.members.Count(n.opts.Clock.Now()) + 1
+}
+
 // Member returns what is known of host, and whether it is alive.
 func (n *Network) Member(host table.HostID) (m members.Member, alive bool) {
 	n.mu.Lock()
--- a/internal/entry/placer/desk.go
+++ b/internal/entry/placer/desk.go
@@ -67,13 +67,8 @@
 	job := jobOf(r)
 	hearResting(d.opts.Board, now, r.GetResting())
 
-	var candidates []fleet.Target
-
-	for _, t := range cells.In(table.DataCentre(r.GetDataCentre()), d.opts.Fleet().Of(table.ServiceName(r.GetService()))) {
-		if t.Role == table.Prefill {
-			candidates = append(candidates, t)
-		}
-	}
+	readers := d.opts.Fleet().InRole(table.ServiceName(r.GetService()), table.Prefill)
+	candidates := cells.In(table.DataCentre(r.GetDataCentre()), readers)
 
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/entry/placer/placer.go
+++ b/internal/entry/placer/placer.go
@@ -7,6 +7,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -15,6 +16,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/cells"
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/control/members"
+	"github.com/dotterelflow/dotterelflow/internal/control/pauses"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
 	"github.com/dotterelflow/dotterelflow/internal/control/table"
 	"github.com/dotterelflow/dotterelflow/internal/entry/relay"
@@ -58,16 +60,11 @@
 	opts Options
 	here relay.Prompts
 
-	mu     sync.Mutex
-	alone  int64                       // prompts placed without their placer
-	told   map[table.DataCentre]string // addresses of the placers of other data centres
-	pauses map[string]pause            // by address
-}
+	alone atomic.Int64 // prompts placed without their placer
 
-// pause is how long a placer that did not answer is not asked.
-type pause struct {
-	length time.Duration
-	until  time.Time
+	mu   sync.Mutex
+	told map[table.DataCentre]string // addresses of the placers of other data centres
+	away map[string]pauses.Pause     // placers that did not answer, by address
 }
 
 // New returns a Placer.
@@ -80,7 +77,7 @@
 		opts.Log = &log.DefaultLogger
 	}
 
-	return &Placer{opts: opts, here: relay.Here(opts.Clock, opts.Board), told: map[table.DataCentre]string{}, pauses: map[string]pause{}}
+	return &Placer{opts: opts, here: relay.Here(opts.Clock, opts.Board), told: map[table.DataCentre]string{}, away: map[string]pauses.Pause{}}
 }
 
 // Hear notes that a host in dc says that the host at address places the prompts there; "" for nobody.
@@ -159,20 +156,13 @@
 		return best, true
 	}
 
-	p.mu.Lock()
-	p.alone++
-	p.mu.Unlock()
+	p.alone.Add(1)
 
 	return p.here.Place(ctx, service, candidates, job, hold)
 }
 
 // Alone returns the number of prompts that were placed here because no placer could be asked.
-func (p *Placer) Alone() int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-
-	return p.alone
-}
+func (p *Placer) Alone() int64 { return p.alone.Load() }
 
 // placeIn has the placer at address choose in cell. It returns nil if that does not work out.
 func (p *Placer) placeIn(
@@ -233,7 +223,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	return p.opts.Clock.Now().Before(p.pauses[address].until)
+	pause := p.away[address]
+
+	return pause.Lasts(p.opts.Clock.Now())
 }
 
 // note learns whether the placer at address answers.
@@ -242,23 +234,21 @@
 	defer p.mu.Unlock()
 
 	if err == nil {
-		delete(p.pauses, address)
+		delete(p.away, address)
 
 		return
 	}
 
 	now := p.opts.Clock.Now()
-	pause := p.pauses[address]
 
-	// Calls that were under way together count once.
-	if now.Before(pause.until) {
+	pause := p.away[address]
+	if pause.Lasts(now) {
 		return
 	}
 
-	pause.length = min(max(2*pause.length, firstPause), longestPause)
-	pause.until = now.Add(pause.length)
-	p.pauses[address] = pause
-	p.opts.Log.Info().Str("peer", address).Dur("pause", pause.length).Err(err).Msg("prompts are placed without a peer")
+	pause.Fail(now, firstPause, longestPause)
+	p.away[address] = pause
+	p.opts.Log.Info().Str("peer", address).Dur("pause", pause.End().Sub(now)).Err(err).Msg("prompts are placed without a peer")
 }
 
 // remote is a prompt that was placed by another host.
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -165,20 +165,11 @@
 
 // candidates returns the targets of the service in role; Mixed stands for any.
 func (j *job) candidates(role table.Role) []fleet.Target {
-	all := j.opts.Fleet().Of(j.service.Name)
 	if role == table.Mixed {
-		return all
+		return j.opts.Fleet().Of(j.service.Name)
 	}
 
-	some := make([]fleet.Target, 0, len(all))
-
-	for _, t := range all {
-		if t.Role == role {
-			some = append(some, t)
-		}
-	}
-
-	return some
+	return j.opts.Fleet().InRole(j.service.Name, role)
 }
 
 // maySend reports whether one more send is allowed, and counts it.
