--- a/internal/control/crashtracker/table.go
+++ b/internal/control/crashtracker/table.go
@@ -7,6 +7,7 @@
 package crashtracker
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -31,6 +32,9 @@
 // Fingerprint identifies a request by a hash of its host, URI and body, independent of its request ID.
 type Fingerprint uint64
 
+// String returns f as 16 hexadecimal digits.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // FingerprintOf returns the fingerprint of the request for uri on host with the given body.
 func FingerprintOf(host, uri string, body []byte) Fingerprint {
 	var d xxhash.Digest
@@ -108,6 +112,42 @@
 	return t.unsent.TakeUnsent(to)
 }
 
+// Losses returns the number of targets that count as lost to the request f at now, at most the number from which f is
+// refused.
+func (t *Table) Losses(now time.Time, f Fingerprint) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	e, ok := t.entries.Peek(f)
+	if !ok || !now.Before(e.until) {
+		return 0
+	}
+
+	return e.count
+}
+
+// Stats are the sizes of a Table.
+type Stats struct {
+	Suspects int64 // requests that have lost a target, including expired ones that are still kept
+	Refused  int64 // those among them that are refused
+}
+
+// Stats returns the sizes of t at now.
+func (t *Table) Stats(now time.Time) Stats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	stats := Stats{Suspects: int64(t.entries.Len())}
+
+	for _, e := range t.entries.Values() {
+		if e.count == refuseAfter && now.Before(e.until) {
+			stats.Refused++
+		}
+	}
+
+	return stats
+}
+
 // Refuses reports whether the request f must be refused at now, and for how long from now.
 func (t *Table) Refuses(now time.Time, f Fingerprint) (time.Duration, bool) {
 	t.mu.Lock()
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -213,7 +213,8 @@
 	}
 
 	j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Str("target", string(t.ID)).
-		Str("verdict", v.String()).Err(err).Msg("target did not answer")
+		Str("verdict", v.String()).Str("fingerprint", j.fingerprint.String()).Int("losses", j.opts.Crashers.Losses(j.now(), j.fingerprint)).
+		Err(err).Msg("target did not answer")
 
 	return v
 }
@@ -249,7 +250,7 @@
 	j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Uint64("configuration", uint64(j.version)).
 		Str("code", string(j.outcome.Problem.Code)).Str("verdict", j.outcome.Problem.Verdict.String()).
 		Dur("retry-after", j.outcome.Problem.RetryAfter).Dur("total", j.outcome.Total).Int("sends", j.sends).
-		Err(j.outcome.Problem.Err).Msg("failed")
+		Str("fingerprint", j.fingerprint.String()).Err(j.outcome.Problem.Err).Msg("failed")
 }
 
 // refuseUnrouted refuses a request for which no job exists, as there is no configuration or no route for it.
