Give every host the records of requests that crash their targets

Cause: state that every host needs was sent to heartbeat partners only (the home data centre, two hosts of each other one), once, and marked as sent before it arrived; receivers did not pass it on. Class: dissemination without coverage and acknowledgement.

Change: records are joined (a set of lost targets, replaced by a newer clearance), so that it does not matter how often and in which order they arrive. package crashsync sends a change at once to the heartbeat partners; a host that hears of it from another data centre passes it on in its own. Each heartbeat has a checksum of the records, and hosts whose checksums differ exchange all of them, which covers lost messages, cuts, hosts that start, and relays that stop. A push that fails is repeated while the peer is live. Table: records with several losses are no longer dropped for newer ones with one.

So that no more sound requests are refused now that a record counts everywhere: a complete answer clears a request's losses and protects it for five minutes (a body that many callers send), and the sends of one request id give at most two losses, so a caller's retry is always tried.

Tried and replaced: channel timers in the loop of the Syncer.

--- a/internal/control/crashtracker/table.go
+++ b/internal/control/crashtracker/table.go
@@ -1,146 +1,254 @@
 // Package crashtracker detects requests that crash the targets that run them. Callers may retry such a request through
-// any entry host, so hosts exchange the losses of targets that they observe.
+// any entry host, so each host keeps a table of all such requests. Package crashsync keeps the tables of all hosts equal.
 //
 // It is a simpler form of package quarantine for requests without a client account. It does not test a suspected request
 // alone on a target: a request is refused once so many targets were lost while they ran it that unrelated failures are
-// an unlikely cause.
+// an unlikely cause. A request that a target has answered completely does not crash its targets, so a complete answer
+// clears its losses. That protects requests that many callers send with the same body.
 package crashtracker
 
 import (
-	"fmt"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
-	"github.com/dotterelflow/dotterelflow/internal/control/gossip"
 )
 
 const (
-	// refuseAfter is the number of lost targets after which a request is refused. The platform allows a request to
-	// lose three targets.
-	refuseAfter = 3
-	// lossLifetime is how long the losses of a request count after the last loss of a target not yet counted.
-	lossLifetime = 5 * time.Minute
-
-	maxRequests     = 4096
-	maxUnsentLosses = 256
+	// lifetime is how long a record counts after its last change, and how long a complete answer protects a request.
+	lifetime = 5 * time.Minute
+	// minLeft is the least time that an unknown record from a peer must have left. It is longer than messages take, so
+	// that hosts do not return to each other a record that is about to expire.
+	minLeft = 15 * time.Second
+
+	maxRecords   = 4096
+	maxCompleted = 4096
 )
 
-// Fingerprint identifies a request by a hash of its host, URI and body, independent of its request ID.
-type Fingerprint uint64
-
-// String returns f as 16 hexadecimal digits.
-func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+// entry is a Record that expires at until. Its field Left is not used.
+type entry struct {
+	Record
 
-// FingerprintOf returns the fingerprint of the request for uri on host with the given body.
-func FingerprintOf(host, uri string, body []byte) Fingerprint {
-	var d xxhash.Digest
+	until time.Time
+}
 
-	d.Reset()
+// scope says which hosts have to be told of a changed record.
+type scope uint8
 
-	// Writing to a digest never fails.
-	_, _ = d.WriteString(host)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(uri)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(body)
+const (
+	nobody     scope = iota
+	homeCentre       // the hosts of this host's data centre
+	everywhere       // those of all data centres
+)
 
-	return Fingerprint(d.Sum64())
-}
+// Change is a record that has changed on this host and that peers have to be told.
+type Change struct {
+	Record
 
-// Loss records that a target was lost while it ran a request.
-type Loss struct {
-	Request Fingerprint
-	Target  entity.TargetID
+	// Everywhere is set if hosts of all data centres have to be told. It is not set for a record from another data
+	// centre, which has reached the others already.
+	Everywhere bool
 }
 
-// entry holds the distinct targets that were lost while they ran one request.
-type entry struct {
-	targets [refuseAfter]entity.TargetID
-	count   int       // used elements of targets
-	until   time.Time // when the losses expire
+// Stats are the sizes of a Table.
+type Stats struct {
+	Suspects int64 // requests that have lost a target
+	Refused  int64 // those among them that are refused
 }
 
-// Table counts the lost targets of each request. It keeps a bounded number of requests, the most recently used ones.
-// It is safe for concurrent use. Make it with New.
+// Table holds the records of requests that have lost targets. It keeps a bounded number of them; if it is full, records
+// with the fewest losses are dropped first, the oldest among them. It is safe for concurrent use. Make it with New.
 type Table struct {
-	mu      sync.Mutex
-	entries *lru.Cache[Fingerprint, *entry]
-	unsent  *gossip.Log[Loss]
+	changed chan struct{}
+
+	mu         sync.Mutex
+	entries    map[Fingerprint]*entry
+	completed  *lru.Cache[Fingerprint, time.Time] // time of the last complete answer
+	pending    map[Fingerprint]scope              // changed records that peers have to be told
+	sum        uint64
+	lastChange time.Time
 }
 
 // New returns an empty Table.
 func New() *Table {
-	entries, err := lru.New[Fingerprint, *entry](maxRequests)
+	completed, err := lru.New[Fingerprint, time.Time](maxCompleted)
 	if err != nil {
 		panic(err) // only for a size below 1
 	}
 
-	return &Table{entries: entries, unsent: gossip.NewLog[Loss](maxUnsentLosses)}
+	return &Table{
+		changed: make(chan struct{}, 1), entries: map[Fingerprint]*entry{}, completed: completed, pending: map[Fingerprint]scope{},
+	}
 }
 
-// RecordLoss records a loss that this host has observed.
+// Changed returns a channel that receives a value when TakeChanges has something to return.
+func (t *Table) Changed() <-chan struct{} { return t.changed }
+
+// RecordLoss records a loss that this host has observed. It has no effect if a target has lately answered the request
+// completely.
 func (t *Table) RecordLoss(now time.Time, l Loss) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	if t.add(now, l) {
-		t.unsent.Add(l)
+	if t.hasCompleted(now, l.Request) {
+		return
+	}
+
+	r := Record{Request: l.Request, Targets: []entity.TargetID{l.Target}, Left: lifetime}
+	if e, ok := t.entries[l.Request]; ok {
+		r.Clearances = e.Clearances
+	}
+
+	t.join(now, r, everywhere)
+}
+
+// RecordCompletion records that a target has answered the request f completely.
+func (t *Table) RecordCompletion(now time.Time, f Fingerprint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.completed.Add(f, now)
+	t.clear(now, f)
+}
+
+// Merge adds records that a peer holds. sameCentre states that the peer is in this host's data centre: its records are
+// not passed on, as the peer tells the other hosts itself. Merge returns the records of requests that are refused since.
+func (t *Table) Merge(now time.Time, records []Record, sameCentre bool) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	tell := homeCentre
+	if sameCentre {
+		tell = nobody
 	}
+
+	var refused []Record
+
+	for _, r := range records {
+		e, known := t.entries[r.Request]
+		if !known && r.Left < minLeft {
+			continue
+		}
+
+		wasRefused := known && e.Refused()
+		r.Left = min(r.Left, lifetime)
+
+		if !t.join(now, r, tell) {
+			continue
+		}
+
+		if t.hasCompleted(now, r.Request) {
+			t.clear(now, r.Request)
+		} else if e, ok := t.entries[r.Request]; ok && e.Refused() && !wasRefused {
+			refused = append(refused, e.Record)
+		}
+	}
+
+	return refused
+}
+
+// TakeChanges returns the records that have changed since the last call.
+func (t *Table) TakeChanges(now time.Time) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	changes := make([]Change, 0, len(t.pending))
+
+	for f, tell := range t.pending {
+		changes = append(changes, Change{Record: t.entries[f].at(now), Everywhere: tell == everywhere})
+	}
+
+	clear(t.pending)
+
+	return changes
 }
 
-// Merge records losses that a peer has observed. They are not forwarded to other peers.
-func (t *Table) Merge(now time.Time, losses []Loss) {
+// Records returns all records.
+func (t *Table) Records(now time.Time) []Record { return t.Missing(now, nil) }
+
+// Missing returns the records with which this table would change a table that holds known.
+func (t *Table) Missing(now time.Time, known []Record) []Record {
+	others := make(map[Fingerprint]Record, len(known))
+	for _, r := range known {
+		others[r.Request] = r
+	}
+
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	for _, l := range losses {
-		t.add(now, l)
+	var missing []Record
+
+	for f, e := range t.entries {
+		other := others[f]
+		other.Targets = slices.Clip(other.Targets) // join must not write to the caller's array
+
+		if _, ok := others[f]; !ok || other.join(e.Record) {
+			missing = append(missing, e.at(now))
+		}
 	}
+
+	return missing
 }
 
-// NewLosses returns the losses that this host has observed since the last call with the same to, at most the newest
-// 256. It leaves out losses of a target that already counts for the request, and later losses of a request that is
-// already refused.
-func (t *Table) NewLosses(to entity.HostID) []Loss {
+// Sum returns a checksum of all records, which is equal on hosts with the same records and zero for none.
+func (t *Table) Sum() uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	return t.unsent.TakeUnsent(to)
+	return t.sum
 }
 
-// Losses returns the number of targets that count as lost to the request f at now, at most the number from which f is
+// LastChange returns when a record last changed, zero for never.
+func (t *Table) LastChange() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	return t.lastChange
+}
+
+// Losses returns the number of targets that count as lost to the request f at now, at most the number at which f is
 // refused.
 func (t *Table) Losses(now time.Time, f Fingerprint) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	e, ok := t.entries.Peek(f)
+	e, ok := t.entries[f]
 	if !ok || !now.Before(e.until) {
 		return 0
 	}
 
-	return e.count
+	return len(e.Targets)
 }
 
-// Stats are the sizes of a Table.
-type Stats struct {
-	Suspects int64 // requests that have lost a target, including expired ones that are still kept
-	Refused  int64 // those among them that are refused
+// Refuses reports whether the request f must be refused at now, and for how long from now.
+func (t *Table) Refuses(now time.Time, f Fingerprint) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	e, ok := t.entries[f]
+	if !ok || !e.Refused() || !now.Before(e.until) {
+		return 0, false
+	}
+
+	return e.until.Sub(now), true
 }
 
-// Stats returns the sizes of t at now.
-func (t *Table) Stats(now time.Time) Stats {
+// Stats returns the sizes of t.
+func (t *Table) Stats() Stats {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	stats := Stats{Suspects: int64(t.entries.Len())}
+	var stats Stats
 
-	for _, e := range t.entries.Values() {
-		if e.count == refuseAfter && now.Before(e.until) {
+	for _, e := range t.entries {
+		if len(e.Targets) > 0 {
+			stats.Suspects++
+		}
+
+		if e.Refused() {
 			stats.Refused++
 		}
 	}
@@ -148,41 +256,109 @@
 	return stats
 }
 
-// Refuses reports whether the request f must be refused at now, and for how long from now.
-func (t *Table) Refuses(now time.Time, f Fingerprint) (time.Duration, bool) {
+// Tick drops the records that have expired at now.
+func (t *Table) Tick(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	e, ok := t.entries.Get(f)
-	if !ok || e.count < refuseAfter || !now.Before(e.until) {
-		return 0, false
+	for f, e := range t.entries {
+		if !now.Before(e.until) {
+			t.drop(f)
+		}
 	}
+}
 
-	return e.until.Sub(now), true
+// at returns the record of e with the time that it has left at now.
+func (e *entry) at(now time.Time) Record {
+	r := e.Record
+	r.Left = e.until.Sub(now)
+
+	return r
 }
 
-// add records l and reports whether l was new to a request that was not refused yet. The caller holds mu.
-func (t *Table) add(now time.Time, l Loss) bool {
-	e, ok := t.entries.Get(l.Request)
-	if !ok || !now.Before(e.until) {
-		e = &entry{}
-		t.entries.Add(l.Request, e)
+// hasCompleted reports whether a target has lately answered f completely. The caller holds mu.
+func (t *Table) hasCompleted(now time.Time, f Fingerprint) bool {
+	at, ok := t.completed.Peek(f)
+
+	return ok && now.Sub(at) < lifetime
+}
+
+// clear drops the losses of f, if it has any. The caller holds mu.
+func (t *Table) clear(now time.Time, f Fingerprint) {
+	if e, ok := t.entries[f]; ok && len(e.Targets) > 0 {
+		t.join(now, Record{Request: f, Clearances: e.Clearances + 1, Left: lifetime}, everywhere)
 	}
+}
 
-	for _, known := range e.targets[:e.count] {
-		if known == l.Target {
-			return false
+// join adds r, of which the hosts in tell have to be told, and reports whether that changed anything. The caller holds mu.
+func (t *Table) join(now time.Time, r Record, tell scope) bool {
+	e, known := t.entries[r.Request]
+	if !known {
+		if e = t.insert(now, r); e == nil {
+			return false // r states nothing, or the table is full
 		}
 	}
 
-	e.until = now.Add(lossLifetime)
+	before := e.checksum()
 
-	if e.count == refuseAfter {
+	if !e.join(r) {
 		return false
 	}
 
-	e.targets[e.count] = l.Target
-	e.count++
+	t.sum ^= before ^ e.checksum()
+	t.lastChange = now
+
+	if until := now.Add(r.Left); until.After(e.until) {
+		e.until = until
+	}
+
+	if tell > nobody {
+		t.pending[r.Request] = max(t.pending[r.Request], tell)
+
+		select {
+		case t.changed <- struct{}{}:
+		default:
+		}
+	}
 
 	return true
 }
+
+// insert adds an empty entry for the request of r. If the table is full, it drops the entry with the fewest losses that
+// expires first, or returns nil if that would be r. It returns nil too if r states nothing. The caller holds mu.
+func (t *Table) insert(now time.Time, r Record) *entry {
+	if len(r.Targets) == 0 && r.Clearances == 0 {
+		return nil
+	}
+
+	until := now.Add(r.Left)
+
+	if len(t.entries) >= maxRecords {
+		least, losses, expiry := r.Request, len(r.Targets), until
+
+		for f, e := range t.entries {
+			if n := len(e.Targets); n < losses || n == losses && e.until.Before(expiry) {
+				least, losses, expiry = f, n, e.until
+			}
+		}
+
+		if least == r.Request {
+			return nil
+		}
+
+		t.drop(least)
+	}
+
+	e := &entry{Record: Record{Request: r.Request}, until: until}
+	t.entries[r.Request] = e
+	t.sum ^= e.checksum()
+
+	return e
+}
+
+// drop removes the entry of f. The caller holds mu.
+func (t *Table) drop(f Fingerprint) {
+	t.sum ^= t.entries[f].checksum()
+	delete(t.entries, f)
+	delete(t.pending, f)
+}
--- a/internal/control/crashtracker/table_test.go
+++ b/internal/control/crashtracker/table_test.go
@@ -1,17 +1,30 @@
 package crashtracker_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/crashtracker"
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 )
 
+var epoch = time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
+
+// share gives the changes of from to to, which is in the same data centre unless remote is set.
+func share(now time.Time, from, to *crashtracker.Table, remote bool) {
+	var records []crashtracker.Record
+	for _, c := range from.TakeChanges(now) {
+		records = append(records, c.Record)
+	}
+
+	to.Merge(now, records, !remote)
+}
+
 func TestRequestIsRefusedEverywhereAfterThreeLostTargets(t *testing.T) {
-	now := time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
 	hosts := []*crashtracker.Table{crashtracker.New(), crashtracker.New(), crashtracker.New()}
 	f := crashtracker.FingerprintOf("h", "/x", []byte("body"))
 
@@ -20,38 +33,177 @@
 
 	for i, target := range []entity.TargetID{"a", "b", "c"} {
 		for _, h := range hosts {
-			_, refused := h.Refuses(now, f)
+			_, refused := h.Refuses(epoch, f)
 			require.False(t, refused)
 		}
 
-		hosts[i].RecordLoss(now, crashtracker.Loss{Request: f, Target: target})
-		hosts[i].RecordLoss(now, crashtracker.Loss{Request: f, Target: target})
+		hosts[i].RecordLoss(epoch, crashtracker.Loss{Request: f, Target: target})
+		hosts[i].RecordLoss(epoch, crashtracker.Loss{Request: f, Target: target})
+
+		changes := hosts[i].TakeChanges(epoch)
+		require.Len(t, changes, 1)
+		require.True(t, changes[0].Everywhere)
 
 		for j, h := range hosts {
 			if j != i {
-				h.Merge(now, hosts[i].NewLosses(entity.HostID(rune('0'+j))))
+				refused := h.Merge(epoch, []crashtracker.Record{changes[0].Record}, true)
+				require.Len(t, refused, max(i-1, 0), "refused with the third loss")
+				require.Empty(t, h.TakeChanges(epoch), "the peer tells the other hosts itself")
 			}
 		}
 	}
 
 	for _, h := range hosts {
-		after, refused := h.Refuses(now, f)
+		after, refused := h.Refuses(epoch, f)
 		require.True(t, refused)
 		require.Positive(t, after)
 
-		_, refused = h.Refuses(now.Add(time.Hour), f)
+		later := epoch.Add(time.Hour)
+		_, refused = h.Refuses(later, f)
 		require.False(t, refused, "the refusal expires")
+
+		h.Tick(later)
+		require.Zero(t, h.Sum())
+		require.Zero(t, h.Stats())
 	}
 }
 
 func TestSameTargetCountsOnce(t *testing.T) {
-	now := time.Now()
 	table := crashtracker.New()
 
 	for range 5 {
-		table.RecordLoss(now, crashtracker.Loss{Request: 1, Target: "a"})
+		table.RecordLoss(epoch, crashtracker.Loss{Request: 1, Target: "a"})
 	}
 
-	_, refused := table.Refuses(now, 1)
+	require.Equal(t, 1, table.Losses(epoch, 1))
+}
+
+func TestLossFromAnotherDataCentreIsPassedOnWithinThisOne(t *testing.T) {
+	remote, relay := crashtracker.New(), crashtracker.New()
+	remote.RecordLoss(epoch, crashtracker.Loss{Request: 1, Target: "a"})
+	share(epoch, remote, relay, true)
+
+	changes := relay.TakeChanges(epoch)
+	require.Len(t, changes, 1)
+	require.False(t, changes[0].Everywhere)
+	require.Equal(t, []entity.TargetID{"a"}, changes[0].Targets)
+}
+
+func TestRequestThatCompletesOnSomeTargetsIsNotRefused(t *testing.T) {
+	a, b := crashtracker.New(), crashtracker.New()
+
+	lose := func(table *crashtracker.Table, targets ...entity.TargetID) {
+		for _, target := range targets {
+			table.RecordLoss(epoch, crashtracker.Loss{Request: 1, Target: target})
+		}
+	}
+
+	lose(a, "x", "y")
+	share(epoch, a, b, false)
+	b.RecordCompletion(epoch, 1)
+	share(epoch, b, a, false)
+	lose(a, "z")
+	require.Equal(t, 1, a.Losses(epoch, 1), "the completion has cleared the losses before it")
+
+	lose(a, "u", "v")
+
+	_, refused := a.Refuses(epoch, 1)
+	require.True(t, refused)
+
+	share(epoch, a, b, false)
+
+	_, refused = b.Refuses(epoch, 1)
+	require.False(t, refused, "a host with a complete answer knows better")
+
+	share(epoch, b, a, false)
+
+	_, refused = a.Refuses(epoch, 1)
 	require.False(t, refused)
+	require.Equal(t, a.Sum(), b.Sum())
+}
+
+// A data centre that is cut off breaks off thousands of requests at once; they must not push out a request that crashes
+// its targets.
+func TestFullTableKeepsRequestsWithSeveralLosses(t *testing.T) {
+	table := crashtracker.New()
+
+	for _, target := range []entity.TargetID{"a", "b"} {
+		table.RecordLoss(epoch, crashtracker.Loss{Request: 1, Target: target})
+	}
+
+	for i := range 10_000 {
+		table.RecordLoss(epoch.Add(time.Duration(i)*time.Millisecond), crashtracker.Loss{Request: crashtracker.Fingerprint(i + 2), Target: "c"})
+	}
+
+	now := epoch.Add(10 * time.Second)
+	require.Equal(t, 2, table.Losses(now, 1))
+	require.Equal(t, 1, table.Losses(now, 10_001), "new requests are tracked")
+	require.LessOrEqual(t, table.Stats().Suspects, int64(4096))
+}
+
+func TestExpiringRecordsDoNotReturnFromPeers(t *testing.T) {
+	a, b := crashtracker.New(), crashtracker.New()
+	a.RecordLoss(epoch, crashtracker.Loss{Request: 1, Target: "x"})
+
+	end := epoch.Add(5 * time.Minute)
+	b.Merge(epoch.Add(time.Second), a.Records(epoch), true) // b holds the record a second longer
+	a.Tick(end)
+	require.Zero(t, a.Sum())
+
+	a.Merge(end, b.Records(end), true)
+	require.Zero(t, a.Sum())
+}
+
+// TestTablesThatExchangeRecordsBecomeEqual lets tables see losses and completions and exchange some records in a random
+// order. After each pair has exchanged all records, all have the same checksum and refuse the same requests.
+func TestTablesThatExchangeRecordsBecomeEqual(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		tables := make([]*crashtracker.Table, rapid.IntRange(2, 5).Draw(rt, "tables"))
+		for i := range tables {
+			tables[i] = crashtracker.New()
+		}
+
+		now := epoch
+		table := rapid.IntRange(0, len(tables)-1)
+		request := rapid.Uint64Range(1, 3)
+
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now = now.Add(10 * time.Millisecond)
+			a, b := tables[table.Draw(rt, "a")], tables[table.Draw(rt, "b")]
+			f := crashtracker.Fingerprint(request.Draw(rt, "request"))
+
+			switch rapid.IntRange(0, 5).Draw(rt, "step") {
+			case 0, 1, 2:
+				target := entity.TargetID(fmt.Sprint(rapid.IntRange(1, 6).Draw(rt, "target")))
+				a.RecordLoss(now, crashtracker.Loss{Request: f, Target: target})
+			case 3:
+				a.RecordCompletion(now, f)
+			case 4:
+				share(now, a, b, rapid.Bool().Draw(rt, "remote"))
+			case 5:
+				b.Merge(now, a.Records(now), true)
+			}
+		}
+
+		for range tables { // a host that knows of a completion answers a peer's losses, which takes further rounds
+			for _, a := range tables {
+				for _, b := range tables {
+					missing := b.Missing(now, a.Records(now))
+					b.Merge(now, a.Records(now), true)
+					a.Merge(now, missing, true)
+				}
+			}
+		}
+
+		for _, other := range tables[1:] {
+			require.Equal(rt, tables[0].Sum(), other.Sum())
+			require.Empty(rt, other.Missing(now, tables[0].Records(now)))
+
+			for f := range crashtracker.Fingerprint(4) {
+				_, want := tables[0].Refuses(now, f)
+				_, got := other.Refuses(now, f)
+				require.Equal(rt, want, got)
+			}
+		}
+	})
 }
--- a/internal/entry/digests/exchange.go
+++ b/internal/entry/digests/exchange.go
@@ -1,6 +1,6 @@
 // Package digests shares with the other entry hosts, in heartbeats, the state that packages placing and crashtracker
 // need: the work in flight on each target, the targets that have a prompt prefix in their cache, those that are
-// changing role, the demand for each service, and the targets that were lost while they ran a request. A digest also
+// changing role, the demand for each service, and a checksum of the records of requests that crash targets. A digest also
 // has the sender's readiness, its versions of the configuration and the target list, and the placer of its data
 // centre.
 package digests
@@ -10,7 +10,6 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/dotterelflow/dotterelflow/internal/control/crashtracker"
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
 	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
@@ -19,11 +18,11 @@
 // maxWork bounds the targets of which a digest's work and role changes are read; a fleet has a few hundred.
 const maxWork = 4096
 
-// Options configure an Exchange. Board, Crashers, Ready and Version are required.
+// Options configure an Exchange. Board, CrashSum, Ready and Version are required.
 type Options struct {
 	Clock      clockwork.Clock // nil means the real clock
 	Board      *placing.Board
-	Crashers   *crashtracker.Table
+	CrashSum   func() uint64            // checksum of the records of requests that crash targets
 	Ready      func() bool              // whether this host can serve callers
 	Stopping   func() bool              // nil means never
 	Version    func() uint64            // version of the configuration in force
@@ -39,11 +38,13 @@
 // PeerState is a peer's state as reported in its digest.
 type PeerState struct {
 	Host       entity.HostID
+	Address    string // ip:port of its peer API
 	DataCentre entity.DataCentre
 	Version    uint64 // version of the peer's configuration
 	Revision   uint64 // store revision up to which the peer has the target list
 	ReadsStore bool   // the peer reads the store itself, and the store answers
 	Placer     string // peer address of the host that places the prompts of DataCentre; "" for none
+	CrashSum   uint64 // checksum of the peer's records of requests that crash targets
 }
 
 // Exchange fills the digests of this host and merges those of peers. It implements peers.DigestHandler and is safe for
@@ -93,6 +94,7 @@
 	d.TargetsRevision = x.opts.Revision()
 	d.ReadsStore = x.opts.ReadsStore()
 	d.Placer = x.opts.Placer()
+	d.CrashSum = x.opts.CrashSum()
 
 	for _, u := range x.opts.Board.Export() {
 		work := &peer.TargetWork{Target: string(u.Target), Runs: int64(u.Running), Held: int64(u.KVTokens)}
@@ -112,11 +114,7 @@
 	}
 
 	if to == "" {
-		return // NewLosses and PrefixUpdates keep track by receiver of what was sent, and the receiver is unknown
-	}
-
-	for _, l := range x.opts.Crashers.NewLosses(to) {
-		d.Losses = append(d.Losses, &peer.RequestLoss{Request: uint64(l.Request), Target: string(l.Target)})
+		return // PrefixUpdates keeps track by receiver of what was sent, and the receiver is unknown
 	}
 
 	for _, n := range x.opts.Board.PrefixUpdates(to) {
@@ -127,8 +125,8 @@
 // Receive implements peers.DigestHandler.
 func (x *Exchange) Receive(d *peer.Digest) {
 	x.opts.OnDigest(PeerState{
-		Host: entity.HostID(d.GetHost()), DataCentre: entity.DataCentre(d.GetDataCentre()), Version: d.GetGeneration(),
-		Revision: d.GetTargetsRevision(), ReadsStore: d.GetReadsStore(), Placer: d.GetPlacer(),
+		Host: entity.HostID(d.GetHost()), Address: d.GetAddress(), DataCentre: entity.DataCentre(d.GetDataCentre()), Version: d.GetGeneration(),
+		Revision: d.GetTargetsRevision(), ReadsStore: d.GetReadsStore(), Placer: d.GetPlacer(), CrashSum: d.GetCrashSum(),
 	})
 	x.opts.Board.Merge(x.now(), entity.HostID(d.GetHost()), workOf(d.GetWork()))
 
@@ -145,13 +143,6 @@
 
 	x.opts.Board.MergeDemands(x.now(), entity.HostID(d.GetHost()), demands)
 
-	losses := make([]crashtracker.Loss, 0, len(d.GetLosses()))
-	for _, l := range d.GetLosses() {
-		losses = append(losses, crashtracker.Loss{Request: crashtracker.Fingerprint(l.GetRequest()), Target: entity.TargetID(l.GetTarget())})
-	}
-
-	x.opts.Crashers.Merge(x.now(), losses)
-
 	updates := make([]placing.PrefixUpdate, 0, len(d.GetHeld()))
 	for _, n := range d.GetHeld() {
 		updates = append(updates, placing.PrefixUpdate{Prefix: placing.Prefix(n.GetPrefix()), Target: entity.TargetID(n.GetTarget())})
--- a/internal/entry/digests/exchange_test.go
+++ b/internal/entry/digests/exchange_test.go
@@ -8,7 +8,6 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/dotterelflow/dotterelflow/internal/control/crashtracker"
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
@@ -18,15 +17,14 @@
 
 type host struct {
 	*digests.Exchange
-	board    *placing.Board
-	crashers *crashtracker.Table
-	states   []digests.PeerState // states in the digests received
+	board  *placing.Board
+	states []digests.PeerState // states in the digests received
 }
 
 func newHost(clock clockwork.Clock, changing ...entity.TargetID) *host {
-	h := &host{board: placing.New(), crashers: crashtracker.New()}
+	h := &host{board: placing.New()}
 	h.Exchange = digests.New(digests.Options{
-		Clock: clock, Board: h.board, Crashers: h.crashers, Ready: func() bool { return true },
+		Clock: clock, Board: h.board, CrashSum: func() uint64 { return 9 }, Ready: func() bool { return true },
 		Version: func() uint64 { return 7 }, Revision: func() uint64 { return 40 }, ReadsStore: func() bool { return true },
 		Changing: func() []entity.TargetID { return changing },
 		OnDigest: func(s digests.PeerState) { h.states = append(h.states, s) },
@@ -60,12 +58,11 @@
 	require.True(t, ok)
 	a.board.RecordPrefill(p, parts, 100*time.Millisecond)
 	a.board.AddDemand(clock.Now(), "s", 5100)
-	a.crashers.RecordLoss(clock.Now(), crashtracker.Loss{Request: 9, Target: "x"})
 	sendDigest(t, a, b)
 
 	require.Equal(t, 5100, b.board.Busy("r1"), "the peer's prefill counts here")
 	require.Positive(t, b.board.TotalDemand(clock.Now(), "s"))
-	require.Equal(t, []digests.PeerState{{Host: "a", DataCentre: "z", Version: 7, Revision: 40, ReadsStore: true}}, b.states)
+	require.Equal(t, []digests.PeerState{{Host: "a", DataCentre: "z", Version: 7, Revision: 40, ReadsStore: true, CrashSum: 9}}, b.states)
 
 	p, ok = b.board.PlacePrompt(clock.Now(), targets, placing.Job{
 		Prompt: 5200, Parts: []placing.Part{parts[0], {ID: 3, Tokens: 200}}, Near: "z",
@@ -73,12 +70,6 @@
 	require.True(t, ok)
 	require.Equal(t, entity.TargetID("r1"), p.Target.ID, "the peer's digest reports that r1 has prefilled the prefix and that r2 is changing its role")
 	require.Equal(t, entity.Tokens(5000), p.Cached)
-
-	b.crashers.RecordLoss(clock.Now(), crashtracker.Loss{Request: 9, Target: "y"})
-	b.crashers.RecordLoss(clock.Now(), crashtracker.Loss{Request: 9, Target: "z"})
-
-	_, refused := b.crashers.Refuses(clock.Now(), 9)
-	require.True(t, refused, "the peer's loss counts here")
 }
 
 func FuzzHear(f *testing.F) {
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	heartbeatTimeout = 700 * time.Millisecond
-	roundInterval    = 250 * time.Millisecond // between two checks for due heartbeats
+	callTimeout   = 700 * time.Millisecond
+	roundInterval = 250 * time.Millisecond // between two checks for due heartbeats
 	// roundsPerPeriod shortens the rounds for a short heartbeat period, so that a heartbeat is late by a quarter
 	// of the period at most.
 	roundsPerPeriod = 4
@@ -177,8 +177,7 @@
 	return due
 }
 
-// heartbeat exchanges one heartbeat with address. After a failure it retries at once on a new connection, since
-// the old one may have stopped responding while the peer is alive.
+// heartbeat exchanges one heartbeat with address.
 func (n *Network) heartbeat(ctx context.Context, address string) {
 	defer func() {
 		n.mu.Lock()
@@ -187,22 +186,49 @@
 		delete(n.inFlight, address)
 	}()
 
-	err := n.exchangeDigests(ctx, address)
+	err := n.call(ctx, address, func(ctx context.Context, client peer.PeerClient) error {
+		reply, err := client.Heartbeat(ctx, n.digest(n.hostAt(address)))
+		if err == nil {
+			n.receive(reply)
+		}
+
+		return err
+	})
+	if err != nil && ctx.Err() == nil {
+		n.opts.Log.Debug().Str("peer", address).Err(err).Msg("heartbeat failed")
+	}
+}
+
+// ShareCrashes sends m to the host at address and returns its reply.
+func (n *Network) ShareCrashes(ctx context.Context, address string, m *peer.CrashRecords) (reply *peer.CrashRecords, err error) {
+	err = n.call(ctx, address, func(ctx context.Context, client peer.PeerClient) error {
+		reply, err = client.ShareCrashes(ctx, m)
+
+		return err
+	})
+
+	return reply, err
+}
+
+// call makes one call to the host at address. After a failure it retries at once on a new connection, since the old one
+// may have stopped responding while the peer is alive.
+func (n *Network) call(ctx context.Context, address string, do func(context.Context, peer.PeerClient) error) error {
+	err := n.callOnce(ctx, address, do)
 	if err == nil {
-		return
+		return nil
 	}
 
 	n.links.Drop(address)
 
-	if err = n.exchangeDigests(ctx, address); err != nil && ctx.Err() == nil {
+	if err = n.callOnce(ctx, address, do); err != nil {
 		n.links.Drop(address)
-		n.opts.Log.Debug().Str("peer", address).Err(err).Msg("heartbeat failed")
 	}
+
+	return err
 }
 
-// exchangeDigests sends this host's digest to address and handles the reply.
-func (n *Network) exchangeDigests(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+func (n *Network) callOnce(ctx context.Context, address string, do func(context.Context, peer.PeerClient) error) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 
 	client, err := n.links.Client(address)
@@ -210,14 +236,7 @@
 		return err
 	}
 
-	reply, err := client.Heartbeat(ctx, n.digest(n.hostAt(address)))
-	if err != nil {
-		return err
-	}
-
-	n.receive(reply)
-
-	return nil
+	return do(ctx, client)
 }
 
 // hostAt returns the live host whose peer API is at address, or "".
@@ -339,6 +358,14 @@
 	return n.members.Live(n.opts.Clock.Now())
 }
 
+// HeartbeatPartners returns the live members with which this host exchanges heartbeats.
+func (n *Network) HeartbeatPartners() []members.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.members.HeartbeatPartners(n.opts.Clock.Now())
+}
+
 // Hosts returns the number of live hosts, this one included.
 func (n *Network) Hosts() int {
 	n.mu.Lock()
--- a/internal/entry/peers/server.go
+++ b/internal/entry/peers/server.go
@@ -54,6 +54,8 @@
 	Claim func(ctx context.Context, encoded []byte) ([]byte, error)
 	// Placer places prompts for other hosts; nil places no prompts.
 	Placer PromptPlacer
+	// Crashes handles the records of requests that crash their targets and returns the reply; nil keeps no records.
+	Crashes func(m *peer.CrashRecords) *peer.CrashRecords
 	// Burn returns the encoded service-level counts that this host has not saved yet; nil serves no counts.
 	Burn func() []byte
 }
@@ -135,6 +137,15 @@
 	return &peer.EndPlaceReply{}, nil
 }
 
+// ShareCrashes implements peer.PeerServer.
+func (s *Server) ShareCrashes(_ context.Context, m *peer.CrashRecords) (*peer.CrashRecords, error) {
+	if s.services.Crashes == nil {
+		return &peer.CrashRecords{}, nil
+	}
+
+	return s.services.Crashes(m), nil
+}
+
 // FetchBurn implements peer.PeerServer.
 func (s *Server) FetchBurn(context.Context, *peer.FetchBurnRequest) (*peer.Burn, error) {
 	if s.services.Burn == nil {
--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -71,12 +71,12 @@
 		case answer.NotRun:
 			j.noteRefusal(placement.Target, answer.Status)
 		case answer.Status >= 500 && j.route.Repeat == catalog.Repeatable:
-			j.opts.Board.RecordOutcome(j.now(), placement.Target, placing.Failed)
+			j.noteCompletion(placement.Target, answer.Status)
 			j.tried = append(j.tried, placement.Target.ID)
 			lastFailure, failureBody = answer, body
 			runs++
 		default:
-			j.opts.Board.RecordOutcome(j.now(), placement.Target, outcomeOf(answer.Status))
+			j.noteCompletion(placement.Target, answer.Status)
 			j.deliver(w, answer, body)
 
 			return
@@ -92,15 +92,6 @@
 	j.fail(ctx, w, ran, cause)
 }
 
-// outcomeOf returns the outcome to record for a target that answered with status.
-func outcomeOf(status int) placing.Outcome {
-	if status >= 500 {
-		return placing.Failed
-	}
-
-	return placing.Served
-}
-
 // deliver sends a whole answer of a target to the caller.
 func (j *job) deliver(w Reply, a *Answer, body []byte) {
 	j.timeToFirst = j.now().Sub(j.r.Arrived)
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -27,6 +27,10 @@
 	// acceptableWaitDivisor divides a route's objective: if the expected wait at a replica exceeds the result, further
 	// replicas are considered. The rest of the objective is needed to generate the first event.
 	acceptableWaitDivisor = 2
+	// maxLossesPerRequest is the number of lost targets that are recorded for one request ID, one less than the number at
+	// which a request is refused. The sends of one request follow each other so closely that all may meet one failure of many targets;
+	// the caller's retry shows whether the request is the cause.
+	maxLossesPerRequest = 2
 	// releaseTimeout bounds the call that frees a KV cache.
 	releaseTimeout = time.Second
 )
@@ -128,6 +132,7 @@
 	sends       int               // sends so far that count towards maxSends and the retry budget
 	prefilled   bool              // a replica has prefilled the prompt; the first prefill is not counted in sends
 	tried       []entity.TargetID // targets that are not tried again
+	losses      int               // recorded losses of targets
 	timeToFirst time.Duration     // as Outcome.TimeToFirst
 	outcome     Outcome
 }
@@ -207,7 +212,8 @@
 		j.opts.Board.RecordOutcome(j.now(), t, placing.Lost)
 
 		// A timeout is no evidence of a crash.
-		if v == verdict.MayHaveRun && !errors.Is(err, context.DeadlineExceeded) {
+		if v == verdict.MayHaveRun && !errors.Is(err, context.DeadlineExceeded) && j.losses < maxLossesPerRequest {
+			j.losses++
 			j.opts.Crashers.RecordLoss(j.now(), crashtracker.Loss{Request: j.fingerprint, Target: t.ID})
 		}
 	}
@@ -219,6 +225,20 @@
 	return v
 }
 
+// noteCompletion records that t has answered with status and sent its whole answer.
+func (j *job) noteCompletion(t fleet.Target, status int) {
+	outcome := placing.Served
+	if status >= 500 {
+		outcome = placing.Failed
+	}
+
+	j.opts.Board.RecordOutcome(j.now(), t, outcome)
+
+	if status < 300 {
+		j.opts.Crashers.RecordCompletion(j.now(), j.fingerprint)
+	}
+}
+
 // noteRefusal records that t answered with status and states that it has not run the request.
 func (j *job) noteRefusal(t fleet.Target, status int) {
 	j.tried = append(j.tried, t.ID)
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -292,7 +292,7 @@
 	for {
 		event, id, err := stream.next()
 		if errors.Is(err, io.EOF) {
-			j.opts.Board.RecordOutcome(j.now(), placement.Target, placing.Served)
+			j.noteCompletion(placement.Target, answer.Status)
 			j.outcome.Status = answer.Status
 
 			if !p.begun {
