Divide the retry budget among all hosts of the fleet

Each host may use an equal part of the platform's slack for repeats, and counted as hosts those from which it receives heartbeats: with 89 hosts in 4 data centres about 34. All hosts together then take 259 repeats of a service without traffic in one window, with the margin in force, where 218 are allowed (542 at margin 1). On 8 hosts all know each other, so small sites and their tests cannot show it.

Change: a digest states the number of live hosts in the sender's data centre, and the hosts of the fleet are the sum over data centres of the newest such number; a data centre that falls silent keeps it for ten minutes, so a cut does not raise the shares. The own interface used the hosts of its own data centre times the reachable ones in place of it and now counts alike.

--- a/internal/control/members/size_test.go
+++ b/internal/control/members/size_test.go
@@ -48,6 +48,60 @@
 	require.Equal(t, time.Second, full.Period())
 }
 
+// Hosts hear from a few hosts of each other data centre only, and have to divide shared limits among all.
+func TestHostCountsIncludeHostsThatSendNoHeartbeats(t *testing.T) {
+	for _, hosts := range []int{8, 89, 330} {
+		table := members.New("self", "dc-0")
+		want := 1
+
+		for i := range hosts - 1 {
+			m := member(i)
+			m.LocalHosts = hosts / dataCentres
+
+			if m.DataCentre != "dc-0" {
+				want++
+
+				if i > 2*dataCentres {
+					continue // sends no heartbeats here
+				}
+			} else {
+				want++
+			}
+
+			table.Update(m)
+		}
+
+		total := 0
+		for _, n := range table.HostCounts(epoch) {
+			total += n
+		}
+
+		require.InDelta(t, want, total, dataCentres, "%d hosts", hosts)
+
+		later := 0
+		for dc, n := range table.HostCounts(epoch.Add(5 * time.Minute)) {
+			if dc != "dc-0" {
+				later += n
+			}
+		}
+
+		require.GreaterOrEqual(t, later, 4*(hosts/dataCentres), "data centres that have fallen silent still count")
+	}
+}
+
+// BenchmarkHostCounts measures one count of the hosts, as made for each heartbeat.
+func BenchmarkHostCounts(b *testing.B) {
+	for _, hosts := range sizes {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			t := tableOf(hosts)
+
+			for b.Loop() {
+				t.HostCounts(epoch)
+			}
+		})
+	}
+}
+
 // BenchmarkUpdate measures one report of a member, by the number of members.
 func BenchmarkUpdate(b *testing.B) {
 	for _, hosts := range sizes {
--- a/internal/control/members/table.go
+++ b/internal/control/members/table.go
@@ -29,6 +29,7 @@
 	Generation entity.Generation
 	Ready      bool
 	Stopping   bool
+	LocalHosts int       // number of live hosts in its data centre, itself included
 	Sequence   uint64    // number of the report; later reports of the host have higher ones
 	ReceivedAt time.Time // when the report was received, on the clock of this host
 }
@@ -148,6 +149,32 @@
 	return n
 }
 
+// HostCounts returns the number of entry hosts in each data centre. A host exchanges heartbeats with few hosts of another
+// data centre, so their number there is the one that was last reported from it, until that report is forgotten. The number in
+// the home data centre is that of its live hosts, this one included.
+func (t *Table) HostCounts(now time.Time) map[entity.DataCentre]int {
+	counts := map[entity.DataCentre]int{t.home: 1}
+	newest := map[entity.DataCentre]Member{}
+
+	for _, m := range t.members {
+		if t.Alive(m, now) {
+			counts[m.DataCentre]++
+		}
+
+		if m.ReceivedAt.After(newest[m.DataCentre].ReceivedAt) {
+			newest[m.DataCentre] = m
+		}
+	}
+
+	for dc, m := range newest {
+		if dc != t.home {
+			counts[dc] = max(counts[dc], min(m.LocalHosts, maxMembers))
+		}
+	}
+
+	return counts
+}
+
 // Sample returns up to n live members, chosen by the random iteration order of the map. It stops once it has
 // found n, so it is cheap enough for each heartbeat.
 func (t *Table) Sample(now time.Time, n int) []Member {
--- a/internal/entry/host/digest.go
+++ b/internal/entry/host/digest.go
@@ -117,9 +117,14 @@
 		}
 	}
 
-	// A host sees only a few hosts of each other data centre. Each data centre is assumed to have as many hosts as
-	// this one.
-	hosts := max(h.network.Hosts(), h.network.LocalHosts()*len(reachable))
+	hosts := 0
+
+	for dc, n := range h.network.HostCounts() {
+		if reachable[dc] {
+			hosts += n
+		}
+	}
+
 	loads := h.loads.All()
 
 	list := h.fleetControl.Plans()
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -273,6 +273,7 @@
 		Host: string(n.opts.Host), Address: n.opts.Address, DataCentre: string(n.opts.DataCentre), Sequence: n.sequence,
 	}
 	d.Known = n.memberAddresses()
+	d.LocalHosts = uint32(n.members.HostCounts(n.opts.Clock.Now())[n.opts.DataCentre])
 	n.mu.Unlock()
 
 	n.opts.Digests.Fill(to, d)
@@ -314,7 +315,7 @@
 	n.members.Update(members.Member{
 		Host: entity.HostID(d.GetHost()), Address: d.GetAddress(), DataCentre: entity.DataCentre(d.GetDataCentre()),
 		Generation: entity.Generation(d.GetGeneration()), Ready: d.GetReady(), Stopping: d.GetStopping(),
-		Sequence: d.GetSequence(), ReceivedAt: n.opts.Clock.Now(),
+		LocalHosts: int(d.GetLocalHosts()), Sequence: d.GetSequence(), ReceivedAt: n.opts.Clock.Now(),
 	})
 	n.mu.Unlock()
 
@@ -366,7 +367,7 @@
 	return n.members.HeartbeatPartners(n.opts.Clock.Now())
 }
 
-// Hosts returns the number of live hosts, this one included.
+// Hosts returns the number of live hosts from which this host receives heartbeats, this one included.
 func (n *Network) Hosts() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -374,6 +375,15 @@
 	return n.members.LiveCount(n.opts.Clock.Now()) + 1
 }
 
+// HostCounts returns the number of entry hosts in each data centre, those included with which this host exchanges no
+// heartbeats. A data centre that has fallen silent keeps its number for some minutes.
+func (n *Network) HostCounts() map[entity.DataCentre]int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.members.HostCounts(n.opts.Clock.Now())
+}
+
 // Member returns the last known state of host, and whether it counts as alive.
 func (n *Network) Member(host entity.HostID) (m members.Member, alive bool) {
 	n.mu.Lock()
@@ -399,19 +409,6 @@
 	return n.members.Responsible(n.opts.Clock.Now(), key, count)
 }
 
-// LocalHosts returns the number of live hosts in this data centre that are not stopping, this one included.
-func (n *Network) LocalHosts() int {
-	hosts := 1
-
-	for _, m := range n.Live() {
-		if m.DataCentre == n.opts.DataCentre && !m.Stopping {
-			hosts++
-		}
-	}
-
-	return hosts
-}
-
 // Reachable returns this data centre and those with a live host that can take forwarded requests.
 func (n *Network) Reachable() map[entity.DataCentre]bool {
 	reachable := map[entity.DataCentre]bool{n.opts.DataCentre: true}
