--- a/internal/entry/crashsync/syncer.go
+++ b/internal/entry/crashsync/syncer.go
@@ -32,7 +32,7 @@
 	// settleTime is how long the records of this host must be unchanged before a different checksum of a peer
 	// counts as a sign that one of the two misses a record, and not that a message is on its way. If the records keep changing, it
 	// counts once no exchange has taken place for maxExchangeDelay.
-	settleTime       = 300 * time.Millisecond
+	settleTime       = time.Second
 	maxExchangeDelay = 2 * time.Second
 
 	// minExchangeInterval is the time between two exchanges of all records. It doubles up to maxExchangeInterval while
