Count a silent run as a loss once its target has ended

What callers saw: a request under which targets fall silent, instead of breaking off connections, was never refused.

Change: such runs are kept for 10 s and become losses when their target has gone from the list or has started again. Runs whose target is still there count for nothing, as before, so slow targets and callers who leave do not make a request suspect.

--- a/internal/control/crashtracker/table.go
+++ b/internal/control/crashtracker/table.go
@@ -24,8 +24,13 @@
 	// that hosts do not return to each other a record that is about to expire.
 	minLeft = 15 * time.Second
 
+	// confirmTime is how long after a silent run the end of its target counts as a loss. It covers the time after which a
+	// target that has ended leaves the platform's list, or is in it again with another id.
+	confirmTime = 10 * time.Second
+
 	maxRecords   = 4096
 	maxCompleted = 4096
+	maxSilent    = 4096
 )
 
 // entry is a Record that expires at until. Its field Left is not used.
@@ -67,6 +72,7 @@
 	mu         sync.Mutex
 	entries    map[Fingerprint]*entry
 	completed  *lru.Cache[Fingerprint, time.Time] // time of the last complete answer
+	silent     map[Loss]time.Time                 // runs that ended in silence, and when
 	pending    map[Fingerprint]scope              // changed records that peers have to be told
 	sum        uint64
 	lastChange time.Time
@@ -80,7 +86,8 @@
 	}
 
 	return &Table{
-		changed: make(chan struct{}, 1), entries: map[Fingerprint]*entry{}, completed: completed, pending: map[Fingerprint]scope{},
+		changed: make(chan struct{}, 1), entries: map[Fingerprint]*entry{}, completed: completed,
+		silent: map[Loss]time.Time{}, pending: map[Fingerprint]scope{},
 	}
 }
 
@@ -105,6 +112,17 @@
 	t.join(now, r, everywhere)
 }
 
+// RecordSilence records a run that ended without an answer and without a sign that its target was lost, such as one that
+// reached its deadline. It becomes a loss if the target ends soon. New runs are ignored while too many are kept.
+func (t *Table) RecordSilence(now time.Time, l Loss) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if len(t.silent) < maxSilent {
+		t.silent[l] = now
+	}
+}
+
 // RecordCompletion records that a target has answered the request f completely.
 func (t *Table) RecordCompletion(now time.Time, f Fingerprint) {
 	t.mu.Lock()
@@ -256,8 +274,13 @@
 	return stats
 }
 
-// Tick drops the records that have expired at now.
-func (t *Table) Tick(now time.Time) {
+// Tick drops the records that have expired at now, and records losses for silent runs whose targets have ended. ended
+// reports whether a target has.
+func (t *Table) Tick(now time.Time, ended func(entity.TargetID) bool) {
+	for _, l := range t.takeEnded(now, ended) {
+		t.RecordLoss(now, l)
+	}
+
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
@@ -268,6 +291,26 @@
 	}
 }
 
+// takeEnded removes and returns the silent runs whose targets have ended. It also removes those that are too old.
+func (t *Table) takeEnded(now time.Time, ended func(entity.TargetID) bool) []Loss {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	var losses []Loss
+
+	for l, at := range t.silent {
+		switch {
+		case ended(l.Target):
+			losses = append(losses, l)
+			delete(t.silent, l)
+		case now.Sub(at) > confirmTime:
+			delete(t.silent, l)
+		}
+	}
+
+	return losses
+}
+
 // at returns the record of e with the time that it has left at now.
 func (e *entry) at(now time.Time) Record {
 	r := e.Record
--- a/internal/control/crashtracker/table_test.go
+++ b/internal/control/crashtracker/table_test.go
@@ -14,6 +14,8 @@
 
 var epoch = time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
 
+func alive(entity.TargetID) bool { return false }
+
 // share gives the changes of from to to, which is in the same data centre unless remote is set.
 func share(now time.Time, from, to *crashtracker.Table, remote bool) {
 	var records []crashtracker.Record
@@ -62,7 +64,7 @@
 		_, refused = h.Refuses(later, f)
 		require.False(t, refused, "the refusal expires")
 
-		h.Tick(later)
+		h.Tick(later, alive)
 		require.Zero(t, h.Sum())
 		require.Zero(t, h.Stats())
 	}
@@ -78,6 +80,20 @@
 	require.Equal(t, 1, table.Losses(epoch, 1))
 }
 
+func TestSilentRunIsALossOnceItsTargetHasEnded(t *testing.T) {
+	table := crashtracker.New()
+	table.RecordSilence(epoch, crashtracker.Loss{Request: 1, Target: "ended"})
+	table.RecordSilence(epoch, crashtracker.Loss{Request: 1, Target: "alive"})
+	table.RecordSilence(epoch, crashtracker.Loss{Request: 1, Target: "ended-late"})
+
+	table.Tick(epoch.Add(4*time.Second), func(id entity.TargetID) bool { return id == "ended" })
+	require.Equal(t, 1, table.Losses(epoch, 1))
+
+	table.Tick(epoch.Add(11*time.Second), alive)
+	table.Tick(epoch.Add(12*time.Second), func(id entity.TargetID) bool { return id == "ended-late" })
+	require.Equal(t, 1, table.Losses(epoch, 1))
+}
+
 func TestLossFromAnotherDataCentreIsPassedOnWithinThisOne(t *testing.T) {
 	remote, relay := crashtracker.New(), crashtracker.New()
 	remote.RecordLoss(epoch, crashtracker.Loss{Request: 1, Target: "a"})
@@ -147,7 +163,7 @@
 
 	end := epoch.Add(5 * time.Minute)
 	b.Merge(epoch.Add(time.Second), a.Records(epoch), true) // b holds the record a second longer
-	a.Tick(end)
+	a.Tick(end, alive)
 	require.Zero(t, a.Sum())
 
 	a.Merge(end, b.Records(end), true)
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -207,17 +207,13 @@
 func (j *job) noteFailure(t fleet.Target, err error) verdict.Verdict {
 	j.tried = append(j.tried, t.ID)
 
-	v := verdict.Of(err)
 	if !errors.Is(err, context.Canceled) {
 		j.opts.Board.RecordOutcome(j.now(), t, placing.Lost)
-
-		// A timeout is no evidence of a crash.
-		if v == verdict.MayHaveRun && !errors.Is(err, context.DeadlineExceeded) && j.losses < maxLossesPerRequest {
-			j.losses++
-			j.opts.Crashers.RecordLoss(j.now(), crashtracker.Loss{Request: j.fingerprint, Target: t.ID})
-		}
 	}
 
+	j.noteLoss(t, err)
+
+	v := verdict.Of(err)
 	j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Str("target", string(t.ID)).
 		Str("verdict", v.String()).Str("fingerprint", j.fingerprint.String()).Int("losses", j.opts.Crashers.Losses(j.now(), j.fingerprint)).
 		Err(err).Msg("target did not answer")
@@ -225,6 +221,23 @@
 	return v
 }
 
+// noteLoss records that t may have crashed on the request, whose send ended with err. A timeout or a cancellation alone is
+// no evidence of a crash.
+func (j *job) noteLoss(t fleet.Target, err error) {
+	if verdict.Of(err) != verdict.MayHaveRun || j.losses >= maxLossesPerRequest {
+		return
+	}
+
+	j.losses++
+
+	loss := crashtracker.Loss{Request: j.fingerprint, Target: t.ID}
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+		j.opts.Crashers.RecordSilence(j.now(), loss)
+	} else {
+		j.opts.Crashers.RecordLoss(j.now(), loss)
+	}
+}
+
 // noteCompletion records that t has answered with status and sent its whole answer.
 func (j *job) noteCompletion(t fleet.Target, status int) {
 	outcome := placing.Served
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -177,6 +177,7 @@
 	switch {
 	case err != nil && ctx.Err() != nil:
 		p.cause = err
+		j.noteLoss(placement.Target, err)
 
 		return nil, placing.PromptResult{}
 	case err != nil:
