Send held prefixes again until the peer has confirmed them

What callers saw: prompts that are read again although a replica holds them; a wrong guess costs time only.

Change: a digest states the position of its entries and the last position received from the receiver. Entries are sent until their position comes back: one more number each way, no entry twice while heartbeats arrive. A build without the confirmation is sent up to 512 entries in each digest, 10 KB, until it is replaced.

--- a/internal/control/placing/cache.go
+++ b/internal/control/placing/cache.go
@@ -141,13 +141,21 @@
 	return cached
 }
 
-// PrefixUpdates returns the updates that this host has recorded since the last call with the same to, at most the
-// newest 512.
-func (b *Board) PrefixUpdates(to entity.HostID) []PrefixUpdate {
+// PrefixUpdates returns the updates that this host has recorded and that the host to has not confirmed, at most the newest
+// 512, and the position that ConfirmPrefixes takes.
+func (b *Board) PrefixUpdates(to entity.HostID) (updates []PrefixUpdate, position uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	return b.cache.updates.TakeUnsent(to)
+	return b.cache.updates.Unconfirmed(to)
+}
+
+// ConfirmPrefixes records that the host by has received the updates up to position.
+func (b *Board) ConfirmPrefixes(by entity.HostID, position uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.cache.updates.Confirm(by, position)
 }
 
 // MergePrefixes adds the prefix holders that a peer has recorded. They are not forwarded to other peers.
--- a/internal/entry/digests/exchange.go
+++ b/internal/entry/digests/exchange.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
@@ -18,6 +19,9 @@
 // maxWork bounds the targets of which a digest's work and role changes are read; a fleet has a few hundred.
 const maxWork = 4096
 
+// maxPeers bounds the peers whose positions are kept, the most recent ones.
+const maxPeers = 1024
+
 // Options configure an Exchange. Board, CrashSum, Ready and Version are required.
 type Options struct {
 	Clock      clockwork.Clock // nil means the real clock
@@ -50,7 +54,8 @@
 // Exchange fills the digests of this host and merges those of peers. It implements peers.DigestHandler and is safe for
 // concurrent use.
 type Exchange struct {
-	opts Options
+	opts     Options
+	received *lru.Cache[entity.HostID, uint64] // last position of held prefixes received from each peer
 }
 
 // New returns an Exchange.
@@ -83,7 +88,12 @@
 		opts.Changing = func() []entity.TargetID { return nil }
 	}
 
-	return &Exchange{opts: opts}
+	received, err := lru.New[entity.HostID, uint64](maxPeers)
+	if err != nil {
+		panic(err) // only for a size below 1
+	}
+
+	return &Exchange{opts: opts, received: received}
 }
 
 // Fill implements peers.DigestHandler.
@@ -114,10 +124,14 @@
 	}
 
 	if to == "" {
-		return // PrefixUpdates keeps track by receiver of what was sent, and the receiver is unknown
+		return // what the receiver has confirmed is not known
 	}
 
-	for _, n := range x.opts.Board.PrefixUpdates(to) {
+	updates, position := x.opts.Board.PrefixUpdates(to)
+	d.HeldPosition = position
+	d.HeldConfirmed = x.receivedFrom(to)
+
+	for _, n := range updates {
 		d.Held = append(d.Held, &peer.HeldPrefix{Prefix: uint64(n.Prefix), Target: string(n.Target)})
 	}
 }
@@ -149,6 +163,18 @@
 	}
 
 	x.opts.Board.MergePrefixes(updates)
+	x.opts.Board.ConfirmPrefixes(entity.HostID(d.GetHost()), d.GetHeldConfirmed())
+
+	if d.GetHeldPosition() > 0 {
+		x.received.Add(entity.HostID(d.GetHost()), d.GetHeldPosition())
+	}
+}
+
+// receivedFrom returns the last position of held prefixes received from host, zero for none.
+func (x *Exchange) receivedFrom(host entity.HostID) uint64 {
+	position, _ := x.received.Get(host)
+
+	return position
 }
 
 func (x *Exchange) now() time.Time { return x.opts.Clock.Now() }
