Refuse a request that crashes engines in all data centres of the own interface

What callers saw: the quarantine of the own interface keeps a request from more than two engines of a data centre and tells the hosts of that data centre alone. A caller who goes from one data centre to the next takes two engines in each: with 4 data centres 8 of 12 sends crashed one.

Change: the guard also records lost engines, by boot id, and complete answers in a crashtracker.Table, which package crashsync keeps equal on all hosts. The quarantine itself, with its trials and confirmations, stays within the data centre.

--- a/internal/entry/crashguard/guard.go
+++ b/internal/entry/crashguard/guard.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/dotterelflow/dotterelflow/internal/control/crashtracker"
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/quarantine"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
@@ -24,6 +26,9 @@
 	Clock      clockwork.Clock // nil means the real clock
 	Self       entity.HostID
 	Quarantine quarantine.Options // Self is replaced by Options.Self
+	// Crashers holds the requests that crash engines of any data centre, while the quarantine covers this one; nil means
+	// that the data centres do not tell each other.
+	Crashers *crashtracker.Table
 	// OnLoss is called, without a lock held, when a target was found lost with runs on it; nil means no call.
 	OnLoss func(entity.TargetID)
 }
@@ -59,6 +64,10 @@
 		opts.Clock = clockwork.NewRealClock()
 	}
 
+	if opts.Crashers == nil {
+		opts.Crashers = crashtracker.New()
+	}
+
 	opts.Quarantine.Self = opts.Self
 
 	return &Guard{
@@ -89,11 +98,16 @@
 		return nil
 	}
 
+	f := fingerprintOf(req)
+	if err := g.checkCrashers(f); err != nil {
+		return err
+	}
+
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
 	for _, pool := range poolsOf(req.Kind.Model) {
-		if err := asError(g.tableOf(pool).Check(g.opts.Clock.Now(), fingerprintOf(req))); err != nil {
+		if err := asError(g.tableOf(pool).Check(g.opts.Clock.Now(), f)); err != nil {
 			return err
 		}
 	}
@@ -101,6 +115,21 @@
 	return nil
 }
 
+// checkCrashers returns a *verdict.Error if the request f has crashed too many engines of all data centres, and nil otherwise.
+func (g *Guard) checkCrashers(f quarantine.Fingerprint) error {
+	retryAfter, refused := g.opts.Crashers.Refuses(g.opts.Clock.Now(), crasherOf(f))
+	if !refused {
+		return nil
+	}
+
+	return asError(quarantine.Decision{Action: quarantine.Refuse, RetryAfter: retryAfter})
+}
+
+// crasherOf returns the fingerprint under which package crashtracker knows the request f.
+func crasherOf(f quarantine.Fingerprint) crashtracker.Fingerprint {
+	return crashtracker.Fingerprint(binary.BigEndian.Uint64(f[:]))
+}
+
 // asError keeps a nil *verdict.Error from becoming a non-nil error.
 func asError(r quarantine.Decision) error {
 	if e := r.Error(); e != nil {
@@ -115,6 +144,10 @@
 func (g *Guard) Begin(ctx context.Context, req entity.Request, target entity.TargetID) (entity.TargetID, error) {
 	f := fingerprintOf(req)
 
+	if err := g.checkCrashers(f); err != nil {
+		return "", err
+	}
+
 	for {
 		granted, decision := g.tryBegin(poolOf(req), f, target)
 
@@ -201,6 +234,10 @@
 
 	delete(g.startBoots, this)
 	g.tableOf(poolOf(req)).RunEnded(now, this.fingerprint, target, end)
+
+	if err == nil {
+		g.opts.Crashers.RecordCompletion(now, crasherOf(this.fingerprint))
+	}
 }
 
 // recordCut records that target broke off a run. boot is the target's boot id when the run began. The caller holds mu.
@@ -281,12 +318,20 @@
 
 	delete(g.cuts, target)
 
-	lost := 0
+	lost, now := false, g.opts.Clock.Now()
+
+	// An engine that starts again keeps its id, so the boot id tells one loss from the next.
+	lostBoot := entity.TargetID(string(target) + "@" + last)
+
 	for _, pool := range poolsOf(model) {
-		lost += len(g.tableOf(pool).TargetLost(g.opts.Clock.Now(), target))
+		for _, f := range g.tableOf(pool).TargetLost(now, target) {
+			lost = true
+
+			g.opts.Crashers.RecordLoss(now, crashtracker.Loss{Request: crasherOf(f), Target: lostBoot})
+		}
 	}
 
-	return lost > 0
+	return lost
 }
 
 // Tick advances the tables and starts the trials that are due. view returns this host's view of the
--- a/internal/entry/host/answers_test.go
+++ b/internal/entry/host/answers_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/standin/engine"
 	"github.com/dotterelflow/dotterelflow/internal/standin/service"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
@@ -182,3 +183,45 @@
 
 	require.LessOrEqual(t, crashes, 2)
 }
+
+func TestCrashMakingRequestIsRefusedInAllDataCentresAfterThreeEngines(t *testing.T) {
+	const (
+		window         = 3 * time.Second // in which all hosts must learn of a lost engine
+		allowedRetries = 3               // engines that may be lost after it
+	)
+
+	dataCentres := []entity.DataCentre{"a", "b", "c", "d"}
+	d := newDeploymentIn(t, 3*len(dataCentres), engine.Options{TokenTime: 10 * time.Millisecond, RestartTime: 300 * time.Millisecond}, dataCentres...)
+
+	for _, dc := range dataCentres {
+		d.addHost(t, dc)
+	}
+
+	crashes := func() int {
+		n := 0
+		for _, e := range d.engines {
+			n += e.Crashes()
+		}
+
+		return n
+	}
+
+	for i := 0; crashes() < 3; i++ {
+		out := call{kind: "note", prompt: engine.CrashMark, tokens: 10}.send(t, d.hosts[i%len(d.hosts)])
+		require.False(t, out.whole)
+	}
+
+	time.Sleep(window)
+
+	before := crashes()
+
+	for range 2 {
+		for _, h := range d.hosts {
+			out := call{kind: "note", prompt: engine.CrashMark, tokens: 10}.send(t, h)
+			require.False(t, out.whole)
+		}
+	}
+
+	require.LessOrEqual(t, crashes()-before, allowedRetries)
+	require.True(t, call{kind: "note", prompt: "harmless", tokens: 10}.send(t, d.hosts[0]).whole)
+}
--- a/internal/entry/host/build.go
+++ b/internal/entry/host/build.go
@@ -5,11 +5,13 @@
 
 	"github.com/dotterelflow/dotterelflow/internal/control/admission"
 	"github.com/dotterelflow/dotterelflow/internal/control/configuration"
+	"github.com/dotterelflow/dotterelflow/internal/control/crashtracker"
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/ledger"
 	"github.com/dotterelflow/dotterelflow/internal/entry/admissionloop"
 	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
 	"github.com/dotterelflow/dotterelflow/internal/entry/crashguard"
+	"github.com/dotterelflow/dotterelflow/internal/entry/crashsync"
 	"github.com/dotterelflow/dotterelflow/internal/entry/dispatch"
 	"github.com/dotterelflow/dotterelflow/internal/entry/fleetcontrol"
 	"github.com/dotterelflow/dotterelflow/internal/entry/loadreports"
@@ -35,13 +37,17 @@
 	h.admissionLoop = admissionloop.Start(admissionloop.Options{Clock: clock, Admission: admission.Options{Horizon: admissionHorizon}})
 	h.meter = rolebalance.NewMeter(clock, h.opts.DataCentre, h.admissionLoop, h.opts.Demand)
 	h.claims = ledger.New(ledger.Options{Store: h.opts.Platform, Host: h.opts.ID, Clock: clock})
+	h.crashers = crashtracker.New()
 	h.guard = crashguard.New(crashguard.Options{
-		Clock: clock, Self: h.opts.ID, OnLoss: func(entity.TargetID) { h.network.HeartbeatNow() },
+		Clock: clock, Self: h.opts.ID, Crashers: h.crashers, OnLoss: func(entity.TargetID) { h.network.HeartbeatNow() },
 	})
 	h.network = peers.New(peers.Options{
 		Clock: clock, Log: h.opts.Log, Host: h.opts.ID, DataCentre: h.opts.DataCentre,
 		Address: h.PeerAddress(), Seeds: h.opts.Seeds, Digests: h,
 	})
+	h.crashSyncer = crashsync.New(crashsync.Options{
+		Clock: clock, Log: h.opts.Log, DataCentre: h.opts.DataCentre, Table: h.crashers, Peers: h.network,
+	})
 	h.config = configuration.Start(ctx, h.opts.Platform, h.network, clock, uint64(seed))
 	h.loads = loadreports.Start(ctx, loadreports.Options{
 		Clock: clock, Engines: h.engines, Targets: h.targets, Polls: h.isPoller, OnReport: h.onLoadReport,
@@ -66,6 +72,7 @@
 		Site: local{h}, Roles: h.opts.Roles,
 	})
 	h.network.Start(ctx)
+	h.crashSyncer.Start(ctx)
 
 	requestService := requests.New(requests.Options{
 		Clock: clock, Host: h.opts.ID, Home: h.opts.DataCentre, Runner: h.runner, Router: h.router, Phases: h.router,
@@ -75,7 +82,7 @@
 
 	h.peers = peers.NewGRPCServer(h.network, peers.Services{
 		Snapshot: h.config.Current, Runner: h.runner, Answers: heldAnswers, Configuration: h.newerConfiguration,
-		Claim: h.claimForPeer, Burn: h.burn.encodePending,
+		Claim: h.claimForPeer, Crashes: h.crashSyncer.Handle, Burn: h.burn.encodePending,
 	})
 
 	if err := h.buildCallers(requestService); err != nil {
--- a/internal/entry/host/deployment_test.go
+++ b/internal/entry/host/deployment_test.go
@@ -64,6 +64,13 @@
 func newDeployment(t *testing.T, engines int, opts engine.Options) *deployment {
 	t.Helper()
 
+	return newDeploymentIn(t, engines, opts, "a")
+}
+
+// newDeploymentIn starts a deployment like newDeployment with the engines spread over dataCentres.
+func newDeploymentIn(t *testing.T, engines int, opts engine.Options, dataCentres ...entity.DataCentre) *deployment {
+	t.Helper()
+
 	d := &deployment{store: standinplatform.NewStore(clockwork.NewRealClock())}
 	text := fmt.Sprintf(configurationFormat, entity.HashKey("desk-key"), entity.HashKey("other-key")) + "targets:\n"
 
@@ -72,8 +79,8 @@
 		server := serve(t, e)
 		d.engines = append(d.engines, e)
 		d.servers = append(d.servers, server)
-		text += fmt.Sprintf("  - {id: engine-%d, type: engine, data-centre: a, address: %s, model: m, role: mixed, "+
-			"gated: true, checks-fencing: true, slots: 16, prefill-rate: 16000, decode-rate: 1200}\n", i+1, server.Address())
+		text += fmt.Sprintf("  - {id: engine-%d, type: engine, data-centre: %s, address: %s, model: m, role: mixed, "+
+			"gated: true, checks-fencing: true, slots: 16, prefill-rate: 16000, decode-rate: 1200}\n", i+1, dataCentres[i%len(dataCentres)], server.Address())
 	}
 
 	svc := &service.Server{}
--- a/internal/entry/host/digest.go
+++ b/internal/entry/host/digest.go
@@ -51,6 +51,7 @@
 	d.Generation = uint64(h.config.Generation())
 	d.Ready = h.Ready() == nil
 	d.Stopping = h.stopping.Load()
+	d.CrashSum = h.crashers.Sum()
 
 	if m, alive := h.network.Member(to); alive && m.DataCentre == h.opts.DataCentre {
 		d.Suspects = h.suspectsDigest(to)
@@ -73,6 +74,7 @@
 	h.config.ReportPeerGeneration(entity.HostID(d.GetHost()), entity.Generation(d.GetGeneration()))
 
 	h.roleState.recordDemand(h.opts.Clock.Now(), d)
+	h.crashSyncer.OnHeartbeat(d.GetAddress(), d.GetCrashSum())
 
 	if d.GetDataCentre() == string(h.opts.DataCentre) {
 		h.fleetControl.MergeDigest(d)
@@ -138,6 +140,7 @@
 	}
 
 	h.configApplied.Store(true)
+	h.crashers.Tick(h.opts.Clock.Now(), func(entity.TargetID) bool { return false }) // load reports show which engines have ended
 	h.guard.Tick(func(p crashguard.Pool) quarantine.View { return h.quarantineView(snapshot, p, loads) })
 	h.admissionLoop.SetConfig(snapshot, hosts, func(t entity.Target) bool { return reachable[t.DataCentre] && !leaving[t.ID] })
 }
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -12,11 +12,13 @@
 	"github.com/zeebo/errs"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/configuration"
+	"github.com/dotterelflow/dotterelflow/internal/control/crashtracker"
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/ledger"
 	"github.com/dotterelflow/dotterelflow/internal/control/roles"
 	"github.com/dotterelflow/dotterelflow/internal/entry/admissionloop"
 	"github.com/dotterelflow/dotterelflow/internal/entry/crashguard"
+	"github.com/dotterelflow/dotterelflow/internal/entry/crashsync"
 	"github.com/dotterelflow/dotterelflow/internal/entry/dispatch"
 	"github.com/dotterelflow/dotterelflow/internal/entry/fleetcontrol"
 	"github.com/dotterelflow/dotterelflow/internal/entry/loadreports"
@@ -87,6 +89,8 @@
 	burn          *burnCounts
 	budget        *retryBudget
 	guard         *crashguard.Guard
+	crashers      *crashtracker.Table // requests that crash engines, in all data centres
+	crashSyncer   *crashsync.Syncer
 	runner        *dispatch.Runner
 
 	fleetControl *fleetcontrol.Controller
@@ -228,7 +232,7 @@
 	h.claims.Close()
 	h.cancel()
 
-	for _, done := range []<-chan struct{}{h.done, h.loads.Done(), h.network.Done(), h.config.Done(), h.claims.Done(), h.burn.saver.Done(), h.fleetControl.Done(), h.balancer.Done()} {
+	for _, done := range []<-chan struct{}{h.done, h.loads.Done(), h.crashSyncer.Done(), h.network.Done(), h.config.Done(), h.claims.Done(), h.burn.saver.Done(), h.fleetControl.Done(), h.balancer.Done()} {
 		<-done
 	}
 
