--- a/internal/entry/host/answers_test.go
+++ b/internal/entry/host/answers_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"net/http"
+	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/entry/host"
 	"github.com/dotterelflow/dotterelflow/internal/standin/engine"
 	"github.com/dotterelflow/dotterelflow/internal/standin/service"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
@@ -225,3 +229,32 @@
 	require.LessOrEqual(t, crashes()-before, allowedRetries)
 	require.True(t, call{kind: "note", prompt: "harmless", tokens: 10}.send(t, d.hosts[0]).whole)
 }
+
+// slowRefresh is a clock that takes long to tell the time to the refresh of a Host, as on a busy machine.
+type slowRefresh struct{ clockwork.Clock }
+
+func (c slowRefresh) Now() time.Time {
+	var callers [16]uintptr
+
+	frames := runtime.CallersFrames(callers[:runtime.Callers(2, callers[:])])
+
+	for {
+		frame, more := frames.Next()
+		if strings.HasSuffix(frame.Function, "host.(*Host).refresh") {
+			time.Sleep(100 * time.Millisecond)
+		}
+
+		if !more {
+			return c.Clock.Now()
+		}
+	}
+}
+
+func TestHostThatSaysItIsReadyAdmitsRequests(t *testing.T) {
+	d := newDeployment(t, 1, engine.Options{})
+	d.tune = func(opts *host.Options) { opts.Clock = slowRefresh{clockwork.NewRealClock()} }
+	h := d.addHost(t, "a")
+
+	out := call{kind: "note", prompt: "a crack", tokens: 4}.send(t, h)
+	require.True(t, out.whole, "%+v", out)
+}
