Give answers that must not time out a timeout that a pause cannot reach

Cause: the client's timeout of 1 s passes while the whole process stands still. The product is right to time out then.

Change: only the silent case keeps the short timeout; all others get 30 s and must not end by it, which is stricter than before, when a hang and the expected target-lost looked the same.

--- a/internal/wire/service/hostile_test.go
+++ b/internal/wire/service/hostile_test.go
@@ -1,6 +1,8 @@
 package service_test
 
 import (
+	"context"
+	"errors"
 	"io"
 	"runtime"
 	"strings"
@@ -18,6 +20,8 @@
 const (
 	maxAllocated = 64 << 20 // limit on the bytes allocated for one hostile answer
 	timeout      = time.Second
+	// longTimeout is the timeout of calls that must end before it, also on a machine that stands still for a while.
+	longTimeout = 30 * time.Second
 )
 
 func serve(t testing.TB) *rawserver.Server {
@@ -30,7 +34,7 @@
 	return s
 }
 
-func call(t testing.TB, s *rawserver.Server) (service.Answer, error) {
+func call(t testing.TB, s *rawserver.Server, timeout time.Duration) (service.Answer, error) {
 	t.Helper()
 
 	c := service.NewClient(service.Options{Timeout: timeout})
@@ -56,6 +60,7 @@
 		status  int          // status of the returned Answer; zero if there is none
 		code    verdict.Code // empty if there is an Answer
 		verdict verdict.Verdict
+		silent  bool // the call ends by its timeout
 	}{
 		{name: "whole", answer: func(w io.Writer) { repeat(w, "HTTP/1.1 200 OK\r\n\r\nheld", 1) }, status: 200},
 		{name: "own error", answer: func(w io.Writer) { repeat(w, "HTTP/1.1 500 Broken\r\n\r\nbroken", 1) }, status: 500},
@@ -65,7 +70,7 @@
 		},
 		{name: "cut", answer: func(w io.Writer) { repeat(w, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nheld", 1) }, code: verdict.CodeTargetLost},
 		{name: "nothing", answer: func(io.Writer) {}, code: verdict.CodeTargetLost},
-		{name: "silence", answer: func(io.Writer) { time.Sleep(2 * timeout) }, code: verdict.CodeTargetLost},
+		{name: "silence", answer: func(io.Writer) { time.Sleep(2 * timeout) }, code: verdict.CodeTargetLost, silent: true},
 		{name: "no HTTP", answer: func(w io.Writer) { repeat(w, "\x00\x01\xff", 99) }, code: verdict.CodeTargetLost},
 		{name: "endless body", answer: func(w io.Writer) { repeat(w, "HTTP/1.1 200 OK\r\n\r\n", 1); repeat(w, big, 1<<12) }, code: verdict.CodeAnswerTooLarge, verdict: verdict.Ran},
 		{name: "endless header", answer: func(w io.Writer) { repeat(w, "HTTP/1.1 200 OK\r\n", 1); repeat(w, "X: "+big+"\r\n", 1<<12) }, code: verdict.CodeTargetLost},
@@ -80,7 +85,12 @@
 
 			runtime.ReadMemStats(&before)
 
-			answer, err := call(t, s)
+			limit := longTimeout
+			if tt.silent {
+				limit = timeout
+			}
+
+			answer, err := call(t, s, limit)
 
 			runtime.ReadMemStats(&after)
 			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxAllocated))
@@ -93,6 +103,7 @@
 				return
 			}
 
+			require.Equal(t, tt.silent, errors.Is(err, context.DeadlineExceeded), "%v", err)
 			require.Equal(t, tt.code, verdict.From(err).Code)
 			require.Equal(t, tt.verdict, verdict.Of(err))
 		})
@@ -115,7 +126,7 @@
 		s.SetAnswerBytes(raw)
 
 		before := s.Requests()
-		answer, err := call(t, s)
+		answer, err := call(t, s, timeout)
 
 		require.Equal(t, before+1, s.Requests())
 		require.LessOrEqual(t, len(answer.Body), len(raw))
