--- /dev/null
+++ b/internal/entry/digests/size_test.go
@@ -0,0 +1,46 @@
+package digests_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
+	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
+)
+
+// BenchmarkDigest measures making and encoding one digest of a host with requests on each tenth target, by the number of
+// hosts and targets of the fleet.
+func BenchmarkDigest(b *testing.B) {
+	for _, size := range []struct{ hosts, targets int }{{8, 18}, {89, 140}, {330, 600}} {
+		b.Run(fmt.Sprintf("hosts=%d", size.hosts), func(b *testing.B) {
+			clock := clockwork.NewFakeClock()
+			h := newHost(clock)
+
+			for i := range size.targets / 10 {
+				id := entity.TargetID(fmt.Sprintf("i-%010x@1764800000123", i))
+				target := fleet.Target{ID: id, Slots: 24}
+
+				_, ok := h.board.PlaceCall(clock.Now(), []fleet.Target{target}, placing.Job{ID: "r", Prompt: 100, Near: "z"})
+				if !ok {
+					b.Fatal(i)
+				}
+			}
+
+			var wire []byte
+
+			for b.Loop() {
+				d := &peer.Digest{Host: "front-abdali-12-1a2b3c4d5e6f7", Address: "10.2.0.40:8144", DataCentre: "abdali"}
+				h.Fill("b", d)
+
+				wire, _ = proto.Marshal(d)
+			}
+
+			b.ReportMetric(float64(len(wire)), "bytes")
+		})
+	}
+}
