Log and measure how old the targets are that a host believes in

The logs could not tell the hypotheses apart: no line said when a target began to leave, was kept or was gone in the view of a host, from which source, or how long ago the view was last confirmed.

A watch that ends without changes tells its sink, which renews the age. Decisions are as before.

Tests: ./internal/entry/... ./internal/control/fleet ./platform/... pass.

--- a/internal/control/fleet/snapshot.go
+++ b/internal/control/fleet/snapshot.go
@@ -67,3 +67,30 @@
 
 	return t, ok
 }
+
+// Difference returns the ids of the targets of s that accept new work and did not in old, of those that no longer accept
+// new work, and of those that old has and s has not.
+func (s *Snapshot) Difference(old *Snapshot) (added, leaving, gone []string) {
+	for _, t := range s.All {
+		before, known := old.Target(t.ID)
+
+		switch accepted := known && !before.Leaving; {
+		case !t.Leaving && !accepted:
+			added = append(added, string(t.ID))
+		case t.Leaving && accepted:
+			leaving = append(leaving, string(t.ID))
+		}
+	}
+
+	if old == nil {
+		return added, leaving, nil
+	}
+
+	for _, t := range old.All {
+		if _, ok := s.byID[t.ID]; !ok {
+			gone = append(gone, string(t.ID))
+		}
+	}
+
+	return added, leaving, gone
+}
--- a/internal/control/fleet/view.go
+++ b/internal/control/fleet/view.go
@@ -104,8 +104,8 @@
 	v.changed = true
 }
 
-// HasLapsed reports whether entries are kept that the platform no longer lists.
-func (v *View) HasLapsed() bool { return len(v.lapsed) > 0 }
+// Lapsed returns the number of entries that are kept although the platform no longer lists them.
+func (v *View) Lapsed() int { return len(v.lapsed) }
 
 // Tick drops the kept entries whose time has passed without a new registration.
 func (v *View) Tick(now time.Time) {
--- a/internal/entry/deployment/copy.go
+++ b/internal/entry/deployment/copy.go
@@ -236,7 +236,7 @@
 
 	s.revision = c.Revision
 	s.needFullCopy = false
-	s.publish()
+	s.publish(now, from)
 
 	if s.fleet.Load() == nil {
 		s.fleet.Store(fleet.NewSnapshot(nil))
--- a/internal/entry/deployment/state.go
+++ b/internal/entry/deployment/state.go
@@ -15,6 +15,9 @@
 	"github.com/dotterelflow/dotterelflow/internal/entry/storewatch"
 )
 
+// fromStore is the source that is logged for what this host read from the store itself.
+const fromStore = "store"
+
 // Options configure New. The decoders are required.
 type Options struct {
 	Clock         clockwork.Clock // nil means the real clock
@@ -44,6 +47,10 @@
 	// revision, as peers must not apply the removal.
 	confirmedRevision uint64
 	storeLost         bool // the last call to the store about targets failed
+	kept              int  // targets kept at the last publish although the store no longer lists them
+	// configurationAsOf and targetsAsOf are when the configuration and the targets were last known to be current; zero
+	// before the first answer.
+	configurationAsOf, targetsAsOf time.Time
 }
 
 // New returns a State without a configuration or targets.
@@ -115,19 +122,65 @@
 	defer s.mu.Unlock()
 
 	s.view.Tick(now)
-	s.publish()
+	s.publish(now, "grace period")
+}
+
+// Ages returns how long ago the configuration and the targets were last known to be current. Each is negative before the
+// first answer about it.
+func (s *State) Ages(now time.Time) (configuration, targets time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return ageOf(now, s.configurationAsOf), ageOf(now, s.targetsAsOf)
+}
+
+func ageOf(now, asOf time.Time) time.Duration {
+	if asOf.IsZero() {
+		return -1
+	}
+
+	return now.Sub(asOf)
+}
+
+// LapsedTargets returns the number of targets that are kept although the store no longer lists them.
+func (s *State) LapsedTargets() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.view.Lapsed()
 }
 
 // publish stores a new snapshot if the view changed, and advances confirmedRevision if no removal is unconfirmed. The
-// caller holds mu.
-func (s *State) publish() {
-	if !s.view.HasLapsed() {
+// cause from is logged: "store", a peer's id or "grace period". The caller holds mu.
+func (s *State) publish(now time.Time, from string) {
+	kept := s.view.Lapsed()
+	if kept == 0 {
 		s.confirmedRevision = s.revision
 	}
 
+	if kept > s.kept {
+		s.opts.Log.Info().Str("from", from).Uint64("revision", s.revision).Int("kept", kept).Dur("age", ageOf(now, s.targetsAsOf)).
+			Msg("targets are kept that the store no longer lists")
+	}
+
+	s.kept = kept
+
 	if list, changed := s.view.Take(); changed {
-		s.fleet.Store(fleet.NewSnapshot(list))
+		next := fleet.NewSnapshot(list)
+		s.logTargets(now, s.fleet.Load(), next, from)
+		s.fleet.Store(next)
+	}
+}
+
+// logTargets logs the difference between two snapshots of the targets, with the age of the earlier one. The caller holds mu.
+func (s *State) logTargets(now time.Time, old, next *fleet.Snapshot, from string) {
+	added, leaving, gone := next.Difference(old)
+	if len(added)+len(leaving)+len(gone) == 0 {
+		return
 	}
+
+	s.opts.Log.Info().Str("from", from).Uint64("revision", s.revision).Int("targets", len(next.All)).Int("added", len(added)).
+		Strs("leaving", leaving).Strs("gone", gone).Int("kept", s.view.Lapsed()).Dur("age", ageOf(now, s.targetsAsOf)).Msg("targets in force")
 }
 
 // Configurations returns the sink for the store's configuration objects. Objects under other names than
@@ -139,23 +192,34 @@
 
 type configurationSink struct{ *State }
 
-func (c configurationSink) Replaced(_ time.Time, entries []storewatch.Entry, _ uint64) {
+func (c configurationSink) Replaced(now time.Time, entries []storewatch.Entry, _ uint64) {
 	for _, e := range entries {
 		c.adoptEntry(e)
 	}
+
+	c.Confirmed(now)
 }
 
-func (c configurationSink) Changed(_ time.Time, changes []storewatch.Change, _ uint64) {
+func (c configurationSink) Changed(now time.Time, changes []storewatch.Change, _ uint64) {
 	for _, ch := range changes {
 		if !ch.Deleted {
 			c.adoptEntry(ch.Entry)
 		}
 	}
+
+	c.Confirmed(now)
+}
+
+func (c configurationSink) Confirmed(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.configurationAsOf = now
 }
 
 func (c configurationSink) adoptEntry(e storewatch.Entry) {
 	if e.Name == c.opts.ConfigName {
-		c.Adopt(e.Value, "store")
+		c.Adopt(e.Value, fromStore)
 	}
 }
 
@@ -176,7 +240,8 @@
 		t.fleet.Store(fleet.NewSnapshot(nil))
 	}
 
-	t.publish()
+	t.publish(now, fromStore)
+	t.targetsAsOf = now
 }
 
 func (t targetSink) Changed(now time.Time, changes []storewatch.Change, revision uint64) {
@@ -197,7 +262,15 @@
 		}
 	}
 
-	t.publish()
+	t.publish(now, fromStore)
+	t.targetsAsOf = now
+}
+
+func (t targetSink) Confirmed(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.targetsAsOf = now
 }
 
 func (t targetSink) Unavailable(time.Time, error) {
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -42,6 +42,7 @@
 	Home         entity.DataCentre       // data centre of this host, whose replicas are preferred
 	Catalog      func() *catalog.Catalog // returns the configuration in force, nil before the first one
 	Fleet        func() *fleet.Snapshot
+	TargetsAge   func() time.Duration // returns how long ago the targets were last known to be current; nil means unknown
 	Board        *placing.Board
 	PromptPlacer PromptPlacer        // nil means that this host places all prompts itself, by Board
 	Retries      *retries.Limiter    // bound on repeated sends
@@ -69,6 +70,10 @@
 		opts.PromptPlacer = NewLocalPlacer(opts.Clock, opts.Board)
 	}
 
+	if opts.TargetsAge == nil {
+		opts.TargetsAge = func() time.Duration { return -1 }
+	}
+
 	if opts.Observe == nil {
 		opts.Observe = func(Outcome) {}
 	}
@@ -216,7 +221,7 @@
 	v := verdict.Of(err)
 	j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Str("target", string(t.ID)).
 		Str("verdict", v.String()).Str("fingerprint", j.fingerprint.String()).Int("losses", j.opts.Crashers.Losses(j.now(), j.fingerprint)).
-		Err(err).Msg("target did not answer")
+		Dur("targets-age", j.opts.TargetsAge()).Err(err).Msg("target did not answer")
 
 	return v
 }
@@ -257,7 +262,7 @@
 	j.tried = append(j.tried, t.ID)
 	j.opts.Board.RecordOutcome(j.now(), t, placing.Refused)
 	j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Str("target", string(t.ID)).
-		Int("status", status).Msg("target refused")
+		Int("status", status).Dur("targets-age", j.opts.TargetsAge()).Msg("target refused")
 }
 
 // refuse sends err to the caller as this host's final answer.
@@ -275,7 +280,8 @@
 
 	if j.outcome.Problem == nil {
 		j.opts.Log.Debug().Str("request", string(j.r.ID)).Str("route", j.route.Name).Int("status", j.outcome.Status).
-			Dur("first", j.outcome.TimeToFirst).Dur("total", j.outcome.Total).Int("sends", j.sends).Msg("answered")
+			Dur("first", j.outcome.TimeToFirst).Dur("total", j.outcome.Total).Int("sends", j.sends).
+			Dur("targets-age", j.opts.TargetsAge()).Msg("answered")
 
 		return
 	}
--- a/internal/entry/storewatch/watcher.go
+++ b/internal/entry/storewatch/watcher.go
@@ -44,7 +44,10 @@
 	Replaced(now time.Time, entries []Entry, revision uint64)
 	// Changed delivers the changes since the last call, up to revision.
 	Changed(now time.Time, changes []Change, revision uint64)
-	// Unavailable reports that a call to the store failed. The next Replaced or Changed means that the store answers again.
+	// Confirmed reports that a watch ended without changes: what was delivered before is current.
+	Confirmed(now time.Time)
+	// Unavailable reports that a call to the store failed. The next Replaced, Changed or Confirmed means that the store
+	// answers again.
 	Unavailable(now time.Time, err error)
 }
 
@@ -177,6 +180,8 @@
 	if len(changes) == 0 {
 		// The revision of an empty answer is not adopted, as the store may have dropped changes before it without
 		// delivering them. The next watch starts from the old revision and returns ErrCompacted in that case.
+		w.opts.Sink.Confirmed(w.opts.Clock.Now())
+
 		return 0, nil
 	}
 
--- a/internal/entry/storewatch/watcher_test.go
+++ b/internal/entry/storewatch/watcher_test.go
@@ -45,9 +45,10 @@
 
 // recordingSink records the calls of its methods.
 type recordingSink struct {
-	replaced [][]storewatch.Entry
-	changed  []storewatch.Change
-	lost     int // calls of Unavailable
+	replaced  [][]storewatch.Entry
+	changed   []storewatch.Change
+	confirmed int // calls of Confirmed
+	lost      int // calls of Unavailable
 }
 
 func (s *recordingSink) Replaced(_ time.Time, entries []storewatch.Entry, _ uint64) {
@@ -58,6 +59,8 @@
 	s.changed = append(s.changed, changes...)
 }
 
+func (s *recordingSink) Confirmed(time.Time) { s.confirmed++ }
+
 func (s *recordingSink) Unavailable(time.Time, error) { s.lost++ }
 
 var (
