Reproduce requests at replicas that have left, failing

Eight real processes, each behind a loopback forwarder to a stand-in store; two replicas leave, announced or only removed, while watches are cut or connections fall silent. What replicas see is compared with the store's acknowledgement and the bound of 2 s.

--- a/internal/standin/forwarder/forwarder.go
+++ b/internal/standin/forwarder/forwarder.go
@@ -82,6 +82,26 @@
 	return n
 }
 
+// Cut closes all open connections that are not silent. It returns the number of connections that it closed.
+func (f *Forwarder) Cut() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	n := 0
+
+	for p := range f.conns {
+		select {
+		case <-p.silent:
+		default:
+			p.close()
+
+			n++
+		}
+	}
+
+	return n
+}
+
 // Opened returns the number of connections that f has forwarded so far, without those whose target could not be
 // reached.
 func (f *Forwarder) Opened() int {
