Keep missing targets only after an outage in which their entries can lapse

What callers saw: requests at replicas that had left, up to 2.6 s after the store's acknowledgement, from all hosts at once.

Cause: each failed call to the store, also a watch that the store cut while it served, counted as an outage. From the next answer on every entry that went was kept for 2.5 s, longer than the bound of 2 s. That is meant for entries that lapse because replicas cannot renew them; it also held replicas that were removed on purpose. A store that forgets its history cuts the watches of all hosts, so all hosts keep such a replica together.

Ruled out: late events (the list read 0.05 s after the cut lacks the replica; the log says 'targets are kept that the store no longer lists').

Change: a failed watch is no outage; one is measured from the last answer, or from the cut, to the first answer if a list failed too. Entries are kept only if it lasted two renewal intervals of the replicas (heartbeat_ms), since an entry lapses after three.

Tests: those of fleet.View and deployment.State state the length of the outage in place of two calls; what they expect is unchanged.

--- a/internal/control/fleet/view.go
+++ b/internal/control/fleet/view.go
@@ -27,30 +27,38 @@
 	// returnGrace is how long entries that lapsed while the platform was unavailable are kept after it answers
 	// again. The platform states that replicas register again within two seconds.
 	returnGrace = 2500 * time.Millisecond
+	// missedRenewals is the number of renewals that a replica must miss, because the platform is unavailable, before its
+	// entry can lapse. An entry lapses after three renewal intervals, and the last renewal may have been due when the platform
+	// became unavailable.
+	missedRenewals = 2
 )
 
+// Options configure New.
+type Options struct {
+	// RenewalInterval is the time between two renewals of an entry by its replica. Zero means that entries may lapse in any
+	// outage.
+	RenewalInterval time.Duration
+}
+
 // View follows the platform's list. Make it with New.
 type View struct {
-	targets      map[string]Target    // listed and kept targets, by Instance
-	lapsed       map[string]time.Time // entries missing from the list, with the time until which they are kept
-	platformLost bool                 // whether the platform does not answer
-	holdUntil    time.Time            // until when missing entries are kept; zero before the first outage has ended
-	changed      bool                 // whether the targets changed since the last call of Take
+	opts      Options
+	targets   map[string]Target    // listed and kept targets, by Instance
+	lapsed    map[string]time.Time // entries missing from the list, with the time until which they are kept
+	holdUntil time.Time            // until when missing entries are kept; zero before the first outage has ended
+	changed   bool                 // whether the targets changed since the last call of Take
 }
 
 // New returns a View without targets.
-func New() *View {
-	return &View{targets: map[string]Target{}, lapsed: map[string]time.Time{}}
+func New(opts Options) *View {
+	return &View{opts: opts, targets: map[string]Target{}, lapsed: map[string]time.Time{}}
 }
 
-// PlatformLost records that the platform does not answer.
-func (v *View) PlatformLost() { v.platformLost = true }
-
-// PlatformAnswered records an answer of the platform at now. If the platform was unavailable before, missing
-// entries are kept for returnGrace, as their replicas may still be registering again.
-func (v *View) PlatformAnswered(now time.Time) {
-	if v.platformLost {
-		v.platformLost = false
+// PlatformReturned records that the platform answers again at now, after it was unavailable for outage. If entries can have
+// lapsed in that time, those that are missing are kept for returnGrace, as their replicas may still be registering
+// again. After a shorter outage a missing entry was removed on purpose.
+func (v *View) PlatformReturned(now time.Time, outage time.Duration) {
+	if outage >= missedRenewals*v.opts.RenewalInterval {
 		v.holdUntil = now.Add(returnGrace)
 	}
 }
@@ -83,8 +91,8 @@
 	v.changed = true
 }
 
-// Remove records that the entry of instance ended at now. Within returnGrace after an outage of the platform, the
-// entry is kept for the rest of that time unless it was leaving.
+// Remove records that the entry of instance ended at now. Within returnGrace after an outage in which it can have lapsed,
+// the entry is kept for the rest of that time unless it was leaving.
 func (v *View) Remove(now time.Time, instance string) {
 	t, ok := v.targets[instance]
 	if !ok {
--- a/internal/control/fleet/view_test.go
+++ b/internal/control/fleet/view_test.go
@@ -12,6 +12,9 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 )
 
+// renewal is the interval at which replicas renew their entries.
+const renewal = 1200 * time.Millisecond
+
 var start = time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
 
 func target(instance string, run int) fleet.Target {
@@ -35,14 +38,12 @@
 }
 
 func TestEntryThatLapsedWhileThePlatformWasAwayIsHeldForTwoSeconds(t *testing.T) {
-	v := fleet.New()
+	v := fleet.New(fleet.Options{})
 	v.Replace(start, []fleet.Target{target("a", 1), target("b", 1)})
 	require.Equal(t, []string{"a", "b"}, instances(t, v))
 
-	v.PlatformLost()
-
 	back := start.Add(5 * time.Second)
-	v.PlatformAnswered(back)
+	v.PlatformReturned(back, 5*time.Second)
 	v.Replace(back, []fleet.Target{target("a", 1)})
 	v.Tick(back.Add(2 * time.Second))
 
@@ -53,11 +54,24 @@
 	require.Equal(t, []string{"a"}, instances(t, v), "b is gone")
 }
 
+func TestEntryRemovedWhileAWatchWasCutIsNotHeld(t *testing.T) {
+	v := fleet.New(fleet.Options{RenewalInterval: renewal})
+	v.Replace(start, []fleet.Target{target("a", 1), target("b", 1)})
+	v.PlatformReturned(start, renewal)
+	v.Replace(start, []fleet.Target{target("b", 1)})
+	require.Equal(t, []string{"b"}, instances(t, v))
+
+	v.PlatformReturned(start, 2*renewal)
+	v.Remove(start, "b")
+
+	_, changed := v.Take()
+	require.False(t, changed, "the entry of b may have lapsed")
+}
+
 func TestEntryThatReturnsInTimeIsKept(t *testing.T) {
-	v := fleet.New()
+	v := fleet.New(fleet.Options{})
 	v.Replace(start, []fleet.Target{target("a", 1)})
-	v.PlatformLost()
-	v.PlatformAnswered(start.Add(time.Second))
+	v.PlatformReturned(start.Add(time.Second), time.Second)
 	v.Replace(start.Add(time.Second), nil)
 	v.Set(target("a", 1))
 	v.Tick(start.Add(time.Minute))
@@ -65,26 +79,24 @@
 }
 
 func TestEntryIsRemovedAtOnceWhileThePlatformAnswers(t *testing.T) {
-	v := fleet.New()
-	v.PlatformAnswered(start)
+	v := fleet.New(fleet.Options{})
 	v.Replace(start, []fleet.Target{target("a", 1), target("b", 1)})
 	v.Remove(start.Add(time.Second), "a")
 	require.Equal(t, []string{"b"}, instances(t, v))
 }
 
 func TestLeavingEntryIsNotHeld(t *testing.T) {
-	v := fleet.New()
+	v := fleet.New(fleet.Options{})
 	leaving := target("a", 1)
 	leaving.Leaving = true
 	v.Replace(start, []fleet.Target{leaving, target("b", 1)})
-	v.PlatformLost()
-	v.PlatformAnswered(start)
+	v.PlatformReturned(start, time.Second)
 	v.Remove(start, "a")
 	require.Equal(t, []string{"b"}, instances(t, v))
 }
 
 func TestReplicaThatStartsAgainIsAnotherTarget(t *testing.T) {
-	v := fleet.New()
+	v := fleet.New(fleet.Options{})
 	v.Set(target("a", 1))
 	v.Set(target("a", 2))
 
@@ -114,7 +126,7 @@
 func TestViewFollowsTheList(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		var (
-			v    = fleet.New()
+			v    = fleet.New(fleet.Options{RenewalInterval: renewal})
 			now  = start
 			list = map[string]int{}
 			seen []fleet.Target
@@ -147,8 +159,16 @@
 					v.Remove(now, name)
 				}
 			},
-			"lost": func(*rapid.T) { lost = true; v.PlatformLost() },
-			"back": func(*rapid.T) { lost = false; v.PlatformAnswered(now); v.Replace(now, all()) },
+			"lost": func(*rapid.T) { lost = true },
+			"back": func(rt *rapid.T) {
+				if lost {
+					v.PlatformReturned(now, time.Duration(rapid.IntRange(0, 5000).Draw(rt, "outage ms"))*time.Millisecond)
+				}
+
+				lost = false
+
+				v.Replace(now, all())
+			},
 			"wait": func(rt *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(rt, "ms")) * time.Millisecond)
 				v.Tick(now)
@@ -170,7 +190,6 @@
 			},
 		})
 
-		v.PlatformAnswered(now)
 		v.Replace(now, all())
 		v.Tick(now.Add(3 * time.Second))
 
--- a/internal/entry/deployment/state.go
+++ b/internal/entry/deployment/state.go
@@ -25,6 +25,8 @@
 	ConfigName    string          // name of the store's object that holds the configuration
 	DecodeCatalog func(value []byte) (*catalog.Catalog, error)
 	DecodeTarget  func(e storewatch.Entry) (fleet.Target, error)
+	// RenewalInterval is the time between two renewals of a target's entry; zero means unknown.
+	RenewalInterval time.Duration
 }
 
 // State holds the configuration and the targets of one deployment. It is safe for concurrent use. Make it with New.
@@ -63,7 +65,7 @@
 		opts.Log = &log.DefaultLogger
 	}
 
-	return &State{opts: opts, view: fleet.New(), undecodable: map[string]uint64{}, entries: map[string]entry{}}
+	return &State{opts: opts, view: fleet.New(fleet.Options{RenewalInterval: opts.RenewalInterval}), undecodable: map[string]uint64{}, entries: map[string]entry{}}
 }
 
 // Catalog returns the configuration in force, or nil before the first one.
@@ -225,6 +227,8 @@
 
 func (configurationSink) Unavailable(time.Time, error) {}
 
+func (configurationSink) Returned(time.Time, time.Duration) {}
+
 type targetSink struct{ *State }
 
 func (t targetSink) Replaced(now time.Time, entries []storewatch.Entry, revision uint64) {
@@ -233,7 +237,6 @@
 
 	t.storeLost = false
 	list := t.replaceEntries(entries, revision)
-	t.view.PlatformAnswered(now)
 	t.view.Replace(now, list)
 
 	if t.fleet.Load() == nil && len(list) == 0 {
@@ -249,7 +252,6 @@
 	defer t.mu.Unlock()
 
 	t.storeLost = false
-	t.view.PlatformAnswered(now)
 
 	for _, ch := range changes {
 		if ch.Deleted {
@@ -278,7 +280,13 @@
 	defer t.mu.Unlock()
 
 	t.storeLost = true
-	t.view.PlatformLost()
+}
+
+func (t targetSink) Returned(now time.Time, outage time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.view.PlatformReturned(now, outage)
 }
 
 // decodeTarget returns the target of e and whether decoding succeeded. A failure is logged once for each revision of the
--- a/internal/entry/deployment/state_test.go
+++ b/internal/entry/deployment/state_test.go
@@ -92,6 +92,7 @@
 	require.Len(t, s.Fleet().Of("s"), 1)
 
 	back := now.Add(time.Hour)
+	s.Targets().Returned(back, time.Hour)
 	s.Targets().Replaced(back, nil, 2)
 	require.Len(t, s.Fleet().Of("s"), 1, "the replica may be registering again")
 
@@ -107,6 +108,7 @@
 	s.Targets().Unavailable(now, errors.New("down"))
 	require.False(t, s.StoreReachable())
 
+	s.Targets().Returned(now.Add(time.Second), time.Second)
 	s.Targets().Replaced(now.Add(time.Second), nil, 9)
 	require.True(t, s.StoreReachable())
 	require.Equal(t, uint64(5), s.ConfirmedRevision(), "a may be registering again")
--- a/internal/entry/storewatch/watcher.go
+++ b/internal/entry/storewatch/watcher.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -49,6 +50,9 @@
 	// Unavailable reports that a call to the store failed. The next Replaced, Changed or Confirmed means that the store
 	// answers again.
 	Unavailable(now time.Time, err error)
+	// Returned reports, before the call of Replaced, that the store answers again after it did not for outage. It is not
+	// called if only a watch has failed, which a store may cut while it serves.
+	Returned(now time.Time, outage time.Duration)
 }
 
 const (
@@ -81,9 +85,15 @@
 // Watcher lists and watches the objects of one kind. Make it with Start.
 type Watcher struct {
 	opts        Options
-	revision    uint64 // store revision from which the next watch starts
-	listed      bool   // false at the start, after a failed watch and after a pause: a full list must be read
-	unavailable bool   // the last call failed
+	revision    uint64    // store revision from which the next watch starts
+	listed      bool      // false at the start, after a failed watch and after a pause: a full list must be read
+	watching    bool      // the last call was a watch
+	unavailable bool      // the last call failed
+	lastAnswer  time.Time // time of the last answer, or of the last pause
+	// silentSince is when the store last answered, or cut a watch, before the calls that have failed since; listFailed tells
+	// whether one of them was more than a watch.
+	silentSince time.Time
+	listFailed  bool
 	backoff     time.Duration
 	done        chan struct{}
 }
@@ -110,7 +120,7 @@
 		opts.Batch = defaultBatch
 	}
 
-	w := &Watcher{opts: opts, done: make(chan struct{})}
+	w := &Watcher{opts: opts, lastAnswer: opts.Clock.Now(), done: make(chan struct{})}
 
 	go w.run(ctx)
 
@@ -143,11 +153,13 @@
 // step makes at most one call to the store and returns the pause before the next step.
 func (w *Watcher) step(ctx context.Context) (time.Duration, error) {
 	if w.opts.Paused() {
-		w.listed = false
+		w.listed, w.lastAnswer = false, w.opts.Clock.Now()
 
 		return pausedCheckInterval, nil
 	}
 
+	w.watching = w.listed
+
 	if !w.listed {
 		entries, revision, err := w.opts.Source.List(ctx, w.opts.Kind)
 		if err != nil {
@@ -191,14 +203,29 @@
 	return w.opts.Batch, nil
 }
 
-// recordSuccess resets the backoff and logs the end of an outage.
+func isTimeout(err error) bool {
+	timeout, ok := errors.AsType[net.Error](err)
+
+	return ok && timeout.Timeout()
+}
+
+// recordSuccess resets the backoff, and reports and logs the end of an outage.
 func (w *Watcher) recordSuccess() {
-	w.backoff = 0
+	now := w.opts.Clock.Now()
+	w.backoff, w.lastAnswer = 0, now
 
-	if w.unavailable {
-		w.unavailable = false
-		w.opts.Log.Info().Str("kind", w.opts.Kind).Msg("store answers again")
+	if !w.unavailable {
+		return
 	}
+
+	outage := now.Sub(w.silentSince)
+	w.opts.Log.Info().Str("kind", w.opts.Kind).Bool("only-a-watch", !w.listFailed).Dur("outage", outage).Msg("store answers again")
+
+	if w.listFailed {
+		w.opts.Sink.Returned(now, outage)
+	}
+
+	w.unavailable, w.listFailed = false, false
 }
 
 // recordFailure reports a failed call to the sink, logs the first one of an outage, and returns the pause before the next
@@ -206,9 +233,17 @@
 func (w *Watcher) recordFailure(err error) time.Duration {
 	if !w.unavailable {
 		w.unavailable = true
+		w.silentSince = w.lastAnswer
+
+		// A watch that the other end has closed worked until then. One that has fallen silent may have done so at any time.
+		if w.watching && !isTimeout(err) {
+			w.silentSince = w.opts.Clock.Now()
+		}
+
 		w.opts.Log.Warn().Str("kind", w.opts.Kind).Err(err).Msg("store does not answer")
 	}
 
+	w.listFailed = w.listFailed || !w.watching
 	w.opts.Sink.Unavailable(w.opts.Clock.Now(), err)
 	w.backoff = min(max(2*w.backoff, minBackoff), maxBackoff)
 
--- a/internal/entry/storewatch/watcher_test.go
+++ b/internal/entry/storewatch/watcher_test.go
@@ -47,8 +47,9 @@
 type recordingSink struct {
 	replaced  [][]storewatch.Entry
 	changed   []storewatch.Change
-	confirmed int // calls of Confirmed
-	lost      int // calls of Unavailable
+	confirmed int             // calls of Confirmed
+	lost      int             // calls of Unavailable
+	outages   []time.Duration // arguments of Returned
 }
 
 func (s *recordingSink) Replaced(_ time.Time, entries []storewatch.Entry, _ uint64) {
@@ -61,6 +62,10 @@
 
 func (s *recordingSink) Confirmed(time.Time) { s.confirmed++ }
 
+func (s *recordingSink) Returned(_ time.Time, outage time.Duration) {
+	s.outages = append(s.outages, outage)
+}
+
 func (s *recordingSink) Unavailable(time.Time, error) { s.lost++ }
 
 var (
@@ -154,3 +159,52 @@
 	require.Equal(t, src.lists, out.lost)
 	require.Empty(t, src.watches)
 }
+
+// timeoutError is the error of a call without an answer.
+type timeoutError struct{ error }
+
+func (timeoutError) Timeout() bool   { return true }
+func (timeoutError) Temporary() bool { return true }
+
+func TestOnlyAStoreThatFailedACallOfItsOwnWasAway(t *testing.T) {
+	for name, tt := range map[string]struct {
+		watchError error
+		failing    int // lists that fail after the watch
+		outages    int
+		from, to   time.Duration // bounds on the outage
+	}{
+		"a cut watch":                        {errReset, 0, 0, 0, 0},
+		"a silent watch":                     {timeoutError{errReset}, 0, 0, 0, 0},
+		"a cut watch, then failing lists":    {errReset, 3, 1, 750 * time.Millisecond, 1500 * time.Millisecond},
+		"a silent watch, then failing lists": {timeoutError{errReset}, 3, 1, 5750 * time.Millisecond, 6500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			src := &scriptedSource{
+				list: func(n int) ([]storewatch.Entry, uint64, error) {
+					if n > 1 && n <= 1+tt.failing {
+						return nil, 0, errReset
+					}
+
+					return oneEntry, 10, nil
+				},
+				watch: func(n int, revision uint64) ([]storewatch.Change, uint64, error) {
+					if n == 1 {
+						time.Sleep(5 * time.Second)
+
+						return nil, 0, tt.watchError
+					}
+
+					return nil, revision, nil
+				},
+			}
+			out := runWatch(t, src, 10*time.Second)
+
+			require.Len(t, out.outages, tt.outages)
+
+			for _, outage := range out.outages {
+				require.GreaterOrEqual(t, outage, tt.from)
+				require.LessOrEqual(t, outage, tt.to)
+			}
+		})
+	}
+}
