Notice that open connections to the store have fallen silent

What callers saw: requests at replicas that had left, up to 14 s after the store's acknowledgement; from one host, or from all if all connections were silent. No call failed, so no log line said so.

Cause: a watch waits for up to 15.5 s, and nothing but TCP keepalive probes notices a silent connection; something between the two ends may acknowledge these. Nothing else had an age: heartbeats showed that a peer was ahead, but a host of a small fleet fetched from a peer only while a call of its own had failed. Where all connections are silent no peer is ahead.

Ruled out: shorter watches for all (calls to the store would grow with the hosts); probes of our own on each connection (the same calls).

An answer that is older than a copy from a peer no longer undoes it.

--- a/internal/control/members/table.go
+++ b/internal/control/members/table.go
@@ -274,6 +274,12 @@
 // Responsible reports whether this host is one of the n live hosts of its data centre that are responsible for
 // key, by rendezvous hashing.
 func (t *Table) Responsible(now time.Time, key string, n int) bool {
+	return t.Rank(now, key) < n
+}
+
+// Rank returns the place of this host, from zero, in the order in which the live hosts of its data centre are responsible
+// for key.
+func (t *Table) Rank(now time.Time, key string) int {
 	ownScore := score(t.self, key)
 	ahead := 0
 
@@ -283,7 +289,7 @@
 		}
 	}
 
-	return ahead < n
+	return ahead
 }
 
 func score(host entity.HostID, key string) uint64 {
--- a/internal/entry/deployment/copy.go
+++ b/internal/entry/deployment/copy.go
@@ -11,6 +11,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
+	"github.com/dotterelflow/dotterelflow/internal/entry/peersync"
 	"github.com/dotterelflow/dotterelflow/internal/entry/storewatch"
 )
 
@@ -109,7 +110,7 @@
 		}
 	}
 
-	s.revision = max(s.revision, revision)
+	s.revision = revision
 
 	return list
 }
@@ -137,13 +138,36 @@
 	return uint64(s.Version()), s.revision
 }
 
-// Behind reports whether a peer with the given configuration version and store revision is ahead of this host in
-// either.
-func (s *State) Behind(version, revision uint64) bool {
+// Behind reports in what a peer with the given configuration version and store revision is ahead of this host.
+func (s *State) Behind(version, revision uint64) peersync.Lag {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return revision > s.revision || version > uint64(s.Version())
+	return peersync.Lag{Configuration: version > uint64(s.Version()), Targets: revision > s.revision}
+}
+
+// ConfirmedByPeer records what a peer reported at now: its configuration version and the store revision of its targets, and
+// how long ago the peer last knew each of them to be current. Negative ages mean unknown.
+func (s *State) ConfirmedByPeer(now time.Time, version, revision uint64, configurationAge, targetsAge time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if version == uint64(s.Version()) {
+		s.configurationAsOf = latest(s.configurationAsOf, now, configurationAge)
+	}
+
+	if revision == s.revision {
+		s.targetsAsOf = latest(s.targetsAsOf, now, targetsAge)
+	}
+}
+
+// latest returns the later of asOf and the time age before now, or asOf if age is negative.
+func latest(asOf, now time.Time, age time.Duration) time.Time {
+	if at := now.Add(-age); age >= 0 && at.After(asOf) {
+		return at
+	}
+
+	return asOf
 }
 
 // StoreReachable reports whether this host has a list of targets, from the store or a peer, and its last call to the
@@ -197,30 +221,33 @@
 // Import applies an encoded copy from the peer named from. The configuration and the targets are each ignored unless newer
 // than this host's, and so is a delta from a revision that this host has not reached. Entries that are missing in a full
 // copy are removed, since the peer read the list from the store. A delta whose result does not match the peer's checksum is
-// discarded, and the next fetch requests a full copy. Import fails only if the copy cannot be decoded.
-func (s *State) Import(now time.Time, encoded []byte, from string) error {
+// discarded, and the next fetch requests a full copy. Import returns what the copy has changed. It fails only if the copy
+// cannot be decoded.
+func (s *State) Import(now time.Time, encoded []byte, from string) (changed peersync.Lag, err error) {
 	var c Copy
 
 	if err := json.Unmarshal(encoded, &c); err != nil {
-		return Error.Wrap(err)
+		return changed, Error.Wrap(err)
 	}
 
 	if len(c.Configuration) > 0 {
-		s.Adopt(c.Configuration, from)
+		changed.Configuration = s.Adopt(c.Configuration, from)
 	}
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	if c.Revision <= s.revision || c.Since > s.revision {
-		return nil
+		return changed, nil
 	}
 
+	before := s.checksum
+
 	if c.Since > 0 && c.Checksum != nil && *c.Checksum != s.checksumAfter(c) {
 		s.needFullCopy = true
 		s.opts.Log.Info().Str("from", from).Uint64("revision", c.Revision).Msg("changes from a peer are not enough; all targets are fetched")
 
-		return nil
+		return changed, nil
 	}
 
 	if c.Since == 0 {
@@ -245,7 +272,9 @@
 	s.opts.Log.Info().Str("from", from).Uint64("since", c.Since).Uint64("revision", c.Revision).Int("targets", len(c.Targets)).
 		Int("gone", len(c.Removed)).Msg("targets taken from a peer")
 
-	return nil
+	changed.Targets = s.checksum != before
+
+	return changed, nil
 }
 
 // checksumAfter returns the checksum of all entries as it would be after the delta c. The caller holds mu.
--- a/internal/entry/deployment/state.go
+++ b/internal/entry/deployment/state.go
@@ -96,8 +96,9 @@
 }
 
 // Adopt puts an encoded configuration in force if it is newer than the present one. One that cannot be decoded is
-// logged and ignored. The source from, "store" or a peer's id, is logged.
-func (s *State) Adopt(value []byte, from string) {
+// logged and ignored. The source from, "store" or a peer's id, is logged. Adopt reports whether the configuration is now in
+// force and was not before.
+func (s *State) Adopt(value []byte, from string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -105,17 +106,19 @@
 	if err != nil {
 		s.opts.Log.Error().Str("from", from).Err(err).Msg("cannot decode the configuration; the one in force stays")
 
-		return
+		return false
 	}
 
 	old := s.catalog.Load()
 	if old != nil && c.Version <= old.Version {
-		return
+		return false
 	}
 
 	s.catalog.Store(c)
 	s.configuration = value
 	s.opts.Log.Info().Uint64("configuration", uint64(c.Version)).Str("from", from).Msg("configuration in force")
+
+	return true
 }
 
 // Tick publishes changes that depend on time alone, such as the removal of targets whose grace period has ended.
@@ -212,6 +215,9 @@
 	c.Confirmed(now)
 }
 
+// Revision implements storewatch.Sink. Versions order the configurations.
+func (c configurationSink) Revision() uint64 { return 0 }
+
 func (c configurationSink) Confirmed(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -231,6 +237,13 @@
 
 type targetSink struct{ *State }
 
+func (t targetSink) Revision() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	return t.revision
+}
+
 func (t targetSink) Replaced(now time.Time, entries []storewatch.Entry, revision uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -253,6 +266,11 @@
 
 	t.storeLost = false
 
+	// What was taken from a peer reflects these changes already.
+	if revision <= t.revision {
+		return
+	}
+
 	for _, ch := range changes {
 		if ch.Deleted {
 			t.removeEntry(ch.Name, revision)
--- a/internal/entry/deployment/state_test.go
+++ b/internal/entry/deployment/state_test.go
@@ -17,6 +17,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/entry/deployment"
+	"github.com/dotterelflow/dotterelflow/internal/entry/peersync"
 	"github.com/dotterelflow/dotterelflow/internal/entry/storewatch"
 )
 
@@ -42,6 +43,13 @@
 	})
 }
 
+// importCopy imports encoded into s, whatever it changes.
+func importCopy(s *deployment.State, now time.Time, encoded []byte, from string) error {
+	_, err := s.Import(now, encoded, from)
+
+	return err
+}
+
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	s := newState()
 	require.Zero(t, s.Version())
@@ -121,19 +129,19 @@
 	from, to := newState(), newState()
 	from.Adopt([]byte("7"), "store")
 	from.Targets().Replaced(now, []storewatch.Entry{{Name: "a", Value: []byte("x")}, {Name: "bad"}}, 5)
-	require.True(t, to.Behind(7, 5))
+	require.Equal(t, peersync.Lag{Configuration: true, Targets: true}, to.Behind(7, 5))
 
 	encoded, err := from.Export(0, 0)
 	require.NoError(t, err)
-	require.NoError(t, to.Import(now, encoded, "peer"))
+	require.NoError(t, importCopy(to, now, encoded, "peer"))
 	require.True(t, to.Ready())
 	require.Len(t, to.Fleet().Of("s"), 1)
-	require.False(t, to.Behind(7, 5))
+	require.False(t, to.Behind(7, 5).Any())
 
 	to.Targets().Changed(now, []storewatch.Change{{Entry: storewatch.Entry{Name: "b", Value: []byte("x")}}}, 8)
-	require.NoError(t, to.Import(now, encoded, "peer"))
+	require.NoError(t, importCopy(to, now, encoded, "peer"))
 	require.Len(t, to.Fleet().Of("s"), 2, "an older copy changes nothing")
-	require.Error(t, to.Import(now, []byte("{"), "peer"))
+	require.Error(t, importCopy(to, now, []byte("{"), "peer"))
 }
 
 // entryOf returns an entry whose value ends with n plus signs. The decoder ignores them, so n varies the stored value but
@@ -182,7 +190,7 @@
 
 	encoded, err := from.Export(0, 0)
 	require.NoError(t, err)
-	require.NoError(t, to.Import(now, encoded, "peer"))
+	require.NoError(t, importCopy(to, now, encoded, "peer"))
 
 	revision := uint64(2)
 	from.Targets().Changed(now, []storewatch.Change{{Deleted: true, Entry: storewatch.Entry{Name: "b"}}}, revision)
@@ -198,11 +206,11 @@
 	for range 2 {
 		encoded, err = from.Export(to.Position())
 		require.NoError(t, err)
-		require.NoError(t, to.Import(now, encoded, "peer"))
+		require.NoError(t, importCopy(to, now, encoded, "peer"))
 	}
 
 	require.Len(t, to.Fleet().Of("s"), 1)
-	require.False(t, to.Behind(0, revision))
+	require.False(t, to.Behind(0, revision).Any())
 }
 
 // TestFedHostsKnowWhatTheStoreHolds changes the store at random. Two hosts read the store, each at random times; the other
@@ -269,7 +277,7 @@
 
 				encoded, err := from.Export(to.Position())
 				require.NoError(t, err)
-				require.NoError(t, to.Import(now, encoded, "peer"))
+				require.NoError(t, importCopy(to, now, encoded, "peer"))
 			},
 			"": func(t *rapid.T) {
 				for i, h := range hosts[len(readers):] {
@@ -293,3 +301,54 @@
 		})
 	})
 }
+
+func TestAnswerOlderThanAPeersCopyDoesNotUndoIt(t *testing.T) {
+	from, to := newState(), newState()
+	list := []storewatch.Entry{entryOf("a", "x", 0), entryOf("b", "x", 0)}
+	from.Targets().Replaced(now, list, 5)
+	to.Targets().Replaced(now, list, 5)
+
+	from.Targets().Changed(now, []storewatch.Change{{Entry: entryOf("a", "y", 0)}}, 6)
+	from.Targets().Changed(now, []storewatch.Change{{Deleted: true, Entry: storewatch.Entry{Name: "b"}}}, 8)
+
+	encoded, err := from.Export(to.Position())
+	require.NoError(t, err)
+
+	changed, err := to.Import(now, encoded, "peer")
+	require.NoError(t, err)
+	require.Equal(t, peersync.Lag{Targets: true}, changed)
+
+	// The answer of the host's own watch was under way meanwhile.
+	to.Targets().Changed(now, []storewatch.Change{{Entry: entryOf("a", "z", 0)}, {Entry: entryOf("b", "z", 0)}}, 7)
+	require.Equal(t, uint64(8), to.ConfirmedRevision())
+	require.Len(t, to.Fleet().Of("s"), 1)
+	require.Equal(t, "y", to.Fleet().Of("s")[0].Address)
+
+	to.Targets().Changed(now, []storewatch.Change{{Entry: entryOf("b", "z", 0)}}, 9)
+	require.Len(t, to.Fleet().Of("s"), 2)
+}
+
+func TestPeersConfirmWhatThisHostBelieves(t *testing.T) {
+	s := newState()
+	s.Adopt([]byte("7"), "peer")
+
+	configuration, targets := s.Ages(now)
+	require.Negative(t, configuration)
+	require.Negative(t, targets)
+
+	s.Targets().Replaced(now, nil, 5)
+
+	later := now.Add(10 * time.Second)
+	s.ConfirmedByPeer(later, 7, 5, time.Second, 2*time.Second)
+
+	configuration, targets = s.Ages(later)
+	require.Equal(t, time.Second, configuration)
+	require.Equal(t, 2*time.Second, targets)
+
+	s.ConfirmedByPeer(later, 6, 4, 0, 0)
+	s.ConfirmedByPeer(later, 7, 5, -1, 5*time.Second)
+
+	configuration, targets = s.Ages(later)
+	require.Equal(t, time.Second, configuration, "a peer with another version confirms nothing")
+	require.Equal(t, 2*time.Second, targets)
+}
--- a/internal/entry/digests/exchange.go
+++ b/internal/entry/digests/exchange.go
@@ -22,17 +22,26 @@
 // maxPeers bounds the peers whose positions are kept, the most recent ones.
 const maxPeers = 1024
 
+// maxAge is the longest age that is sent; older state is hardly a confirmation.
+const maxAge = time.Minute
+
 // Options configure an Exchange. Board, CrashSum, Ready and Version are required.
 type Options struct {
-	Clock      clockwork.Clock // nil means the real clock
-	Board      *placing.Board
-	CrashSum   func() uint64            // checksum of the records of requests that crash targets
-	Ready      func() bool              // whether this host can serve callers
-	Stopping   func() bool              // nil means never
-	Version    func() uint64            // version of the configuration in force
-	Changing   func() []entity.TargetID // replicas that are carrying out this host's orders; nil means none
-	Revision   func() uint64            // store revision up to which this host has the target list; nil means 0
-	ReadsStore func() bool              // whether this host reads the store itself and the store answers; nil means no
+	Clock    clockwork.Clock // nil means the real clock
+	Board    *placing.Board
+	CrashSum func() uint64            // checksum of the records of requests that crash targets
+	Ready    func() bool              // whether this host can serve callers
+	Stopping func() bool              // nil means never
+	Version  func() uint64            // version of the configuration in force
+	Changing func() []entity.TargetID // replicas that are carrying out this host's orders; nil means none
+	Revision func() uint64            // store revision up to which this host has the target list; nil means 0
+	// Ages returns how long ago this host last knew its configuration and its target list to be current; negative means
+	// unknown. Nil means that both are unknown.
+	Ages func() (configuration, targets time.Duration)
+	// HeardAge returns how long ago this host last knew that open connections to the store work; negative means unknown. Nil
+	// means that it is unknown.
+	HeardAge   func() time.Duration
+	ReadsStore func() bool // whether this host reads the store itself and the store answers; nil means no
 	// Placer returns the address of the host that places the prompts of this data centre; nil means none.
 	Placer func() string
 	// OnDigest is called with the state in each peer's digest; nil means no call.
@@ -46,9 +55,12 @@
 	DataCentre entity.DataCentre
 	Version    uint64 // version of the peer's configuration
 	Revision   uint64 // store revision up to which the peer has the target list
-	ReadsStore bool   // the peer reads the store itself, and the store answers
-	Placer     string // peer address of the host that places the prompts of DataCentre; "" for none
-	CrashSum   uint64 // checksum of the peer's records of requests that crash targets
+	// ConfigurationAge and TargetsAge are how long ago the peer last knew them to be current; negative for unknown.
+	ConfigurationAge, TargetsAge time.Duration
+	HeardAge                     time.Duration // how long ago the peer last knew that connections to the store work; negative for unknown
+	ReadsStore                   bool          // the peer reads the store itself, and the store answers
+	Placer                       string        // peer address of the host that places the prompts of DataCentre; "" for none
+	CrashSum                     uint64        // checksum of the peer's records of requests that crash targets
 }
 
 // Exchange fills the digests of this host and merges those of peers. It implements peers.DigestHandler and is safe for
@@ -72,6 +84,14 @@
 		opts.Revision = func() uint64 { return 0 }
 	}
 
+	if opts.Ages == nil {
+		opts.Ages = func() (time.Duration, time.Duration) { return -1, -1 }
+	}
+
+	if opts.HeardAge == nil {
+		opts.HeardAge = func() time.Duration { return -1 }
+	}
+
 	if opts.OnDigest == nil {
 		opts.OnDigest = func(PeerState) {}
 	}
@@ -102,6 +122,9 @@
 	d.Stopping = x.opts.Stopping()
 	d.Generation = x.opts.Version()
 	d.TargetsRevision = x.opts.Revision()
+	configurationAge, targetsAge := x.opts.Ages()
+	d.ConfigurationAge, d.TargetsAge = encodeAge(configurationAge), encodeAge(targetsAge)
+	d.HeardAge = encodeAge(x.opts.HeardAge())
 	d.ReadsStore = x.opts.ReadsStore()
 	d.Placer = x.opts.Placer()
 	d.CrashSum = x.opts.CrashSum()
@@ -140,6 +163,7 @@
 func (x *Exchange) Receive(d *peer.Digest) {
 	x.opts.OnDigest(PeerState{
 		Host: entity.HostID(d.GetHost()), Address: d.GetAddress(), DataCentre: entity.DataCentre(d.GetDataCentre()), Version: d.GetGeneration(),
+		ConfigurationAge: decodeAge(d.GetConfigurationAge()), TargetsAge: decodeAge(d.GetTargetsAge()), HeardAge: decodeAge(d.GetHeardAge()),
 		Revision: d.GetTargetsRevision(), ReadsStore: d.GetReadsStore(), Placer: d.GetPlacer(), CrashSum: d.GetCrashSum(),
 	})
 	x.opts.Board.Merge(x.now(), entity.HostID(d.GetHost()), workOf(d.GetWork()))
@@ -196,3 +220,21 @@
 
 	return list
 }
+
+// encodeAge returns age as in a digest. An age beyond maxAge counts as unknown.
+func encodeAge(age time.Duration) uint32 {
+	if age < 0 || age > maxAge {
+		return 0
+	}
+
+	return uint32(age.Milliseconds()) + 1
+}
+
+// decodeAge returns the age that n stands for in a digest, or a negative duration if it is unknown.
+func decodeAge(n uint32) time.Duration {
+	if n == 0 {
+		return -1
+	}
+
+	return time.Duration(n-1) * time.Millisecond
+}
--- a/internal/entry/digests/exchange_test.go
+++ b/internal/entry/digests/exchange_test.go
@@ -26,6 +26,8 @@
 	h.Exchange = digests.New(digests.Options{
 		Clock: clock, Board: h.board, CrashSum: func() uint64 { return 9 }, Ready: func() bool { return true },
 		Version: func() uint64 { return 7 }, Revision: func() uint64 { return 40 }, ReadsStore: func() bool { return true },
+		Ages:     func() (configuration, targets time.Duration) { return -1, 1500 * time.Millisecond },
+		HeardAge: func() time.Duration { return 0 },
 		Changing: func() []entity.TargetID { return changing },
 		OnDigest: func(s digests.PeerState) { h.states = append(h.states, s) },
 	})
@@ -62,7 +64,9 @@
 
 	require.Equal(t, 5100, b.board.Busy("r1"), "the peer's prefill counts here")
 	require.Positive(t, b.board.TotalDemand(clock.Now(), "s"))
-	require.Equal(t, []digests.PeerState{{Host: "a", DataCentre: "z", Version: 7, Revision: 40, ReadsStore: true, CrashSum: 9}}, b.states)
+	require.Equal(t, []digests.PeerState{{
+		Host: "a", DataCentre: "z", Version: 7, Revision: 40, ConfigurationAge: -1, TargetsAge: 1500 * time.Millisecond, HeardAge: 0, ReadsStore: true, CrashSum: 9,
+	}}, b.states)
 
 	p, ok = b.board.PlacePrompt(clock.Now(), targets, placing.Job{
 		Prompt: 5200, Parts: []placing.Part{parts[0], {ID: 3, Tokens: 200}}, Near: "z",
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -409,6 +409,15 @@
 	return n.members.Responsible(n.opts.Clock.Now(), key, count)
 }
 
+// Rank returns the place of this host, from zero, in the order in which the live hosts of its data centre are responsible
+// for key.
+func (n *Network) Rank(key string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.members.Rank(n.opts.Clock.Now(), key)
+}
+
 // Reachable returns this data centre and those with a live host that can take forwarded requests.
 func (n *Network) Reachable() map[entity.DataCentre]bool {
 	reachable := map[entity.DataCentre]bool{n.opts.DataCentre: true}
--- a/internal/entry/storewatch/watcher.go
+++ b/internal/entry/storewatch/watcher.go
@@ -7,6 +7,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -41,6 +42,9 @@
 
 // Sink receives what was read from the store. Its methods are called from one goroutine.
 type Sink interface {
+	// Revision returns the store revision that the sink's state reflects, which may come from a peer; zero if the state has an
+	// order of its own.
+	Revision() uint64
 	// Replaced delivers a full list, read at revision.
 	Replaced(now time.Time, entries []Entry, revision uint64)
 	// Changed delivers the changes since the last call, up to revision.
@@ -56,8 +60,7 @@
 }
 
 const (
-	// defaultWait is long so that an idle watch causes few calls. A connection that has gone silent is detected by its
-	// keep-alive probes, not by this wait.
+	// defaultWait is long so that an idle watch causes few calls.
 	defaultWait = 15 * time.Second
 	// defaultBatch combines changes in quick succession into fewer calls. It is a fifth of the smallest bound that the
 	// platform sets on the age of changes.
@@ -66,6 +69,9 @@
 	// pausedCheckInterval is the time between two calls of Options.Paused while it returns true.
 	pausedCheckInterval = 100 * time.Millisecond
 
+	// refusedAtOnce is the longest time in which the store refuses a watch without having waited for a change.
+	refusedAtOnce = 500 * time.Millisecond
+
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
 )
@@ -77,27 +83,56 @@
 	Source Source
 	Sink   Sink
 	Kind   string        // kind of the objects to follow
-	Wait   time.Duration // longest duration of one watch; zero means 15 s
 	Batch  time.Duration // pause after changes before the next watch; zero means 400 ms
 	Paused func() bool   // returns true while other hosts read the store for this one; nil means never
+	// Wait returns the longest duration of the next watch. shared tells that other hosts are likely to begin a watch at the
+	// same time, since they received the same changes. Nil means 15 s.
+	Wait func(shared bool) time.Duration
+	// History is how long the store keeps its changes. The list is read in place of a watch that would go on from an older
+	// revision. Zero means unknown.
+	History time.Duration
+	// OnAnswer is called with the time of each answer. Since since, all calls were answered, so that they could use the same
+	// connection. Nil means no call.
+	OnAnswer func(since, now time.Time)
+	// OnSilence is called when the answer to a watch did not come in time, as on a connection that has fallen silent. Nil means
+	// no call.
+	OnSilence func(now time.Time)
 }
 
 // Watcher lists and watches the objects of one kind. Make it with Start.
 type Watcher struct {
-	opts        Options
-	revision    uint64    // store revision from which the next watch starts
-	listed      bool      // false at the start, after a failed watch and after a pause: a full list must be read
-	watching    bool      // the last call was a watch
-	unavailable bool      // the last call failed
-	lastAnswer  time.Time // time of the last answer, or of the last pause
+	opts          Options
+	revision      uint64    // store revision from which the next watch starts
+	revisionAt    time.Time // when the store had that revision
+	listed        bool      // false at the start, after a failed watch and after a pause: a full list must be read
+	watching      bool      // the last call was a watch
+	unavailable   bool      // the last call failed
+	lastAnswer    time.Time // time of the last answer, or of the last pause
+	answeredSince time.Time // since when no call has failed
 	// silentSince is when the store last answered, or cut a watch, before the calls that have failed since; listFailed tells
 	// whether one of them was more than a watch.
 	silentSince time.Time
 	listFailed  bool
 	backoff     time.Duration
-	done        chan struct{}
+	// shared tells that the last change, or the end of the connection, probably reached other hosts at the same time.
+	shared bool
+	done   chan struct{}
+
+	mu        sync.Mutex
+	outdated  bool               // Refresh was called after the last list began
+	stopWatch context.CancelFunc // ends the watch under way; nil if there is none
+	current   Watching           // the watch under way
+}
+
+// Watching describes the watch that is under way. The zero value means that there is none.
+type Watching struct {
+	Since time.Time
+	Until time.Time // when it ends if nothing changes
 }
 
+// Active reports whether a watch is under way.
+func (w Watching) Active() bool { return !w.Since.IsZero() }
+
 // Start lists and then watches the objects of opts.Kind in the background until ctx ends.
 func Start(ctx context.Context, opts Options) *Watcher {
 	if opts.Clock == nil {
@@ -112,15 +147,23 @@
 		opts.Paused = func() bool { return false }
 	}
 
-	if opts.Wait == 0 {
-		opts.Wait = defaultWait
+	if opts.OnSilence == nil {
+		opts.OnSilence = func(time.Time) {}
+	}
+
+	if opts.OnAnswer == nil {
+		opts.OnAnswer = func(time.Time, time.Time) {}
+	}
+
+	if opts.Wait == nil {
+		opts.Wait = func(bool) time.Duration { return defaultWait }
 	}
 
 	if opts.Batch == 0 {
 		opts.Batch = defaultBatch
 	}
 
-	w := &Watcher{opts: opts, lastAnswer: opts.Clock.Now(), done: make(chan struct{})}
+	w := &Watcher{opts: opts, lastAnswer: opts.Clock.Now(), answeredSince: opts.Clock.Now(), shared: true, done: make(chan struct{})}
 
 	go w.run(ctx)
 
@@ -130,6 +173,38 @@
 // Done returns a channel that is closed once the background goroutine has ended.
 func (w *Watcher) Done() <-chan struct{} { return w.done }
 
+// Watching returns the watch that is under way. It may be called from any goroutine.
+func (w *Watcher) Watching() Watching {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.current
+}
+
+// Refresh ends the watch under way, which may be on a connection that has fallen silent, and reads the list again. It does
+// not wait, and may be called from any goroutine.
+func (w *Watcher) Refresh() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.outdated = true
+
+	if w.stopWatch != nil {
+		w.stopWatch()
+	}
+}
+
+// takeOutdated reports whether Refresh was called since the last call of takeOutdated.
+func (w *Watcher) takeOutdated() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	outdated := w.outdated
+	w.outdated = false
+
+	return outdated
+}
+
 func (w *Watcher) run(ctx context.Context) {
 	defer close(w.done)
 
@@ -158,22 +233,30 @@
 		return pausedCheckInterval, nil
 	}
 
+	if w.takeOutdated() || w.opts.History > 0 && w.opts.Clock.Since(w.revisionAt) >= w.opts.History {
+		w.listed = false
+	}
+
 	w.watching = w.listed
 
 	if !w.listed {
-		entries, revision, err := w.opts.Source.List(ctx, w.opts.Kind)
-		if err != nil {
-			return 0, err
-		}
+		return 0, w.list(ctx)
+	}
 
-		w.recordSuccess()
-		w.listed, w.revision = true, revision
-		w.opts.Sink.Replaced(w.opts.Clock.Now(), entries, revision)
+	began := w.opts.Clock.Now()
 
-		return 0, nil
+	changes, revision, err := w.watch(ctx)
+	if w.takeOutdated() {
+		w.listed = false
+
+		if err != nil {
+			return 0, nil
+		}
 	}
 
-	changes, revision, err := w.opts.Source.Watch(ctx, w.opts.Kind, w.revision, w.opts.Wait)
+	// A watch that is refused at once concerns this host alone.
+	w.shared = len(changes) > 0 || err != nil && w.opts.Clock.Since(began) > refusedAtOnce
+
 	if errors.Is(err, ErrCompacted) {
 		w.listed = false
 
@@ -184,6 +267,10 @@
 		// A watch that fails may have delivered nothing for some time before, so the full list is read again.
 		w.listed = false
 
+		if isTimeout(err) {
+			w.opts.OnSilence(w.opts.Clock.Now())
+		}
+
 		return 0, err
 	}
 
@@ -197,12 +284,76 @@
 		return 0, nil
 	}
 
-	w.revision = revision
+	w.setRevision(revision)
 	w.opts.Sink.Changed(w.opts.Clock.Now(), changes, revision)
 
 	return w.opts.Batch, nil
 }
 
+// list reads the full list. A list is not delivered if the sink has taken a newer copy from a peer meanwhile.
+func (w *Watcher) list(ctx context.Context) error {
+	before := w.opts.Sink.Revision()
+
+	entries, revision, err := w.opts.Source.List(ctx, w.opts.Kind)
+	w.recordAnswer(err)
+
+	if err != nil {
+		return err
+	}
+
+	if known := w.opts.Sink.Revision(); known != before && known > revision {
+		return nil
+	}
+
+	w.recordSuccess()
+	w.listed = true
+	w.setRevision(revision)
+	w.opts.Sink.Replaced(w.opts.Clock.Now(), entries, revision)
+
+	return nil
+}
+
+func (w *Watcher) setRevision(revision uint64) {
+	w.revision, w.revisionAt = revision, w.opts.Clock.Now()
+}
+
+// watch waits for changes until Refresh is called.
+func (w *Watcher) watch(ctx context.Context) ([]Change, uint64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	now, wait := w.opts.Clock.Now(), w.opts.Wait(w.shared)
+	w.shared = false
+	w.setWatch(cancel, Watching{Since: now, Until: now.Add(wait)})
+
+	defer w.setWatch(nil, Watching{})
+
+	changes, revision, err := w.opts.Source.Watch(ctx, w.opts.Kind, w.revision, wait)
+	w.recordAnswer(err)
+
+	return changes, revision, err
+}
+
+// recordAnswer reports an answer, or notes that the next call uses another connection if err says that there was none.
+func (w *Watcher) recordAnswer(err error) {
+	now := w.opts.Clock.Now()
+
+	if err != nil && !errors.Is(err, ErrCompacted) {
+		w.answeredSince = now
+
+		return
+	}
+
+	w.opts.OnAnswer(w.answeredSince, now)
+}
+
+func (w *Watcher) setWatch(stop context.CancelFunc, current Watching) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.stopWatch, w.current = stop, current
+}
+
 func isTimeout(err error) bool {
 	timeout, ok := errors.AsType[net.Error](err)
 
--- a/internal/entry/storewatch/watcher_test.go
+++ b/internal/entry/storewatch/watcher_test.go
@@ -45,6 +45,7 @@
 
 // recordingSink records the calls of its methods.
 type recordingSink struct {
+	revision  uint64 // result of Revision
 	replaced  [][]storewatch.Entry
 	changed   []storewatch.Change
 	confirmed int             // calls of Confirmed
@@ -60,6 +61,8 @@
 	s.changed = append(s.changed, changes...)
 }
 
+func (s *recordingSink) Revision() uint64 { return s.revision }
+
 func (s *recordingSink) Confirmed(time.Time) { s.confirmed++ }
 
 func (s *recordingSink) Returned(_ time.Time, outage time.Duration) {
@@ -78,6 +81,14 @@
 	t.Helper()
 
 	out := new(recordingSink)
+	runWatchInto(t, src, out, d)
+
+	return out
+}
+
+// runWatchInto lists and watches src for d of virtual time.
+func runWatchInto(t *testing.T, src *scriptedSource, out *recordingSink, d time.Duration) {
+	t.Helper()
 
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -87,8 +98,6 @@
 		cancel()
 		<-w.Done()
 	})
-
-	return out
 }
 
 // A watch that starts while the store does not deliver changes may miss some, so the list is read again after the watch
@@ -208,3 +217,68 @@
 		})
 	}
 }
+
+func TestListOlderThanAPeersCopyIsReadAgain(t *testing.T) {
+	out := &recordingSink{revision: 5}
+	src := &scriptedSource{
+		list: func(n int) ([]storewatch.Entry, uint64, error) {
+			if n == 1 {
+				out.revision = 12 // a copy was taken from a peer during the call
+			}
+
+			return oneEntry, uint64(9 + n), nil
+		},
+		watch: func(_ int, revision uint64) ([]storewatch.Change, uint64, error) { return nil, revision, nil },
+	}
+	runWatchInto(t, src, out, time.Second)
+
+	require.Equal(t, 2, src.lists)
+	require.Len(t, out.replaced, 1)
+	require.Equal(t, []uint64{11}, src.watches, "the second list holds, whatever its revision")
+}
+
+func TestRefreshReplacesASilentWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := &scriptedSource{
+			list: func(n int) ([]storewatch.Entry, uint64, error) { return oneEntry, uint64(10 * n), nil },
+			watch: func(n int, revision uint64) ([]storewatch.Change, uint64, error) {
+				return nil, revision, nil
+			},
+		}
+		out := new(recordingSink)
+		ctx, cancel := context.WithCancel(t.Context())
+		w := storewatch.Start(ctx, storewatch.Options{Source: src, Sink: out, Kind: "config", Log: &log.Logger{Level: log.PanicLevel}})
+
+		time.Sleep(time.Second)
+		require.True(t, w.Watching().Active())
+
+		began := time.Now()
+		w.Refresh()
+		synctest.Wait()
+		require.Equal(t, 2, src.lists)
+		require.Equal(t, began, w.Watching().Since)
+		require.Zero(t, out.lost, "a watch that was ended on purpose is no failure")
+
+		cancel()
+		<-w.Done()
+		require.False(t, w.Watching().Active())
+	})
+}
+
+func TestListIsReadInPlaceOfAWatchBeyondTheHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := &scriptedSource{
+			list:  func(n int) ([]storewatch.Entry, uint64, error) { return oneEntry, uint64(10 * n), nil },
+			watch: func(_ int, revision uint64) ([]storewatch.Change, uint64, error) { return nil, revision, nil },
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		w := storewatch.Start(ctx, storewatch.Options{
+			Source: src, Sink: new(recordingSink), Kind: "config", Log: &log.Logger{Level: log.PanicLevel}, History: 20 * time.Second,
+		})
+
+		time.Sleep(55 * time.Second)
+		cancel()
+		<-w.Done()
+		require.Equal(t, []uint64{10, 10, 20, 20}, src.watches)
+	})
+}
