--- a/internal/standin/forwarder/forwarder.go
+++ b/internal/standin/forwarder/forwarder.go
@@ -25,12 +25,14 @@
 	mu     sync.Mutex
 	conns  map[*connPair]bool
 	opened int
+	delay  time.Duration // of all data
 }
 
 // connPair is an accepted connection and its connection to the target.
 type connPair struct {
 	ends   [2]net.Conn
 	silent chan struct{} // closed when the pair is silenced
+	oneWay chan struct{} // closed when what the target sends is dropped
 	closed chan struct{} // closed when the pair has ended or the Forwarder is closed
 }
 
@@ -82,6 +84,35 @@
 	return n
 }
 
+// DropAnswers makes f drop what the target sends on the open connections. What the callers send still arrives.
+func (f *Forwarder) DropAnswers() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	for p := range f.conns {
+		select {
+		case <-p.oneWay:
+		default:
+			close(p.oneWay)
+		}
+	}
+}
+
+// SetDelay delays all data by d from now on, in each direction.
+func (f *Forwarder) SetDelay(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.delay = d
+}
+
+func (f *Forwarder) currentDelay() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.delay
+}
+
 // Cut closes all open connections that are not silent. It returns the number of connections that it closed.
 func (f *Forwarder) Cut() int {
 	f.mu.Lock()
@@ -151,7 +182,7 @@
 			continue
 		}
 
-		f.add(&connPair{ends: [2]net.Conn{conn, upstream}, silent: make(chan struct{}), closed: make(chan struct{})})
+		f.add(&connPair{ends: [2]net.Conn{conn, upstream}, silent: make(chan struct{}), oneWay: make(chan struct{}), closed: make(chan struct{})})
 	}
 }
 
@@ -164,8 +195,8 @@
 
 	var copying sync.WaitGroup
 
-	copying.Go(func() { p.copyData(p.ends[0], p.ends[1]) })
-	copying.Go(func() { p.copyData(p.ends[1], p.ends[0]) })
+	copying.Go(func() { p.copyData(p.ends[0], p.ends[1], nil, f.currentDelay) })
+	copying.Go(func() { p.copyData(p.ends[1], p.ends[0], p.oneWay, f.currentDelay) })
 
 	go func() {
 		copying.Wait()
@@ -178,9 +209,10 @@
 	}()
 }
 
-// copyData copies data from one end to the other until either end closes or p is silenced. If p is silenced, it
-// returns only when the Forwarder closes, and leaves both ends open until then.
-func (p *connPair) copyData(from, to net.Conn) {
+// copyData copies data from one end to the other, delayed by the result of delay, until either end closes or p is silenced. Once
+// drop is closed, it drops the data instead. If p is silenced, it returns only when the Forwarder closes, and leaves both
+// ends open until then.
+func (p *connPair) copyData(from, to net.Conn, drop <-chan struct{}, delay func() time.Duration) {
 	buf := make([]byte, bufferSize)
 
 	for {
@@ -194,6 +226,16 @@
 		default:
 		}
 
+		select {
+		case <-drop:
+			n = 0
+		default:
+		}
+
+		if d := delay(); n > 0 && d > 0 {
+			time.Sleep(d)
+		}
+
 		if n > 0 {
 			_, writeErr := to.Write(buf[:n])
 			if err == nil {
