Believe a peer that is ahead only if its state is newer

A store that comes back from an older copy gives revisions out again, so a host that is cut off from it can be ahead for good; its old targets would have replaced the store's, again and again.

Change: a claim carries when the peer's targets were last known to be current; it counts for targets only if that is later than this host's own. Versions of the configuration only grow. Also: a host that does not read the store computes no turn, and a renewal ends if the first watch begins within the same instant as the start.

--- a/internal/entry/freshness/fleet_test.go
+++ b/internal/entry/freshness/fleet_test.go
@@ -323,7 +323,7 @@
 	h.state.ConfirmedByPeer(now, r.version, r.revision, r.configurationAge, r.targetsAge)
 	h.guard.OnPeer(now, r.heardAge)
 	h.readers.RecordHeartbeat(now, r.from.id, r.from.home, r.reads)
-	h.syncer.OnHeartbeat(r.from.id, r.from.home, r.version, r.revision)
+	h.syncer.OnHeartbeat(r.from.id, r.from.home, r.version, r.revision, r.targetsAge)
 }
 
 // beat exchanges heartbeats with all partners.
@@ -425,7 +425,8 @@
 				History: history, OnAnswer: h.guard.OnAnswer, OnSilence: h.guard.OnSilence,
 			})
 		}
-		h.guard.Attach(time.Now(), watch(0, "config", h.state.Configurations()), watch(1, "servers", h.state.Targets()))
+		started := time.Now()
+		h.guard.Attach(started, watch(0, "config", h.state.Configurations()), watch(1, "servers", h.state.Targets()))
 
 		go h.run(ctx, rand.N(h.Period()))
 	}
--- a/internal/entry/freshness/guard.go
+++ b/internal/entry/freshness/guard.go
@@ -3,6 +3,7 @@
 package freshness
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -82,13 +83,13 @@
 	return &Guard{opts: opts}
 }
 
-// Attach sets the watchers of the configuration and of the targets, which were started at now.
-func (g *Guard) Attach(now time.Time, configuration, targets Watcher) {
+// Attach sets the watchers of the configuration and of the targets, which were started after started.
+func (g *Guard) Attach(started time.Time, configuration, targets Watcher) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
 	g.watches = []watch{{configuration, "configuration"}, {targets, "targets"}}
-	g.renewedAt = now
+	g.renewedAt = started
 }
 
 // Rereads returns how often the store was read anew since nothing had renewed the state.
@@ -176,10 +177,20 @@
 	case g.opts.LeavesStoreToPeers():
 		return c.DataCentre == g.opts.Home || now.Sub(c.Since) >= relayPatience
 	default:
-		return len(g.deaf(now, c.Lag)) > 0
+		return len(g.deaf(now, g.credible(now, c))) > 0
 	}
 }
 
+// credible returns the lag that c shows for a host that reads the store. Versions of the configuration only grow, but a store
+// that was restored gives revisions out again, so a peer's targets must have been confirmed later than this host's.
+func (g *Guard) credible(now time.Time, c peersync.Claim) peersync.Lag {
+	_, own := g.opts.Ages(now)
+	lag := c.Lag
+	lag.Targets = lag.Targets && c.TargetsAge >= 0 && now.Sub(c.HeardAt)+c.TargetsAge <= own
+
+	return lag
+}
+
 // OnImport handles a copy that was taken because of the claim c and changed this host's state. A watch that did not deliver
 // the change is replaced, and peers learn of the change at once, as their watches may be silent too.
 func (g *Guard) OnImport(now time.Time, c peersync.Claim, changed peersync.Lag) {
@@ -225,31 +236,33 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
-	if !g.renewedAt.IsZero() {
+	if !g.renewedAt.IsZero() || !slices.ContainsFunc(g.watches, func(w watch) bool { return w.Watching().Active() }) {
 		return
 	}
 
 	configuration, targets := g.opts.Ages(now)
-	ages, heard := [...]time.Duration{configuration, targets}, now.Sub(g.heardAt)
+	heard := now.Sub(g.heardAt)
 	turn := g.opts.Turn(0)
 
-	for i, w := range g.watches {
+	for i, age := range []time.Duration{configuration, targets} {
+		w := g.watches[i]
+
 		current := w.Watching()
 		if !current.Active() {
 			continue
 		}
 
 		left := current.Until.Sub(now)
-		late := g.opts.Log.Info().Str("kind", w.kind).Dur("age", ages[i]).Dur("heard", heard).Dur("watching", now.Sub(current.Since))
 
-		switch {
-		case turn.IsLate(heard, 1, left):
-			late.Msg("no host has heard the store in time; it is read anew")
+		if turn.IsLate(heard, 1, left) {
+			g.logLate(now, w, current, age)
 			g.renew(now)
 
 			return
-		case turn.IsLate(ages[i], 1/float64(len(g.watches)), left):
-			late.Msg("no host has confirmed the state in time; it is read anew")
+		}
+
+		if turn.IsLate(age, 1/float64(len(g.watches)), left) {
+			g.logLate(now, w, current, age)
 
 			g.rereads++
 
@@ -258,6 +271,12 @@
 	}
 }
 
+// logLate logs that w is replaced. The caller holds mu.
+func (g *Guard) logLate(now time.Time, w watch, current storewatch.Watching, age time.Duration) {
+	g.opts.Log.Info().Str("kind", w.kind).Dur("age", age).Dur("heard", now.Sub(g.heardAt)).Dur("watching", now.Sub(current.Since)).
+		Msg("no host has heard the store in time; it is read anew")
+}
+
 // finishRenewal reports whether both watches have been replaced since the last call of renew. Their connections are new.
 func (g *Guard) finishRenewal() bool {
 	g.mu.Lock()
--- a/internal/entry/peersync/syncer.go
+++ b/internal/entry/peersync/syncer.go
@@ -39,7 +39,9 @@
 	From       entity.HostID
 	DataCentre entity.DataCentre
 	Lag        Lag
-	Since      time.Time // when the peer was first found ahead
+	Since      time.Time     // when the peer was first found ahead
+	HeardAt    time.Time     // when the peer last reported it
+	TargetsAge time.Duration // how long before HeardAt the peer's targets were last known to be current; negative for unknown
 }
 
 // State is the state of this host that is updated from peers.
@@ -80,7 +82,6 @@
 	Claim
 
 	version, revision uint64
-	heardAt           time.Time
 }
 
 // New returns a Syncer. It starts no goroutine.
@@ -100,16 +101,19 @@
 	return &Syncer{opts: opts, claims: map[entity.HostID]heldClaim{}}
 }
 
-// OnHeartbeat handles the configuration version and the store revision that the peer from, in the data centre dc,
-// advertises. If this host is behind and accepts the claim, it starts a fetch in the background. While a fetch is running,
-// no other is started.
-func (s *Syncer) OnHeartbeat(from entity.HostID, dc entity.DataCentre, version, revision uint64) {
+// OnHeartbeat handles the configuration version, the store revision and the age of its targets that the peer from, in the data
+// centre dc, advertises. If this host is behind and accepts the claim, it starts a fetch in the background. While a fetch is
+// running, no other is started.
+func (s *Syncer) OnHeartbeat(from entity.HostID, dc entity.DataCentre, version, revision uint64, targetsAge time.Duration) {
 	now := s.opts.Clock.Now()
 	lag := s.opts.State.Behind(version, revision)
 
 	s.mu.Lock()
 	old, known := s.claims[from]
-	c := heldClaim{Claim: Claim{From: from, DataCentre: dc, Lag: lag, Since: now}, version: version, revision: revision, heardAt: now}
+	c := heldClaim{
+		Claim:   Claim{From: from, DataCentre: dc, Lag: lag, Since: now, HeardAt: now, TargetsAge: targetsAge},
+		version: version, revision: revision,
+	}
 
 	switch {
 	case !lag.Any():
@@ -131,7 +135,7 @@
 func (s *Syncer) Tick(now time.Time) {
 	s.mu.Lock()
 	maps.DeleteFunc(s.claims, func(_ entity.HostID, c heldClaim) bool {
-		return now.Sub(c.heardAt) > claimRetention || !s.opts.State.Behind(c.version, c.revision).Any()
+		return now.Sub(c.HeardAt) > claimRetention || !s.opts.State.Behind(c.version, c.revision).Any()
 	})
 	claims := slices.Collect(maps.Values(s.claims))
 	s.mu.Unlock()
--- a/internal/entry/peersync/syncer_test.go
+++ b/internal/entry/peersync/syncer_test.go
@@ -60,21 +60,21 @@
 			},
 		})
 
-		syncer.OnHeartbeat("a", "y", 1, 1)
-		syncer.OnHeartbeat("a", "x", 1, 1)
-		syncer.OnHeartbeat("b", "x", 1, 1)
+		syncer.OnHeartbeat("a", "y", 1, 1, 0)
+		syncer.OnHeartbeat("a", "x", 1, 1, 0)
+		syncer.OnHeartbeat("b", "x", 1, 1, 0)
 		time.Sleep(time.Second)
 		require.Equal(t, []string{"a:copy"}, s.copies())
 
-		syncer.OnHeartbeat("bad", "x", 1, 1)
+		syncer.OnHeartbeat("bad", "x", 1, 1, 0)
 		time.Sleep(time.Second)
-		syncer.OnHeartbeat("b", "x", 1, 1)
+		syncer.OnHeartbeat("b", "x", 1, 1, 0)
 		time.Sleep(time.Second)
 		require.Equal(t, []string{"a:copy", "b:copy"}, s.copies())
 
 		s.behind = false
 
-		syncer.OnHeartbeat("b", "x", 1, 1)
+		syncer.OnHeartbeat("b", "x", 1, 1, 0)
 		time.Sleep(time.Second)
 		require.Len(t, s.copies(), 2)
 	})
@@ -108,11 +108,11 @@
 			}
 		}
 
-		syncer.OnHeartbeat("a", "x", 1, 1)
+		syncer.OnHeartbeat("a", "x", 1, 1, 0)
 		tick(900 * time.Millisecond)
 		require.Empty(t, accepted)
 
-		syncer.OnHeartbeat("a", "x", 1, 1)
+		syncer.OnHeartbeat("a", "x", 1, 1, 0)
 		tick(200 * time.Millisecond)
 		require.Len(t, imported, 1, "counted from the first heartbeat")
 		require.Equal(t, peersync.Lag{Targets: true}, imported[0].Lag)
@@ -124,7 +124,7 @@
 
 		s.behind = true
 
-		syncer.OnHeartbeat("b", "x", 1, 1)
+		syncer.OnHeartbeat("b", "x", 1, 1, 0)
 		tick(10 * time.Second)
 
 		last := accepted[len(accepted)-1]
--- a/internal/entry/storewatch/watcher.go
+++ b/internal/entry/storewatch/watcher.go
@@ -228,7 +228,9 @@
 // step makes at most one call to the store and returns the pause before the next step.
 func (w *Watcher) step(ctx context.Context) (time.Duration, error) {
 	if w.opts.Paused() {
-		w.listed, w.lastAnswer = false, w.opts.Clock.Now()
+		w.listed = false
+		w.lastAnswer = w.opts.Clock.Now()
+		w.answeredSince = w.lastAnswer
 
 		return pausedCheckInterval, nil
 	}
