Count a host that hears both kinds anew as proof that the store is heard

After an outage all hosts read both lists on new connections, and none of their answers counted, as no connection was as old as the last proof: each host read both lists once more after 2.2 s.

Change: a host of which both connections answer hears all changes and tells them, so the earlier of its two last answers counts, however old the connections are. One kind alone does not: the other may still be on a silent connection.

--- a/internal/entry/freshness/fleet_test.go
+++ b/internal/entry/freshness/fleet_test.go
@@ -422,7 +422,7 @@
 			return storewatch.Start(ctx, storewatch.Options{
 				Log: quiet, Source: h.link, Sink: sink, Kind: kind, Batch: batch, Paused: h.leavesStore,
 				Wait:    func(shared bool) time.Duration { return h.guard.Wait(n, shared) },
-				History: history, OnAnswer: h.guard.OnAnswer, OnSilence: h.guard.OnSilence,
+				History: history, OnAnswer: func(since, now time.Time) { h.guard.OnAnswer(n, since, now) }, OnSilence: h.guard.OnSilence,
 			})
 		}
 		started := time.Now()
--- a/internal/entry/freshness/guard.go
+++ b/internal/entry/freshness/guard.go
@@ -52,6 +52,8 @@
 
 	mu      sync.Mutex
 	watches []watch // of the configuration and of the targets; nil before Attach
+	// answeredAt is when the store last answered each watcher; zero before the first answer.
+	answeredAt [2]time.Time
 	// heardAt is until when it is known that open connections to the store, of this host or of a peer, have not fallen silent;
 	// zero before the first watch.
 	heardAt time.Time
@@ -112,17 +114,32 @@
 	return now.Sub(g.heardAt)
 }
 
-// OnAnswer handles an answer of the store at now, on a connection that has been open since since. It shows that no network has
-// silenced the open connections meanwhile.
-func (g *Guard) OnAnswer(since, now time.Time) {
+// OnAnswer handles an answer of the store at now to one of this host's watchers, on a connection that has been open since
+// since. It shows that no network has silenced the open connections meanwhile. A connection that was opened later shows
+// nothing of those opened before; but a host of which both connections answer hears all changes and tells them.
+func (g *Guard) OnAnswer(watch int, since, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
-	if !since.After(g.heardAt) && now.After(g.heardAt) {
+	g.answeredAt[watch] = now
+
+	if since.After(g.heardAt) {
+		now = earlier(g.answeredAt[0], g.answeredAt[1])
+	}
+
+	if now.After(g.heardAt) {
 		g.heardAt = now
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+
+	return b
+}
+
 // OnPeer handles the HeardAge of a peer, received at now.
 func (g *Guard) OnPeer(now time.Time, age time.Duration) {
 	g.mu.Lock()
@@ -277,7 +294,7 @@
 		Msg("no host has heard the store in time; it is read anew")
 }
 
-// finishRenewal reports whether both watches have been replaced since the last call of renew. Their connections are new.
+// finishRenewal reports whether both watches have been replaced since the last call of renew.
 func (g *Guard) finishRenewal() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -286,24 +303,14 @@
 		return false
 	}
 
-	first := time.Time{}
-
 	for _, w := range g.watches {
 		current := w.Watching()
 		if !current.Active() || current.Since.Before(g.renewedAt) {
 			return false
 		}
-
-		if first.IsZero() || current.Since.Before(first) {
-			first = current.Since
-		}
 	}
 
 	g.renewedAt = time.Time{}
 
-	if first.After(g.heardAt) {
-		g.heardAt = first
-	}
-
 	return true
 }
--- a/internal/entry/freshness/guard_test.go
+++ b/internal/entry/freshness/guard_test.go
@@ -42,6 +42,8 @@
 		Announce: func() { f.announced++ },
 	})
 	f.guard.Attach(start, f.configuration, f.targets)
+	f.guard.OnAnswer(0, start, start)
+	f.guard.OnAnswer(1, start, start)
 	f.guard.Tick(start)
 
 	return f
@@ -86,12 +88,12 @@
 
 func TestStoreIsReadAnewOnceNoConnectionIsKnownToWork(t *testing.T) {
 	f := newFixture()
-	f.guard.OnAnswer(start, start.Add(time.Second))
+	f.guard.OnAnswer(1, start, start.Add(time.Second))
 	f.guard.Tick(start.Add(3 * time.Second))
 	require.Zero(t, f.targets.refreshed)
 
-	f.guard.OnAnswer(start.Add(2*time.Second), start.Add(2500*time.Millisecond))
-	require.Equal(t, 2500*time.Millisecond, f.guard.HeardAge(start.Add(3500*time.Millisecond)), "a connection opened later shows nothing")
+	f.guard.OnAnswer(1, start.Add(2*time.Second), start.Add(2500*time.Millisecond))
+	require.Equal(t, 2500*time.Millisecond, f.guard.HeardAge(start.Add(3500*time.Millisecond)), "a connection opened later shows nothing of others")
 
 	f.guard.OnPeer(start.Add(3*time.Second), 500*time.Millisecond)
 	f.guard.Tick(start.Add(4 * time.Second))
@@ -107,6 +109,10 @@
 	announced := f.announced
 	began := start.Add(6010 * time.Millisecond)
 	f.targets.watching.Since, f.configuration.watching.Since = began, began
+	f.guard.OnAnswer(0, began, began)
+	require.NotZero(t, f.guard.HeardAge(began), "the targets may still be on a silent connection")
+
+	f.guard.OnAnswer(1, began, began)
 	f.guard.Tick(began)
 	require.Equal(t, announced+1, f.announced)
 	require.Zero(t, f.guard.HeardAge(began))
