--- a/internal/entry/relay/fakes_test.go
+++ b/internal/entry/relay/fakes_test.go
@@ -6,11 +6,13 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 
@@ -42,6 +44,9 @@
 	released []relay.KVHandle
 	run      func(n int, ctx context.Context, s relay.Send) (*relay.Answer, error)
 	prefill  func(n int, s relay.Send) (*relay.KVHandle, *relay.Answer, error)
+
+	// pausePrefill is called at the start of each prefill, which fails with the error that it returns. It may be nil.
+	pausePrefill func(ctx context.Context) error
 }
 
 func (f *fakeTargets) Run(ctx context.Context, _ *relay.Request, s relay.Send) (*relay.Answer, error) {
@@ -53,12 +58,18 @@
 	return f.run(n, ctx, s)
 }
 
-func (f *fakeTargets) Prefill(_ context.Context, _ *relay.Request, s relay.Send) (*relay.KVHandle, *relay.Answer, error) {
+func (f *fakeTargets) Prefill(ctx context.Context, _ *relay.Request, s relay.Send) (*relay.KVHandle, *relay.Answer, error) {
 	f.mu.Lock()
 	f.prefills = append(f.prefills, s)
 	n := len(f.prefills)
 	f.mu.Unlock()
 
+	if f.pausePrefill != nil {
+		if err := f.pausePrefill(ctx); err != nil {
+			return nil, nil, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "no answer").WithCause(err)
+		}
+	}
+
 	if f.prefill != nil {
 		return f.prefill(n, s)
 	}
@@ -138,10 +149,57 @@
 
 func (silentBody) Close() error { return nil }
 
+// pause waits until at and returns the error of ctx if that ends before.
+func pause(ctx context.Context, at time.Time) error {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// pausedReader is silent until the time at and yields the data of Reader afterwards, unless ctx ends before.
+type pausedReader struct {
+	io.Reader
+
+	ctx context.Context
+	at  time.Time
+}
+
+func (r pausedReader) Read(p []byte) (int, error) {
+	if err := pause(r.ctx, r.at); err != nil {
+		return 0, err
+	}
+
+	return r.Reader.Read(p)
+}
+
+// slowClock is a real clock that is slow by lag.
+type slowClock struct {
+	clockwork.Clock
+
+	lag *time.Duration
+}
+
+func (c slowClock) Now() time.Time { return c.Clock.Now().Add(-*c.lag) }
+
 type fixture struct {
-	targets *fakeTargets
-	board   *placing.Board
-	relay   *relay.Relay
+	targets  *fakeTargets
+	board    *placing.Board
+	crashers *crashtracker.Table
+	clockLag time.Duration // by how much the relay's clock is slow
+	fleet    []fleet.Target
+	outcome  relay.Outcome // of the last request
+	relay    *relay.Relay
+}
+
+// keepOnly removes all other targets from the fleet.
+func (fx *fixture) keepOnly(ids ...entity.TargetID) {
+	fx.fleet = slices.DeleteFunc(fx.fleet, func(t fleet.Target) bool { return !slices.Contains(ids, t.ID) })
 }
 
 // newFixture returns a relay with route and a retry budget of slack repeats. Its fleet has two prefill replicas, four
@@ -160,17 +218,18 @@
 	c := catalog.Build(1, catalog.Limits{}, []catalog.Route{route}, []catalog.Service{
 		{Name: "plain"}, {Name: "model", Engine: &catalog.Engine{KVCapacity: 100_000}},
 	})
-	snapshot := fleet.NewSnapshot([]fleet.Target{
+	fx := &fixture{targets: &fakeTargets{}, board: placing.New(), crashers: crashtracker.New()}
+	fx.fleet = []fleet.Target{
 		{ID: "d1", Service: "model", Role: entity.Decode, Slots: 4}, {ID: "d2", Service: "model", Role: entity.Decode, Slots: 4},
 		{ID: "d3", Service: "model", Role: entity.Decode, Slots: 4}, {ID: "d4", Service: "model", Role: entity.Decode, Slots: 4},
 		{ID: "p1", Service: "model", Role: entity.Prefill, Slots: 4}, {ID: "p2", Service: "model", Role: entity.Prefill, Slots: 4},
 		{ID: "s1", Service: "plain", Slots: 4}, {ID: "s2", Service: "plain", Slots: 4},
-	})
+	}
 
-	fx := &fixture{targets: &fakeTargets{}, board: placing.New()}
 	fx.relay = relay.New(relay.Options{
-		Log: &log.Logger{Level: log.PanicLevel}, Catalog: func() *catalog.Catalog { return c },
-		Fleet: func() *fleet.Snapshot { return snapshot }, Board: fx.board, Targets: fx.targets, Crashers: crashtracker.New(),
+		Clock: slowClock{clockwork.NewRealClock(), &fx.clockLag}, Log: &log.Logger{Level: log.PanicLevel}, Catalog: func() *catalog.Catalog { return c },
+		Fleet: func() *fleet.Snapshot { return fleet.NewSnapshot(fx.fleet) }, Board: fx.board, Targets: fx.targets, Crashers: fx.crashers,
+		Observe: func(o relay.Outcome) { fx.outcome = o },
 		Retries: retries.NewLimiter(retries.LimiterOptions{Ratio: 0, Slack: slack, Span: 10 * time.Second, Margin: 1}),
 	})
 
