Log and count the silences of targets and their replacements

Now each silence has one line with target and time since the last event, each replacement one with both targets, and "failed" has the number of silences and replacements, the time since a target was last heard and what the last attempt lacked (no-target, no-budget, sends-used, attempts-used, quarantined). Outcome carries the two counts, which the metrics targets-silent and targets-replaced add up.

--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"time"
 
@@ -40,12 +41,18 @@
 		}
 
 		placement, ok := j.opts.Board.PlaceCall(j.now(), j.candidates(entity.Mixed), j.placingJob())
+		if !ok {
+			j.lack = lackTarget
+		}
+
 		if !ok || !j.maySend() {
 			placement.Claim.Release()
 
 			break
 		}
 
+		j.noteReplacement(placement.Target)
+
 		answer, body, err := j.callOnce(ctx, placement, runs+1 < j.route.MaxTargets)
 		placement.Claim.Release()
 
@@ -113,6 +120,14 @@
 		defer cancel()
 	}
 
+	sentAt := j.now()
+
+	defer func() {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) && j.remaining() > 0 {
+			j.noteSilence(placement.Target, j.now().Sub(sentAt))
+		}
+	}()
+
 	answer, err := j.opts.Targets.Run(ctx, j.r, Send{Target: placement.Target, Rank: j.route.Rank, Timeout: remaining})
 	if err != nil {
 		return nil, nil, err
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -88,6 +88,8 @@
 	Status      int            // status of the target's answer; zero if Problem is not nil
 	TimeToFirst time.Duration  // from arrival to the answer, or to the first event of a stream; zero if neither was sent
 	Total       time.Duration  // from arrival to the end of the request
+	Silences    int            // number of times that a target was silent for longer than its patience
+	Replaced    int            // number of times that another target replaced a silent one
 }
 
 // Serve serves r and returns when w has its final answer. ctx must end when the caller disconnects.
@@ -138,6 +140,9 @@
 	prefilled   bool              // a replica has prefilled the prompt; the first prefill is not counted in sends
 	tried       []entity.TargetID // targets that are not tried again
 	losses      int               // recorded losses of targets
+	lack        lack              // why the last attempt to send to another target failed
+	lastHeard   time.Time         // when a target last sent something; zero if none has
+	silent      entity.TargetID   // silent target that has not been replaced yet; empty for none
 	timeToFirst time.Duration     // as Outcome.TimeToFirst
 	outcome     Outcome
 }
@@ -191,14 +196,20 @@
 // budget unless it is the first.
 func (j *job) maySend() bool {
 	if j.sends >= maxSends {
+		j.lack = lackSends
+
 		return false
 	}
 
 	if _, quarantined := j.opts.Crashers.Refuses(j.now(), j.fingerprint); quarantined {
+		j.lack = lackQuarantine
+
 		return false
 	}
 
 	if j.sends > 0 && !j.opts.Retries.Take(j.now(), j.service.Name) {
+		j.lack = lackBudget
+
 		return false
 	}
 
@@ -289,6 +300,7 @@
 	j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Uint64("configuration", uint64(j.version)).
 		Str("code", string(j.outcome.Problem.Code)).Str("verdict", j.outcome.Problem.Verdict.String()).
 		Dur("retry-after", j.outcome.Problem.RetryAfter).Dur("total", j.outcome.Total).Int("sends", j.sends).
+		Int("silences", j.outcome.Silences).Int("replaced", j.outcome.Replaced).Dur("last-heard", j.sinceLastHeard()).Str("lack", string(j.lack)).
 		Str("fingerprint", j.fingerprint.String()).Err(j.outcome.Problem.Err).Msg("failed")
 }
 
--- a/internal/entry/relay/silence_test.go
+++ b/internal/entry/relay/silence_test.go
@@ -323,3 +323,14 @@
 		})
 	}
 }
+
+func TestSilencesAndReplacementsAreNotCounted(t *testing.T) {
+	forPaces(t, []time.Duration{1500 * time.Millisecond}, func(t *testing.T, route catalog.Route, silence time.Duration) {
+		for slack, replaced := range map[float64]int{0: 0, 100: 1} {
+			fx := newFixture(t, route, slack)
+			fx.serveSilence(t, silence, nil)
+			require.Equal(t, 1, fx.outcome.Silences)
+			require.Equal(t, replaced, fx.outcome.Replaced)
+		}
+	})
+}
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
@@ -29,7 +30,13 @@
 func (j *job) stream(ctx context.Context, w Reply) {
 	p := progress{lastEventID: j.r.LastEventID}
 
-	for p.runs < j.route.MaxTargets && j.endError(ctx, verdict.MayHaveRun) == nil {
+	for j.endError(ctx, verdict.MayHaveRun) == nil {
+		if p.runs >= j.route.MaxTargets {
+			j.lack = lackAttempts
+
+			break
+		}
+
 		done, err := j.streamOnce(ctx, w, &p)
 		if done {
 			return
@@ -88,6 +95,10 @@
 		placingJob.Near = near
 
 		placement, ok := j.opts.Board.PlaceDecode(j.now(), j.candidates(entity.Decode), placingJob, j.kvCapacity())
+		if !ok {
+			j.lack = lackTarget
+		}
+
 		if !ok || !j.maySend() {
 			placement.Claim.Release()
 			j.releaseKV(handle)
@@ -95,6 +106,8 @@
 			return false, j.noTargetError()
 		}
 
+		j.noteReplacement(placement.Target)
+
 		retry, done := j.generate(ctx, w, placement, handle, p)
 		placement.Claim.Release()
 
@@ -148,6 +161,8 @@
 			return nil, j.noTargetError()
 		}
 
+		j.noteReplacement(placement.Target)
+
 		handle, result := j.prefillOnce(ctx, placement, p)
 		prompt.End(result)
 
@@ -182,6 +197,11 @@
 		return nil, placing.PromptResult{}
 	case err != nil:
 		p.cause = err
+
+		if prefillCtx.Err() != nil {
+			j.noteSilence(placement.Target, placement.Wait+j.pacing().ReplaceAfter())
+		}
+
 		j.noteFailure(placement.Target, err)
 
 		return nil, placing.PromptResult{Sent: true, Outcome: placing.Lost}
@@ -203,13 +223,26 @@
 
 // generate makes one replica generate the answer and forwards it to the caller. It reports whether the same handle
 // may be sent to another replica, and whether the stream has ended.
-func (j *job) generate(ctx context.Context, w Reply, placement placing.Placement, handle *KVHandle, p *progress) (retry, done bool) {
-	ctx, cancel := context.WithCancel(ctx)
+func (j *job) generate(outer context.Context, w Reply, placement placing.Placement, handle *KVHandle, p *progress) (retry, done bool) {
+	ctx, cancel := context.WithCancel(outer)
 	defer cancel()
 
-	silenceTimer := j.opts.Clock.AfterFunc(j.firstEventTimeout(handle), cancel)
+	patience := j.firstEventTimeout(handle)
+
+	var silenced atomic.Bool
+
+	silenceTimer := j.opts.Clock.AfterFunc(patience, func() {
+		silenced.Store(true)
+		cancel()
+	})
 	defer silenceTimer.Stop()
 
+	defer func() {
+		if !done && silenced.Load() && outer.Err() == nil {
+			j.noteSilence(placement.Target, patience)
+		}
+	}()
+
 	answer, err := j.opts.Targets.Run(ctx, j.r, Send{
 		Target: placement.Target, Rank: j.route.Rank, Timeout: j.remaining(), LastEventID: p.lastEventID, KVCache: handle,
 	})
@@ -312,6 +345,7 @@
 		}
 
 		reset(j.silenceTimeout())
+		j.lastHeard = j.now()
 
 		if id != "" {
 			p.lastEventID = id
--- a/internal/measure/metrics/calls.go
+++ b/internal/measure/metrics/calls.go
@@ -14,11 +14,23 @@
 type Calls struct {
 	registry metrics.Registry
 	whole    metrics.Counter // requests that were answered completely
+	silences metrics.Counter // times that a target was silent for longer than it may be
+	replaced metrics.Counter // times that another target replaced a silent one
 }
 
 // NewCalls returns a Calls that counts in registry.
 func NewCalls(registry metrics.Registry) *Calls {
-	return &Calls{registry: registry, whole: metrics.GetOrRegisterCounter("requests-whole", registry)}
+	return &Calls{
+		registry: registry, whole: metrics.GetOrRegisterCounter("requests-whole", registry),
+		silences: metrics.GetOrRegisterCounter("targets-silent", registry), replaced: metrics.GetOrRegisterCounter("targets-replaced", registry),
+	}
+}
+
+// TargetsSilent counts the silences of the targets of one request, and those after which another target replaced the
+// silent one.
+func (c *Calls) TargetsSilent(silences, replaced int) {
+	c.silences.Inc(int64(silences))
+	c.replaced.Inc(int64(replaced))
 }
 
 // RequestEnded counts a request that has ended. A nil problem means that it was answered completely; first and total
