Do not take a deadline for a caller that has left

A request whose deadline had passed could be ended with caller-gone, which closes the connection without any answer. Cause: endError asked the clock alone why the context had ended, and a context's timer may fire before the clock, read by another goroutine, reaches the deadline. Now the context's own error decides: Canceled is the caller, DeadlineExceeded the deadline. Ruled out: a cancel of this package, which ends derived contexts only. Failing before, with a clock that is slow by 1 ms: TestDeadlineIsTakenForACallerThatHasLeft/call and /stream ("caller-gone" instead of "deadline").

--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -312,15 +312,15 @@
 	w.Refuse(err)
 }
 
-// endError returns an error with verdict ran if the deadline has passed or the caller has disconnected, else nil.
+// endError returns an error with verdict ran if the deadline has passed or the caller has disconnected, else nil. The
+// timer of ctx may fire before the clock reads the deadline.
 func (j *job) endError(ctx context.Context, ran verdict.Verdict) *verdict.Error {
-	if ctx.Err() == nil && j.remaining() > 0 {
+	switch {
+	case ctx.Err() == nil && j.remaining() > 0:
 		return nil
-	}
-
-	if j.remaining() > 0 {
+	case errors.Is(ctx.Err(), context.Canceled) && j.remaining() > 0:
 		return verdict.New(ran, verdict.CodeCallerGone, "the caller disconnected")
+	default:
+		return verdict.New(ran, verdict.CodeDeadline, "the deadline of the request has passed")
 	}
-
-	return verdict.New(ran, verdict.CodeDeadline, "the deadline of the request has passed")
 }
