Send a stream that may not be resumed to no second replica after a reset

On a streaming route that may not be resumed and permits several targets, a request whose replica reset the connection before its first event was sent again, so it could run up to max_attempts times. Cause: generate counted the run but asked the route's kind only where a stream had begun. Now each run counts as the last one on such routes. Failing before: TestStreamThatMayNotBeResumedRunsTwice/reset, 3 runs.

--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -255,7 +255,7 @@
 			return true, false
 		}
 
-		p.runs++
+		j.noteRun(p)
 
 		return false, false
 	}
@@ -268,7 +268,7 @@
 		return true, false
 	}
 
-	p.runs++
+	j.noteRun(p)
 
 	if answer.Status >= 300 {
 		return false, j.passErrorAnswer(w, answer, p)
@@ -366,17 +366,21 @@
 	w.Begin(answer.Status, answer.Header)
 }
 
-// noteBreak records that a replica's stream broke off with err, and returns false: the stream has not ended. Unless
-// the route is resumable, no other replica is tried.
+// noteBreak records that a replica's stream broke off with err, and returns false: the stream has not ended.
 func (j *job) noteBreak(placement placing.Placement, p *progress, err error) bool {
 	p.cause = err
 	j.noteFailure(placement.Target, err)
 
+	return false
+}
+
+// noteRun records that a replica may have run the request. Unless the route is resumable, no other replica is tried.
+func (j *job) noteRun(p *progress) {
+	p.runs++
+
 	if j.route.Repeat != catalog.Resumable {
-		p.runs = j.route.MaxTargets
+		p.runs = max(p.runs, j.route.MaxTargets)
 	}
-
-	return false
 }
 
 // releaseKV frees a KV cache that no replica will fetch. It does so in the background, as the answer must not wait
