Let a retry limiter count several repeats at once, and take them back

A stream can be moved to another replica only if both the prefill there and the run may be repeated, and a repeat that was counted ahead of its send has to be taken back if it is not sent. TakeAll counts all or none, Return takes back, and Postpone counts a repeat at the time of its send, so that the window stays exact.

--- a/internal/control/retries/limiter.go
+++ b/internal/control/retries/limiter.go
@@ -74,6 +74,11 @@
 
 // Take reports whether one more repeat may be sent to service now, and if so counts it.
 func (l *Limiter) Take(now time.Time, service entity.ServiceName) bool {
+	return l.TakeAll(now, service, 1)
+}
+
+// TakeAll reports whether n more repeats may be sent to service now, and if so counts all of them.
+func (l *Limiter) TakeAll(now time.Time, service entity.ServiceName, n int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
@@ -86,15 +91,48 @@
 	}
 
 	allowed := l.opts.Margin * (l.opts.Ratio*requests + l.opts.Slack/float64(l.hosts))
-	if repeats+1 > allowed+roundingTolerance {
+	if repeats+float64(n) > allowed+roundingTolerance {
 		return false
 	}
 
-	c.repeats[c.newest%windowBuckets]++
+	c.repeats[c.newest%windowBuckets] += float64(n)
 
 	return true
 }
 
+// Return takes back n repeats that were counted at takenAt and are not sent.
+func (l *Limiter) Return(now, takenAt time.Time, service entity.ServiceName, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.takeBack(l.countsAt(now, service), takenAt, n)
+}
+
+// Postpone counts a repeat that was counted at takenAt as one of now, when it is sent.
+func (l *Limiter) Postpone(now, takenAt time.Time, service entity.ServiceName) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	c := l.countsAt(now, service)
+	l.takeBack(c, takenAt, 1)
+	c.repeats[c.newest%windowBuckets]++
+}
+
+// takeBack subtracts n repeats that were counted at takenAt, unless they have left the window. The caller holds mu.
+func (l *Limiter) takeBack(c *counts, takenAt time.Time, n int) {
+	bucket := l.bucketOf(takenAt)
+	if bucket < 0 || bucket > c.newest || bucket <= c.newest-windowBuckets {
+		return
+	}
+
+	c.repeats[bucket%windowBuckets] = max(c.repeats[bucket%windowBuckets]-float64(n), 0)
+}
+
+// bucketOf returns the number of the bucket of t. The caller holds mu.
+func (l *Limiter) bucketOf(t time.Time) int64 {
+	return int64(t.Sub(l.epoch) / max(l.opts.Span/windowBuckets, 1))
+}
+
 // countsAt returns the counts of service, advanced to the bucket of now. Buckets that began since the last call are
 // cleared. The caller holds mu.
 func (l *Limiter) countsAt(now time.Time, service entity.ServiceName) *counts {
@@ -102,7 +140,7 @@
 		l.epoch = now
 	}
 
-	n := int64(now.Sub(l.epoch) / max(l.opts.Span/windowBuckets, 1))
+	n := l.bucketOf(now)
 
 	c, ok := l.services[service]
 	if !ok {
--- a/internal/control/retries/limiter_test.go
+++ b/internal/control/retries/limiter_test.go
@@ -81,3 +81,32 @@
 		}
 	})
 }
+
+func TestRepeatsThatAreNotSentAreReturned(t *testing.T) {
+	now := time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
+	limiter := retries.NewLimiter(retries.LimiterOptions{Slack: 2, Span: 10 * time.Second, Margin: 1})
+
+	require.False(t, limiter.TakeAll(now, "s", 3), "all or none")
+	require.True(t, limiter.TakeAll(now, "s", 2))
+	require.False(t, limiter.Take(now, "s"))
+
+	later := now.Add(2 * time.Second)
+	limiter.Return(later, now, "s", 1)
+	require.True(t, limiter.Take(later, "s"))
+	require.False(t, limiter.Take(later, "s"))
+
+	much := now.Add(time.Minute)
+	require.True(t, limiter.TakeAll(much, "s", 2))
+	limiter.Return(much, now, "s", 2)
+	require.False(t, limiter.Take(much, "s"), "repeats that have left the window are not returned")
+}
+
+func TestPostponedRepeatIsCountedWhenItIsSent(t *testing.T) {
+	now := time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
+	limiter := retries.NewLimiter(retries.LimiterOptions{Slack: 1, Span: 10 * time.Second, Margin: 1})
+
+	require.True(t, limiter.Take(now, "s"))
+	limiter.Postpone(now.Add(5*time.Second), now, "s")
+	require.False(t, limiter.Take(now.Add(11*time.Second), "s"))
+	require.True(t, limiter.Take(now.Add(16*time.Second), "s"))
+}
