Keep a silent replica until another one has a place for the stream

What callers saw: a resumable stream was cut off (truncated) though its replica was sound, only silent for 0.9 to 1.5 s, with one run and before the time limit; a prompt was refused (no-target) while its prefill replica was silent. Cause: a timer cancelled the run (or the prefill), and only then a target, a send and the retry budget were looked for. When one of them was missing, the stream was aborted. Routes that may not be resumed were better off. Ruled out: that a hedge is needed. The run goes on elsewhere only after the connection to the silent replica is closed.

Change: a watch on each run. After the patience it searches, beside the reading of the silent replica, for a successor: the cheap bounds (permitted targets, sends, quarantine), a decode place, the retry budget for prefill and run together, the prefilled prompt and its place. Only with all of it the silent run is ended and the successor sent to. Without, the replica is kept until the time limit and the search is repeated every 100 ms. An event that arrives first wins: claims, KV cache and unsent repeats are given back. A silent prefill is replaced by the same rule, by another prefill replica or by a run without KV cache. A full replica replaces a silent one only when the caller is about to leave. A slow caller no longer counts as a silent replica: the watch is paused while an event is written. A timer that is 50 ms late gives the target that time again. If the successor refuses or fails, others are tried within the sends and targets permitted, without a KV cache when no send is left for both, and then once more the replica that the stream was taken from; a place that is missing is waited for while the caller is expected to wait. It does not count as another target.

Weighed and left: overlapping prefills kept running after the first answers (tokens read in vain), keeping the silent connection open until the successor's first event (two replicas at one request), a single budget unit for a run without prefill while prefill replicas exist (half the speed).

--- a/internal/entry/relay/fakes_test.go
+++ b/internal/entry/relay/fakes_test.go
@@ -194,9 +194,20 @@
 	clockLag time.Duration // by how much the relay's clock is slow
 	fleet    []fleet.Target
 	outcome  relay.Outcome // of the last request
+	retries  *retries.Limiter
 	relay    *relay.Relay
 }
 
+// unusedRepeats returns how many repeats the retry budget still allows, and takes them.
+func (fx *fixture) unusedRepeats() int {
+	n := 0
+	for n < 100 && fx.retries.Take(time.Now(), "model") {
+		n++
+	}
+
+	return n
+}
+
 // keepOnly removes all other targets from the fleet.
 func (fx *fixture) keepOnly(ids ...entity.TargetID) {
 	fx.fleet = slices.DeleteFunc(fx.fleet, func(t fleet.Target) bool { return !slices.Contains(ids, t.ID) })
@@ -204,7 +215,7 @@
 
 // newFixture returns a relay with route and a retry budget of slack repeats. Its fleet has two prefill replicas, four
 // decode replicas and two replicas of a plain service.
-func newFixture(t *testing.T, route catalog.Route, slack float64) *fixture {
+func newFixture(t testing.TB, route catalog.Route, slack float64) *fixture {
 	t.Helper()
 
 	route.Host, route.Prefix = "host", "/p/"
@@ -226,11 +237,12 @@
 		{ID: "s1", Service: "plain", Slots: 4}, {ID: "s2", Service: "plain", Slots: 4},
 	}
 
+	fx.retries = retries.NewLimiter(retries.LimiterOptions{Ratio: 0, Slack: slack, Span: 10 * time.Second, Margin: 1})
 	fx.relay = relay.New(relay.Options{
 		Clock: slowClock{clockwork.NewRealClock(), &fx.clockLag}, Log: &log.Logger{Level: log.PanicLevel}, Catalog: func() *catalog.Catalog { return c },
 		Fleet: func() *fleet.Snapshot { return fleet.NewSnapshot(fx.fleet) }, Board: fx.board, Targets: fx.targets, Crashers: fx.crashers,
 		Observe: func(o relay.Outcome) { fx.outcome = o },
-		Retries: retries.NewLimiter(retries.LimiterOptions{Ratio: 0, Slack: slack, Span: 10 * time.Second, Margin: 1}),
+		Retries: fx.retries,
 	})
 
 	return fx
--- /dev/null
+++ b/internal/entry/relay/prefill.go
@@ -0,0 +1,163 @@
+package relay
+
+import (
+	"context"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+// prefill makes a replica prefill the prompt. If no prefill replica accepts the prompt, all results are nil and the
+// decode replica has to prefill the prompt itself. If a prefill replica was silent and there is no other, the successor is
+// a place to run the request without it. An error means that the request must not be sent any further.
+func (j *job) prefill(ctx context.Context, p *progress) (*KVHandle, *successor, *verdict.Error) {
+	var next *successor // replaces a silent replica
+
+	for tries := 0; ; tries++ {
+		if next == nil {
+			var refusal *verdict.Error
+			if next, refusal = j.placePrompt(ctx, p, tries == 0); next == nil {
+				return nil, nil, refusal
+			}
+		}
+
+		prompt := next.prompt
+		j.noteReplacement(prompt.Placement().Target)
+
+		handle, result, replacement := j.prefillOnce(ctx, prompt.Placement(), p, true)
+		prompt.End(result)
+		j.notePrefilled(handle)
+
+		if handle != nil || !result.Sent {
+			j.giveUp(replacement)
+
+			return handle, nil, j.endError(ctx, verdict.NotRun)
+		}
+
+		if next = replacement; next != nil && next.prompt == nil {
+			return nil, next, nil
+		}
+	}
+}
+
+// placePrompt places the prompt on a prefill replica. All results are nil if no replica accepts it. first states that the
+// prompt has not been placed before. An error means that the request must not be sent any further.
+func (j *job) placePrompt(ctx context.Context, p *progress, first bool) (*successor, *verdict.Error) {
+	prompt, ok := j.opts.PromptPlacer.Place(ctx, j.service.Name, j.candidates(entity.Prefill), j.placingJob(), j.pacing().ReplaceAfter())
+	if !ok {
+		return nil, nil
+	}
+
+	placement := prompt.Placement()
+
+	if first && len(p.ran) == 0 {
+		j.opts.Board.AddDemand(j.now(), j.service.Name, j.r.Prompt-placement.Cached)
+	}
+
+	if !p.begun && !j.pacing().Worthwhile(placement.Wait, j.now().Sub(j.r.Arrived)) {
+		prompt.End(placing.PromptResult{})
+
+		return nil, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the first event would come too late").WithRetryAfter(placement.Wait)
+	}
+
+	if !j.maySend() {
+		prompt.End(placing.PromptResult{})
+
+		return nil, j.noTargetError()
+	}
+
+	return &successor{prompt: prompt, paidAt: j.now()}, nil
+}
+
+// prefillOnce sends the prompt to one replica. If the replica is silent for too long, the send is ended; if replaceable,
+// only once there is a successor, which is returned. If the caller disconnects or the deadline passes meanwhile, the
+// result is that of a prompt that was not sent, since the failure is not the replica's.
+func (j *job) prefillOnce(
+	ctx context.Context, placement placing.Placement, p *progress, replaceable bool,
+) (*KVHandle, placing.PromptResult, *successor) {
+	runCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	var silence *watch
+
+	target := placement.Target
+	patience := placement.Wait + j.pacing().ReplaceAfter()
+
+	if replaceable {
+		silence = j.watchRun(ctx, target, patience, cancel, func(ctx context.Context) *successor { return j.replacePrefill(ctx, p, target) })
+	} else {
+		timer := j.opts.Clock.AfterFunc(patience, cancel)
+		defer timer.Stop()
+	}
+
+	sentAt := j.now()
+
+	handle, answer, err := j.opts.Targets.Prefill(runCtx, j.r, Send{
+		Target: target, Rank: j.route.Rank, Timeout: j.deadline.Sub(sentAt), LastEventID: p.lastEventID,
+	})
+	next, _ := silence.stop(err != nil)
+
+	switch {
+	case err != nil && ctx.Err() != nil:
+		if replaceable {
+			p.cause = err
+			j.noteLoss(target, err)
+		}
+
+		return nil, placing.PromptResult{}, next
+	case err != nil:
+		p.cause = err
+
+		if !replaceable && runCtx.Err() != nil {
+			j.noteSilence(target, patience)
+		}
+
+		j.noteFailure(target, err)
+
+		return nil, placing.PromptResult{Sent: true, Outcome: placing.Lost}, next
+	case answer != nil:
+		_ = answer.Body.Close() // only the status is used
+		j.noteRefusal(target, answer.Status)
+
+		return nil, placing.PromptResult{Sent: true, Outcome: placing.Refused}, next
+	}
+
+	if replaceable {
+		j.silent = ""
+	}
+
+	took := j.now().Sub(sentAt)
+	j.opts.Board.RecordPrefill(placement, j.r.Parts, took)
+	j.opts.Log.Debug().Str("request", string(j.r.ID)).Str("target", string(target.ID)).Int64("prompt", int64(j.r.Prompt)).
+		Int64("cached", int64(placement.Cached)).Dur("expected", placement.Wait).Dur("took", took).Interface("parts", j.r.Parts).
+		Msg("prompt prefilled")
+
+	return handle, placing.PromptResult{Sent: true, Outcome: placing.Served, PrefillTime: took}, next
+}
+
+// notePrefilled records that a replica has prefilled the prompt, unless handle is nil. The first such send does not count.
+func (j *job) notePrefilled(handle *KVHandle) {
+	if handle != nil && !j.prefilled {
+		j.prefilled = true
+		j.sends--
+	}
+}
+
+// releaseKV frees a KV cache that no replica will fetch. It does so in the background, as the answer must not wait
+// for it. A nil handle has no effect.
+func (j *job) releaseKV(handle *KVHandle) {
+	if handle == nil {
+		return
+	}
+
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+
+		if err := j.opts.Targets.Release(ctx, *handle); err != nil {
+			j.opts.Log.Info().Str("request", string(j.r.ID)).Str("target", string(handle.Target.ID)).Err(err).
+				Msg("KV cache not freed; it will expire")
+		}
+	}()
+}
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -126,7 +126,8 @@
 	j.finish()
 }
 
-// job is the state of one request while it is served. Only one goroutine uses it.
+// job is the state of one request while it is served. Only one goroutine uses it at a time: the one that serves the
+// request, or that of a watch.
 type job struct {
 	*Relay
 	r           *Request
@@ -140,6 +141,9 @@
 	prefilled   bool              // a replica has prefilled the prompt; the first prefill is not counted in sends
 	tried       []entity.TargetID // targets that are not tried again
 	losses      int               // recorded losses of targets
+	reserved    int               // repeats that the retry budget has counted for the next sends
+	reservedAt  time.Time         // when it has counted them
+	left        []entity.TargetID // silent targets from which the request was taken over and that may be sound
 	lack        lack              // why the last attempt to send to another target failed
 	lastHeard   time.Time         // when a target last sent something; zero if none has
 	silent      entity.TargetID   // silent target that has not been replaced yet; empty for none
@@ -193,9 +197,10 @@
 
 // maySend reports whether one more send is allowed: maxSends is not reached, the request is not quarantined and,
 // after the first send, the retry budget allows another. If so, it counts the send, and charges it to the retry
-// budget unless it is the first.
+// budget unless it is the first. A request that was taken over from a silent target may be sent once more, so that it
+// can return there.
 func (j *job) maySend() bool {
-	if j.sends >= maxSends {
+	if j.sends >= maxSends+min(len(j.left), 1) {
 		j.lack = lackSends
 
 		return false
@@ -207,7 +212,12 @@
 		return false
 	}
 
-	if j.sends > 0 && !j.opts.Retries.Take(j.now(), j.service.Name) {
+	switch {
+	case j.sends == 0:
+	case j.reserved > 0:
+		j.reserved--
+		j.opts.Retries.Postpone(j.now(), j.reservedAt, j.service.Name)
+	case !j.opts.Retries.Take(j.now(), j.service.Name):
 		j.lack = lackBudget
 
 		return false
@@ -284,6 +294,8 @@
 
 // finish logs the outcome and reports it to Observe.
 func (j *job) finish() {
+	j.returnReserve()
+
 	j.outcome.Route = j.route
 	j.outcome.TimeToFirst = j.timeToFirst
 	j.outcome.Total = j.now().Sub(j.r.Arrived)
--- a/internal/entry/relay/silence.go
+++ b/internal/entry/relay/silence.go
@@ -14,13 +14,13 @@
 	lackBudget     lack = "no-budget"
 	lackSends      lack = "sends-used"
 	lackAttempts   lack = "attempts-used"
+	lackPrefill    lack = "prefill-failed"
 	lackQuarantine lack = "quarantined"
 )
 
 // noteSilence records that t has sent nothing for the time that it may be silent.
 func (j *job) noteSilence(t fleet.Target, patience time.Duration) {
 	j.outcome.Silences++
-	j.silent = t.ID
 	j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Str("target", string(t.ID)).
 		Dur("patience", patience).Dur("last-heard", j.sinceLastHeard()).Int("sends", j.sends).Msg("target silent")
 }
--- a/internal/entry/relay/silence_test.go
+++ b/internal/entry/relay/silence_test.go
@@ -15,6 +15,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
 	"github.com/dotterelflow/dotterelflow/internal/control/crashtracker"
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/control/placing"
 	"github.com/dotterelflow/dotterelflow/internal/entry/relay"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
@@ -86,21 +87,34 @@
 
 var shortSilences = []time.Duration{900 * time.Millisecond, 1200 * time.Millisecond, 1500 * time.Millisecond}
 
-// serveSilence serves a stream whose first replica is silent for a time and then goes on. Other runs are answered by run,
-// or with the rest of the stream if run is nil.
+// serveSilence serves a stream whose first replica is silent for a time and then goes on. Runs at other replicas are
+// answered by run, or with the rest of the stream if run is nil.
 func (fx *fixture) serveSilence(t *testing.T, silence time.Duration, run runFunc) *replyRecorder {
 	t.Helper()
 
-	var first entity.TargetID
+	var (
+		first   entity.TargetID
+		running context.Context // of the last run
+	)
 
 	resumes := time.Now().Add(silence)
 	fx.targets.run = func(n int, ctx context.Context, s relay.Send) (*relay.Answer, error) {
+		require.True(t, running == nil || running.Err() != nil, "two replicas run the request at a time")
+
+		running = ctx
+
 		if n == 1 {
 			first = s.Target.ID
 
 			return streamWithPause(ctx, s, resumes), nil
 		}
 
+		if s.Target.ID == first {
+			if err := pause(ctx, resumes); err != nil {
+				return nil, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "no answer").WithCause(err)
+			}
+		}
+
 		if s.Target.ID == first || run == nil {
 			return streamFrom(s), nil
 		}
@@ -334,3 +348,73 @@
 		}
 	})
 }
+
+// The prompt is being prefilled for a successor when the silent replica goes on.
+func TestSuccessorThatIsNotNeededHoldsItsPlace(t *testing.T) {
+	const slack = 5
+
+	forPaces(t, []time.Duration{50 * time.Millisecond, 200 * time.Millisecond}, func(t *testing.T, route catalog.Route, afterPatience time.Duration) {
+		for _, ignoresEnd := range []bool{false, true} {
+			fx := newFixture(t, route, slack)
+			prefills := 0
+			fx.targets.pausePrefill = func(ctx context.Context) error {
+				if prefills++; prefills == 1 {
+					return nil
+				}
+
+				if ignoresEnd {
+					ctx = context.WithoutCancel(ctx)
+				}
+
+				return pause(ctx, time.Now().Add(300*time.Millisecond))
+			}
+
+			patience := placing.Pacing{Objective: route.Objective, Gap: route.Gap}.ReplaceAfter()
+			requireWhole(t, fx.serveSilence(t, patience+afterPatience, nil))
+			synctest.Wait()
+			require.Len(t, fx.targets.runs, 1)
+			require.Len(t, fx.targets.prefills, 2)
+			require.Equal(t, slack-1, fx.unusedRepeats(), "the second prefill is a repeat, the run is not sent")
+
+			if ignoresEnd {
+				require.Len(t, fx.targets.released, 1)
+			}
+
+			require.Equal(t, 0, fx.outcome.Replaced)
+		}
+	})
+}
+
+func TestSilencesExceedTheRetryBudget(t *testing.T) {
+	for slack := range 7 {
+		forPaces(t, []time.Duration{time.Second, 2 * time.Second, time.Minute}, func(t *testing.T, route catalog.Route, silence time.Duration) {
+			for _, prefillSilence := range []time.Duration{0, 500 * time.Millisecond, time.Second, time.Minute} {
+				route.MaxTargets = 4
+				fx := newFixture(t, route, float64(slack))
+				resumes := time.Now().Add(silence)
+				free := 1 // the first send
+				prefills := 0
+				fx.targets.pausePrefill = func(ctx context.Context) error {
+					prefills++
+					first := prefills == 1
+
+					err := pause(ctx, time.Now().Add(prefillSilence))
+					if first && err == nil {
+						free++ // the prefill is not a repeat, nor is the run after it
+					}
+
+					return err
+				}
+				fx.targets.run = func(_ int, ctx context.Context, s relay.Send) (*relay.Answer, error) {
+					return streamWithPause(ctx, s, resumes), nil
+				}
+				fx.serve(t.Context(), t)
+				synctest.Wait()
+
+				arrivals := len(fx.targets.runs) + len(fx.targets.prefills)
+				require.LessOrEqual(t, arrivals-free, slack)
+				require.Equal(t, slack-max(arrivals-free, 0), fx.unusedRepeats(), "repeats that were not sent are returned")
+			}
+		})
+	}
+}
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -4,21 +4,34 @@
 	"context"
 	"errors"
 	"io"
-	"sync/atomic"
+	"slices"
 	"time"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
 // progress is how much of a stream has been served.
 type progress struct {
-	begun       bool   // the status and header were sent to the caller
-	lastEventID string // id of the last event that the caller has
-	runs        int    // sends after which a target may have run the request
-	cause       error  // error of the last failed send
+	begun       bool              // the status and header were sent to the caller
+	lastEventID string            // id of the last event that the caller has
+	ran         []entity.TargetID // replicas that may have run the request
+	final       bool              // the request may not be run again
+	cause       error             // error of the last failed send
+}
+
+// permitsOther reports whether a replica other than t and those that may have run the request may run it, if at most n
+// replicas may run it.
+func (p *progress) permitsOther(t fleet.Target, n int) bool {
+	runs := len(p.ran)
+	if !slices.Contains(p.ran, t.ID) {
+		runs++
+	}
+
+	return !p.final && runs < n
 }
 
 func (j *job) pacing() placing.Pacing {
@@ -30,95 +43,117 @@
 func (j *job) stream(ctx context.Context, w Reply) {
 	p := progress{lastEventID: j.r.LastEventID}
 
+	var (
+		next    *successor
+		handle  *KVHandle // KV cache of the prompt that no replica has fetched
+		refusal *verdict.Error
+		done    bool
+	)
+
 	for j.endError(ctx, verdict.MayHaveRun) == nil {
-		if p.runs >= j.route.MaxTargets {
-			j.lack = lackAttempts
+		if next == nil {
+			if next, handle, refusal = j.nextPlace(ctx, &p, handle); refusal != nil {
+				if j.waitForPlace(ctx) {
+					continue
+				}
 
-			break
+				break
+			}
 		}
 
-		done, err := j.streamOnce(ctx, w, &p)
-		if done {
+		j.noteReplacement(next.placement.Target)
+
+		if next, handle, done = j.generate(ctx, w, next, &p); done {
 			return
 		}
 
-		if err != nil {
-			j.endStream(ctx, w, p, err)
-
-			return
+		if next != nil {
+			j.releaseKV(handle)
+			handle = nil
 		}
 	}
 
-	j.endStream(ctx, w, p, nil)
+	j.giveUp(next)
+	j.releaseKV(handle)
+	j.endStream(ctx, w, p, refusal)
 }
 
-// endStream ends a stream that no target has completed. A stream that has begun is aborted. Otherwise refusal, if not
-// nil, is sent to the caller unless a target may have run the request.
-func (j *job) endStream(ctx context.Context, w Reply, p progress, refusal *verdict.Error) {
-	if p.begun {
-		j.outcome.Problem = verdict.New(verdict.MayHaveRun, verdict.CodeTruncated, "the stream was cut off").WithCause(p.cause)
-		w.Abort()
+// nextPlace returns a place for the next run of the request. handle is the KV cache of the prompt, or nil; it is returned
+// if it is still unused. An error means that there is no place now.
+func (j *job) nextPlace(ctx context.Context, p *progress, handle *KVHandle) (*successor, *KVHandle, *verdict.Error) {
+	if !p.final && (len(p.ran) >= j.route.MaxTargets || j.sends >= maxSends) {
+		if next, ok := j.placeWhereLeft(); ok {
+			j.releaseKV(handle)
 
-		return
+			return next, nil, nil
+		}
 	}
 
-	if refusal != nil && p.runs == 0 {
-		j.refuse(w, refusal)
+	if p.final || len(p.ran) >= j.route.MaxTargets {
+		j.lack = lackAttempts
 
-		return
+		return nil, handle, j.noTargetError()
 	}
 
-	ran := verdict.NotRun
-	if p.runs > 0 {
-		ran = verdict.MayHaveRun
-	}
+	// A prefill is of no use if no send is left for the run.
+	if handle == nil && j.sends+2 <= maxSends {
+		var (
+			next    *successor
+			refusal *verdict.Error
+		)
 
-	j.fail(ctx, w, ran, p.cause)
-}
+		if handle, next, refusal = j.prefill(ctx, p); next != nil || refusal != nil {
+			return next, handle, refusal
+		}
+	}
 
-// streamOnce tries to serve the stream with one prefill replica and one decode replica, or another decode replica
-// where one refuses or was not reached. It reports whether the stream has ended. An error means that the request must
-// not be sent any further.
-func (j *job) streamOnce(ctx context.Context, w Reply, p *progress) (bool, *verdict.Error) {
-	handle, refusal := j.prefill(ctx, p)
-	if refusal != nil {
-		return false, refusal
+	placingJob := j.placingJob()
+	if handle != nil {
+		placingJob.Near = handle.Target.DataCentre
 	}
 
-	for range maxSends {
-		near := j.opts.Home
-		if handle != nil {
-			near = handle.Target.DataCentre
-		}
+	placement, ok := j.opts.Board.PlaceDecode(j.now(), j.candidates(entity.Decode), placingJob, j.kvCapacity())
+	if !ok {
+		j.lack = lackTarget
 
-		placingJob := j.placingJob()
-		placingJob.Near = near
+		if next, ok := j.placeWhereLeft(); ok {
+			j.releaseKV(handle)
 
-		placement, ok := j.opts.Board.PlaceDecode(j.now(), j.candidates(entity.Decode), placingJob, j.kvCapacity())
-		if !ok {
-			j.lack = lackTarget
+			return next, nil, nil
 		}
+	}
 
-		if !ok || !j.maySend() {
-			placement.Claim.Release()
-			j.releaseKV(handle)
+	if !ok || !j.maySend() {
+		placement.Claim.Release()
 
-			return false, j.noTargetError()
-		}
+		return nil, handle, j.noTargetError()
+	}
 
-		j.noteReplacement(placement.Target)
+	return &successor{placement: placement, handle: handle, paidAt: j.now()}, nil, nil
+}
 
-		retry, done := j.generate(ctx, w, placement, handle, p)
-		placement.Claim.Release()
+// endStream ends a stream that no target has completed. A stream that has begun is aborted. Otherwise refusal, if not
+// nil, is sent to the caller unless a target may have run the request.
+func (j *job) endStream(ctx context.Context, w Reply, p progress, refusal *verdict.Error) {
+	if p.begun {
+		j.outcome.Problem = verdict.New(verdict.MayHaveRun, verdict.CodeTruncated, "the stream was cut off").WithCause(p.cause)
+		w.Abort()
 
-		if done || !retry {
-			return done, nil
-		}
+		return
 	}
 
-	j.releaseKV(handle)
+	if refusal != nil && len(p.ran) == 0 {
+		j.refuse(w, refusal)
+
+		return
+	}
 
-	return false, j.noTargetError()
+	ran := verdict.NotRun
+	if len(p.ran) > 0 {
+		ran = verdict.MayHaveRun
+	}
+
+	j.fail(ctx, w, ran, p.cause)
 }
 
 func (j *job) noTargetError() *verdict.Error {
@@ -134,147 +169,92 @@
 	return j.service.Engine.KVCapacity
 }
 
-// prefill makes a replica prefill the prompt. If no prefill replica accepts the prompt, both results are nil and the
-// decode replica has to prefill the prompt itself. An error means that the request must not be sent any further.
-func (j *job) prefill(ctx context.Context, p *progress) (*KVHandle, *verdict.Error) {
-	for tries := 0; ; tries++ {
-		prompt, ok := j.opts.PromptPlacer.Place(ctx, j.service.Name, j.candidates(entity.Prefill), j.placingJob(), j.pacing().ReplaceAfter())
-		if !ok {
-			return nil, nil
-		}
-
-		placement := prompt.Placement()
+// generate makes the replica of s generate the answer and forwards it to the caller. It reports whether the stream has
+// ended. Otherwise it returns the successor of the replica, if there is one, and the KV cache of s, if it is unused.
+func (j *job) generate(ctx context.Context, w Reply, s *successor, p *progress) (next *successor, handle *KVHandle, done bool) {
+	defer s.placement.Claim.Release()
 
-		if tries == 0 && p.runs == 0 {
-			j.opts.Board.AddDemand(j.now(), j.service.Name, j.r.Prompt-placement.Cached)
-		}
-
-		if !p.begun && !j.pacing().Worthwhile(placement.Wait, j.now().Sub(j.r.Arrived)) {
-			prompt.End(placing.PromptResult{})
-
-			return nil, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the first event would come too late").WithRetryAfter(placement.Wait)
-		}
-
-		if !j.maySend() {
-			prompt.End(placing.PromptResult{})
-
-			return nil, j.noTargetError()
-		}
-
-		j.noteReplacement(placement.Target)
-
-		handle, result := j.prefillOnce(ctx, placement, p)
-		prompt.End(result)
+	runCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
 
-		if handle != nil && !j.prefilled {
-			j.prefilled = true
-			j.sends--
-		}
+	target := s.placement.Target
+	patience := j.firstEventTimeout(s.handle)
 
-		if handle != nil || !result.Sent {
-			return handle, j.endError(ctx, verdict.NotRun)
-		}
+	var silence *watch // nil if no other replica may continue the stream
+	if j.route.Repeat == catalog.Resumable {
+		silence = j.watchRun(ctx, target, patience, cancel, func(ctx context.Context) *successor { return j.replaceDecode(ctx, p, target) })
 	}
-}
-
-// prefillOnce sends the prompt to one replica. If the caller disconnects or the deadline passes meanwhile, the result
-// is that of a prompt that was not sent, since the failure is not the replica's.
-func (j *job) prefillOnce(ctx context.Context, placement placing.Placement, p *progress) (*KVHandle, placing.PromptResult) {
-	prefillCtx, cancel := context.WithTimeout(ctx, placement.Wait+j.pacing().ReplaceAfter())
-	defer cancel()
 
-	sentAt := j.now()
-
-	handle, answer, err := j.opts.Targets.Prefill(prefillCtx, j.r, Send{
-		Target: placement.Target, Rank: j.route.Rank, Timeout: j.remaining(), LastEventID: p.lastEventID,
+	answer, err := j.opts.Targets.Run(runCtx, j.r, Send{
+		Target: target, Rank: j.route.Rank, Timeout: j.remaining(), LastEventID: p.lastEventID, KVCache: s.handle,
 	})
+	if err != nil {
+		next, endedRun := silence.stop(true)
 
-	switch {
-	case err != nil && ctx.Err() != nil:
-		p.cause = err
-		j.noteLoss(placement.Target, err)
-
-		return nil, placing.PromptResult{}
-	case err != nil:
-		p.cause = err
+		if j.noteFailedRun(target, err, endedRun, p) == verdict.NotRun {
+			j.sends-- // the request did not reach the target
 
-		if prefillCtx.Err() != nil {
-			j.noteSilence(placement.Target, placement.Wait+j.pacing().ReplaceAfter())
+			return next, s.handle, false
 		}
 
-		j.noteFailure(placement.Target, err)
-
-		return nil, placing.PromptResult{Sent: true, Outcome: placing.Lost}
-	case answer != nil:
-		_ = answer.Body.Close() // only the status is used
-		j.noteRefusal(placement.Target, answer.Status)
+		j.noteRun(p, target)
 
-		return nil, placing.PromptResult{Sent: true, Outcome: placing.Refused}
+		return next, nil, false
 	}
 
-	took := j.now().Sub(sentAt)
-	j.opts.Board.RecordPrefill(placement, j.r.Parts, took)
-	j.opts.Log.Debug().Str("request", string(j.r.ID)).Str("target", string(placement.Target.ID)).Int64("prompt", int64(j.r.Prompt)).
-		Int64("cached", int64(placement.Cached)).Dur("expected", placement.Wait).Dur("took", took).Interface("parts", j.r.Parts).
-		Msg("prompt prefilled")
+	defer func() { _ = answer.Body.Close() }() // the answer was read to its end, or is of no use
 
-	return handle, placing.PromptResult{Sent: true, Outcome: placing.Served, PrefillTime: took}
-}
+	silence.pause()
 
-// generate makes one replica generate the answer and forwards it to the caller. It reports whether the same handle
-// may be sent to another replica, and whether the stream has ended.
-func (j *job) generate(outer context.Context, w Reply, placement placing.Placement, handle *KVHandle, p *progress) (retry, done bool) {
-	ctx, cancel := context.WithCancel(outer)
-	defer cancel()
+	if answer.NotRun {
+		j.noteRefusal(target, answer.Status)
 
-	patience := j.firstEventTimeout(handle)
+		next, _ = silence.stop(true)
 
-	var silenced atomic.Bool
+		return next, s.handle, false
+	}
 
-	silenceTimer := j.opts.Clock.AfterFunc(patience, func() {
-		silenced.Store(true)
-		cancel()
-	})
-	defer silenceTimer.Stop()
+	j.noteRun(p, target)
+
+	if answer.Status >= 300 {
+		next, _ = silence.stop(false)
 
-	defer func() {
-		if !done && silenced.Load() && outer.Err() == nil {
-			j.noteSilence(placement.Target, patience)
+		if done = j.passErrorAnswer(w, answer, p); done {
+			j.giveUp(next)
+			next = nil
 		}
-	}()
 
-	answer, err := j.opts.Targets.Run(ctx, j.r, Send{
-		Target: placement.Target, Rank: j.route.Rank, Timeout: j.remaining(), LastEventID: p.lastEventID, KVCache: handle,
-	})
-	if err != nil {
-		p.cause = err
+		return next, nil, done
+	}
 
-		if j.noteFailure(placement.Target, err) == verdict.NotRun {
-			j.sends-- // the request did not reach the target
+	silence.resume(j.now(), patience)
 
-			return true, false
-		}
+	done, err = j.passEvents(w, answer, target, p, silence)
+	next, endedRun := silence.stop(!done)
 
-		j.noteRun(p)
+	if done {
+		j.giveUp(next)
 
-		return false, false
+		return nil, nil, true
 	}
 
-	defer func() { _ = answer.Body.Close() }() // the answer was read to its end, or is of no use
+	j.noteFailedRun(target, err, endedRun, p)
 
-	if answer.NotRun {
-		j.noteRefusal(placement.Target, answer.Status)
+	return next, nil, false
+}
 
-		return true, false
-	}
+// noteFailedRun records that the run of t ended with err, and returns the verdict of err. takenOver states that this host
+// ended the run in favour of a successor.
+func (j *job) noteFailedRun(t fleet.Target, err error, takenOver bool, p *progress) verdict.Verdict {
+	p.cause = err
 
-	j.noteRun(p)
+	if takenOver {
+		j.noteTakenOver(t)
 
-	if answer.Status >= 300 {
-		return false, j.passErrorAnswer(w, answer, p)
+		return verdict.MayHaveRun
 	}
 
-	return false, j.passEvents(w, answer, placement, p, silenceTimer.Reset)
+	return j.noteFailure(t, err)
 }
 
 // firstEventTimeout returns how long a replica may take to send its first event. A replica that has no KV cache to
@@ -319,34 +299,33 @@
 }
 
 // passEvents forwards events as they arrive. It reports whether the stream has ended: the answer is complete or the
-// caller cannot be written to. reset restarts the timer that cancels a silent replica.
-func (j *job) passEvents(w Reply, answer *Answer, placement placing.Placement, p *progress, reset func(time.Duration) bool) bool {
+// caller cannot be written to. Otherwise it returns the error of the replica t, whose silences silence watches.
+func (j *job) passEvents(w Reply, answer *Answer, t fleet.Target, p *progress, silence *watch) (bool, error) {
 	stream := &events{body: answer.Body}
 
 	for {
 		event, id, err := stream.next()
+		silence.pause()
+
 		if errors.Is(err, io.EOF) {
-			j.noteCompletion(placement.Target, answer.Status)
+			j.noteCompletion(t, answer.Status)
 			j.outcome.Status = answer.Status
 
 			if !p.begun {
 				j.beginReply(w, answer, p)
 			}
 
-			return true
+			return true, nil
 		}
 
 		if err != nil {
-			return j.noteBreak(placement, p, err)
+			return false, err
 		}
 
 		if !p.begun {
 			j.beginReply(w, answer, p)
 		}
 
-		reset(j.silenceTimeout())
-		j.lastHeard = j.now()
-
 		if id != "" {
 			p.lastEventID = id
 		}
@@ -354,8 +333,11 @@
 		if err := w.WriteEvent(event); err != nil {
 			j.outcome.Problem = verdict.New(verdict.Ran, verdict.CodeCallerGone, "the caller disconnected").WithCause(err)
 
-			return true
+			return true, nil
 		}
+
+		j.silent, j.lastHeard = "", j.now()
+		silence.resume(j.lastHeard, j.pacing().ReplaceAfter())
 	}
 }
 
@@ -366,37 +348,11 @@
 	w.Begin(answer.Status, answer.Header)
 }
 
-// noteBreak records that a replica's stream broke off with err, and returns false: the stream has not ended.
-func (j *job) noteBreak(placement placing.Placement, p *progress, err error) bool {
-	p.cause = err
-	j.noteFailure(placement.Target, err)
-
-	return false
-}
-
-// noteRun records that a replica may have run the request. Unless the route is resumable, no other replica is tried.
-func (j *job) noteRun(p *progress) {
-	p.runs++
-
-	if j.route.Repeat != catalog.Resumable {
-		p.runs = max(p.runs, j.route.MaxTargets)
-	}
-}
-
-// releaseKV frees a KV cache that no replica will fetch. It does so in the background, as the answer must not wait
-// for it. A nil handle has no effect.
-func (j *job) releaseKV(handle *KVHandle) {
-	if handle == nil {
-		return
+// noteRun records that t may have run the request. Unless the route is resumable, no replica runs it again.
+func (j *job) noteRun(p *progress, t fleet.Target) {
+	if !slices.Contains(p.ran, t.ID) {
+		p.ran = append(p.ran, t.ID)
 	}
 
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-		defer cancel()
-
-		if err := j.opts.Targets.Release(ctx, *handle); err != nil {
-			j.opts.Log.Info().Str("request", string(j.r.ID)).Str("target", string(handle.Target.ID)).Err(err).
-				Msg("KV cache not freed; it will expire")
-		}
-	}()
+	p.final = j.route.Repeat != catalog.Resumable
 }
