Keep a silent target until another one has a place for the call

What callers saw: a repeatable call ended with target-lost (502) after four objectives, 0.4 s of a limit of 1.5 s, although its target was only silent for 0.6 to 1.2 s; with two silent targets after 0.8 s. Cause: callOnce gave the target a timeout, and only then another target, a send and the retry budget were looked for. Ruled out: the minimum of 150 ms as the cause; the calls in question had waited 400 ms. Change: the watch of the streams. The call is taken over only by a target with a claim, a permitted send and budget; without, the target is kept until the time limit. If the successor refuses, fails or can't be reached, the call goes on at other targets or once more at the silent one, and waits for a place until the time limit.

--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"time"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
-	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/control/retries"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
@@ -28,6 +27,7 @@
 // caller gets the last error status that a target answered with, if any.
 func (j *job) call(ctx context.Context, w Reply) {
 	var (
+		next        *successor
 		runs        int
 		ran         = verdict.NotRun
 		cause       error
@@ -35,31 +35,27 @@
 		failureBody []byte
 	)
 
-	for runs < j.route.MaxTargets {
-		if j.endError(ctx, ran) != nil {
-			break
-		}
-
-		placement, ok := j.opts.Board.PlaceCall(j.now(), j.candidates(entity.Mixed), j.placingJob())
-		if !ok {
-			j.lack = lackTarget
-		}
-
-		if !ok || !j.maySend() {
-			placement.Claim.Release()
+	for j.endError(ctx, ran) == nil {
+		if next == nil {
+			if next = j.placeCall(runs); next == nil {
+				if lastFailure == nil && j.waitForPlace(ctx) {
+					continue
+				}
 
-			break
+				break
+			}
 		}
 
-		j.noteReplacement(placement.Target)
+		target := next.placement.Target
+		j.noteReplacement(target)
 
-		answer, body, err := j.callOnce(ctx, placement, runs+1 < j.route.MaxTargets)
-		placement.Claim.Release()
+		r := j.callOnce(ctx, next, runs+1 < j.route.MaxTargets)
+		next = r.next
 
 		switch {
-		case err != nil:
-			v := j.noteFailure(placement.Target, err)
-			cause = err
+		case r.err != nil:
+			v := j.noteFailedCall(target, r)
+			cause = r.err
 
 			if v == verdict.NotRun {
 				j.sends-- // the request did not reach the target
@@ -71,25 +67,29 @@
 			runs++
 
 			if !retries.Permits(v, j.route.Repeat == catalog.AtMostOnce) {
+				j.giveUp(next)
 				j.fail(ctx, w, ran, cause)
 
 				return
 			}
-		case answer.NotRun:
-			j.noteRefusal(placement.Target, answer.Status)
-		case answer.Status >= 500 && j.route.Repeat == catalog.Repeatable:
-			j.noteCompletion(placement.Target, answer.Status)
-			j.tried = append(j.tried, placement.Target.ID)
-			lastFailure, failureBody = answer, body
+		case r.answer.NotRun:
+			j.noteRefusal(target, r.answer.Status)
+		case r.answer.Status >= 500 && j.route.Repeat == catalog.Repeatable:
+			j.noteCompletion(target, r.answer.Status)
+			j.tried = append(j.tried, target.ID)
+			lastFailure, failureBody = r.answer, r.body
 			runs++
 		default:
-			j.noteCompletion(placement.Target, answer.Status)
-			j.deliver(w, answer, body)
+			j.noteCompletion(target, r.answer.Status)
+			j.giveUp(next)
+			j.deliver(w, r.answer, r.body)
 
 			return
 		}
 	}
 
+	j.giveUp(next)
+
 	if lastFailure != nil {
 		j.deliver(w, lastFailure, failureBody)
 
@@ -99,6 +99,30 @@
 	j.fail(ctx, w, ran, cause)
 }
 
+// placeCall returns a place for the next run of a request to a plain service, or nil if there is none. runs is the number
+// of targets that may have run it. If no other target is permitted or known, a silent one that the request was taken
+// over from gets it again.
+func (j *job) placeCall(runs int) *successor {
+	if runs < j.route.MaxTargets {
+		placement, ok := j.opts.Board.PlaceCall(j.now(), j.candidates(entity.Mixed), j.placingJob())
+		if ok && j.sends < maxSends && j.maySend() {
+			return &successor{placement: placement, paidAt: j.now()}
+		}
+
+		placement.Claim.Release()
+
+		if !ok {
+			j.lack = lackTarget
+		}
+	} else {
+		j.lack = lackAttempts
+	}
+
+	next, _ := j.placeWhereLeft(entity.Mixed, j.opts.Board.PlaceCall)
+
+	return next
+}
+
 // deliver sends a whole answer of a target to the caller.
 func (j *job) deliver(w Reply, a *Answer, body []byte) {
 	j.timeToFirst = j.now().Sub(j.r.Arrived)
@@ -106,33 +130,47 @@
 	w.Respond(a.Status, a.Header, body)
 }
 
-// callOnce sends the request to one target and reads the whole answer. moreTargets states that another target may be
-// tried afterwards. A repeatable request then gets a shorter timeout, if that is less than half the time to the
-// deadline, so that a silent target leaves time for the next one.
-func (j *job) callOnce(ctx context.Context, placement placing.Placement, moreTargets bool) (*Answer, []byte, error) {
-	remaining := j.remaining()
+// callResult is the result of one send of a request to a plain service: a whole answer or an error.
+type callResult struct {
+	answer    *Answer
+	body      []byte
+	err       error
+	next      *successor // successor of the target, if it was silent
+	takenOver bool       // this host ended the send in favour of next
+}
 
-	if timeout := max(silentObjectives*j.route.Objective, minSilence); moreTargets &&
-		j.route.Repeat == catalog.Repeatable && timeout < remaining/2 {
-		var cancel context.CancelFunc
+// callOnce sends the request to the target of s, reads the whole answer and releases the claim of s. moreTargets states
+// that another target may be tried afterwards. A repeatable request is then taken over from a silent target by another
+// one, if the time until then is less than half the time to the deadline, so that it leaves time for the next one.
+func (j *job) callOnce(ctx context.Context, s *successor, moreTargets bool) callResult {
+	defer s.placement.Claim.Release()
 
-		ctx, cancel = context.WithTimeout(ctx, timeout)
-		defer cancel()
-	}
+	runCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
 
-	sentAt := j.now()
+	var silence *watch
 
-	defer func() {
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) && j.remaining() > 0 {
-			j.noteSilence(placement.Target, j.now().Sub(sentAt))
-		}
-	}()
+	target, remaining := s.placement.Target, j.remaining()
 
-	answer, err := j.opts.Targets.Run(ctx, j.r, Send{Target: placement.Target, Rank: j.route.Rank, Timeout: remaining})
-	if err != nil {
-		return nil, nil, err
+	if patience := max(silentObjectives*j.route.Objective, minSilence); moreTargets &&
+		j.route.Repeat == catalog.Repeatable && patience < remaining/2 {
+		silence = j.watchRun(ctx, target, patience, cancel, func(context.Context) *successor { return j.replaceCall(target) })
+	}
+
+	r := callResult{}
+	r.answer, r.err = j.opts.Targets.Run(runCtx, j.r, Send{Target: target, Rank: j.route.Rank, Timeout: remaining})
+
+	if r.err == nil {
+		r.body, r.err = readAnswer(r.answer)
 	}
 
+	r.next, r.takenOver = silence.stop(r.err != nil)
+
+	return r
+}
+
+// readAnswer reads the whole body of answer and closes it.
+func readAnswer(answer *Answer) ([]byte, error) {
 	defer func() { _ = answer.Body.Close() }() // the answer was read to its end, or is of no use
 
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
@@ -141,10 +179,43 @@
 	}
 
 	if err != nil {
-		return nil, nil, verdict.New(verdict.MayHaveRun, verdict.CodeTruncated, "the answer was cut off").WithCause(err)
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeTruncated, "the answer was cut off").WithCause(err)
+	}
+
+	return body, nil
+}
+
+// replaceCall returns a successor of t, which runs a repeatable request to a plain service, or nil if there is none.
+func (j *job) replaceCall(t fleet.Target) *successor {
+	if !j.mayReplace(1) {
+		return nil
+	}
+
+	placement, ok := j.opts.Board.PlaceCall(j.now(), j.candidates(entity.Mixed), j.avoiding(t))
+	if !ok {
+		j.lack = lackTarget
+
+		return nil
+	}
+
+	if !j.maySend() {
+		placement.Claim.Release()
+
+		return nil
+	}
+
+	return &successor{placement: placement, paidAt: j.now()}
+}
+
+// noteFailedCall records that a send to t failed, and returns the verdict.
+func (j *job) noteFailedCall(t fleet.Target, r callResult) verdict.Verdict {
+	if r.takenOver {
+		j.noteTakenOver(t)
+
+		return verdict.MayHaveRun
 	}
 
-	return answer, body, nil
+	return j.noteFailure(t, r.err)
 }
 
 // fail refuses a request that no target has answered. cause is the error of the last send, or nil.
--- a/internal/entry/relay/silence_test.go
+++ b/internal/entry/relay/silence_test.go
@@ -16,6 +16,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/crashtracker"
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/control/retries"
 	"github.com/dotterelflow/dotterelflow/internal/entry/relay"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
@@ -295,6 +296,48 @@
 	}
 }
 
+func TestCallIsGivenUpWhenTheSuccessorOfASilentTargetFails(t *testing.T) {
+	for name, failure := range map[string]runFunc{
+		"refuses":   func(int, context.Context, relay.Send) (*relay.Answer, error) { return refusal(), nil },
+		"resets":    failsWith(mayHaveRun()),
+		"not there": failsWith(notRun()),
+	} {
+		for slack := range 4 {
+			t.Run(fmt.Sprintf("%s, budget %d", name, slack), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					fx := newFixture(t, repeatable, float64(slack))
+					resumes := time.Now().Add(1200 * time.Millisecond)
+					first := entity.TargetID("")
+					fx.targets.run = func(n int, ctx context.Context, s relay.Send) (*relay.Answer, error) {
+						if n == 1 {
+							first = s.Target.ID
+						}
+
+						if s.Target.ID != first {
+							return failure(n, ctx, s)
+						}
+
+						if err := pause(ctx, resumes); err != nil {
+							return nil, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "no answer").WithCause(err)
+						}
+
+						return answer(200, "done"), nil
+					}
+
+					time.AfterFunc(3*time.Second, func() { fx.retries.SetOptions(moreRepeats) })
+
+					out := fx.serve(t.Context(), t)
+					require.Nil(t, out.refused)
+					require.Equal(t, 200, out.status)
+				})
+			})
+		}
+	}
+}
+
+// moreRepeats are the options of a retry budget that has recovered.
+var moreRepeats = retries.LimiterOptions{Slack: 100, Span: 10 * time.Second, Margin: 1}
+
 func TestDeadlineIsTakenForACallerThatHasLeft(t *testing.T) {
 	for name, route := range map[string]catalog.Route{"call": atMostOnce, "stream": plainStream, "resumable stream": resumable} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -82,7 +82,7 @@
 // if it is still unused. An error means that there is no place now.
 func (j *job) nextPlace(ctx context.Context, p *progress, handle *KVHandle) (*successor, *KVHandle, *verdict.Error) {
 	if !p.final && (len(p.ran) >= j.route.MaxTargets || j.sends >= maxSends) {
-		if next, ok := j.placeWhereLeft(); ok {
+		if next, ok := j.placeWhereLeft(entity.Decode, j.placeDecode); ok {
 			j.releaseKV(handle)
 
 			return next, nil, nil
@@ -112,11 +112,11 @@
 		placingJob.Near = handle.Target.DataCentre
 	}
 
-	placement, ok := j.opts.Board.PlaceDecode(j.now(), j.candidates(entity.Decode), placingJob, j.kvCapacity())
+	placement, ok := j.placeDecode(j.now(), j.candidates(entity.Decode), placingJob)
 	if !ok {
 		j.lack = lackTarget
 
-		if next, ok := j.placeWhereLeft(); ok {
+		if next, ok := j.placeWhereLeft(entity.Decode, j.placeDecode); ok {
 			j.releaseKV(handle)
 
 			return next, nil, nil
--- a/internal/entry/relay/successor.go
+++ b/internal/entry/relay/successor.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
 	"github.com/dotterelflow/dotterelflow/internal/control/crashtracker"
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
@@ -96,7 +95,7 @@
 // placeToReplace places the run of the request on a replica other than those that placingJob avoids, unless that replica
 // is full and the caller has still time.
 func (j *job) placeToReplace(placingJob placing.Job) (placing.Placement, bool) {
-	placement, ok := j.opts.Board.PlaceDecode(j.now(), j.candidates(entity.Decode), placingJob, j.kvCapacity())
+	placement, ok := j.placeDecode(j.now(), j.candidates(entity.Decode), placingJob)
 	urgent := time.Duration(fullPlaceFraction * float64(j.pacing().AbandonAfter()))
 
 	if !ok || placement.Full && j.sinceLastHeard() < urgent {
@@ -256,15 +255,22 @@
 	}
 }
 
-// placeWhereLeft returns a place at a silent target that the request was taken over from, if there is one. Each is
-// used once more at most.
-func (j *job) placeWhereLeft() (*successor, bool) {
-	candidates := slices.DeleteFunc(slices.Clone(j.candidates(entity.Decode)), func(t fleet.Target) bool { return !slices.Contains(j.left, t.ID) })
+// placeFunc places a request on one of candidates.
+type placeFunc func(now time.Time, candidates []fleet.Target, placingJob placing.Job) (placing.Placement, bool)
+
+// placeWhereLeft returns a place at a silent target in role that the request was taken over from, if there is one. Each
+// such target is used once more at most.
+func (j *job) placeWhereLeft(role entity.Role, place placeFunc) (*successor, bool) {
+	if len(j.left) == 0 {
+		return nil, false
+	}
+
+	candidates := slices.DeleteFunc(slices.Clone(j.candidates(role)), func(t fleet.Target) bool { return !slices.Contains(j.left, t.ID) })
 
 	placingJob := j.placingJob()
 	placingJob.Avoid = nil
 
-	placement, ok := j.opts.Board.PlaceDecode(j.now(), candidates, placingJob, j.kvCapacity())
+	placement, ok := place(j.now(), candidates, placingJob)
 	if !ok {
 		return nil, false
 	}
@@ -277,13 +283,18 @@
 
 	j.left = slices.DeleteFunc(j.left, func(id entity.TargetID) bool { return id == placement.Target.ID })
 
-	return &successor{placement: placement}, true
+	return &successor{placement: placement, paidAt: j.now()}, true
+}
+
+// placeDecode places the run of a request to a model on one of candidates.
+func (j *job) placeDecode(now time.Time, candidates []fleet.Target, placingJob placing.Job) (placing.Placement, bool) {
+	return j.opts.Board.PlaceDecode(now, candidates, placingJob, j.kvCapacity())
 }
 
-// waitForPlace waits for a while before the next attempt to continue a stream that was taken over from a silent target
+// waitForPlace waits for a while before the next attempt to place a request that was taken over from a silent target
 // which may be sound. It returns false if the caller is expected to have left, or ctx ends.
 func (j *job) waitForPlace(ctx context.Context) bool {
-	if j.route.Repeat != catalog.Resumable || len(j.left) == 0 || j.sinceLastHeard() >= j.pacing().AbandonAfter() {
+	if len(j.left) == 0 || j.route.Streaming && j.sinceLastHeard() >= j.pacing().AbandonAfter() {
 		return false
 	}
 
