Count one silence of a target once, however many requests see it

Each request that met a silent target recorded it as lost, as a reset does. Twenty requests at one replica that was silent for a second raised its failure rate twenty times, and four of them made this host take the replica's whole data centre for unreachable for 0.5 to 4 s: places ran short for others while the replica was sound. A stream whose replica sent events until the time limit, and a silent prefill, were recorded as lost too. Change: the outcome Silent, which counts as one loss per target and second, recorded when the patience has passed, once per request and silence, and at the deadline only if the target has been silent for that long. Resets, breaks and failed dials stay Lost.

--- a/internal/control/placing/placing_test.go
+++ b/internal/control/placing/placing_test.go
@@ -209,6 +209,49 @@
 	require.Equal(t, entity.DataCentre("far"), p.Target.DataCentre, "the data centre is reachable again")
 }
 
+func TestOneSilenceOfATargetCountsForEachRequestThatMeetsIt(t *testing.T) {
+	once, often := placing.New(), placing.New()
+	all := []fleet.Target{{ID: "r0", DataCentre: "far", Slots: 1}, {ID: "r1", DataCentre: "far", Slots: 1}, {ID: "r2", DataCentre: "x", Slots: 1}}
+
+	for i := range 20 {
+		if i == 0 {
+			once.RecordOutcome(now, all[0], placing.Silent)
+		}
+
+		often.RecordOutcome(now.Add(time.Duration(i)*45*time.Millisecond), all[0], placing.Silent)
+	}
+
+	// r2 is so busy that r1 is chosen, unless its data centre counts as unreachable. r0 is avoided for as long as after
+	// one report.
+	for _, after := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond, 2 * time.Second} {
+		var chosen [2][]entity.TargetID
+
+		for k, b := range []*placing.Board{once, often} {
+			b.Merge(now, "peer", []placing.TargetWork{{Target: "r2", Running: 20}})
+
+			for i := range 6 {
+				p, ok := b.PlaceCall(now.Add(after), all, placing.Job{ID: entity.RequestID(fmt.Sprint(i)), Near: "x"})
+				require.True(t, ok)
+				require.NotEqual(t, entity.TargetID("r2"), p.Target.ID)
+
+				chosen[k] = append(chosen[k], p.Target.ID)
+			}
+		}
+
+		require.Equal(t, chosen[0], chosen[1])
+	}
+}
+
+func TestSilentTargetIsPaused(t *testing.T) {
+	b := placing.New()
+	all := replicas(2)
+	b.RecordOutcome(now, all[0], placing.Silent)
+
+	p, ok := b.PlaceCall(now, all, placing.Job{Near: "x"})
+	require.True(t, ok)
+	require.Equal(t, entity.TargetID("r1"), p.Target.ID)
+}
+
 func TestOnlyTargetIsChosenEvenIfPaused(t *testing.T) {
 	b := placing.New()
 	b.RecordOutcome(now, replicas(1)[0], placing.Lost)
--- a/internal/control/placing/record.go
+++ b/internal/control/placing/record.go
@@ -31,6 +31,9 @@
 	// cutOffAfter is the number of consecutive Lost outcomes in one data centre after which it counts as unreachable:
 	// more targets than usually crash together.
 	cutOffAfter = 4
+	// silenceWindow is the time within which all reports that a target is silent count as one. Requests on one target see
+	// the same silence, at times that differ by the patience of their callers.
+	silenceWindow = time.Second
 	// firstRefusedPause and longestRefusedPause bound the pause of a target that refused work. It accepts work again
 	// once other requests have ended or its role change is complete.
 	firstRefusedPause   = 250 * time.Millisecond
@@ -47,6 +50,7 @@
 	prefillRate    float64 // prompt tokens per second; zero if unknown
 	failureRate    float64 // moving average of failed and lost work, from 0 to 1
 	pause          backoff.Backoff
+	silentAt       time.Time // last silence that was counted
 	announcedUntil time.Time // end of the pause due to a refusal or a role change; shared with other hosts
 	version        uint32    // number of refusals and role changes so far; hosts accept only higher versions
 }
@@ -69,10 +73,13 @@
 	Served Outcome = iota
 	// Failed means an error response or an incomplete response.
 	Failed
-	// Lost means that the target could not be reached or did not answer in time.
+	// Lost means that the target could not be reached or broke off.
 	Lost
 	// Refused means that the target rejected the work because it is full or is changing its role.
 	Refused
+	// Silent means that the target has not answered in time. The work on a target usually falls silent together, so the
+	// reports of a target within a second count as one.
+	Silent
 )
 
 // RecordOutcome records the outcome of work on t that ended at now.
@@ -80,10 +87,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	b.recordReachability(now, t.DataCentre, o)
-
 	r := b.record(t.ID)
 
+	if o == Silent {
+		if !r.silentAt.IsZero() && now.Sub(r.silentAt) < silenceWindow {
+			return
+		}
+
+		r.silentAt, o = now, Lost
+	}
+
+	b.recordReachability(now, t.DataCentre, o)
+
 	switch o {
 	case Served:
 		r.failureRate -= failureWeight * r.failureRate
--- a/internal/entry/placer/server.go
+++ b/internal/entry/placer/server.go
@@ -128,7 +128,7 @@
 	delete(s.claims, r.GetClaim())
 
 	outcome := placing.Refused
-	if r.GetOutcome() < uint32(placing.Refused) {
+	if r.GetOutcome() <= uint32(placing.Silent) {
 		outcome = placing.Outcome(r.GetOutcome())
 	}
 
--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -151,9 +151,9 @@
 	var silence *watch
 
 	target, remaining := s.placement.Target, j.remaining()
+	j.sentAt = j.now()
 
-	if patience := max(silentObjectives*j.route.Objective, minSilence); moreTargets &&
-		j.route.Repeat == catalog.Repeatable && patience < remaining/2 {
+	if patience := j.patience(); moreTargets && j.route.Repeat == catalog.Repeatable && patience < remaining/2 {
 		silence = j.watchRun(ctx, target, patience, cancel, func(context.Context) *successor { return j.replaceCall(target) })
 	}
 
--- a/internal/entry/relay/prefill.go
+++ b/internal/entry/relay/prefill.go
@@ -84,19 +84,20 @@
 	target := placement.Target
 	patience := placement.Wait + j.pacing().ReplaceAfter()
 
+	sentAt := j.now()
+
 	if replaceable {
+		j.sentAt = sentAt
 		silence = j.watchRun(ctx, target, patience, cancel, func(ctx context.Context) *successor { return j.replacePrefill(ctx, p, target) })
 	} else {
 		timer := j.opts.Clock.AfterFunc(patience, cancel)
 		defer timer.Stop()
 	}
 
-	sentAt := j.now()
-
 	handle, answer, err := j.opts.Targets.Prefill(runCtx, j.r, Send{
 		Target: target, Rank: j.route.Rank, Timeout: j.deadline.Sub(sentAt), LastEventID: p.lastEventID,
 	})
-	next, _ := silence.stop(err != nil)
+	next, endedRun := silence.stop(err != nil)
 
 	switch {
 	case err != nil && ctx.Err() != nil:
@@ -109,13 +110,19 @@
 	case err != nil:
 		p.cause = err
 
-		if !replaceable && runCtx.Err() != nil {
+		timedOut := !replaceable && runCtx.Err() != nil
+		if timedOut {
 			j.noteSilence(target, patience)
 		}
 
+		outcome := placing.Lost
+		if timedOut || endedRun {
+			outcome = placing.Silent
+		}
+
 		j.noteFailure(target, err)
 
-		return nil, placing.PromptResult{Sent: true, Outcome: placing.Lost}, next
+		return nil, placing.PromptResult{Sent: true, Outcome: outcome}, next
 	case answer != nil:
 		_ = answer.Body.Close() // only the status is used
 		j.noteRefusal(target, answer.Status)
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -145,6 +145,7 @@
 	reservedAt  time.Time         // when it has counted them
 	left        []entity.TargetID // silent targets from which the request was taken over and that may be sound
 	lack        lack              // why the last attempt to send to another target failed
+	sentAt      time.Time         // when the request was last sent to a target; zero if it was not
 	lastHeard   time.Time         // when a target last sent something; zero if none has
 	silent      entity.TargetID   // silent target that has not been replaced yet; empty for none
 	timeToFirst time.Duration     // as Outcome.TimeToFirst
@@ -228,18 +229,21 @@
 	return true
 }
 
-// noteFailure records that a send to t ended with err, and returns the verdict of err. A cancelled send only excludes
-// t from further tries.
+// noteFailure records that a send to t ended with err, and returns the verdict of err. A cancelled send, or one that the
+// deadline has ended before t was silent for long, only excludes t from further tries.
 func (j *job) noteFailure(t fleet.Target, err error) verdict.Verdict {
 	j.tried = append(j.tried, t.ID)
+	v := verdict.Of(err)
 
-	if !errors.Is(err, context.Canceled) {
+	switch {
+	case errors.Is(err, context.Canceled):
+	case !endedHere(err) || v == verdict.NotRun:
 		j.opts.Board.RecordOutcome(j.now(), t, placing.Lost)
+	case j.silent == "" && j.silentFor() >= j.patience():
+		j.noteSilence(t, j.patience())
 	}
 
 	j.noteLoss(t, err)
-
-	v := verdict.Of(err)
 	j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Str("target", string(t.ID)).
 		Str("verdict", v.String()).Str("fingerprint", j.fingerprint.String()).Int("losses", j.opts.Crashers.Losses(j.now(), j.fingerprint)).
 		Dur("targets-age", j.opts.TargetsAge()).Err(err).Msg("target did not answer")
@@ -247,6 +251,11 @@
 	return v
 }
 
+// endedHere reports whether err is that of a send which this host has ended, or that of a dial that took too long.
+func endedHere(err error) bool {
+	return errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+}
+
 // noteLoss records that t may have crashed on the request, whose send ended with err. A timeout or a cancellation alone is
 // no evidence of a crash.
 func (j *job) noteLoss(t fleet.Target, err error) {
@@ -257,7 +266,7 @@
 	j.losses++
 
 	loss := crashtracker.Loss{Request: j.fingerprint, Target: t.ID}
-	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+	if endedHere(err) {
 		j.opts.Crashers.RecordSilence(j.now(), loss)
 	} else {
 		j.opts.Crashers.RecordLoss(j.now(), loss)
--- a/internal/entry/relay/silence.go
+++ b/internal/entry/relay/silence.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
+	"github.com/dotterelflow/dotterelflow/internal/control/placing"
 )
 
 // lack is why a request could not be sent to another target.
@@ -21,6 +22,7 @@
 // noteSilence records that t has sent nothing for the time that it may be silent.
 func (j *job) noteSilence(t fleet.Target, patience time.Duration) {
 	j.outcome.Silences++
+	j.opts.Board.RecordOutcome(j.now(), t, placing.Silent)
 	j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Str("target", string(t.ID)).
 		Dur("patience", patience).Dur("last-heard", j.sinceLastHeard()).Int("sends", j.sends).Msg("target silent")
 }
@@ -45,3 +47,21 @@
 
 	return j.now().Sub(j.lastHeard)
 }
+
+// silentFor returns how long the target that the request was last sent to has sent nothing.
+func (j *job) silentFor() time.Duration {
+	if j.lastHeard.After(j.sentAt) {
+		return j.now().Sub(j.lastHeard)
+	}
+
+	return j.now().Sub(j.sentAt)
+}
+
+// patience returns how long a target that runs the request may send nothing before it counts as silent.
+func (j *job) patience() time.Duration {
+	if j.route.Streaming {
+		return j.pacing().ReplaceAfter()
+	}
+
+	return max(silentObjectives*j.route.Objective, minSilence)
+}
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -179,6 +179,7 @@
 
 	target := s.placement.Target
 	patience := j.firstEventTimeout(s.handle)
+	j.sentAt = j.now()
 
 	var silence *watch // nil if no other replica may continue the stream
 	if j.route.Repeat == catalog.Resumable {
@@ -261,20 +262,10 @@
 // fetch has to prefill the prompt itself and gets at least Pacing.AbandonAfter.
 func (j *job) firstEventTimeout(handle *KVHandle) time.Duration {
 	if handle == nil {
-		return max(j.silenceTimeout(), j.pacing().AbandonAfter())
+		return j.pacing().AbandonAfter()
 	}
 
-	return j.silenceTimeout()
-}
-
-// silenceTimeout returns how long a replica may send no event. If the stream cannot be resumed at another replica,
-// that is the time until the deadline.
-func (j *job) silenceTimeout() time.Duration {
-	if j.route.Repeat != catalog.Resumable {
-		return j.remaining()
-	}
-
-	return j.pacing().ReplaceAfter()
+	return j.patience()
 }
 
 // passErrorAnswer forwards a replica's error status and up to maxAnswerBytes of the body to the caller and reports
@@ -337,7 +328,7 @@
 		}
 
 		j.silent, j.lastHeard = "", j.now()
-		silence.resume(j.lastHeard, j.pacing().ReplaceAfter())
+		silence.resume(j.lastHeard, j.patience())
 	}
 }
 
