--- a/internal/entry/serving/server_test.go
+++ b/internal/entry/serving/server_test.go
@@ -1,7 +1,9 @@
 package serving_test
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -113,3 +115,72 @@
 	require.Error(t, err)
 	require.NoError(t, s.Stop(400*time.Millisecond))
 }
+
+// The head of a request was read, then the connection was closed as an idle one.
+func TestStopAnswersARequestWhoseHeadIsBeingRead(t *testing.T) {
+	s, callersURL, _ := start(t, func() bool { return true }, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "whole")
+	})
+
+	kept, r := dial(t, callersURL)
+	require.Equal(t, "whole", exchange(t, kept, r, request))
+
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(2 * time.Second) }()
+
+	time.Sleep(900 * time.Millisecond) // callers are still accepted
+
+	_, err := io.WriteString(kept, request[:20])
+	require.NoError(t, err)
+	time.Sleep(300 * time.Millisecond) // callers are no longer accepted
+	require.Equal(t, "whole", exchange(t, kept, r, request[20:]))
+	require.NoError(t, <-stopped)
+}
+
+// The request was read and dropped.
+func TestStopAnswersTheFirstRequestOfAFreshConnection(t *testing.T) {
+	s, callersURL, _ := start(t, func() bool { return true }, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "whole")
+	})
+
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(2 * time.Second) }()
+
+	time.Sleep(900 * time.Millisecond) // callers are still accepted
+
+	fresh, r := dial(t, callersURL)
+
+	time.Sleep(300 * time.Millisecond) // callers are no longer accepted
+	require.Equal(t, "whole", exchange(t, fresh, r, request))
+	require.NoError(t, <-stopped)
+}
+
+const request = "GET / HTTP/1.1\r\nHost: h.example\r\n\r\n"
+
+func dial(t *testing.T, url string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+
+	c, err := net.Dial("tcp", url[len("http://"):])
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+
+	return c, bufio.NewReader(c)
+}
+
+// exchange writes text, the rest of a request, to c and returns the body of the answer that it reads from r.
+func exchange(t *testing.T, c net.Conn, r *bufio.Reader, text string) string {
+	t.Helper()
+
+	_, err := io.WriteString(c, text)
+	require.NoError(t, err)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+
+	resp, err := http.ReadResponse(r, nil)
+	require.NoError(t, err, "the connection has ended without an answer")
+
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+
+	return string(body)
+}
