Count and log the connections of callers that this host closes

What callers see: a connection that ends without an answer or a refusal. The log and the metrics could not tell whether this host had closed it as idle, or while a head was arriving.

Change: the connections of callers know whether they are idle, read a head or serve a request. No decision changes: the deadlines are still those of net/http.

--- a/internal/entry/serving/server.go
+++ b/internal/entry/serving/server.go
@@ -13,6 +13,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/phuslu/log"
 	"github.com/zeebo/errs"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
 )
 
 // Error is the class of this package's errors.
@@ -30,8 +32,8 @@
 	maxHeaderBytes = 32 << 10
 )
 
-// Options configure a Server. All fields but Clock, Log, MetricsAddress and MetricsHandler are required. Addresses are
-// ip:port.
+// Options configure a Server. All fields but Clock, Log, Limits, MetricsAddress and MetricsHandler are required. Addresses
+// are ip:port.
 type Options struct {
 	Clock          clockwork.Clock // nil means the real clock
 	Log            *log.Logger     // nil means the default logger
@@ -41,11 +43,15 @@
 	Handler        http.Handler    // serves callers
 	MetricsHandler http.Handler    // serves metrics; required with a MetricsAddress
 	IsReady        func() bool     // whether the host can serve callers; called for each readiness check
+	// Limits returns the limits of the configuration, and false while none is known. Nil means that none will be known.
+	Limits func() (catalog.Limits, bool)
 }
 
 // Server runs the HTTP servers of one entry host. Start makes it.
 type Server struct {
 	opts            Options
+	connections     *connections // of callers
+	limits          catalog.Limits
 	callers         *http.Server
 	internalServers []*http.Server // for readiness and metrics
 	callersAddress  string
@@ -65,10 +71,15 @@
 		opts.Log = &log.DefaultLogger
 	}
 
-	s := &Server{opts: opts, failures: make(chan error, 3)}
+	if opts.Limits == nil {
+		opts.Limits = func() (catalog.Limits, bool) { return catalog.Limits{}, false }
+	}
+
+	s := &Server{opts: opts, connections: newConnections(opts), failures: make(chan error, 3)}
 
 	s.callers = &http.Server{
 		Handler: opts.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: onState,
 	}
 
 	var err error
@@ -110,6 +121,10 @@
 		return "", Error.Wrap(err)
 	}
 
+	if tcp, ok := l.(*net.TCPListener); ok && server == s.callers {
+		l = listener{tcp, s.connections}
+	}
+
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			s.failures <- Error.Wrap(err)
@@ -125,6 +140,21 @@
 // Failed returns a channel that receives the error of each server that has ended without Stop.
 func (s *Server) Failed() <-chan error { return s.failures }
 
+// Stats returns counts of the connections of callers.
+func (s *Server) Stats() Stats { return s.connections.stats() }
+
+// Tick notices changes of the limits of the configuration. Call it several times a second, from one goroutine.
+func (s *Server) Tick() {
+	limits, known := s.opts.Limits()
+	if !known || limits == s.limits {
+		return
+	}
+
+	s.limits = limits
+	s.opts.Log.Info().Int("header-bytes", limits.HeaderBytes).Int64("body-bytes", limits.BodyBytes).
+		Dur("header-timeout", limits.HeaderTimeout).Dur("idle-timeout", limits.IdleTimeout).Msg("limits of callers changed")
+}
+
 // Closing reports whether Stop was called. Callers should then be asked to use other connections.
 func (s *Server) Closing() bool { return s.stopping.Load() }
 
--- a/internal/entry/serving/server_test.go
+++ b/internal/entry/serving/server_test.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
 	"github.com/dotterelflow/dotterelflow/internal/entry/serving"
 )
 
@@ -155,6 +156,36 @@
 	require.NoError(t, <-stopped)
 }
 
+func TestConnectionsThatThisHostClosesAreCounted(t *testing.T) {
+	limits := catalog.Limits{HeaderTimeout: 200 * time.Millisecond, IdleTimeout: 400 * time.Millisecond}
+	s, callersURL := startWithLimits(t, func() catalog.Limits { return limits })
+	c, _ := dial(t, callersURL)
+
+	require.Eventually(t, func() bool { return s.Stats().Open == 1 }, time.Second, time.Millisecond)
+
+	_, err := io.WriteString(c, request[:20])
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.Stats() == serving.Stats{ClosedReading: 1} }, 5*time.Second, 10*time.Millisecond)
+}
+
+// startWithLimits returns a running Server that answers "whole" under the limits that limits returns, and the URL for callers.
+func startWithLimits(t *testing.T, limits func() catalog.Limits) (*serving.Server, string) {
+	t.Helper()
+
+	s, err := serving.Start(serving.Options{
+		Log: &log.Logger{Level: log.PanicLevel}, CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0",
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") }),
+		IsReady: func() bool { return true },
+		Limits:  func() (catalog.Limits, bool) { return limits(), true },
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, s.Stop(300*time.Millisecond)) })
+
+	callersAddress, _ := s.Addresses()
+
+	return s, "http://" + callersAddress
+}
+
 const request = "GET / HTTP/1.1\r\nHost: h.example\r\n\r\n"
 
 func dial(t *testing.T, url string) (net.Conn, *bufio.Reader) {
