Hold connections of callers to the limits of the configuration

What callers see: a request on a connection that has idled for 15 s or more ends with neither an answer nor a refusal after a configuration has raised the idle limit; a head that takes more than 3 s is cut, and one of more than 36 KiB refused, although the configuration allows them.

Cause: the limits were constants of package serving. net/http sets the deadline of an idle connection once, from the server's options, so a configuration that changes later could not have reached open connections either.

Ruled out: the body limit (taken once for each request, TestBodyKeepsTheLimitOfItsArrival passes before and after).

Change: connections own their read deadlines while they wait for a request. A connection may wait for as long as the largest limit in force since it began to wait, for the first byte of a request (idle limit) and for its head (header timeout). When a deadline passes, the limits are read again, so a limit that was raised meanwhile holds; a raised and shrunk one holds through the history of limits, which the host's tick (0.1 s) keeps. A connection at its limit is read once more for 50 ms, since a read returns no bytes after its deadline; what it returns is served. So no byte of a request is read and then dropped. A connection without a first request has the idle limit too (it was 3 s).

--- a/internal/entry/serving/connections.go
+++ b/internal/entry/serving/connections.go
@@ -11,8 +11,13 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/phuslu/log"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
 )
 
+// lastLookTime bounds the last call of Read before a connection closes itself.
+const lastLookTime = 50 * time.Millisecond
+
 // Stats counts connections of callers.
 type Stats struct {
 	Open          int64 // connections at present
@@ -24,15 +29,41 @@
 type connections struct {
 	clock         clockwork.Clock
 	log           *log.Logger
+	configured    func() (catalog.Limits, bool)
+	history       *limitHistory
 	closedIdle    atomic.Int64
 	closedReading atomic.Int64
 
-	mu   sync.Mutex
-	open map[*connection]struct{}
+	mu     sync.Mutex
+	open   map[*connection]struct{}
+	limits catalog.Limits // last known limits of the configuration
 }
 
 func newConnections(opts Options) *connections {
-	return &connections{clock: opts.Clock, log: opts.Log, open: map[*connection]struct{}{}}
+	return &connections{
+		clock: opts.Clock, log: opts.Log, configured: opts.Limits, history: newLimitHistory(opts.Clock.Now()),
+		open: map[*connection]struct{}{},
+	}
+}
+
+// refresh puts the limits of the configuration in force, also for the connections that are open.
+func (s *connections) refresh() {
+	limits, known := s.configured()
+	if !known {
+		return
+	}
+
+	s.mu.Lock()
+	changed := limits != s.limits
+	s.limits = limits
+	s.mu.Unlock()
+
+	s.history.record(s.clock.Now(), timeLimitsOf(limits))
+
+	if changed {
+		s.log.Info().Int("header-bytes", limits.HeaderBytes).Int64("body-bytes", limits.BodyBytes).
+			Dur("header-timeout", limits.HeaderTimeout).Dur("idle-timeout", limits.IdleTimeout).Msg("limits of callers changed")
+	}
 }
 
 func (s *connections) stats() Stats {
@@ -55,12 +86,13 @@
 		return nil, err
 	}
 
-	c := &connection{TCPConn: tcp, connections: l.connections, since: l.connections.clock.Now()}
+	c := &connection{TCPConn: tcp, connections: l.connections}
 
 	l.connections.mu.Lock()
-	defer l.connections.mu.Unlock()
-
 	l.connections.open[c] = struct{}{}
+	l.connections.mu.Unlock()
+
+	c.enter(idle)
 
 	return c, nil
 }
@@ -74,14 +106,17 @@
 	serving              // a request with a complete head is being served
 )
 
-// connection is a connection of a caller. It keeps *net.TCPConn, of which net/http uses more than the methods of net.Conn.
+// connection is a connection of a caller. It closes itself, by an error of Read, when it has waited for bytes for longer than the
+// largest limit that was in force since the start of its phase. It keeps *net.TCPConn, of which net/http uses more than the methods
+// of net.Conn.
 type connection struct {
 	*net.TCPConn
 	connections *connections
 
-	mu    sync.Mutex
-	phase phase
-	since time.Time // start of the phase
+	mu       sync.Mutex
+	phase    phase
+	since    time.Time // start of the phase
+	lastLook bool      // the limit has passed, and Read looks for bytes that have arrived meanwhile
 }
 
 // onState records the state of a connection. It is the ConnState function of the server for callers.
@@ -104,20 +139,70 @@
 	defer c.mu.Unlock()
 
 	c.phase, c.since = p, c.connections.clock.Now()
+	c.setDeadline()
 }
 
-// Read implements net.Conn.
-func (c *connection) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+// setDeadline sets the deadline of Read for the present phase. c.mu is held.
+func (c *connection) setDeadline() {
+	c.lastLook = false
 
-	switch {
-	case n > 0:
-		c.arrived()
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.expired()
+	if wait := c.remaining(); wait == noLimit {
+		c.setReadDeadline(time.Time{})
+	} else {
+		c.setReadDeadline(time.Now().Add(wait))
 	}
+}
+
+func (c *connection) setReadDeadline(t time.Time) {
+	if err := c.TCPConn.SetReadDeadline(t); err != nil {
+		c.connections.log.Debug().Err(err).Msg("setting the read deadline of a caller's connection")
+	}
+}
+
+// remaining returns how long the connection may still wait for bytes in its phase. c.mu is held.
+func (c *connection) remaining() time.Duration {
+	if c.phase == serving {
+		return noLimit
+	}
+
+	limits := c.connections.history.largestSince(c.since)
 
-	return n, err
+	limit := limits.idle
+	if c.phase == reading {
+		limit = limits.header
+	}
+
+	if limit == noLimit {
+		return noLimit
+	}
+
+	return limit - c.connections.clock.Since(c.since)
+}
+
+// SetReadDeadline implements net.Conn. It has no effect while the connection waits for a request, since its limits hold then.
+func (c *connection) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.phase != serving {
+		return nil
+	}
+
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// Read implements net.Conn. Bytes that have arrived are always returned, so that no request is read and then dropped.
+func (c *connection) Read(p []byte) (int, error) {
+	for {
+		n, err := c.TCPConn.Read(p)
+		if n > 0 {
+			c.arrived()
+		}
+
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.mayReadOn() {
+			return n, err
+		}
+	}
 }
 
 // arrived records that bytes have arrived.
@@ -125,30 +210,56 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	if c.phase == idle {
+	switch c.phase {
+	case idle:
 		c.phase, c.since = reading, c.connections.clock.Now()
+		c.setDeadline()
+	case reading:
+		c.setDeadline()
 	}
 }
 
-// expired records that the time for the next bytes is over, after which net/http closes the connection unless it serves
-// a request.
-func (c *connection) expired() {
+// mayReadOn reports, after a deadline of Read has passed, whether Read may be called again. The limit may have been raised
+// meanwhile. Once it has passed, Read is called a last time, since it returns no bytes after its deadline.
+func (c *connection) mayReadOn() bool {
+	c.connections.refresh()
+
 	c.mu.Lock()
-	phase, since := c.phase, c.since
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+
+	if c.phase == serving {
+		return false
+	}
+
+	if c.remaining() > 0 {
+		c.setDeadline()
+
+		return true
+	}
+
+	if !c.lastLook {
+		c.lastLook = true
+		c.setReadDeadline(time.Now().Add(lastLookTime))
+
+		return true
+	}
 
+	c.countClose()
+
+	return false
+}
+
+// countClose counts and logs that the limit of the present phase has passed. c.mu is held.
+func (c *connection) countClose() {
 	s := c.connections
 
-	switch phase {
-	case serving:
-		return
-	case idle:
+	if c.phase == idle {
 		s.closedIdle.Add(1)
-	case reading:
+	} else {
 		s.closedReading.Add(1)
 	}
 
-	s.log.Debug().Stringer("caller", c.RemoteAddr()).Bool("idle", phase == idle).Dur("after", s.clock.Since(since)).
+	s.log.Debug().Stringer("caller", c.RemoteAddr()).Bool("idle", c.phase == idle).Dur("after", s.clock.Since(c.since)).
 		Msg("connection closed because no bytes arrived in time")
 }
 
--- a/internal/entry/serving/server.go
+++ b/internal/entry/serving/server.go
@@ -27,9 +27,10 @@
 	// stopMargin is the time before the bound of Stop at which the requests still in progress are cut.
 	stopMargin = 250 * time.Millisecond
 
-	headerTimeout  = 3 * time.Second
-	idleTimeout    = 15 * time.Second
-	maxHeaderBytes = 32 << 10
+	// internalHeaderTimeout bounds the time for the head of a request for readiness or metrics.
+	internalHeaderTimeout = 3 * time.Second
+	// maxHeaderBytes bounds the head of a request, whatever the configuration says.
+	maxHeaderBytes = 128 << 10
 )
 
 // Options configure a Server. All fields but Clock, Log, Limits, MetricsAddress and MetricsHandler are required. Addresses
@@ -51,7 +52,6 @@
 type Server struct {
 	opts            Options
 	connections     *connections // of callers
-	limits          catalog.Limits
 	callers         *http.Server
 	internalServers []*http.Server // for readiness and metrics
 	callersAddress  string
@@ -77,10 +77,10 @@
 
 	s := &Server{opts: opts, connections: newConnections(opts), failures: make(chan error, 3)}
 
-	s.callers = &http.Server{
-		Handler: opts.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: onState,
-	}
+	s.Tick()
+
+	// The time limits are those of connections: net/http would hold an open connection to the limits that it began with.
+	s.callers = &http.Server{Handler: opts.Handler, MaxHeaderBytes: maxHeaderBytes, ConnState: onState}
 
 	var err error
 
@@ -88,7 +88,7 @@
 		return nil, err
 	}
 
-	ready := &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: headerTimeout}
+	ready := &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: internalHeaderTimeout}
 	s.internalServers = append(s.internalServers, ready)
 
 	if s.readyAddress, err = s.listen(ready, opts.ReadyAddress); err != nil {
@@ -101,7 +101,7 @@
 		return s, nil
 	}
 
-	metrics := &http.Server{Handler: opts.MetricsHandler, ReadHeaderTimeout: headerTimeout}
+	metrics := &http.Server{Handler: opts.MetricsHandler, ReadHeaderTimeout: internalHeaderTimeout}
 	s.internalServers = append(s.internalServers, metrics)
 
 	if _, err := s.listen(metrics, opts.MetricsAddress); err != nil {
@@ -143,17 +143,9 @@
 // Stats returns counts of the connections of callers.
 func (s *Server) Stats() Stats { return s.connections.stats() }
 
-// Tick notices changes of the limits of the configuration. Call it several times a second, from one goroutine.
-func (s *Server) Tick() {
-	limits, known := s.opts.Limits()
-	if !known || limits == s.limits {
-		return
-	}
-
-	s.limits = limits
-	s.opts.Log.Info().Int("header-bytes", limits.HeaderBytes).Int64("body-bytes", limits.BodyBytes).
-		Dur("header-timeout", limits.HeaderTimeout).Dur("idle-timeout", limits.IdleTimeout).Msg("limits of callers changed")
-}
+// Tick puts the limits of the configuration in force, also for open connections, each of which keeps the largest limit that
+// was in force while it waited. Call it several times a second.
+func (s *Server) Tick() { s.connections.refresh() }
 
 // Closing reports whether Stop was called. Callers should then be asked to use other connections.
 func (s *Server) Closing() bool { return s.stopping.Load() }
--- a/internal/entry/serving/server_test.go
+++ b/internal/entry/serving/server_test.go
@@ -166,6 +166,9 @@
 	_, err := io.WriteString(c, request[:20])
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return s.Stats() == serving.Stats{ClosedReading: 1} }, 5*time.Second, 10*time.Millisecond)
+
+	dial(t, callersURL)
+	require.Eventually(t, func() bool { return s.Stats() == serving.Stats{ClosedIdle: 1, ClosedReading: 1} }, 5*time.Second, 10*time.Millisecond)
 }
 
 // startWithLimits returns a running Server that answers "whole" under the limits that limits returns, and the URL for callers.
