--- a/internal/entry/serving/server.go
+++ b/internal/entry/serving/server.go
@@ -13,6 +13,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/phuslu/log"
 	"github.com/zeebo/errs"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
 )
 
 // Error is the class of this package's errors.
@@ -25,13 +27,14 @@
 	// stopMargin is the time before the bound of Stop at which the requests still in progress are cut.
 	stopMargin = 250 * time.Millisecond
 
-	headerTimeout  = 3 * time.Second
-	idleTimeout    = 15 * time.Second
-	maxHeaderBytes = 32 << 10
+	// internalHeaderTimeout bounds the time for the head of a request for readiness or metrics.
+	internalHeaderTimeout = 3 * time.Second
+	// maxHeaderBytes bounds the head of a request, whatever the configuration says.
+	maxHeaderBytes = 128 << 10
 )
 
-// Options configure a Server. All fields but Clock, Log, MetricsAddress and MetricsHandler are required. Addresses are
-// ip:port.
+// Options configure a Server. All fields but Clock, Log, Limits, MetricsAddress and MetricsHandler are required. Addresses
+// are ip:port.
 type Options struct {
 	Clock          clockwork.Clock // nil means the real clock
 	Log            *log.Logger     // nil means the default logger
@@ -41,11 +44,14 @@
 	Handler        http.Handler    // serves callers
 	MetricsHandler http.Handler    // serves metrics; required with a MetricsAddress
 	IsReady        func() bool     // whether the host can serve callers; called for each readiness check
+	// Limits returns the limits of the configuration, and false while none is known. Nil means that none will be known.
+	Limits func() (catalog.Limits, bool)
 }
 
 // Server runs the HTTP servers of one entry host. Start makes it.
 type Server struct {
 	opts            Options
+	connections     *connections // of callers
 	callers         *http.Server
 	internalServers []*http.Server // for readiness and metrics
 	callersAddress  string
@@ -65,19 +71,24 @@
 		opts.Log = &log.DefaultLogger
 	}
 
-	s := &Server{opts: opts, failures: make(chan error, 3)}
-
-	s.callers = &http.Server{
-		Handler: opts.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	if opts.Limits == nil {
+		opts.Limits = func() (catalog.Limits, bool) { return catalog.Limits{}, false }
 	}
 
+	s := &Server{opts: opts, connections: newConnections(opts), failures: make(chan error, 3)}
+
+	s.Tick()
+
+	// The time limits are those of connections: net/http would hold an open connection to the limits that it began with.
+	s.callers = &http.Server{Handler: opts.Handler, MaxHeaderBytes: maxHeaderBytes, ConnState: onState}
+
 	var err error
 
 	if s.callersAddress, err = s.listen(s.callers, opts.CallerAddress); err != nil {
 		return nil, err
 	}
 
-	ready := &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: headerTimeout}
+	ready := &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: internalHeaderTimeout}
 	s.internalServers = append(s.internalServers, ready)
 
 	if s.readyAddress, err = s.listen(ready, opts.ReadyAddress); err != nil {
@@ -90,7 +101,7 @@
 		return s, nil
 	}
 
-	metrics := &http.Server{Handler: opts.MetricsHandler, ReadHeaderTimeout: headerTimeout}
+	metrics := &http.Server{Handler: opts.MetricsHandler, ReadHeaderTimeout: internalHeaderTimeout}
 	s.internalServers = append(s.internalServers, metrics)
 
 	if _, err := s.listen(metrics, opts.MetricsAddress); err != nil {
@@ -110,6 +121,10 @@
 		return "", Error.Wrap(err)
 	}
 
+	if tcp, ok := l.(*net.TCPListener); ok && server == s.callers {
+		l = listener{tcp, s.connections}
+	}
+
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			s.failures <- Error.Wrap(err)
@@ -125,6 +140,13 @@
 // Failed returns a channel that receives the error of each server that has ended without Stop.
 func (s *Server) Failed() <-chan error { return s.failures }
 
+// Stats returns counts of the connections of callers.
+func (s *Server) Stats() Stats { return s.connections.stats() }
+
+// Tick puts the limits of the configuration in force, also for open connections, each of which keeps the largest limit that
+// was in force while it waited. Call it several times a second.
+func (s *Server) Tick() { s.connections.refresh() }
+
 // Closing reports whether Stop was called. Callers should then be asked to use other connections.
 func (s *Server) Closing() bool { return s.stopping.Load() }
 
