Do not count a silent run as a crash if its target was leaving

A run that ended in silence became a loss if its target then ended within 10 s, also if that target was drained: replicas that leave end, so a release made crashes out of silences, and three of them refuse the request at all hosts (quarantined) for 5 minutes. Change: Table.Tick is told which targets are leaving and remembers them as long as records; their silent runs are dropped. Left open: a replica that never reports that it leaves, and whose entry is removed while it serves, still looks like one that has ended. Failing before (leaving targets ignored): TestSilentRunOnATargetThatLeavesIsALoss, 3 of 4 cases.

--- a/internal/control/crashtracker/table.go
+++ b/internal/control/crashtracker/table.go
@@ -73,6 +73,7 @@
 	entries    map[Fingerprint]*entry
 	completed  *lru.Cache[Fingerprint, time.Time] // time of the last complete answer
 	silent     map[Loss]time.Time                 // runs that ended in silence, and when
+	leaving    map[entity.TargetID]time.Time      // targets that were leaving, and when they last were
 	pending    map[Fingerprint]scope              // changed records that peers have to be told
 	sum        uint64
 	lastChange time.Time
@@ -87,7 +88,7 @@
 
 	return &Table{
 		changed: make(chan struct{}, 1), entries: map[Fingerprint]*entry{}, completed: completed,
-		silent: map[Loss]time.Time{}, pending: map[Fingerprint]scope{},
+		silent: map[Loss]time.Time{}, leaving: map[entity.TargetID]time.Time{}, pending: map[Fingerprint]scope{},
 	}
 }
 
@@ -113,7 +114,7 @@
 }
 
 // RecordSilence records a run that ended without an answer and without a sign that its target was lost, such as one that
-// reached its deadline. It becomes a loss if the target ends soon. New runs are ignored while too many are kept.
+// reached its deadline. It becomes a loss if the target ends soon and has not been leaving. New runs are ignored while too many are kept.
 func (t *Table) RecordSilence(now time.Time, l Loss) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -274,10 +275,10 @@
 	return stats
 }
 
-// Tick drops the records that have expired at now, and records losses for silent runs whose targets have ended. ended
-// reports whether a target has.
-func (t *Table) Tick(now time.Time, ended func(entity.TargetID) bool) {
-	for _, l := range t.takeEnded(now, ended) {
+// Tick drops the records that have expired at now, and records losses for silent runs whose targets have ended without
+// having been leaving. leaving are the targets that leave at now; ended reports whether a target has ended.
+func (t *Table) Tick(now time.Time, leaving []entity.TargetID, ended func(entity.TargetID) bool) {
+	for _, l := range t.takeEnded(now, leaving, ended) {
 		t.RecordLoss(now, l)
 	}
 
@@ -291,20 +292,33 @@
 	}
 }
 
-// takeEnded removes and returns the silent runs whose targets have ended. It also removes those that are too old.
-func (t *Table) takeEnded(now time.Time, ended func(entity.TargetID) bool) []Loss {
+// takeEnded removes and returns the silent runs whose targets have ended without having been leaving. It also removes
+// those that are too old, or whose targets leave.
+func (t *Table) takeEnded(now time.Time, leaving []entity.TargetID, ended func(entity.TargetID) bool) []Loss {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
+	for _, id := range leaving {
+		t.leaving[id] = now
+	}
+
+	for id, at := range t.leaving {
+		if now.Sub(at) > lifetime {
+			delete(t.leaving, id)
+		}
+	}
+
 	var losses []Loss
 
 	for l, at := range t.silent {
+		_, left := t.leaving[l.Target]
+
 		switch {
+		case left || now.Sub(at) > confirmTime:
+			delete(t.silent, l)
 		case ended(l.Target):
 			losses = append(losses, l)
 			delete(t.silent, l)
-		case now.Sub(at) > confirmTime:
-			delete(t.silent, l)
 		}
 	}
 
--- a/internal/control/crashtracker/table_test.go
+++ b/internal/control/crashtracker/table_test.go
@@ -64,7 +64,7 @@
 		_, refused = h.Refuses(later, f)
 		require.False(t, refused, "the refusal expires")
 
-		h.Tick(later, alive)
+		h.Tick(later, nil, alive)
 		require.Zero(t, h.Sum())
 		require.Zero(t, h.Stats())
 	}
@@ -86,14 +86,50 @@
 	table.RecordSilence(epoch, crashtracker.Loss{Request: 1, Target: "alive"})
 	table.RecordSilence(epoch, crashtracker.Loss{Request: 1, Target: "ended-late"})
 
-	table.Tick(epoch.Add(4*time.Second), func(id entity.TargetID) bool { return id == "ended" })
+	table.Tick(epoch.Add(4*time.Second), nil, func(id entity.TargetID) bool { return id == "ended" })
 	require.Equal(t, 1, table.Losses(epoch, 1))
 
-	table.Tick(epoch.Add(11*time.Second), alive)
-	table.Tick(epoch.Add(12*time.Second), func(id entity.TargetID) bool { return id == "ended-late" })
+	table.Tick(epoch.Add(11*time.Second), nil, alive)
+	table.Tick(epoch.Add(12*time.Second), nil, func(id entity.TargetID) bool { return id == "ended-late" })
 	require.Equal(t, 1, table.Losses(epoch, 1))
 }
 
+func TestSilentRunOnATargetThatLeavesIsALoss(t *testing.T) {
+	ended := func(entity.TargetID) bool { return true }
+	leaving := []entity.TargetID{"a"}
+
+	for name, c := range map[string]struct {
+		silentAt, leavingAt, endedAt time.Duration
+		losses                       int
+	}{
+		"leaves after the silence":  {0, time.Second, 4 * time.Second, 0},
+		"leaves before the silence": {8 * time.Second, time.Second, 9 * time.Second, 0},
+		"ends before the silence":   {8 * time.Second, time.Second, 2 * time.Second, 0},
+		"does not leave":            {0, -1, 4 * time.Second, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := crashtracker.New()
+
+			for at := time.Duration(0); at < 20*time.Second; at += 500 * time.Millisecond {
+				if at == c.silentAt {
+					table.RecordSilence(epoch.Add(at), crashtracker.Loss{Request: 1, Target: "a"})
+				}
+
+				switch {
+				case at >= c.endedAt:
+					table.Tick(epoch.Add(at), nil, ended)
+				case c.leavingAt >= 0 && at >= c.leavingAt:
+					table.Tick(epoch.Add(at), leaving, alive)
+				default:
+					table.Tick(epoch.Add(at), nil, alive)
+				}
+			}
+
+			require.Equal(t, c.losses, table.Losses(epoch.Add(20*time.Second), 1))
+		})
+	}
+}
+
 func TestLossFromAnotherDataCentreIsPassedOnWithinThisOne(t *testing.T) {
 	remote, relay := crashtracker.New(), crashtracker.New()
 	remote.RecordLoss(epoch, crashtracker.Loss{Request: 1, Target: "a"})
@@ -163,7 +199,7 @@
 
 	end := epoch.Add(5 * time.Minute)
 	b.Merge(epoch.Add(time.Second), a.Records(epoch), true) // b holds the record a second longer
-	a.Tick(end, alive)
+	a.Tick(end, nil, alive)
 	require.Zero(t, a.Sum())
 
 	a.Merge(end, b.Records(end), true)
--- a/internal/control/fleet/snapshot.go
+++ b/internal/control/fleet/snapshot.go
@@ -8,6 +8,7 @@
 	byService map[entity.ServiceName][]Target
 	byRole    map[roleKey][]Target
 	byID      map[entity.TargetID]Target
+	leaving   []entity.TargetID
 }
 
 // roleKey identifies the targets of one service that have one role.
@@ -28,12 +29,16 @@
 	for _, t := range list {
 		s.byID[t.ID] = t
 
-		if !t.Leaving {
-			s.byService[t.Service] = append(s.byService[t.Service], t)
+		if t.Leaving {
+			s.leaving = append(s.leaving, t.ID)
 
-			k := roleKey{t.Service, t.Role}
-			s.byRole[k] = append(s.byRole[k], t)
+			continue
 		}
+
+		s.byService[t.Service] = append(s.byService[t.Service], t)
+
+		k := roleKey{t.Service, t.Role}
+		s.byRole[k] = append(s.byRole[k], t)
 	}
 
 	return s
@@ -68,6 +73,15 @@
 	return t, ok
 }
 
+// Leaving returns the ids of the leaving targets.
+func (s *Snapshot) Leaving() []entity.TargetID {
+	if s == nil {
+		return nil
+	}
+
+	return s.leaving
+}
+
 // Difference returns the ids of the targets of s that accept new work and did not in old, of those that no longer accept
 // new work, and of those that old has and s has not.
 func (s *Snapshot) Difference(old *Snapshot) (added, leaving, gone []string) {
--- a/internal/entry/host/digest.go
+++ b/internal/entry/host/digest.go
@@ -139,7 +139,7 @@
 		h.stopping.Store(true)
 	}
 
-	h.crashers.Tick(h.opts.Clock.Now(), func(entity.TargetID) bool { return false }) // load reports show which engines have ended
+	h.crashers.Tick(h.opts.Clock.Now(), nil, func(entity.TargetID) bool { return false }) // load reports show which engines have ended
 	h.guard.Tick(func(p crashguard.Pool) quarantine.View { return h.quarantineView(snapshot, p, loads) })
 	h.admissionLoop.SetConfig(snapshot, hosts, func(t entity.Target) bool { return reachable[t.DataCentre] && !leaving[t.ID] })
 	h.configApplied.Store(true) // last, since the host is ready from here on
