Answer requests that arrive while a host stops

What callers see: when a host is told to stop, a request on a kept connection, or the first one on a fresh connection, ends with neither an answer nor a refusal.

Cause: http.Server.Shutdown. It closes each connection that it takes for idle, and it takes one for idle until the head of its next request has been read; and a connection that has read a request after Shutdown was called drops it.

Ruled out: the notice before (2.5 s in which requests are answered with Connection: close): it ends before Shutdown begins.

Change: Stop closes the listener, waits until no connection is accepted any more, and lets connections that wait for a request wait 0.25 s for a next one and 1 s for a first one. They close themselves as at their idle limit, after a last look for bytes. What has begun to arrive is read under the header timeout and served. The bound of Stop, the notice and the cut at the end are as before; an idle connection at the end is no cut request.

Open: of requests sent one after the other without waiting (pipelining), one that follows an answer with Connection: close is read and not run, as HTTP/1.1 has it.

--- a/internal/entry/serving/connections.go
+++ b/internal/entry/serving/connections.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,8 +17,14 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
 )
 
-// lastLookTime bounds the last call of Read before a connection closes itself.
-const lastLookTime = 50 * time.Millisecond
+const (
+	// lastLookTime bounds the last call of Read before a connection closes itself.
+	lastLookTime = 50 * time.Millisecond
+	// firstRequestTime and nextRequestTime are how long a connection waits for its first and its next request once the
+	// server stops. Callers send the first one as soon as they know that the connection is established.
+	firstRequestTime = time.Second
+	nextRequestTime  = 250 * time.Millisecond
+)
 
 // Stats counts connections of callers.
 type Stats struct {
@@ -34,6 +42,8 @@
 	closedIdle    atomic.Int64
 	closedReading atomic.Int64
 
+	stopping atomic.Bool // stop was called
+
 	mu     sync.Mutex
 	open   map[*connection]struct{}
 	limits catalog.Limits // last known limits of the configuration
@@ -73,6 +83,41 @@
 	return Stats{Open: int64(len(s.open)), ClosedIdle: s.closedIdle.Load(), ClosedReading: s.closedReading.Load()}
 }
 
+// stop lets each connection that waits for a request wait no longer than firstRequestTime or nextRequestTime. Requests that
+// have arrived are served.
+func (s *connections) stop() {
+	s.stopping.Store(true)
+
+	s.mu.Lock()
+	open := slices.Collect(maps.Keys(s.open))
+	s.mu.Unlock()
+
+	for _, c := range open {
+		c.mu.Lock()
+		c.setDeadline()
+		c.mu.Unlock()
+	}
+}
+
+// requests returns the number of requests that are arriving or being served.
+func (s *connections) requests() int {
+	s.mu.Lock()
+	open := slices.Collect(maps.Keys(s.open))
+	s.mu.Unlock()
+
+	n := 0
+
+	for _, c := range open {
+		c.mu.Lock()
+		if c.phase != idle {
+			n++
+		}
+		c.mu.Unlock()
+	}
+
+	return n
+}
+
 // listener accepts connections of callers.
 type listener struct {
 	*net.TCPListener
@@ -116,6 +161,7 @@
 	mu       sync.Mutex
 	phase    phase
 	since    time.Time // start of the phase
+	used     bool      // a request has arrived
 	lastLook bool      // the limit has passed, and Read looks for bytes that have arrived meanwhile
 }
 
@@ -139,6 +185,7 @@
 	defer c.mu.Unlock()
 
 	c.phase, c.since = p, c.connections.clock.Now()
+	c.used = c.used || p == serving
 	c.setDeadline()
 }
 
@@ -168,8 +215,14 @@
 	limits := c.connections.history.largestSince(c.since)
 
 	limit := limits.idle
-	if c.phase == reading {
+
+	switch {
+	case c.phase == reading:
 		limit = limits.header
+	case c.connections.stopping.Load() && c.used:
+		limit = min(limit, nextRequestTime)
+	case c.connections.stopping.Load():
+		limit = min(limit, firstRequestTime)
 	}
 
 	if limit == noLimit {
--- a/internal/entry/serving/limits_test.go
+++ b/internal/entry/serving/limits_test.go
@@ -156,7 +156,12 @@
 		return err.Error()
 	}
 
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	return readAnswer(bufio.NewReader(c))
+}
+
+// readAnswer returns the body of an answer, or the error that ended it.
+func readAnswer(r *bufio.Reader) string {
+	resp, err := http.ReadResponse(r, nil)
 	if err != nil {
 		return err.Error()
 	}
@@ -171,6 +176,78 @@
 	return string(body)
 }
 
+// Callers go on sending on kept connections while the server stops, each request in two parts.
+func TestStopAnswersEachRequestThatItRuns(t *testing.T) {
+	const callers = 16
+
+	var (
+		ran      sync.Map // names of requests
+		answered atomic.Int64
+		closed   atomic.Int64
+		closing  atomic.Bool
+		wg       sync.WaitGroup
+	)
+
+	s, callersURL, _ := start(t, func() bool { return true }, func(w http.ResponseWriter, r *http.Request) {
+		ran.Store(r.Header.Get("Name"), true)
+
+		if closing.Load() {
+			w.Header().Set("Connection", "close")
+		}
+
+		time.Sleep(20 * time.Millisecond)
+
+		_, _ = io.WriteString(w, "whole")
+	})
+
+	for i := range callers {
+		c, r := dial(t, callersURL)
+		random := rand.New(rand.NewPCG(2, uint64(i)))
+
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				name := fmt.Sprint(i, "-", n)
+				text := "GET / HTTP/1.1\r\nHost: h.example\r\nName: " + name + "\r\n\r\n"
+				first := random.IntN(len(text))
+
+				time.Sleep(time.Duration(random.Int64N(int64(300 * time.Millisecond))))
+
+				_, err := io.WriteString(c, text[:first])
+
+				time.Sleep(time.Duration(random.Int64N(int64(20 * time.Millisecond))))
+
+				if err == nil {
+					_, err = io.WriteString(c, text[first:])
+				}
+
+				if err == nil && readAnswer(r) == "whole" {
+					answered.Add(1)
+
+					continue
+				}
+
+				closed.Add(1)
+
+				if _, found := ran.Load(name); found {
+					t.Errorf("%s was run, and its connection closed", name)
+				}
+
+				return
+			}
+		})
+	}
+
+	time.Sleep(300 * time.Millisecond)
+	// Without the field until the end of the notice, callers go on until the server closes idle connections.
+	time.AfterFunc(1500*time.Millisecond, func() { closing.Store(true) })
+
+	err := s.Stop(3 * time.Second)
+
+	wg.Wait()
+	require.NoError(t, err)
+	t.Log("answered:", answered.Load(), "closed before the request was read:", closed.Load())
+}
+
 // The limits hold for what a caller still has to send, not for the time that the host takes to answer.
 func TestLimitsDoNotCutAnAnswer(t *testing.T) {
 	s, err := serving.Start(serving.Options{
--- a/internal/entry/serving/server.go
+++ b/internal/entry/serving/server.go
@@ -3,7 +3,6 @@
 package serving
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -26,6 +25,8 @@
 	notReadyNotice = 2500 * time.Millisecond
 	// stopMargin is the time before the bound of Stop at which the requests still in progress are cut.
 	stopMargin = 250 * time.Millisecond
+	// stopPollInterval is the time between two looks of a stopping host for open connections.
+	stopPollInterval = 10 * time.Millisecond
 
 	// internalHeaderTimeout bounds the time for the head of a request for readiness or metrics.
 	internalHeaderTimeout = 3 * time.Second
@@ -54,6 +55,8 @@
 	connections     *connections // of callers
 	callers         *http.Server
 	internalServers []*http.Server // for readiness and metrics
+	callersListener net.Listener
+	callersDone     chan struct{} // closed when no more connections of callers are accepted
 	callersAddress  string
 	readyAddress    string
 	stopping        atomic.Bool // Stop was called
@@ -75,22 +78,22 @@
 		opts.Limits = func() (catalog.Limits, bool) { return catalog.Limits{}, false }
 	}
 
-	s := &Server{opts: opts, connections: newConnections(opts), failures: make(chan error, 3)}
+	s := &Server{opts: opts, connections: newConnections(opts), callersDone: make(chan struct{}), failures: make(chan error, 3)}
 
 	s.Tick()
 
 	// The time limits are those of connections: net/http would hold an open connection to the limits that it began with.
 	s.callers = &http.Server{Handler: opts.Handler, MaxHeaderBytes: maxHeaderBytes, ConnState: onState}
 
-	var err error
-
-	if s.callersAddress, err = s.listen(s.callers, opts.CallerAddress); err != nil {
+	if err := s.listenForCallers(); err != nil {
 		return nil, err
 	}
 
 	ready := &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: internalHeaderTimeout}
 	s.internalServers = append(s.internalServers, ready)
 
+	var err error
+
 	if s.readyAddress, err = s.listen(ready, opts.ReadyAddress); err != nil {
 		s.close()
 
@@ -121,17 +124,37 @@
 		return "", Error.Wrap(err)
 	}
 
-	if tcp, ok := l.(*net.TCPListener); ok && server == s.callers {
-		l = listener{tcp, s.connections}
+	go s.serve(server, l)
+
+	return l.Addr().String(), nil
+}
+
+// listenForCallers does the same for callers. Their connections are those of s.connections.
+func (s *Server) listenForCallers() error {
+	l, err := net.Listen("tcp4", s.opts.CallerAddress)
+	if err != nil {
+		return Error.Wrap(err)
 	}
 
+	s.callersAddress, s.callersListener = l.Addr().String(), l
+
 	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			s.failures <- Error.Wrap(err)
-		}
+		defer close(s.callersDone)
+
+		s.serve(s.callers, listener{l.(*net.TCPListener), s.connections})
 	}()
 
-	return l.Addr().String(), nil
+	return nil
+}
+
+// serve serves server at l until one of them is closed.
+func (s *Server) serve(server *http.Server, l net.Listener) {
+	err := server.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && s.stopping.Load() {
+		return
+	}
+
+	s.failures <- Error.Wrap(err)
 }
 
 // Addresses returns the addresses for callers and for readiness checks, with their actual ports.
@@ -162,21 +185,34 @@
 }
 
 // Stop makes the host not ready, serves callers until the load balancer has noticed that, but not for more than half of
-// bound, then waits for the requests in progress and closes all servers. It takes at most bound. If requests are still
-// in progress near its end, it cuts them and returns an error.
+// bound, then waits for the requests that have begun to arrive and closes all servers. It takes at most bound. If requests
+// are still in progress near its end, it cuts them and returns an error.
 func (s *Server) Stop(bound time.Duration) error {
 	s.stopping.Store(true)
 
 	deadline := s.opts.Clock.Now().Add(bound - stopMargin)
 	s.opts.Clock.Sleep(min(notReadyNotice, bound/2))
 
-	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(s.opts.Clock.Now()))
-	defer cancel()
+	// http.Server.Shutdown would close connections whose next request is arriving, and drop requests that arrive later.
+	if err := s.callersListener.Close(); err != nil {
+		s.opts.Log.Debug().Err(err).Msg("closing the listener for callers")
+	}
+
+	<-s.callersDone
+	s.connections.stop()
+
+	for s.connections.stats().Open > 0 && s.opts.Clock.Now().Before(deadline) {
+		s.opts.Clock.Sleep(stopPollInterval)
+	}
 
-	err := s.callers.Shutdown(ctx)
+	cut := s.connections.requests()
 	s.close()
 
-	return Error.Wrap(err)
+	if cut > 0 {
+		return Error.New("%d requests were cut", cut)
+	}
+
+	return nil
 }
 
 // close closes all servers and their connections at once.
