--- a/internal/entry/relay/fakes_test.go
+++ b/internal/entry/relay/fakes_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -178,20 +179,20 @@
 	return r.Reader.Read(p)
 }
 
-// slowClock is a real clock that is slow by lag.
+// slowClock is a real clock that is slow by lag nanoseconds, or fast if lag is negative. Its timers are right.
 type slowClock struct {
 	clockwork.Clock
 
-	lag *time.Duration
+	lag *atomic.Int64
 }
 
-func (c slowClock) Now() time.Time { return c.Clock.Now().Add(-*c.lag) }
+func (c slowClock) Now() time.Time { return c.Clock.Now().Add(-time.Duration(c.lag.Load())) }
 
 type fixture struct {
 	targets  *fakeTargets
 	board    *placing.Board
 	crashers *crashtracker.Table
-	clockLag time.Duration // by how much the relay's clock is slow
+	clockLag atomic.Int64 // by how many nanoseconds the relay's clock is slow
 	fleet    []fleet.Target
 	outcome  relay.Outcome // of the last request
 	retries  *retries.Limiter
--- a/internal/entry/relay/silence_test.go
+++ b/internal/entry/relay/silence_test.go
@@ -344,7 +344,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				fx := newFixture(t, route, 0)
-				fx.clockLag = time.Millisecond
+				fx.clockLag.Store(int64(time.Millisecond))
 				fx.targets.run = func(_ int, ctx context.Context, _ relay.Send) (*relay.Answer, error) {
 					<-ctx.Done()
 
@@ -537,3 +537,18 @@
 		})
 	}
 }
+
+// A process that is stalled finds its timers due before it has read what came meanwhile.
+func TestReplicaCountsAsSilentAfterThisProcessWasStalled(t *testing.T) {
+	forPaces(t, []time.Duration{time.Second, 3 * time.Second}, func(t *testing.T, route catalog.Route, stall time.Duration) {
+		fx := newFixture(t, route, 100)
+		patience := placing.Pacing{Objective: route.Objective, Gap: route.Gap}.ReplaceAfter()
+
+		// The clock is ahead of the timer by the length of the stall, and the event is read a little after the timer has fired.
+		time.AfterFunc(patience-time.Millisecond, func() { fx.clockLag.Store(-int64(stall)) })
+		requireWhole(t, fx.serveSilence(t, patience+20*time.Millisecond, nil))
+		require.Len(t, fx.targets.runs, 1)
+		require.Len(t, fx.targets.prefills, 1)
+		require.Zero(t, fx.outcome.Silences)
+	})
+}
