Forward events without copying them

The watch of silences costs a forwarded event two locks and a look at the clock, in place of a reset of a timer. Each event was copied for Reply.WriteEvent, which retains nothing.

--- a/internal/entry/relay/events.go
+++ b/internal/entry/relay/events.go
@@ -16,19 +16,23 @@
 type events struct {
 	body  io.Reader
 	buf   []byte
+	used  int // length of the start of buf that next has returned
 	chunk [16 << 10]byte
 }
 
-// next returns the bytes of one or more whole events and the value of their last id field, or "" if they have none.
+// next returns the bytes of one or more whole events and the value of their last id field, or "" if they have none. The
+// bytes are valid until the next call.
 // It returns io.EOF at the end of a stream that ended after a whole event, and errPartialEvent for one that ended
 // within an event. An event of more than maxEventBytes is an error too.
 func (e *events) next() ([]byte, string, error) {
+	e.buf = append(e.buf[:0], e.buf[e.used:]...)
+	e.used = 0
+
 	for {
 		if n := wholeEvents(e.buf); n > 0 {
-			out := bytes.Clone(e.buf[:n])
-			e.buf = append(e.buf[:0], e.buf[n:]...)
+			e.used = n
 
-			return out, lastID(out), nil
+			return e.buf[:n], lastID(e.buf[:n]), nil
 		}
 
 		if len(e.buf) > maxEventBytes {
--- a/internal/entry/relay/request.go
+++ b/internal/entry/relay/request.go
@@ -74,7 +74,8 @@
 	Respond(status int, header http.Header, body []byte)
 	// Begin starts a stream, which is complete if Relay.Serve returns without a call of Reply.Abort.
 	Begin(status int, header http.Header)
-	// WriteEvent sends one or more whole events of the stream. An error means that the caller cannot be written to.
+	// WriteEvent sends one or more whole events of the stream. An error means that the caller cannot be written to. The
+	// implementation must not retain p.
 	WriteEvent(p []byte) error
 	// Abort ends the stream in a way that the caller cannot mistake for a complete one.
 	Abort()
