Return to a silent replica if its successor fails before the first event

A stream that had not begun was taken over from a silent replica, and its successor answered with status 500: the caller got the 500, although the first replica could serve the request as soon as it went on. A stream that had begun did return there. Change: an error status of 500 or more is forwarded only once no silent replica is left to return to. Failing before: TestErrorStatusOfASuccessorEndsAStreamThatASilentReplicaCanServe, 4 of 6 cases (no replica is replaced in the others).

--- a/internal/entry/relay/silence_test.go
+++ b/internal/entry/relay/silence_test.go
@@ -552,3 +552,28 @@
 		require.Zero(t, fx.outcome.Silences)
 	})
 }
+
+func TestErrorStatusOfASuccessorEndsAStreamThatASilentReplicaCanServe(t *testing.T) {
+	forPaces(t, shortSilences, func(t *testing.T, route catalog.Route, silence time.Duration) {
+		var first entity.TargetID
+
+		fx := newFixture(t, route, 100)
+		resumes := time.Now().Add(silence)
+		fx.targets.run = func(n int, ctx context.Context, s relay.Send) (*relay.Answer, error) {
+			if n == 1 {
+				first = s.Target.ID
+			}
+
+			if s.Target.ID != first {
+				return answer(500, "failed"), nil
+			}
+
+			if err := pause(ctx, resumes); err != nil {
+				return nil, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "no answer").WithCause(err)
+			}
+
+			return streamFrom(s), nil
+		}
+		requireWhole(t, fx.serve(t.Context(), t))
+	})
+}
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"slices"
 	"time"
@@ -269,10 +270,11 @@
 }
 
 // passErrorAnswer forwards a replica's error status and up to maxAnswerBytes of the body to the caller and reports
-// true. It reports false if the stream has begun or the body could not be read.
+// true. It reports false if the stream has begun, the body could not be read, or the replica failed to serve a request
+// that was taken over from a silent one, which may still serve it.
 func (j *job) passErrorAnswer(w Reply, answer *Answer, p *progress) bool {
-	if p.begun {
-		p.cause = errors.New("a replica refused to resume the stream")
+	if p.begun || answer.Status >= 500 && len(j.left) > 0 {
+		p.cause = fmt.Errorf("a replica answered with status %d", answer.Status)
 
 		return false
 	}
