Do not forward a part of an error answer that is too large

A stream's error answer was read up to 8 MiB and forwarded as if that were all of it. Now it is an error, as for calls. Failing before: TestErrorAnswerThatIsTooLargeIsForwardedInPart (8,388,608 bytes forwarded). Found while reading.

--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -269,9 +269,9 @@
 	return j.patience()
 }
 
-// passErrorAnswer forwards a replica's error status and up to maxAnswerBytes of the body to the caller and reports
-// true. It reports false if the stream has begun, the body could not be read, or the replica failed to serve a request
-// that was taken over from a silent one, which may still serve it.
+// passErrorAnswer forwards a replica's error status with the whole body to the caller and reports true. It reports false
+// if the stream has begun, the body could not be read, or the replica failed to serve a request that was taken over from
+// a silent one, which may still serve it.
 func (j *job) passErrorAnswer(w Reply, answer *Answer, p *progress) bool {
 	if p.begun || answer.Status >= 500 && len(j.left) > 0 {
 		p.cause = fmt.Errorf("a replica answered with status %d", answer.Status)
@@ -279,7 +279,7 @@
 		return false
 	}
 
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	body, err := readAnswer(answer)
 	if err != nil {
 		p.cause = err
 
--- a/internal/entry/relay/stream_test.go
+++ b/internal/entry/relay/stream_test.go
@@ -299,3 +299,14 @@
 	fx.serveTo(t.Context(), t, out)
 	require.Len(t, fx.targets.runs, 1)
 }
+
+func TestErrorAnswerThatIsTooLargeIsForwardedInPart(t *testing.T) {
+	fx := newFixture(t, plainStream, 100)
+	fx.targets.run = func(int, context.Context, relay.Send) (*relay.Answer, error) {
+		return answer(500, strings.Repeat("x", 9<<20)), nil
+	}
+
+	out := fx.serve(t.Context(), t)
+	require.Zero(t, out.body.Len())
+	require.Equal(t, verdict.MayHaveRun, out.refused.Verdict)
+}
