--- a/internal/entry/relay/fakes_test.go
+++ b/internal/entry/relay/fakes_test.go
@@ -48,6 +48,8 @@
 
 	// pausePrefill is called at the start of each prefill, which fails with the error that it returns. It may be nil.
 	pausePrefill func(ctx context.Context) error
+
+	prefillContext func(ctx context.Context, s relay.Send) (*relay.KVHandle, *relay.Answer, error) // replaces prefill unless nil
 }
 
 func (f *fakeTargets) Run(ctx context.Context, _ *relay.Request, s relay.Send) (*relay.Answer, error) {
@@ -65,6 +67,10 @@
 	n := len(f.prefills)
 	f.mu.Unlock()
 
+	if f.prefillContext != nil {
+		return f.prefillContext(ctx, s)
+	}
+
 	if f.pausePrefill != nil {
 		if err := f.pausePrefill(ctx); err != nil {
 			return nil, nil, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "no answer").WithCause(err)
