--- a/internal/entry/relay/random_test.go
+++ b/internal/entry/relay/random_test.go
@@ -105,7 +105,7 @@
 	return h, nil, nil
 }
 
-func (r *randomReplicas) run(_ int, ctx context.Context, s relay.Send) (*relay.Answer, error) {
+func (r *randomReplicas) run(ctx context.Context, s relay.Send) (*relay.Answer, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
@@ -176,7 +176,7 @@
 				r := &randomReplicas{
 					T: t, rng: rng, faults: rng.IntN(2) == 0, silences: rng.IntN(4), handles: map[string]bool{}, ran: map[entity.TargetID]bool{},
 				}
-				fx.targets.run = r.run
+				fx.targets.run = func(_ int, ctx context.Context, s relay.Send) (*relay.Answer, error) { return r.run(ctx, s) }
 				fx.targets.prefillContext = r.prefill
 
 				out := fx.serve(t.Context(), t)
