Abort a stream whose event could not be written

Relay.Serve returned without Reply.Abort after a failed write, which by the contract of Reply means a complete stream. The adapter's connection was closed anyway, as a failed write of net/http is final. Found while reading. Failing before: TestCallerThatCannotBeWrittenToEndsTheStream with the check added.

--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -325,6 +325,7 @@
 
 		if err := w.WriteEvent(event); err != nil {
 			j.outcome.Problem = verdict.New(verdict.Ran, verdict.CodeCallerGone, "the caller disconnected").WithCause(err)
+			w.Abort()
 
 			return true, nil
 		}
--- a/internal/entry/relay/stream_test.go
+++ b/internal/entry/relay/stream_test.go
@@ -298,6 +298,7 @@
 	out := &replyRecorder{onEvent: func() error { return errors.New("broken pipe") }}
 	fx.serveTo(t.Context(), t, out)
 	require.Len(t, fx.targets.runs, 1)
+	require.True(t, out.broken, "the stream must not be taken for complete")
 }
 
 func TestErrorAnswerThatIsTooLargeIsForwardedInPart(t *testing.T) {
