Log what a successor of a silent target lacked

"target silent" is written before the first search, so it could not say why the target was kept. A second line, once per silence, names what was lacking. TestLogDoesNotSayWhatASuccessorLacked checks the lines of four kinds of silences. No decision changes.

--- a/internal/entry/relay/fakes_test.go
+++ b/internal/entry/relay/fakes_test.go
@@ -194,6 +194,35 @@
 
 func (c slowClock) Now() time.Time { return c.Clock.Now().Add(-time.Duration(c.lag.Load())) }
 
+// lockedBuffer is a buffer that is safe for concurrent use.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.buf.Write(p)
+}
+
+// lines returns the lines that contain all of parts.
+func (b *lockedBuffer) lines(parts ...string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	var lines []string
+
+	for line := range strings.Lines(b.buf.String()) {
+		if !slices.ContainsFunc(parts, func(part string) bool { return !strings.Contains(line, part) }) {
+			lines = append(lines, line)
+		}
+	}
+
+	return lines
+}
+
 type fixture struct {
 	targets  *fakeTargets
 	board    *placing.Board
@@ -202,6 +231,7 @@
 	fleet    []fleet.Target
 	outcome  relay.Outcome // of the last request
 	retries  *retries.Limiter
+	log      lockedBuffer
 	relay    *relay.Relay
 }
 
@@ -246,7 +276,7 @@
 
 	fx.retries = retries.NewLimiter(retries.LimiterOptions{Ratio: 0, Slack: slack, Span: 10 * time.Second, Margin: 1})
 	fx.relay = relay.New(relay.Options{
-		Clock: slowClock{clockwork.NewRealClock(), &fx.clockLag}, Log: &log.Logger{Level: log.PanicLevel}, Catalog: func() *catalog.Catalog { return c },
+		Clock: slowClock{clockwork.NewRealClock(), &fx.clockLag}, Log: &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &fx.log}}, Catalog: func() *catalog.Catalog { return c },
 		Fleet: func() *fleet.Snapshot { return fleet.NewSnapshot(fx.fleet) }, Board: fx.board, Targets: fx.targets, Crashers: fx.crashers,
 		Observe: func(o relay.Outcome) { fx.outcome = o },
 		Retries: fx.retries,
--- a/internal/entry/relay/silence.go
+++ b/internal/entry/relay/silence.go
@@ -27,6 +27,12 @@
 		Dur("patience", patience).Dur("last-heard", j.sinceLastHeard()).Int("sends", j.sends).Msg("target silent")
 }
 
+// noteKept records that there is no successor of the silent target t now.
+func (j *job) noteKept(t fleet.Target) {
+	j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Str("target", string(t.ID)).
+		Str("lack", string(j.lack)).Dur("last-heard", j.sinceLastHeard()).Msg("silent target kept")
+}
+
 // noteReplacement records that the request is sent to t, which replaces the silent target if there is one.
 func (j *job) noteReplacement(t fleet.Target) {
 	if j.silent == "" {
--- a/internal/entry/relay/silence_marks_test.go
+++ b/internal/entry/relay/silence_marks_test.go
@@ -92,3 +92,35 @@
 		})
 	}
 }
+
+func TestLogDoesNotSayWhatASuccessorLacked(t *testing.T) {
+	for lack, c := range map[string]struct {
+		slack      float64
+		maxTargets int
+		kept       []entity.TargetID
+	}{
+		"no-budget":     {0, 2, []entity.TargetID{"d1", "d2", "p1", "p2"}},
+		"no-target":     {100, 2, []entity.TargetID{"d1", "p1", "p2"}},
+		"attempts-used": {100, 1, []entity.TargetID{"d1", "d2", "p1", "p2"}},
+		"":              {100, 2, []entity.TargetID{"d1", "d2", "p1", "p2"}},
+	} {
+		t.Run(lack, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				route := resumable
+				route.MaxTargets = c.maxTargets
+				fx := newFixture(t, route, c.slack)
+				fx.keepOnly(c.kept...)
+				requireWhole(t, fx.serveSilence(t, 3*time.Second, nil))
+
+				target := string(fx.targets.runs[0].Target.ID)
+				require.Len(t, fx.log.lines("target silent", `"target":"`+target, "last-heard"), 1, "once per silence")
+
+				if lack == "" {
+					require.Len(t, fx.log.lines("silent target replaced", `"target":"`+target, `"replacement":"`), 1)
+				} else {
+					require.Len(t, fx.log.lines("silent target kept", `"target":"`+target, `"lack":"`+lack), 1, "once per silence")
+				}
+			})
+		})
+	}
+}
--- a/internal/entry/relay/successor.go
+++ b/internal/entry/relay/successor.go
@@ -237,10 +237,12 @@
 	ctx context.Context, t fleet.Target, patience time.Duration, endRun context.CancelFunc, search func(context.Context) *successor,
 ) *watch {
 	return startWatch(ctx, patience, watchOptions{
-		clock: j.opts.Clock, endRun: endRun, search: search, onSilence: func() {
+		clock: j.opts.Clock, endRun: endRun, search: search,
+		onSilence: func() {
 			j.silent = t.ID
 			j.noteSilence(t, patience)
 		},
+		onKept: func() { j.noteKept(t) },
 	})
 }
 
--- a/internal/entry/relay/watch.go
+++ b/internal/entry/relay/watch.go
@@ -42,6 +42,7 @@
 type watchOptions struct {
 	clock     clockwork.Clock
 	onSilence func()                               // called once per silence, before the first search
+	onKept    func()                               // called once per silence, if the first search finds no successor
 	search    func(ctx context.Context) *successor // returns nil if there is no successor now
 	endRun    context.CancelFunc
 }
@@ -135,12 +136,16 @@
 		return
 	}
 
-	if !w.silent {
+	first := !w.silent
+	if first {
 		w.silent = true // not used by other goroutines during a search
 		w.onSilence()
 	}
 
 	found := w.search(search)
+	if first && found == nil && search.Err() == nil {
+		w.onKept()
+	}
 
 	w.mu.Lock()
 	defer w.mu.Unlock()
