--- a/internal/entry/relay/fakes_test.go
+++ b/internal/entry/relay/fakes_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,6 +48,8 @@
 
 	// pausePrefill is called at the start of each prefill, which fails with the error that it returns. It may be nil.
 	pausePrefill func(ctx context.Context) error
+
+	prefillContext func(ctx context.Context, s relay.Send) (*relay.KVHandle, *relay.Answer, error) // replaces prefill unless nil
 }
 
 func (f *fakeTargets) Run(ctx context.Context, _ *relay.Request, s relay.Send) (*relay.Answer, error) {
@@ -64,6 +67,10 @@
 	n := len(f.prefills)
 	f.mu.Unlock()
 
+	if f.prefillContext != nil {
+		return f.prefillContext(ctx, s)
+	}
+
 	if f.pausePrefill != nil {
 		if err := f.pausePrefill(ctx); err != nil {
 			return nil, nil, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "no answer").WithCause(err)
@@ -178,23 +185,53 @@
 	return r.Reader.Read(p)
 }
 
-// slowClock is a real clock that is slow by lag.
+// slowClock is a real clock that is slow by lag nanoseconds, or fast if lag is negative. Its timers are right.
 type slowClock struct {
 	clockwork.Clock
 
-	lag *time.Duration
+	lag *atomic.Int64
+}
+
+func (c slowClock) Now() time.Time { return c.Clock.Now().Add(-time.Duration(c.lag.Load())) }
+
+// lockedBuffer is a buffer that is safe for concurrent use.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
 }
 
-func (c slowClock) Now() time.Time { return c.Clock.Now().Add(-*c.lag) }
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.buf.Write(p)
+}
+
+// lines returns the lines that contain all of parts.
+func (b *lockedBuffer) lines(parts ...string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	var lines []string
+
+	for line := range strings.Lines(b.buf.String()) {
+		if !slices.ContainsFunc(parts, func(part string) bool { return !strings.Contains(line, part) }) {
+			lines = append(lines, line)
+		}
+	}
+
+	return lines
+}
 
 type fixture struct {
 	targets  *fakeTargets
 	board    *placing.Board
 	crashers *crashtracker.Table
-	clockLag time.Duration // by how much the relay's clock is slow
+	clockLag atomic.Int64 // by how many nanoseconds the relay's clock is slow
 	fleet    []fleet.Target
 	outcome  relay.Outcome // of the last request
 	retries  *retries.Limiter
+	log      lockedBuffer
 	relay    *relay.Relay
 }
 
@@ -239,7 +276,7 @@
 
 	fx.retries = retries.NewLimiter(retries.LimiterOptions{Ratio: 0, Slack: slack, Span: 10 * time.Second, Margin: 1})
 	fx.relay = relay.New(relay.Options{
-		Clock: slowClock{clockwork.NewRealClock(), &fx.clockLag}, Log: &log.Logger{Level: log.PanicLevel}, Catalog: func() *catalog.Catalog { return c },
+		Clock: slowClock{clockwork.NewRealClock(), &fx.clockLag}, Log: &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &fx.log}}, Catalog: func() *catalog.Catalog { return c },
 		Fleet: func() *fleet.Snapshot { return fleet.NewSnapshot(fx.fleet) }, Board: fx.board, Targets: fx.targets, Crashers: fx.crashers,
 		Observe: func(o relay.Outcome) { fx.outcome = o },
 		Retries: fx.retries,
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"slices"
 	"time"
@@ -268,16 +269,17 @@
 	return j.patience()
 }
 
-// passErrorAnswer forwards a replica's error status and up to maxAnswerBytes of the body to the caller and reports
-// true. It reports false if the stream has begun or the body could not be read.
+// passErrorAnswer forwards a replica's error status with the whole body to the caller and reports true. It reports false
+// if the stream has begun, the body could not be read, or the replica failed to serve a request that was taken over from
+// a silent one, which may still serve it.
 func (j *job) passErrorAnswer(w Reply, answer *Answer, p *progress) bool {
-	if p.begun {
-		p.cause = errors.New("a replica refused to resume the stream")
+	if p.begun || answer.Status >= 500 && len(j.left) > 0 {
+		p.cause = fmt.Errorf("a replica answered with status %d", answer.Status)
 
 		return false
 	}
 
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	body, err := readAnswer(answer)
 	if err != nil {
 		p.cause = err
 
@@ -323,6 +325,7 @@
 
 		if err := w.WriteEvent(event); err != nil {
 			j.outcome.Problem = verdict.New(verdict.Ran, verdict.CodeCallerGone, "the caller disconnected").WithCause(err)
+			w.Abort()
 
 			return true, nil
 		}
