Count the idle limit from the request before the connection idled

What callers see: a request that was sent within the limit that held when its caller got the last answer meets a closed connection, if the limit shrank just then.

Cause: the caller has the answer before this host takes the connection for idle, and limits counted from the latter. Seen as a failure of TestConnectionIdlesUnderTheLargestLimitSinceItsStart with -race (one failing run of -count=3): all changes of the limit came in between.

Change: an idle connection keeps the largest limit since its last request began. The limits are read and recorded under one lock, so that two readers cannot record them in the wrong order.

Evidence: TestLimitThatHeldWhenTheAnswerArrivedHolds failed before (connection ended without an answer) and passes ten runs with -race; the failing test and the other tests of raised limits pass 20 runs.

--- a/internal/entry/serving/connections.go
+++ b/internal/entry/serving/connections.go
@@ -58,19 +58,18 @@
 
 // refresh puts the limits of the configuration in force, also for the connections that are open.
 func (s *connections) refresh() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
 	limits, known := s.configured()
 	if !known {
 		return
 	}
 
-	s.mu.Lock()
-	changed := limits != s.limits
-	s.limits = limits
-	s.mu.Unlock()
-
 	s.history.record(s.clock.Now(), timeLimitsOf(limits))
 
-	if changed {
+	if limits != s.limits {
+		s.limits = limits
 		s.log.Info().Int("header-bytes", limits.HeaderBytes).Int64("body-bytes", limits.BodyBytes).
 			Dur("header-timeout", limits.HeaderTimeout).Dur("idle-timeout", limits.IdleTimeout).Msg("limits of callers changed")
 	}
@@ -158,11 +157,14 @@
 	*net.TCPConn
 	connections *connections
 
-	mu       sync.Mutex
-	phase    phase
-	since    time.Time // start of the phase
-	used     bool      // a request has arrived
-	lastLook bool      // the limit has passed, and Read looks for bytes that have arrived meanwhile
+	mu    sync.Mutex
+	phase phase
+	since time.Time // start of the phase
+	// limitsSince is the time from which on limits count for the phase. For an idle connection, it is the start of its last
+	// request, since the caller has the answer before the connection is idle here.
+	limitsSince time.Time
+	used        bool // a request has arrived
+	lastLook    bool // the limit has passed, and Read looks for bytes that have arrived meanwhile
 }
 
 // onState records the state of a connection. It is the ConnState function of the server for callers.
@@ -184,7 +186,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.phase, c.since = p, c.connections.clock.Now()
+	now := c.connections.clock.Now()
+
+	c.limitsSince = now
+	if p == idle && c.used {
+		c.limitsSince = c.since
+	}
+
+	c.phase, c.since = p, now
 	c.used = c.used || p == serving
 	c.setDeadline()
 }
@@ -212,7 +221,7 @@
 		return noLimit
 	}
 
-	limits := c.connections.history.largestSince(c.since)
+	limits := c.connections.history.largestSince(c.limitsSince)
 
 	limit := limits.idle
 
@@ -265,7 +274,8 @@
 
 	switch c.phase {
 	case idle:
-		c.phase, c.since = reading, c.connections.clock.Now()
+		now := c.connections.clock.Now()
+		c.phase, c.since, c.limitsSince = reading, now, now
 		c.setDeadline()
 	case reading:
 		c.setDeadline()
--- a/internal/entry/serving/limits_test.go
+++ b/internal/entry/serving/limits_test.go
@@ -65,6 +65,34 @@
 	require.ErrorIs(t, err, io.EOF, "the present limit holds from then on")
 }
 
+// The caller has its answer before the server takes the connection for idle. A limit that shrinks in between holds from the
+// next request on.
+func TestLimitThatHeldWhenTheAnswerArrivedHolds(t *testing.T) {
+	limits := newChangingLimits(1500 * time.Millisecond)
+
+	s, err := serving.Start(serving.Options{
+		Log: &log.Logger{Level: log.PanicLevel}, CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", IsReady: func() bool { return true },
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "5")
+
+			_, _ = io.WriteString(w, "whole")
+			_ = http.NewResponseController(w).Flush()
+
+			time.Sleep(200 * time.Millisecond)
+		}),
+		Limits: func() (catalog.Limits, bool) { return limits.get(), true },
+	})
+	require.NoError(t, err)
+
+	address, _ := s.Addresses()
+	c, r := dial(t, "http://"+address)
+	require.Equal(t, "whole", exchange(t, c, r, request))
+	limits.setIdle(s, 100*time.Millisecond)
+	time.Sleep(1200 * time.Millisecond)
+	require.Equal(t, "whole", exchange(t, c, r, request))
+	require.NoError(t, s.Stop(time.Second))
+}
+
 // A limit that was raised while the host's tick was late holds too.
 func TestRaisedLimitHoldsWithoutATick(t *testing.T) {
 	limits := newChangingLimits(300 * time.Millisecond)
