--- a/internal/entry/serving/server.go
+++ b/internal/entry/serving/server.go
@@ -3,7 +3,6 @@
 package serving
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -13,6 +12,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/phuslu/log"
 	"github.com/zeebo/errs"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
 )
 
 // Error is the class of this package's errors.
@@ -24,14 +25,17 @@
 	notReadyNotice = 2500 * time.Millisecond
 	// stopMargin is the time before the bound of Stop at which the requests still in progress are cut.
 	stopMargin = 250 * time.Millisecond
+	// stopPollInterval is the time between two looks of a stopping host for open connections.
+	stopPollInterval = 10 * time.Millisecond
 
-	headerTimeout  = 3 * time.Second
-	idleTimeout    = 15 * time.Second
-	maxHeaderBytes = 32 << 10
+	// internalHeaderTimeout bounds the time for the head of a request for readiness or metrics.
+	internalHeaderTimeout = 3 * time.Second
+	// maxHeaderBytes bounds the head of a request, whatever the configuration says.
+	maxHeaderBytes = 128 << 10
 )
 
-// Options configure a Server. All fields but Clock, Log, MetricsAddress and MetricsHandler are required. Addresses are
-// ip:port.
+// Options configure a Server. All fields but Clock, Log, Limits, MetricsAddress and MetricsHandler are required. Addresses
+// are ip:port.
 type Options struct {
 	Clock          clockwork.Clock // nil means the real clock
 	Log            *log.Logger     // nil means the default logger
@@ -41,13 +45,18 @@
 	Handler        http.Handler    // serves callers
 	MetricsHandler http.Handler    // serves metrics; required with a MetricsAddress
 	IsReady        func() bool     // whether the host can serve callers; called for each readiness check
+	// Limits returns the limits of the configuration, and false while none is known. Nil means that none will be known.
+	Limits func() (catalog.Limits, bool)
 }
 
 // Server runs the HTTP servers of one entry host. Start makes it.
 type Server struct {
 	opts            Options
+	connections     *connections // of callers
 	callers         *http.Server
 	internalServers []*http.Server // for readiness and metrics
+	callersListener net.Listener
+	callersDone     chan struct{} // closed when no more connections of callers are accepted
 	callersAddress  string
 	readyAddress    string
 	stopping        atomic.Bool // Stop was called
@@ -65,21 +74,26 @@
 		opts.Log = &log.DefaultLogger
 	}
 
-	s := &Server{opts: opts, failures: make(chan error, 3)}
-
-	s.callers = &http.Server{
-		Handler: opts.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	if opts.Limits == nil {
+		opts.Limits = func() (catalog.Limits, bool) { return catalog.Limits{}, false }
 	}
 
-	var err error
+	s := &Server{opts: opts, connections: newConnections(opts), callersDone: make(chan struct{}), failures: make(chan error, 3)}
+
+	s.Tick()
 
-	if s.callersAddress, err = s.listen(s.callers, opts.CallerAddress); err != nil {
+	// The time limits are those of connections: net/http would hold an open connection to the limits that it began with.
+	s.callers = &http.Server{Handler: opts.Handler, MaxHeaderBytes: maxHeaderBytes, ConnState: onState}
+
+	if err := s.listenForCallers(); err != nil {
 		return nil, err
 	}
 
-	ready := &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: headerTimeout}
+	ready := &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: internalHeaderTimeout}
 	s.internalServers = append(s.internalServers, ready)
 
+	var err error
+
 	if s.readyAddress, err = s.listen(ready, opts.ReadyAddress); err != nil {
 		s.close()
 
@@ -90,7 +104,7 @@
 		return s, nil
 	}
 
-	metrics := &http.Server{Handler: opts.MetricsHandler, ReadHeaderTimeout: headerTimeout}
+	metrics := &http.Server{Handler: opts.MetricsHandler, ReadHeaderTimeout: internalHeaderTimeout}
 	s.internalServers = append(s.internalServers, metrics)
 
 	if _, err := s.listen(metrics, opts.MetricsAddress); err != nil {
@@ -110,13 +124,37 @@
 		return "", Error.Wrap(err)
 	}
 
+	go s.serve(server, l)
+
+	return l.Addr().String(), nil
+}
+
+// listenForCallers does the same for callers. Their connections are those of s.connections.
+func (s *Server) listenForCallers() error {
+	l, err := net.Listen("tcp4", s.opts.CallerAddress)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+
+	s.callersAddress, s.callersListener = l.Addr().String(), l
+
 	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			s.failures <- Error.Wrap(err)
-		}
+		defer close(s.callersDone)
+
+		s.serve(s.callers, listener{l.(*net.TCPListener), s.connections})
 	}()
 
-	return l.Addr().String(), nil
+	return nil
+}
+
+// serve serves server at l until one of them is closed.
+func (s *Server) serve(server *http.Server, l net.Listener) {
+	err := server.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && s.stopping.Load() {
+		return
+	}
+
+	s.failures <- Error.Wrap(err)
 }
 
 // Addresses returns the addresses for callers and for readiness checks, with their actual ports.
@@ -125,6 +163,13 @@
 // Failed returns a channel that receives the error of each server that has ended without Stop.
 func (s *Server) Failed() <-chan error { return s.failures }
 
+// Stats returns counts of the connections of callers.
+func (s *Server) Stats() Stats { return s.connections.stats() }
+
+// Tick puts the limits of the configuration in force, also for open connections, each of which keeps the largest limit that
+// was in force while it waited. Call it several times a second.
+func (s *Server) Tick() { s.connections.refresh() }
+
 // Closing reports whether Stop was called. Callers should then be asked to use other connections.
 func (s *Server) Closing() bool { return s.stopping.Load() }
 
@@ -140,21 +185,34 @@
 }
 
 // Stop makes the host not ready, serves callers until the load balancer has noticed that, but not for more than half of
-// bound, then waits for the requests in progress and closes all servers. It takes at most bound. If requests are still
-// in progress near its end, it cuts them and returns an error.
+// bound, then waits for the requests that have begun to arrive and closes all servers. It takes at most bound. If requests
+// are still in progress near its end, it cuts them and returns an error.
 func (s *Server) Stop(bound time.Duration) error {
 	s.stopping.Store(true)
 
 	deadline := s.opts.Clock.Now().Add(bound - stopMargin)
 	s.opts.Clock.Sleep(min(notReadyNotice, bound/2))
 
-	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(s.opts.Clock.Now()))
-	defer cancel()
+	// http.Server.Shutdown would close connections whose next request is arriving, and drop requests that arrive later.
+	if err := s.callersListener.Close(); err != nil {
+		s.opts.Log.Debug().Err(err).Msg("closing the listener for callers")
+	}
+
+	<-s.callersDone
+	s.connections.stop()
 
-	err := s.callers.Shutdown(ctx)
+	for s.connections.stats().Open > 0 && s.opts.Clock.Now().Before(deadline) {
+		s.opts.Clock.Sleep(stopPollInterval)
+	}
+
+	cut := s.connections.requests()
 	s.close()
 
-	return Error.Wrap(err)
+	if cut > 0 {
+		return Error.New("%d requests were cut", cut)
+	}
+
+	return nil
 }
 
 // close closes all servers and their connections at once.
