Treat an answer with a status below 200 as a lost target

Callers of a plain service got the status 101 of a target, or no answer at all: net/http's server panics for a status below 100. If the target named a protocol and fell silent, the request outlived its deadline, as the connection of such an answer belongs to the reader of the body and no longer ends with the request's context.

Cause: net/http takes 101 as a final answer although nothing asked for another protocol, and accepts any three digits. Other interim answers are skipped, and limited by the limit on heads (cases "interim answers" passed before).

Change: once.Transport closes such a connection; the verdict is may-have-run.

Failing before: TestEndlessAnswers/{call,stream}/other_protocol*, .../status_below_100: statuses 101 and none, 5 s for "other protocol, silent" with a deadline of 2 s. Now 502 at once.

--- a/internal/wire/once/transport.go
+++ b/internal/wire/once/transport.go
@@ -40,7 +40,8 @@
 // Transport is an http.RoundTripper over HTTP/1.1 that sends each request to a target at most once.
 //
 // Its errors are of type *verdict.Error. The verdict is NotRun if no byte of the request was written to a
-// connection and none can be written later, else MayHaveRun. Errors from reading the body of an answer carry no
+// connection and none can be written later, else MayHaveRun. An answer with a status below 200, such as one that switches
+// the connection to another protocol, is an error. Errors from reading the body of an answer carry no
 // verdict; the reader of the body has to decide on one. A Transport is safe for concurrent use.
 type Transport struct {
 	base *http.Transport
@@ -95,6 +96,12 @@
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: a.gotConn})
 
 	resp, err := t.base.RoundTrip(disableReplay(r.WithContext(ctx)))
+	if err == nil && resp.StatusCode < http.StatusOK {
+		_ = resp.Body.Close() // closes the connection
+
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "answer with status %d", resp.StatusCode)
+	}
+
 	if err == nil {
 		return resp, nil
 	}
