Bound the text of errors that quote what a target has sent

Seen: one malformed line of 40 KiB in an answer's head makes a log line of 205 kB, a malformed trailer one of 15.7 kB, and the id of another request one of 41 kB; a host that meets many such answers writes its log full.

Cause: errors of net/http quote the whole line, and the limit on heads allows 64 KiB of it.

Change: once.Brief cuts the text of an error at 256 bytes and keeps the error itself, and once.Transport applies it to its errors and to those of bodies.

--- a/internal/wire/once/transport.go
+++ b/internal/wire/once/transport.go
@@ -42,7 +42,7 @@
 // Its errors are of type *verdict.Error. The verdict is NotRun if no byte of the request was written to a
 // connection and none can be written later, else MayHaveRun. An answer with a status below 200, such as one that switches
 // the connection to another protocol, is an error. Errors from reading the body of an answer carry no
-// verdict; the reader of the body has to decide on one. A Transport is safe for concurrent use.
+// verdict; the reader of the body has to decide on one. The texts of errors are short, whatever the target has sent. A Transport is safe for concurrent use.
 type Transport struct {
 	base *http.Transport
 }
@@ -103,9 +103,13 @@
 	}
 
 	if err == nil {
+		resp.Body = briefBody{resp.Body}
+
 		return resp, nil
 	}
 
+	err = Brief(err)
+
 	if a.seal() {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeTargetLost, "request not sent").WithCause(Error.Wrap(err))
 	}
