Take a refusal with an unusable body as a refusal

Callers got 502 (may have run) for a request to a plain service that a replica had refused with Not-Executed or 421 if the body of that refusal was cut off or without end, so that requests that must not run twice were not sent again.

Cause: callOnce read the whole body of each answer before it looked at the refusal in its head.

Change: of a refusal, at most 4 KiB are read, which keeps the connection usable, and errors of the body are ignored.

Failing before: TestEndlessAnswers/call/not_executed and /another_replica: 502 in place of 503.

--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -15,6 +15,8 @@
 const (
 	// maxAnswerBytes bounds an answer that is read to its end before it is forwarded.
 	maxAnswerBytes = 8 << 20
+	// maxRefusalBytes bounds what is read of the body of an answer that states that the request has not run.
+	maxRefusalBytes = 4 << 10
 	// silentObjectives bounds the time to the whole answer of a repeatable request, as a multiple of the route's
 	// latency objective. After that time, another target is tried.
 	silentObjectives = 4
@@ -101,7 +103,7 @@
 
 // callOnce sends the request to one target and reads the whole answer. moreTargets states that another target may be
 // tried afterwards. A repeatable request then gets a shorter timeout, if that is less than half the time to the
-// deadline, so that a silent target leaves time for the next one.
+// deadline, so that a silent target leaves time for the next one. The body of a refusal is of no use and not returned.
 func (j *job) callOnce(ctx context.Context, placement placing.Placement, moreTargets bool) (*Answer, []byte, error) {
 	remaining := j.remaining()
 
@@ -120,6 +122,13 @@
 
 	defer func() { _ = answer.Body.Close() }() // the answer was read to its end, or is of no use
 
+	if answer.NotRun {
+		// The connection can be reused only if the body has been read.
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxRefusalBytes))
+
+		return answer, nil, nil
+	}
+
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
 	if err == nil && len(body) > maxAnswerBytes {
 		err = verdict.New(verdict.Ran, verdict.CodeAnswerTooLarge, "the answer is too large")
