Run a stream that cannot be resumed at one target only

Seen while the exits of streams were read for answers without end: on a route with max_attempts above 1 that may not be resumed, a stream whose first replica gave no answer, or an error status whose body broke off, was sent to a second replica. Both may have run it.

Cause: the loop of stream counts the runs against the route's MaxTargets alone; only a break after the first bytes of a 200 set the count so that no other replica was tried. The tests used routes with one target.

Change: a stream that cannot be resumed has one run.

--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -29,7 +29,7 @@
 func (j *job) stream(ctx context.Context, w Reply) {
 	p := progress{lastEventID: j.r.LastEventID}
 
-	for p.runs < j.route.MaxTargets && j.endError(ctx, verdict.MayHaveRun) == nil {
+	for p.runs < j.maxRuns() && j.endError(ctx, verdict.MayHaveRun) == nil {
 		done, err := j.streamOnce(ctx, w, &p)
 		if done {
 			return
@@ -45,6 +45,15 @@
 	j.endStream(ctx, w, p, nil)
 }
 
+// maxRuns returns the number of targets that may run the stream: one if it cannot be resumed.
+func (j *job) maxRuns() int {
+	if j.route.Repeat != catalog.Resumable {
+		return 1
+	}
+
+	return j.route.MaxTargets
+}
+
 // endStream ends a stream that no target has completed. A stream that has begun is aborted. Otherwise refusal, if not
 // nil, is sent to the caller unless a target may have run the request.
 func (j *job) endStream(ctx context.Context, w Reply, p progress, refusal *verdict.Error) {
