Forward no part of an error status as a whole answer

Callers of a stream whose replica answered with an error status and a body of more than 8 MiB, or one without end, got the first 8 MiB as a complete answer, with a length and the replica's signature.

Cause: passErrorAnswer limited what it read and did not look whether the body had ended.

Change: calls and streams share readBody, which fails for a body beyond the limit. The caller gets 502.

Failing before: TestEndlessAnswers/stream/error_status and /error_status,_chunked: 500 in place of 502.

--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -129,16 +129,26 @@
 		return answer, nil, nil
 	}
 
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
+	body, err := readBody(answer.Body)
+	if err != nil {
+		return nil, nil, err
+	}
+
+	return answer, body, nil
+}
+
+// readBody reads the whole body of an answer. It fails if the body breaks off or exceeds maxAnswerBytes.
+func readBody(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
 	if err == nil && len(body) > maxAnswerBytes {
 		err = verdict.New(verdict.Ran, verdict.CodeAnswerTooLarge, "the answer is too large")
 	}
 
 	if err != nil {
-		return nil, nil, verdict.New(verdict.MayHaveRun, verdict.CodeTruncated, "the answer was cut off").WithCause(err)
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeTruncated, "the answer was cut off").WithCause(err)
 	}
 
-	return answer, body, nil
+	return body, nil
 }
 
 // fail refuses a request that no target has answered. cause is the error of the last send, or nil.
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -273,8 +273,8 @@
 	return j.pacing().ReplaceAfter()
 }
 
-// passErrorAnswer forwards a replica's error status and up to maxAnswerBytes of the body to the caller and reports
-// true. It reports false if the stream has begun or the body could not be read.
+// passErrorAnswer forwards a replica's error status and its body to the caller and reports true. It reports false if the
+// stream has begun or the body could not be read to its end.
 func (j *job) passErrorAnswer(w Reply, answer *Answer, p *progress) bool {
 	if p.begun {
 		p.cause = errors.New("a replica refused to resume the stream")
@@ -282,7 +282,7 @@
 		return false
 	}
 
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	body, err := readBody(answer.Body)
 	if err != nil {
 		p.cause = err
 
