Forward only events of a stream, and comments with the event that follows

Callers of a stream got bytes that are no event, such as comments, empty lines or noise with empty lines, until the deadline, if a replica sent them without end: the answer had begun, each of these blocks counted as progress, and a stream that may be resumed stayed at that replica.

Cause: a blank line ended an event, whatever came before it.

Change: a block of lines is an event only if it has a data or id field. Other blocks are kept, within the limit on one event, and forwarded unchanged before the next event or at the end of the stream.

Failing before: TestEndlessAnswers/stream/{comments,comments_after_an_event,empty_lines,empty_lines,_CRLF, noise_after_an_event,noise_with_empty_lines} and TestReplicaThatSendsOnlyCommentsIsReplaced (1 run in place of 2). TestStreamIsForwardedUnchanged guards the bytes of whole streams; its case empty_lines/by_byte failed too: an empty line that arrived alone at the end of a stream counted as a partial event.

--- a/internal/entry/relay/events.go
+++ b/internal/entry/relay/events.go
@@ -9,72 +9,124 @@
 // errPartialEvent is the error of a stream that ended in the middle of an event.
 var errPartialEvent = errors.New("the stream ended in the middle of an event")
 
-// maxEventBytes bounds the buffered part of an incomplete event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds the buffered part of an incomplete event, with the comments before it.
+	maxEventBytes = 1 << 20
+	// minReadBytes is the least space for one read of a stream.
+	minReadBytes = 4 << 10
+)
 
 // events splits a stream of server-sent events at event boundaries. It does not change any byte.
+//
+// Only a block of lines that has a data or id field is an event. Other blocks, such as comments, are returned together
+// with the event that follows them, so that a stream of them alone neither reaches the caller nor counts as progress.
 type events struct {
-	body  io.Reader
-	buf   []byte
-	chunk [16 << 10]byte
+	body io.Reader
+	buf  []byte
+
+	returned  int    // bytes of buf that the last call of next returned
+	lineStart int    // start of the first line in buf that has not been scanned
+	inBlock   bool   // the block of that line has a line before it
+	isEvent   bool   // that block has a data or id field
+	blockID   string // value of the last id field of that block
+	end       int    // end of the last whole event in buf
+	id        string // value of the last id field before end
 }
 
-// next returns the bytes of one or more whole events and the value of their last id field, or "" if they have none.
-// It returns io.EOF at the end of a stream that ended after a whole event, and errPartialEvent for one that ended
-// within an event. An event of more than maxEventBytes is an error too.
+// next returns the bytes of one or more whole events, which are valid until the next call, and the value of their last id
+// field, or "" if they have none. It returns io.EOF at the end of a stream that ended after a whole event, and
+// errPartialEvent for one that ended within an event. An event of more than maxEventBytes is an error too.
 func (e *events) next() ([]byte, string, error) {
+	e.discardReturned()
+
 	for {
-		if n := wholeEvents(e.buf); n > 0 {
-			out := bytes.Clone(e.buf[:n])
-			e.buf = append(e.buf[:0], e.buf[n:]...)
+		e.scan()
 
-			return out, lastID(out), nil
+		if e.end > 0 {
+			return e.take(e.end)
 		}
 
 		if len(e.buf) > maxEventBytes {
 			return nil, "", errors.New("an event of the stream is too large")
 		}
 
-		n, err := e.body.Read(e.chunk[:])
-		e.buf = append(e.buf, e.chunk[:n]...)
+		if cap(e.buf)-len(e.buf) < minReadBytes {
+			e.buf = append(make([]byte, 0, 2*cap(e.buf)+minReadBytes), e.buf...)
+		}
+
+		n, err := e.body.Read(e.buf[len(e.buf):cap(e.buf)])
+		e.buf = e.buf[:len(e.buf)+n]
 
 		if n > 0 || err == nil {
 			continue
 		}
 
-		if errors.Is(err, io.EOF) && len(e.buf) > 0 {
-			err = errPartialEvent
+		if !errors.Is(err, io.EOF) || len(e.buf) == 0 {
+			return nil, "", err
+		}
+
+		if e.inBlock || e.lineStart < len(e.buf) {
+			return nil, "", errPartialEvent
 		}
 
-		return nil, "", err
+		return e.take(len(e.buf))
 	}
 }
 
-// wholeEvents returns the length in bytes of the whole events at the start of p.
-func wholeEvents(p []byte) int {
-	lf, crlf := bytes.LastIndex(p, []byte("\n\n")), bytes.LastIndex(p, []byte("\r\n\r\n"))
+// take returns the first n bytes of the buffer and the id of the events in them.
+func (e *events) take(n int) ([]byte, string, error) {
+	id := e.id
+	e.returned, e.end, e.id = n, 0, ""
 
-	end := 0
-	if lf >= 0 {
-		end = lf + 2
-	}
-
-	if crlf >= 0 {
-		end = max(end, crlf+4)
-	}
+	return e.buf[:n], id, nil
+}
 
-	return end
+// discardReturned removes the bytes that the last call of next returned.
+func (e *events) discardReturned() {
+	e.buf = append(e.buf[:0], e.buf[e.returned:]...)
+	e.lineStart -= e.returned
+	e.returned = 0
 }
 
-// lastID returns the value of the last id field in p, or "" if there is none.
-func lastID(p []byte) string {
-	id := ""
+// scan scans the whole lines that have not been scanned.
+func (e *events) scan() {
+	for {
+		n := bytes.IndexByte(e.buf[e.lineStart:], '\n')
+		if n < 0 {
+			return
+		}
+
+		line := bytes.TrimSuffix(e.buf[e.lineStart:e.lineStart+n], []byte("\r"))
+		e.lineStart += n + 1
+
+		if len(line) > 0 {
+			e.scanField(line)
+
+			continue
+		}
+
+		if e.isEvent {
+			e.end = e.lineStart
+		}
 
-	for line := range bytes.Lines(p) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(value))
+		if e.blockID != "" {
+			e.id, e.blockID = e.blockID, ""
 		}
+
+		e.inBlock, e.isEvent = false, false
 	}
+}
 
-	return id
+func (e *events) scanField(line []byte) {
+	e.inBlock = true
+
+	name, value, _ := bytes.Cut(line, []byte(":"))
+
+	switch string(name) {
+	case "data":
+		e.isEvent = true
+	case "id":
+		e.isEvent = true
+		e.blockID = string(bytes.TrimSpace(value))
+	}
 }
