Bound the memory of all answers that a host buffers

Seen: 64 targets that send bodies without end at once take the process of a host to 263 to 493 MiB and 256 take it to 899 to 1648 MiB, against 184 MB of a host; 256 streams in the middle of an event to 194 MiB, and with comments that are kept until an event follows to 238 MiB.

Cause: each answer may have 8 MiB, and each event 1 MiB; nothing bounded them together.

Ruled out: forwarding a large answer while it arrives, as the caller would get bytes of an answer that never ends, and a repeatable request could not go to another target. Waiting for memory, as answers that hold a part of it would wait for each other until their deadlines.

Change: the buffers of a Relay, beyond 32 KiB each, share a budget: an eighth of the host's memory limit, or 64 MiB without a limit. An answer gets at most half of what is free, so that large ones fail before small ones do. One that gets none is cut off: may-have-run, another target for a repeatable request.

Failing before: TestEndlessAnswersInBoundedMemory for bodies, chunks, error statuses and events. TestLargeAnswersLeaveMemoryForSmallOnes fails (no answer in place of 200) if an answer may take all that is free.

--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -129,28 +129,18 @@
 		return answer, nil, nil
 	}
 
-	body, err := readBody(answer.Body)
+	buf := j.newBuffer()
+
+	body, err := readBody(answer.Body, buf)
 	if err != nil {
+		buf.release()
+
 		return nil, nil, err
 	}
 
 	return answer, body, nil
 }
 
-// readBody reads the whole body of an answer. It fails if the body breaks off or exceeds maxAnswerBytes.
-func readBody(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = verdict.New(verdict.Ran, verdict.CodeAnswerTooLarge, "the answer is too large")
-	}
-
-	if err != nil {
-		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeTruncated, "the answer was cut off").WithCause(err)
-	}
-
-	return body, nil
-}
-
 // fail refuses a request that no target has answered. cause is the error of the last send, or nil.
 func (j *job) fail(ctx context.Context, w Reply, v verdict.Verdict, cause error) {
 	if err := j.endError(ctx, v); err != nil {
--- a/internal/entry/relay/events.go
+++ b/internal/entry/relay/events.go
@@ -9,12 +9,8 @@
 // errPartialEvent is the error of a stream that ended in the middle of an event.
 var errPartialEvent = errors.New("the stream ended in the middle of an event")
 
-const (
-	// maxEventBytes bounds the buffered part of an incomplete event, with the comments before it.
-	maxEventBytes = 1 << 20
-	// minReadBytes is the least space for one read of a stream.
-	minReadBytes = 4 << 10
-)
+// maxEventBytes bounds the buffered part of an incomplete event, with the comments before it.
+const maxEventBytes = 1 << 20
 
 // events splits a stream of server-sent events at event boundaries. It does not change any byte.
 //
@@ -22,7 +18,7 @@
 // with the event that follows them, so that a stream of them alone neither reaches the caller nor counts as progress.
 type events struct {
 	body io.Reader
-	buf  []byte
+	buf  *buffer
 
 	returned  int    // bytes of buf that the last call of next returned
 	lineStart int    // start of the first line in buf that has not been scanned
@@ -46,30 +42,24 @@
 			return e.take(e.end)
 		}
 
-		if len(e.buf) > maxEventBytes {
+		if len(e.buf.b) > maxEventBytes {
 			return nil, "", errors.New("an event of the stream is too large")
 		}
 
-		if cap(e.buf)-len(e.buf) < minReadBytes {
-			e.buf = append(make([]byte, 0, 2*cap(e.buf)+minReadBytes), e.buf...)
-		}
-
-		n, err := e.body.Read(e.buf[len(e.buf):cap(e.buf)])
-		e.buf = e.buf[:len(e.buf)+n]
-
+		n, err := e.buf.readFrom(e.body)
 		if n > 0 || err == nil {
 			continue
 		}
 
-		if !errors.Is(err, io.EOF) || len(e.buf) == 0 {
+		if !errors.Is(err, io.EOF) || len(e.buf.b) == 0 {
 			return nil, "", err
 		}
 
-		if e.inBlock || e.lineStart < len(e.buf) {
+		if e.inBlock || e.lineStart < len(e.buf.b) {
 			return nil, "", errPartialEvent
 		}
 
-		return e.take(len(e.buf))
+		return e.take(len(e.buf.b))
 	}
 }
 
@@ -78,12 +68,12 @@
 	id := e.id
 	e.returned, e.end, e.id = n, 0, ""
 
-	return e.buf[:n], id, nil
+	return e.buf.b[:n], id, nil
 }
 
 // discardReturned removes the bytes that the last call of next returned.
 func (e *events) discardReturned() {
-	e.buf = append(e.buf[:0], e.buf[e.returned:]...)
+	e.buf.discard(e.returned)
 	e.lineStart -= e.returned
 	e.returned = 0
 }
@@ -91,12 +81,12 @@
 // scan scans the whole lines that have not been scanned.
 func (e *events) scan() {
 	for {
-		n := bytes.IndexByte(e.buf[e.lineStart:], '\n')
+		n := bytes.IndexByte(e.buf.b[e.lineStart:], '\n')
 		if n < 0 {
 			return
 		}
 
-		line := bytes.TrimSuffix(e.buf[e.lineStart:e.lineStart+n], []byte("\r"))
+		line := bytes.TrimSuffix(e.buf.b[e.lineStart:e.lineStart+n], []byte("\r"))
 		e.lineStart += n + 1
 
 		if len(line) > 0 {
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -49,11 +50,15 @@
 	Crashers     *crashtracker.Table // requests that crash their targets
 	Targets      Targets
 	Observe      func(Outcome) // called once a request has ended; nil means no call
+	// BufferBytes bounds the memory of the answers and events that are buffered at the same time, beyond 32 KiB for each.
+	// Zero means 64 MiB.
+	BufferBytes int
 }
 
 // Relay serves requests. It is safe for concurrent use.
 type Relay struct {
-	opts Options
+	opts    Options
+	buffers *bufferBudget
 }
 
 // New returns a Relay with opts, whose zero optional fields are replaced by their defaults.
@@ -78,7 +83,7 @@
 		opts.Observe = func(Outcome) {}
 	}
 
-	return &Relay{opts: opts}
+	return &Relay{opts: opts, buffers: newBufferBudget(cmp.Or(opts.BufferBytes, defaultBufferBytes))}
 }
 
 // Outcome describes how a request ended. Route is zero if there was no configuration yet or no route matched.
@@ -107,6 +112,8 @@
 	}
 
 	j := l.newJob(r, route, c)
+	defer j.releaseBuffers()
+
 	l.opts.Retries.CountRequest(r.Arrived, j.service.Name)
 
 	// The deadline is relative to the arrival, on the monotonic clock.
@@ -138,6 +145,7 @@
 	prefilled   bool              // a replica has prefilled the prompt; the first prefill is not counted in sends
 	tried       []entity.TargetID // targets that are not tried again
 	losses      int               // recorded losses of targets
+	held        []*buffer         // buffers of answers, which the job releases at its end
 	timeToFirst time.Duration     // as Outcome.TimeToFirst
 	outcome     Outcome
 }
@@ -161,6 +169,20 @@
 	}
 }
 
+// newBuffer returns a buffer that is released at the end of the job, or before.
+func (j *job) newBuffer() *buffer {
+	b := &buffer{budget: j.buffers}
+	j.held = append(j.held, b)
+
+	return b
+}
+
+func (j *job) releaseBuffers() {
+	for _, b := range j.held {
+		b.release()
+	}
+}
+
 // defaultTimeout is the timeout of a request if neither its caller nor its route sets one.
 const defaultTimeout = 30 * time.Second
 
