Take a report of an engine that does not end for none

Own interface: the load report and the state of an engine were taken from the beginning of an answer that went on without end, and a long number in one made an error text of 512 kB.

Change: reports are read to their end, within 1 MiB, before they are decoded; error texts are short. Of an error response, whose text is quoted with 200 bytes, 4 KiB are read in place of 1 MiB.

Failing before: TestEndlessAnswers/{load,state}/{long_number,JSON,_spaces_after}. The other 65 cases, streams among them, passed: comments without end count as signs of life in this interface, and such a stream ends by its deadline. TestEndlessAnswersInBoundedMemory passed before, with 19 to 49 MiB for 64 and 32 to 109 MiB for 256 streams.

--- a/internal/wire/engine/client.go
+++ b/internal/wire/engine/client.go
@@ -23,6 +23,7 @@
 	defaultIdleTimeout = 5 * time.Second
 	maxEventBytes      = 1 << 20
 	maxReportBytes     = 1 << 20
+	maxRefusalBytes    = 4 << 10 // limit on what is read of the body of an error response
 )
 
 // Options configures a Client. The zero value selects the defaults.
@@ -193,7 +194,7 @@
 // refusal converts an error response of an engine to an Error. The verdict is that of the X-Verdict header, or
 // MayHaveRun if the header is missing or has an unknown value.
 func refusal(t entity.Target, resp *http.Response) *verdict.Error {
-	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
 	v := verdict.Parse(resp.Header.Get(HeaderVerdict))
 
 	code := verdict.CodeOverloaded
@@ -255,8 +256,8 @@
 		return report, Error.New("load report of %s has status %d", t.ID, resp.StatusCode)
 	}
 
-	if err = json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&report); err != nil {
-		return Report{}, Error.Wrap(err)
+	if err = decodeReport(resp.Body, &report); err != nil {
+		return Report{}, err
 	}
 
 	if report.At.IsZero() {
@@ -265,3 +266,13 @@
 
 	return report, nil
 }
+
+// decodeReport reads r, which holds at most maxReportBytes, to its end and decodes it into the value that into points to.
+func decodeReport(r io.Reader, into any) error {
+	content, err := once.ReadBody(r, maxReportBytes)
+	if err == nil {
+		err = json.Unmarshal(content, into)
+	}
+
+	return Error.Wrap(once.Brief(err))
+}
--- a/internal/wire/engine/orders.go
+++ b/internal/wire/engine/orders.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
@@ -74,5 +73,7 @@
 		return state, refusal(t, resp)
 	}
 
-	return state, Error.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&state))
+	err = decodeReport(resp.Body, &state)
+
+	return state, err
 }
