Move the bounded buffers of answers to a package of their own

internal/wire/buffers holds what relay and once had: a Buffer with a limit, a Budget for all of them, and Read. The client of the own services needs them too. No change in behaviour, except that an event of a stream may have 1 MiB in all, where it was cut off after the read that passed 1 MiB.

--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -9,6 +9,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
 	"github.com/dotterelflow/dotterelflow/internal/control/retries"
+	"github.com/dotterelflow/dotterelflow/internal/wire/buffers"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
@@ -129,11 +130,11 @@
 		return answer, nil, nil
 	}
 
-	buf := j.newBuffer()
+	buf := j.newBuffer(maxAnswerBytes)
 
 	body, err := readBody(answer.Body, buf)
 	if err != nil {
-		buf.release()
+		buf.Release()
 
 		return nil, nil, err
 	}
@@ -141,6 +142,16 @@
 	return answer, body, nil
 }
 
+// readBody reads the whole body of an answer into b.
+func readBody(r io.Reader, b *buffers.Buffer) ([]byte, error) {
+	body, err := b.ReadAll(r)
+	if err != nil {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeTruncated, "the answer was cut off").WithCause(err)
+	}
+
+	return body, nil
+}
+
 // fail refuses a request that no target has answered. cause is the error of the last send, or nil.
 func (j *job) fail(ctx context.Context, w Reply, v verdict.Verdict, cause error) {
 	if err := j.endError(ctx, v); err != nil {
--- a/internal/entry/relay/events.go
+++ b/internal/entry/relay/events.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"github.com/dotterelflow/dotterelflow/internal/wire/buffers"
 )
 
 // errPartialEvent is the error of a stream that ended in the middle of an event.
@@ -18,7 +20,7 @@
 // with the event that follows them, so that a stream of them alone neither reaches the caller nor counts as progress.
 type events struct {
 	body io.Reader
-	buf  *buffer
+	buf  *buffers.Buffer
 
 	returned  int    // bytes of buf that the last call of next returned
 	lineStart int    // start of the first line in buf that has not been scanned
@@ -42,24 +44,20 @@
 			return e.take(e.end)
 		}
 
-		if len(e.buf.b) > maxEventBytes {
-			return nil, "", errors.New("an event of the stream is too large")
-		}
-
-		n, err := e.buf.readFrom(e.body)
+		n, err := e.buf.Fill(e.body)
 		if n > 0 || err == nil {
 			continue
 		}
 
-		if !errors.Is(err, io.EOF) || len(e.buf.b) == 0 {
+		if !errors.Is(err, io.EOF) || len(e.buf.Bytes()) == 0 {
 			return nil, "", err
 		}
 
-		if e.inBlock || e.lineStart < len(e.buf.b) {
+		if e.inBlock || e.lineStart < len(e.buf.Bytes()) {
 			return nil, "", errPartialEvent
 		}
 
-		return e.take(len(e.buf.b))
+		return e.take(len(e.buf.Bytes()))
 	}
 }
 
@@ -68,12 +66,12 @@
 	id := e.id
 	e.returned, e.end, e.id = n, 0, ""
 
-	return e.buf.b[:n], id, nil
+	return e.buf.Bytes()[:n], id, nil
 }
 
 // discardReturned removes the bytes that the last call of next returned.
 func (e *events) discardReturned() {
-	e.buf.discard(e.returned)
+	e.buf.Discard(e.returned)
 	e.lineStart -= e.returned
 	e.returned = 0
 }
@@ -81,12 +79,12 @@
 // scan scans the whole lines that have not been scanned.
 func (e *events) scan() {
 	for {
-		n := bytes.IndexByte(e.buf.b[e.lineStart:], '\n')
+		n := bytes.IndexByte(e.buf.Bytes()[e.lineStart:], '\n')
 		if n < 0 {
 			return
 		}
 
-		line := bytes.TrimSuffix(e.buf.b[e.lineStart:e.lineStart+n], []byte("\r"))
+		line := bytes.TrimSuffix(e.buf.Bytes()[e.lineStart:e.lineStart+n], []byte("\r"))
 		e.lineStart += n + 1
 
 		if len(line) > 0 {
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
 	"github.com/dotterelflow/dotterelflow/internal/control/retries"
+	"github.com/dotterelflow/dotterelflow/internal/wire/buffers"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
@@ -32,6 +33,7 @@
 	// which a request is refused. The sends of one request follow each other so closely that all may meet one failure of many targets;
 	// the caller's retry shows whether the request is the cause.
 	maxLossesPerRequest = 2
+	defaultBufferBytes  = 64 << 20
 	// releaseTimeout bounds the call that frees a KV cache.
 	releaseTimeout = time.Second
 )
@@ -50,15 +52,15 @@
 	Crashers     *crashtracker.Table // requests that crash their targets
 	Targets      Targets
 	Observe      func(Outcome) // called once a request has ended; nil means no call
-	// BufferBytes bounds the memory of the answers and events that are buffered at the same time, beyond 32 KiB for each.
+	// BufferBytes bounds the memory of the answers and events that are buffered at the same time, beyond buffers.FreeBytes each.
 	// Zero means 64 MiB.
 	BufferBytes int
 }
 
 // Relay serves requests. It is safe for concurrent use.
 type Relay struct {
-	opts    Options
-	buffers *bufferBudget
+	opts   Options
+	budget *buffers.Budget
 }
 
 // New returns a Relay with opts, whose zero optional fields are replaced by their defaults.
@@ -83,7 +85,7 @@
 		opts.Observe = func(Outcome) {}
 	}
 
-	return &Relay{opts: opts, buffers: newBufferBudget(cmp.Or(opts.BufferBytes, defaultBufferBytes))}
+	return &Relay{opts: opts, budget: buffers.NewBudget(cmp.Or(opts.BufferBytes, defaultBufferBytes))}
 }
 
 // Outcome describes how a request ended. Route is zero if there was no configuration yet or no route matched.
@@ -145,7 +147,7 @@
 	prefilled   bool              // a replica has prefilled the prompt; the first prefill is not counted in sends
 	tried       []entity.TargetID // targets that are not tried again
 	losses      int               // recorded losses of targets
-	held        []*buffer         // buffers of answers, which the job releases at its end
+	held        []*buffers.Buffer // buffers of answers, which the job releases at its end
 	timeToFirst time.Duration     // as Outcome.TimeToFirst
 	outcome     Outcome
 }
@@ -169,9 +171,9 @@
 	}
 }
 
-// newBuffer returns a buffer that is released at the end of the job, or before.
-func (j *job) newBuffer() *buffer {
-	b := &buffer{budget: j.buffers}
+// newBuffer returns a buffer for limit bytes that is released at the end of the job, or before.
+func (j *job) newBuffer(limit int) *buffers.Buffer {
+	b := &buffers.Buffer{Budget: j.budget, Limit: limit}
 	j.held = append(j.held, b)
 
 	return b
@@ -179,7 +181,7 @@
 
 func (j *job) releaseBuffers() {
 	for _, b := range j.held {
-		b.release()
+		b.Release()
 	}
 }
 
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -282,7 +282,7 @@
 		return false
 	}
 
-	body, err := readBody(answer.Body, j.newBuffer())
+	body, err := readBody(answer.Body, j.newBuffer(maxAnswerBytes))
 	if err != nil {
 		p.cause = err
 
@@ -297,8 +297,8 @@
 // passEvents forwards events as they arrive. It reports whether the stream has ended: the answer is complete or the
 // caller cannot be written to. reset restarts the timer that cancels a silent replica.
 func (j *job) passEvents(w Reply, answer *Answer, placement placing.Placement, p *progress, reset func(time.Duration) bool) bool {
-	stream := &events{body: answer.Body, buf: j.newBuffer()}
-	defer stream.buf.release()
+	stream := &events{body: answer.Body, buf: j.newBuffer(maxEventBytes)}
+	defer stream.buf.Release()
 
 	for {
 		event, id, err := stream.next()
--- a/internal/wire/engine/client.go
+++ b/internal/wire/engine/client.go
@@ -14,6 +14,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/wire/buffers"
 	"github.com/dotterelflow/dotterelflow/internal/wire/once"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
@@ -269,7 +270,7 @@
 
 // decodeReport reads r, which holds at most maxReportBytes, to its end and decodes it into the value that into points to.
 func decodeReport(r io.Reader, into any) error {
-	content, err := once.ReadBody(r, maxReportBytes)
+	content, err := buffers.Read(r, maxReportBytes)
 	if err == nil {
 		err = json.Unmarshal(content, into)
 	}
