Take a refusal of a service with an unusable body as a refusal

Own interface: the verdict of a service that had refused a request with not-run became ran, or may-have-run, if the body of its answer did not end or was cut off, as the body was read before the verdict in the head was looked at.

Change: the head of a refusal counts, and at most 4 KiB of its body are read.

Failing before: TestEndlessAnswers/refusal (ran in place of not-run). The other 13 cases passed.

--- a/internal/wire/service/client.go
+++ b/internal/wire/service/client.go
@@ -22,6 +22,7 @@
 	defaultDialTimeout = time.Second
 	defaultTimeout     = 10 * time.Second
 	maxAnswerBytes     = 4 << 20
+	maxRefusalBytes    = 4 << 10 // limit on what is read of the body of a refusal
 	headerRequestID    = "X-Request-Id"
 	headerKey          = "X-Request-Key"
 	headerVerdict      = "X-Verdict"
@@ -100,6 +101,13 @@
 
 	defer func() { _ = resp.Body.Close() }()
 
+	if resp.StatusCode >= http.StatusInternalServerError && verdict.Parse(resp.Header.Get(headerVerdict)) == verdict.NotRun {
+		// The connection can be reused only if the body has been read.
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxRefusalBytes))
+
+		return Answer{}, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%s refused with status %d", t.ID, resp.StatusCode)
+	}
+
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
 		return Answer{}, connectionLost(t, err)
@@ -109,10 +117,6 @@
 		return Answer{}, verdict.New(verdict.Ran, verdict.CodeAnswerTooLarge, "answer of %s exceeds %d bytes", t.ID, maxAnswerBytes)
 	}
 
-	if resp.StatusCode >= http.StatusInternalServerError && verdict.Parse(resp.Header.Get(headerVerdict)) == verdict.NotRun {
-		return Answer{}, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%s refused with status %d", t.ID, resp.StatusCode)
-	}
-
 	return Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
