Bound the memory of the answers of services that are being read

Own interface: 256 services that send bodies without end at once took the process to 628 MiB (chunked: 820; error status: 322, and 218 with 64), as each answer may have 4 MiB and nothing bounded them together.

Change: a client of services reads answers within a budget of 32 MiB, beyond 32 KiB each. An answer that gets no memory counts as lost: may-have-run.

--- a/internal/wire/buffers/buffer.go
+++ b/internal/wire/buffers/buffer.go
@@ -104,7 +104,7 @@
 	b.bytes = append(b.bytes[:0], b.bytes[n:]...)
 }
 
-// Release ends the use of the contents and gives their memory back. A second call has no effect.
+// Release empties b and stops counting its memory. A second call has no effect. What ReadAll returned stays valid.
 func (b *Buffer) Release() {
 	if b.Budget != nil {
 		b.Budget.giveBack(b.charged)
--- a/internal/wire/buffers/read.go
+++ b/internal/wire/buffers/read.go
@@ -10,8 +10,8 @@
 	return (&Buffer{Limit: limit}).ReadAll(r)
 }
 
-// ReadAll reads r to its end and returns the contents of b, which are valid until Release. It fails with ErrTooLong if they
-// exceed b.Limit, and with ErrNoMemory.
+// ReadAll reads r to its end and returns the contents of b. It fails with ErrTooLong if they exceed b.Limit, and with
+// ErrNoMemory.
 func (b *Buffer) ReadAll(r io.Reader) ([]byte, error) {
 	for {
 		_, err := b.Fill(r)
--- a/internal/wire/service/client.go
+++ b/internal/wire/service/client.go
@@ -11,6 +11,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/wire/buffers"
 	"github.com/dotterelflow/dotterelflow/internal/wire/once"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
@@ -23,9 +24,12 @@
 	defaultTimeout     = 10 * time.Second
 	maxAnswerBytes     = 4 << 20
 	maxRefusalBytes    = 4 << 10 // limit on what is read of the body of a refusal
-	headerRequestID    = "X-Request-Id"
-	headerKey          = "X-Request-Key"
-	headerVerdict      = "X-Verdict"
+	// bufferBytes bounds the memory of all answers that are being read, beyond buffers.FreeBytes each.
+	bufferBytes = 32 << 20
+
+	headerRequestID = "X-Request-Id"
+	headerKey       = "X-Request-Key"
+	headerVerdict   = "X-Verdict"
 )
 
 // Options configures a Client. The zero value selects the defaults.
@@ -37,6 +41,7 @@
 // Client calls services. It is safe for concurrent use and sends each request at most once.
 type Client struct {
 	timeout time.Duration
+	budget  *buffers.Budget
 	http    *http.Client
 }
 
@@ -66,7 +71,10 @@
 		opts.Timeout = defaultTimeout
 	}
 
-	return &Client{timeout: opts.Timeout, http: once.NewClient(once.Options{DialTimeout: opts.DialTimeout})}
+	return &Client{
+		timeout: opts.Timeout, budget: buffers.NewBudget(bufferBytes),
+		http: once.NewClient(once.Options{DialTimeout: opts.DialTimeout}),
+	}
 }
 
 // Call runs req on the service at t.
@@ -108,15 +116,19 @@
 		return Answer{}, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%s refused with status %d", t.ID, resp.StatusCode)
 	}
 
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err != nil {
-		return Answer{}, connectionLost(t, err)
-	}
+	// The memory is counted until the answer is whole, and an answer that has no end never is.
+	buf := buffers.Buffer{Budget: c.budget, Limit: maxAnswerBytes}
+	defer buf.Release()
 
-	if len(body) > maxAnswerBytes {
+	body, err := buf.ReadAll(resp.Body)
+	if errors.Is(err, buffers.ErrTooLong) {
 		return Answer{}, verdict.New(verdict.Ran, verdict.CodeAnswerTooLarge, "answer of %s exceeds %d bytes", t.ID, maxAnswerBytes)
 	}
 
+	if err != nil {
+		return Answer{}, connectionLost(t, err)
+	}
+
 	return Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
