Take an answer of the platform that does not end for none

Own interface: reads and writes succeeded on an answer that began with a JSON value and went on without end; a list without end took the process to 200 MiB, against 184 MB of a host; error texts had 164 kB (a malformed head) and 1 MB (a long number).

Change: answers are read to their end before they are decoded, an object within the limit on objects (2 MiB in place of 64); error texts are short.

--- a/internal/wire/platform/client.go
+++ b/internal/wire/platform/client.go
@@ -9,6 +9,9 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/dotterelflow/dotterelflow/internal/wire/buffers"
+	"github.com/dotterelflow/dotterelflow/internal/wire/once"
 )
 
 const (
@@ -70,7 +73,7 @@
 func (c *Client) Get(ctx context.Context, key Key) (Object, error) {
 	var o Object
 
-	if err := c.read(ctx, "/objects/"+string(key), &o); err != nil {
+	if err := c.read(ctx, "/objects/"+string(key), maxObjectBytes, &o); err != nil {
 		return Object{}, err
 	}
 
@@ -111,7 +114,7 @@
 func (c *Client) List(ctx context.Context, prefix string) ([]Object, error) {
 	var objects []Object
 
-	err := c.read(ctx, "/list?prefix="+url.QueryEscape(prefix), &objects)
+	err := c.read(ctx, "/list?prefix="+url.QueryEscape(prefix), maxListBytes, &objects)
 
 	return objects, err
 }
@@ -120,7 +123,7 @@
 func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
 	var hosts []Host
 
-	err := c.read(ctx, "/hosts", &hosts)
+	err := c.read(ctx, "/hosts", maxListBytes, &hosts)
 
 	return hosts, err
 }
@@ -136,7 +139,7 @@
 
 	resp, err := c.watchHTTP.Do(r) //nolint:bodyclose // closed by the goroutine below
 	if err != nil {
-		return nil, unavailable(err)
+		return nil, unavailable(once.Brief(err))
 	}
 
 	if resp.StatusCode != http.StatusOK {
@@ -196,11 +199,11 @@
 		c.http.CloseIdleConnections()
 	}
 
-	return resp, err
+	return resp, once.Brief(err)
 }
 
-// read fetches path and decodes the JSON answer into the value that into points to.
-func (c *Client) read(ctx context.Context, path string, into any) error {
+// read fetches path and decodes the JSON answer, of at most limit bytes, into the value that into points to.
+func (c *Client) read(ctx context.Context, path string, limit int, into any) error {
 	r, err := c.newRequest(ctx, http.MethodGet, path, nil)
 	if err != nil {
 		return err
@@ -217,13 +220,24 @@
 		return ErrUnavailable
 	}
 
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(into); err != nil {
+	if err := decode(resp.Body, limit, into); err != nil {
 		return unavailable(err)
 	}
 
 	return nil
 }
 
+// decode reads r, which holds at most limit bytes, to its end and decodes it into the value that into points to. The text of
+// its error is short.
+func decode(r io.Reader, limit int, into any) error {
+	content, err := buffers.Read(r, limit)
+	if err == nil {
+		err = json.Unmarshal(content, into)
+	}
+
+	return once.Brief(err)
+}
+
 // write sends a conditional write of the object at key, at most once, and decodes the answer into the value that
 // into points to. Its errors are those of Put.
 func (c *Client) write(ctx context.Context, method string, key Key, expect Version, value []byte, into *Object) error {
@@ -259,7 +273,7 @@
 		return ErrUnknown
 	}
 
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxObjectBytes)).Decode(into); err != nil {
+	if err := decode(resp.Body, maxObjectBytes, into); err != nil {
 		return Error.Wrap(joinErrors(ErrUnknown, err))
 	}
 
