--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -9,12 +9,15 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/control/retries"
+	"github.com/dotterelflow/dotterelflow/internal/wire/buffers"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
 const (
 	// maxAnswerBytes bounds an answer that is read to its end before it is forwarded.
 	maxAnswerBytes = 8 << 20
+	// maxRefusalBytes bounds what is read of the body of an answer that states that the request has not run.
+	maxRefusalBytes = 4 << 10
 	// silentObjectives bounds the time to the whole answer of a repeatable request, as a multiple of the route's
 	// latency objective. After that time, another target is tried.
 	silentObjectives = 4
@@ -161,7 +164,7 @@
 	r.answer, r.err = j.opts.Targets.Run(runCtx, j.r, Send{Target: target, Rank: j.route.Rank, Timeout: remaining})
 
 	if r.err == nil {
-		r.body, r.err = readAnswer(r.answer)
+		r.body, r.err = j.readAnswer(r.answer)
 	}
 
 	r.next, r.takenOver = silence.stop(r.err != nil)
@@ -169,15 +172,32 @@
 	return r
 }
 
-// readAnswer reads the whole body of answer and closes it.
-func readAnswer(answer *Answer) ([]byte, error) {
+// readAnswer reads the whole body of answer and closes it. The body of a refusal is of no use and not returned.
+func (j *job) readAnswer(answer *Answer) ([]byte, error) {
 	defer func() { _ = answer.Body.Close() }() // the answer was read to its end, or is of no use
 
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = verdict.New(verdict.Ran, verdict.CodeAnswerTooLarge, "the answer is too large")
+	if answer.NotRun {
+		// The connection can be reused only if the body has been read.
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxRefusalBytes))
+
+		return nil, nil
 	}
 
+	buf := j.newBuffer(maxAnswerBytes)
+
+	body, err := readBody(answer.Body, buf)
+	if err != nil {
+		buf.Release()
+
+		return nil, err
+	}
+
+	return body, nil
+}
+
+// readBody reads the whole body of an answer into b.
+func readBody(r io.Reader, b *buffers.Buffer) ([]byte, error) {
+	body, err := b.ReadAll(r)
 	if err != nil {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeTruncated, "the answer was cut off").WithCause(err)
 	}
--- a/internal/entry/relay/fakes_test.go
+++ b/internal/entry/relay/fakes_test.go
@@ -229,12 +229,20 @@
 	crashers *crashtracker.Table
 	clockLag atomic.Int64 // by how many nanoseconds the relay's clock is slow
 	fleet    []fleet.Target
+	mu       sync.Mutex
 	outcome  relay.Outcome // of the last request
 	retries  *retries.Limiter
 	log      lockedBuffer
 	relay    *relay.Relay
 }
 
+func (fx *fixture) observe(o relay.Outcome) {
+	fx.mu.Lock()
+	defer fx.mu.Unlock()
+
+	fx.outcome = o
+}
+
 // unusedRepeats returns how many repeats the retry budget still allows, and takes them.
 func (fx *fixture) unusedRepeats() int {
 	n := 0
@@ -250,6 +258,9 @@
 	fx.fleet = slices.DeleteFunc(fx.fleet, func(t fleet.Target) bool { return !slices.Contains(ids, t.ID) })
 }
 
+// fixtureBufferBytes is the memory for buffered answers of a fixture.
+const fixtureBufferBytes = 24 << 20
+
 // newFixture returns a relay with route and a retry budget of slack repeats. Its fleet has two prefill replicas, four
 // decode replicas and two replicas of a plain service.
 func newFixture(t testing.TB, route catalog.Route, slack float64) *fixture {
@@ -278,8 +289,9 @@
 	fx.relay = relay.New(relay.Options{
 		Clock: slowClock{clockwork.NewRealClock(), &fx.clockLag}, Log: &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &fx.log}}, Catalog: func() *catalog.Catalog { return c },
 		Fleet: func() *fleet.Snapshot { return fleet.NewSnapshot(fx.fleet) }, Board: fx.board, Targets: fx.targets, Crashers: fx.crashers,
-		Observe: func(o relay.Outcome) { fx.outcome = o },
-		Retries: fx.retries,
+		Observe:     func(o relay.Outcome) { fx.outcome = o },
+		BufferBytes: fixtureBufferBytes,
+		Retries:     fx.retries,
 	})
 
 	return fx
@@ -297,9 +309,13 @@
 func (fx *fixture) serveTo(ctx context.Context, t *testing.T, out *replyRecorder) {
 	t.Helper()
 
-	fx.relay.Serve(ctx, &relay.Request{
-		ID: "q", Method: "POST", URI: "/p/x", Host: "host", Path: "/p/x", Arrived: time.Now(), Timeout: 10 * time.Second, Prompt: 100,
-	}, out)
+	fx.relay.Serve(ctx, request(), out)
 	require.Equal(t, 1, out.finals, "each request gets one final answer")
 	require.Empty(t, fx.board.Export(), "work of an ended request must not stay counted")
 }
+
+func request() *relay.Request {
+	return &relay.Request{
+		ID: "q", Method: "POST", URI: "/p/x", Host: "host", Path: "/p/x", Arrived: time.Now(), Timeout: 10 * time.Second, Prompt: 100,
+	}
+}
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
 	"github.com/dotterelflow/dotterelflow/internal/control/retries"
+	"github.com/dotterelflow/dotterelflow/internal/wire/buffers"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
@@ -31,6 +33,7 @@
 	// which a request is refused. The sends of one request follow each other so closely that all may meet one failure of many targets;
 	// the caller's retry shows whether the request is the cause.
 	maxLossesPerRequest = 2
+	defaultBufferBytes  = 64 << 20
 	// releaseTimeout bounds the call that frees a KV cache.
 	releaseTimeout = time.Second
 )
@@ -49,11 +52,15 @@
 	Crashers     *crashtracker.Table // requests that crash their targets
 	Targets      Targets
 	Observe      func(Outcome) // called once a request has ended; nil means no call
+	// BufferBytes bounds the memory of the answers and events that are buffered at the same time, beyond buffers.FreeBytes each.
+	// Zero means 64 MiB.
+	BufferBytes int
 }
 
 // Relay serves requests. It is safe for concurrent use.
 type Relay struct {
-	opts Options
+	opts   Options
+	budget *buffers.Budget
 }
 
 // New returns a Relay with opts, whose zero optional fields are replaced by their defaults.
@@ -78,7 +85,7 @@
 		opts.Observe = func(Outcome) {}
 	}
 
-	return &Relay{opts: opts}
+	return &Relay{opts: opts, budget: buffers.NewBudget(cmp.Or(opts.BufferBytes, defaultBufferBytes))}
 }
 
 // Outcome describes how a request ended. Route is zero if there was no configuration yet or no route matched.
@@ -109,6 +116,8 @@
 	}
 
 	j := l.newJob(r, route, c)
+	defer j.releaseBuffers()
+
 	l.opts.Retries.CountRequest(r.Arrived, j.service.Name)
 
 	// The deadline is relative to the arrival, on the monotonic clock.
@@ -148,6 +157,7 @@
 	sentAt      time.Time         // when the request was last sent to a target; zero if it was not
 	lastHeard   time.Time         // when a target last sent something; zero if none has
 	silent      entity.TargetID   // silent target that has not been replaced yet; empty for none
+	held        []*buffers.Buffer // buffers of answers, which the job releases at its end
 	timeToFirst time.Duration     // as Outcome.TimeToFirst
 	outcome     Outcome
 }
@@ -171,6 +181,20 @@
 	}
 }
 
+// newBuffer returns a buffer for limit bytes that is released at the end of the job, or before.
+func (j *job) newBuffer(limit int) *buffers.Buffer {
+	b := &buffers.Buffer{Budget: j.budget, Limit: limit}
+	j.held = append(j.held, b)
+
+	return b
+}
+
+func (j *job) releaseBuffers() {
+	for _, b := range j.held {
+		b.Release()
+	}
+}
+
 // defaultTimeout is the timeout of a request if neither its caller nor its route sets one.
 const defaultTimeout = 30 * time.Second
 
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -279,7 +279,7 @@
 		return false
 	}
 
-	body, err := readAnswer(answer)
+	body, err := j.readAnswer(answer)
 	if err != nil {
 		p.cause = err
 
@@ -294,7 +294,8 @@
 // passEvents forwards events as they arrive. It reports whether the stream has ended: the answer is complete or the
 // caller cannot be written to. Otherwise it returns the error of the replica t, whose silences silence watches.
 func (j *job) passEvents(w Reply, answer *Answer, t fleet.Target, p *progress, silence *watch) (bool, error) {
-	stream := &events{body: answer.Body}
+	stream := &events{body: answer.Body, buf: j.newBuffer(maxEventBytes)}
+	defer stream.buf.Release()
 
 	for {
 		event, id, err := stream.next()
--- a/internal/wire/service/client.go
+++ b/internal/wire/service/client.go
@@ -11,6 +11,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/wire/buffers"
 	"github.com/dotterelflow/dotterelflow/internal/wire/once"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
@@ -22,9 +23,13 @@
 	defaultDialTimeout = time.Second
 	defaultTimeout     = 10 * time.Second
 	maxAnswerBytes     = 4 << 20
-	headerRequestID    = "X-Request-Id"
-	headerKey          = "X-Request-Key"
-	headerVerdict      = "X-Verdict"
+	maxRefusalBytes    = 4 << 10 // limit on what is read of the body of a refusal
+	// bufferBytes bounds the memory of all answers that are being read, beyond buffers.FreeBytes each.
+	bufferBytes = 32 << 20
+
+	headerRequestID = "X-Request-Id"
+	headerKey       = "X-Request-Key"
+	headerVerdict   = "X-Verdict"
 )
 
 // Options configures a Client. The zero value selects the defaults.
@@ -36,6 +41,7 @@
 // Client calls services. It is safe for concurrent use and sends each request at most once.
 type Client struct {
 	timeout time.Duration
+	budget  *buffers.Budget
 	http    *http.Client
 }
 
@@ -65,7 +71,10 @@
 		opts.Timeout = defaultTimeout
 	}
 
-	return &Client{timeout: opts.Timeout, http: once.NewClient(once.Options{DialTimeout: opts.DialTimeout})}
+	return &Client{
+		timeout: opts.Timeout, budget: buffers.NewBudget(bufferBytes),
+		http: once.NewClient(once.Options{DialTimeout: opts.DialTimeout}),
+	}
 }
 
 // Call runs req on the service at t.
@@ -100,17 +109,24 @@
 
 	defer func() { _ = resp.Body.Close() }()
 
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err != nil {
-		return Answer{}, connectionLost(t, err)
+	if resp.StatusCode >= http.StatusInternalServerError && verdict.Parse(resp.Header.Get(headerVerdict)) == verdict.NotRun {
+		// The connection can be reused only if the body has been read.
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxRefusalBytes))
+
+		return Answer{}, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%s refused with status %d", t.ID, resp.StatusCode)
 	}
 
-	if len(body) > maxAnswerBytes {
+	// The memory is counted until the answer is whole, and an answer that has no end never is.
+	buf := buffers.Buffer{Budget: c.budget, Limit: maxAnswerBytes}
+	defer buf.Release()
+
+	body, err := buf.ReadAll(resp.Body)
+	if errors.Is(err, buffers.ErrTooLong) {
 		return Answer{}, verdict.New(verdict.Ran, verdict.CodeAnswerTooLarge, "answer of %s exceeds %d bytes", t.ID, maxAnswerBytes)
 	}
 
-	if resp.StatusCode >= http.StatusInternalServerError && verdict.Parse(resp.Header.Get(headerVerdict)) == verdict.NotRun {
-		return Answer{}, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%s refused with status %d", t.ID, resp.StatusCode)
+	if err != nil {
+		return Answer{}, connectionLost(t, err)
 	}
 
 	return Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
