Cut off a stream with many more events than its request allows tokens

Callers of a stream whose events never end got them until the deadline, 34 MB in 2 s, and other requests of the host waited: beside 64 such streams the slowest of 20 took 1.1 to 2.1 s on two cores, which the test's own senders and callers share.

Cause: nothing but the deadline bounded the events of an answer.

Ruled out: the exact number of tokens as the bound, since events without a token are allowed.

Change: an answer to a request that limits its tokens is cut off after four events for each of them and 256 more. The verdict and the way on are those of a stream that breaks off. A request without a limit has its deadline as before.

Failing before: TestUnendingEventsEnd/limited (2.0 s until the deadline, not less than 1.5 s).

--- a/internal/entry/relay/events.go
+++ b/internal/entry/relay/events.go
@@ -29,6 +29,7 @@
 	blockID   string // value of the last id field of that block
 	end       int    // end of the last whole event in buf
 	id        string // value of the last id field before end
+	count     int    // whole events so far
 }
 
 // next returns the bytes of one or more whole events, which are valid until the next call, and the value of their last id
@@ -95,6 +96,7 @@
 
 		if e.isEvent {
 			e.end = e.lineStart
+			e.count++
 		}
 
 		if e.blockID != "" {
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -12,6 +12,14 @@
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
+const (
+	// eventsPerToken and extraEvents bound the events of an answer.
+	eventsPerToken = 4
+	extraEvents    = 256
+)
+
+var errTooManyEvents = errors.New("the stream has more events than the request allows tokens")
+
 // progress is how much of a stream has been served.
 type progress struct {
 	begun       bool   // the status and header were sent to the caller
@@ -300,6 +308,8 @@
 	stream := &events{body: answer.Body, buf: j.newBuffer(maxEventBytes)}
 	defer stream.buf.Release()
 
+	limit := j.maxEvents()
+
 	for {
 		event, id, err := stream.next()
 		if errors.Is(err, io.EOF) {
@@ -313,6 +323,10 @@
 			return true
 		}
 
+		if err == nil && limit > 0 && stream.count > limit {
+			err = errTooManyEvents
+		}
+
 		if err != nil {
 			return j.noteBreak(placement, p, err)
 		}
@@ -335,6 +349,16 @@
 	}
 }
 
+// maxEvents returns the number of events beyond which an answer is not one to the request, as each event has at least one
+// token, or zero if the request does not limit the tokens. Events that carry no token are allowed for.
+func (j *job) maxEvents() int {
+	if j.r.Output == 0 {
+		return 0
+	}
+
+	return eventsPerToken*int(j.r.Output) + extraEvents
+}
+
 // beginReply sends the status and header to the caller and records the time to the first event.
 func (j *job) beginReply(w Reply, answer *Answer, p *progress) {
 	p.begun = true
