Know the software version of targets

Registrations state the version of the replica's software, which was not read: nothing in a host told replicas of two versions apart. No decision changes.

Hosts compare hashes of their targets. The hash covers the same text as before, so hosts of this and the earlier build still agree; a test holds the text that the earlier build hashes. A changed version of an entry still advances the revision, so it reaches peers that are fed.

--- a/internal/control/entity/id.go
+++ b/internal/control/entity/id.go
@@ -6,6 +6,10 @@
 // TargetID identifies a target: an engine or a service replica.
 type TargetID string
 
+// SoftwareVersion names the version of the software that a target runs; empty if the target states none, which counts as a
+// version of its own. What targets of two versions produce cannot be joined to one stream.
+type SoftwareVersion string
+
 // HostID identifies one run of an entry host; a restarted host has a new HostID.
 type HostID string
 
--- a/internal/control/fleet/snapshot.go
+++ b/internal/control/fleet/snapshot.go
@@ -1,13 +1,19 @@
 package fleet
 
-import "github.com/dotterelflow/dotterelflow/internal/control/entity"
+import (
+	"slices"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+)
 
 // Snapshot indexes the targets for lookups by request handlers. It is immutable; a nil *Snapshot has no targets.
 type Snapshot struct {
 	All       []Target // including leaving targets
 	byService map[entity.ServiceName][]Target
 	byRole    map[roleKey][]Target
+	byVersion map[versionKey][]Target
 	byID      map[entity.TargetID]Target
+	versions  map[entity.ServiceName][]entity.SoftwareVersion
 }
 
 // roleKey identifies the targets of one service that have one role.
@@ -16,23 +22,39 @@
 	role    entity.Role
 }
 
+// versionKey identifies the targets of one service that have one role and run one software version.
+type versionKey struct {
+	roleKey
+
+	version entity.SoftwareVersion
+}
+
 // NewSnapshot returns an index of list, which must not be modified afterwards.
 func NewSnapshot(list []Target) *Snapshot {
 	s := &Snapshot{
 		All:       list,
 		byService: make(map[entity.ServiceName][]Target),
 		byRole:    make(map[roleKey][]Target),
+		byVersion: make(map[versionKey][]Target),
 		byID:      make(map[entity.TargetID]Target, len(list)),
+		versions:  make(map[entity.ServiceName][]entity.SoftwareVersion),
 	}
 
 	for _, t := range list {
 		s.byID[t.ID] = t
 
+		if !slices.Contains(s.versions[t.Service], t.Version) {
+			s.versions[t.Service] = append(s.versions[t.Service], t.Version)
+		}
+
 		if !t.Leaving {
 			s.byService[t.Service] = append(s.byService[t.Service], t)
 
 			k := roleKey{t.Service, t.Role}
 			s.byRole[k] = append(s.byRole[k], t)
+
+			vk := versionKey{k, t.Version}
+			s.byVersion[vk] = append(s.byVersion[vk], t)
 		}
 	}
 
@@ -57,6 +79,25 @@
 	return s.byRole[roleKey{service, role}]
 }
 
+// AtVersion returns the targets of service that accept new work, have the given role and run the given software version.
+func (s *Snapshot) AtVersion(service entity.ServiceName, role entity.Role, version entity.SoftwareVersion) []Target {
+	if s == nil {
+		return nil
+	}
+
+	return s.byVersion[versionKey{roleKey{service, role}, version}]
+}
+
+// Versions returns the software versions that targets of each service run, leaving targets included. The result must not be
+// modified.
+func (s *Snapshot) Versions() map[entity.ServiceName][]entity.SoftwareVersion {
+	if s == nil {
+		return nil
+	}
+
+	return s.versions
+}
+
 // Target returns the target with the given id, also if it is leaving.
 func (s *Snapshot) Target(id entity.TargetID) (Target, bool) {
 	if s == nil {
--- a/internal/control/fleet/snapshot_test.go
+++ b/internal/control/fleet/snapshot_test.go
@@ -20,3 +20,16 @@
 	require.Empty(t, s.InRole("n", entity.Decode))
 	require.Empty(t, (*fleet.Snapshot)(nil).InRole("m", entity.Prefill))
 }
+
+func TestTargetsByVersion(t *testing.T) {
+	s := fleet.NewSnapshot([]fleet.Target{
+		{ID: "a", Service: "m", Role: entity.Decode, Version: "v1"}, {ID: "b", Service: "m", Role: entity.Decode, Version: "v2"},
+		{ID: "c", Service: "m", Role: entity.Decode, Version: "v3", Leaving: true}, {ID: "d", Service: "m", Role: entity.Prefill, Version: "v2"},
+	})
+
+	require.Equal(t, []fleet.Target{{ID: "b", Service: "m", Role: entity.Decode, Version: "v2"}}, s.AtVersion("m", entity.Decode, "v2"))
+	require.Empty(t, s.AtVersion("m", entity.Decode, "v3"), "it is leaving")
+	require.Empty(t, s.AtVersion("n", entity.Decode, "v2"))
+	require.Equal(t, map[entity.ServiceName][]entity.SoftwareVersion{"m": {"v1", "v2", "v3"}}, s.Versions(), "streams of v3 may still live")
+	require.Empty(t, (*fleet.Snapshot)(nil).Versions())
+}
--- a/internal/control/fleet/view.go
+++ b/internal/control/fleet/view.go
@@ -21,6 +21,7 @@
 	Slots      int
 	Leaving    bool
 	Role       entity.Role // role of a model replica
+	Version    entity.SoftwareVersion
 }
 
 const (
--- a/internal/entry/deployment/copy.go
+++ b/internal/entry/deployment/copy.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
 
+	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/entry/peersync"
 	"github.com/dotterelflow/dotterelflow/internal/entry/storewatch"
@@ -85,9 +86,25 @@
 	}
 }
 
+// hashedTarget holds the fields of a target that hashEntry covers. Hosts compare hashes, so a new field of fleet.Target is
+// left out here: hosts of the build before do not know it.
+type hashedTarget struct {
+	ID         entity.TargetID
+	Instance   string
+	Service    entity.ServiceName
+	Address    string
+	DataCentre entity.DataCentre
+	Slots      int
+	Leaving    bool
+	Role       entity.Role
+}
+
 // hashEntry returns the hash of an entry's name and decoded target. Other parts of the stored value do not count.
-func hashEntry(name string, target fleet.Target) uint64 {
-	return xxhash.Sum64String(fmt.Sprintf("%s %+v", name, target))
+func hashEntry(name string, t fleet.Target) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s %+v", name, hashedTarget{
+		ID: t.ID, Instance: t.Instance, Service: t.Service, Address: t.Address, DataCentre: t.DataCentre, Slots: t.Slots,
+		Leaving: t.Leaving, Role: t.Role,
+	}))
 }
 
 // replaceEntries replaces all entries by a list that was read at revision, and returns the decoded targets. Entries may
--- a/internal/entry/deployment/state_test.go
+++ b/internal/entry/deployment/state_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -352,3 +353,42 @@
 	require.Equal(t, time.Second, configuration, "a peer with another version confirms nothing")
 	require.Equal(t, 2*time.Second, targets)
 }
+
+// TestChecksumIsThatOfEarlierBuilds compares with the text that hosts of earlier builds hash.
+func TestChecksumIsThatOfEarlierBuilds(t *testing.T) {
+	target := fleet.Target{
+		ID: "i@5", Instance: "i", Service: "s", Address: "10.0.0.1:80", DataCentre: "z", Slots: 64, Role: entity.Decode, Version: "v1.2",
+	}
+	s := deployment.New(deployment.Options{
+		Log: &log.Logger{Level: log.PanicLevel}, ConfigName: "main",
+		DecodeTarget: func(storewatch.Entry) (fleet.Target, error) { return target, nil },
+	})
+	s.Targets().Replaced(now, []storewatch.Entry{{Name: "i", Value: []byte("x")}}, 5)
+
+	encoded, err := s.Export(0, 0)
+	require.NoError(t, err)
+
+	var c deployment.Copy
+
+	require.NoError(t, json.Unmarshal(encoded, &c))
+
+	const hashed = "i {ID:i@5 Instance:i Service:s Address:10.0.0.1:80 DataCentre:z Slots:64 Leaving:false Role:decode}"
+
+	require.Equal(t, xxhash.Sum64String(hashed), *c.Checksum)
+}
+
+func TestChangedVersionOfATargetReachesPeers(t *testing.T) {
+	version := entity.SoftwareVersion("v1")
+	s := deployment.New(deployment.Options{
+		Log: &log.Logger{Level: log.PanicLevel}, ConfigName: "main",
+		DecodeTarget: func(e storewatch.Entry) (fleet.Target, error) {
+			return fleet.Target{ID: "i", Instance: e.Name, Service: "s", Version: version}, nil
+		},
+	})
+	s.Targets().Replaced(now, []storewatch.Entry{{Name: "i", Value: []byte("x")}}, 5)
+
+	version = "v2"
+	s.Targets().Changed(now, []storewatch.Change{{Entry: storewatch.Entry{Name: "i", Value: []byte("y")}}}, 6)
+	require.Equal(t, uint64(6), s.ConfirmedRevision())
+	require.Equal(t, map[entity.ServiceName][]entity.SoftwareVersion{"s": {"v2"}}, s.Fleet().Versions())
+}
