Share between hosts at which version streams began

A caller may take a stream up through any host, and a host does not know at which version another host began it. Only the host that began it knew which replica served, and lost that with its process.

A host now records (stream, version) when it has chosen the version, which is before the prompt is read, at the hosts of its data centre that rank first for the stream and in other data centres: in all of them up to 16 hosts, in one of them beyond, where the host that is told passes the record on to the one that ranks first. A host without a record asks the same ones. While replicas of one version have served for longer than streams live, nothing is sent and nothing asked; streams from before a second version came are at the first one.

Ways weighed: telling all hosts is 6,100 records/s at each of 330 (146 KB/s); the version by a hash of the stream's id needs no state, but fails as soon as the shares of the versions move; heartbeats come each 3.7 s at 330 hosts; the store would take a write a stream.

Hosts of earlier builds answer 'unimplemented', which counts as not knowing.

Nobody uses this yet.

--- a/internal/control/catalog/catalog.go
+++ b/internal/control/catalog/catalog.go
@@ -82,14 +82,19 @@
 	Limits   Limits
 	services map[entity.ServiceName]Service
 	routes   map[string][]Route // routes by host, the longest prefix first
+	lives    map[entity.ServiceName]time.Duration
 }
 
+// DefaultTimeout is the timeout of a request if neither its caller nor its route sets one.
+const DefaultTimeout = 30 * time.Second
+
 // Build returns a Catalog of routes and services, which must not be modified afterwards.
 func Build(v Version, limits Limits, routes []Route, services []Service) *Catalog {
 	c := &Catalog{
 		Version: v, Limits: limits,
 		services: make(map[entity.ServiceName]Service, len(services)),
 		routes:   make(map[string][]Route),
+		lives:    make(map[entity.ServiceName]time.Duration),
 	}
 
 	for _, s := range services {
@@ -99,6 +104,12 @@
 	for _, r := range routes {
 		r.MaxTargets = max(r.MaxTargets, 1)
 		c.routes[r.Host] = append(c.routes[r.Host], r)
+
+		for _, s := range r.Shares {
+			if r.Streaming {
+				c.lives[s.Service] = max(c.lives[s.Service], cmp.Or(r.Timeout, DefaultTimeout))
+			}
+		}
 	}
 
 	for _, list := range c.routes {
@@ -134,6 +145,16 @@
 	return s, ok
 }
 
+// StreamLife returns the longest time for which a stream of the service lives: the longest timeout of its streaming routes,
+// or zero if there are none.
+func (c *Catalog) StreamLife(name entity.ServiceName) time.Duration {
+	if c == nil {
+		return 0
+	}
+
+	return c.lives[name]
+}
+
 // Services returns all services ordered by name.
 func (c *Catalog) Services() []Service {
 	if c == nil {
--- /dev/null
+++ b/internal/control/origins/history.go
@@ -0,0 +1,133 @@
+package origins
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+)
+
+// History keeps which software versions the services have run lately: for as long as their streams live. A service that has
+// run only one version for that long has no streams of another one. It is safe for concurrent use. Make it with NewHistory.
+type History struct {
+	mu       sync.Mutex
+	services map[entity.ServiceName]*serviceHistory
+}
+
+// serviceHistory is the history of one service.
+type serviceHistory struct {
+	since    time.Time                            // when the service was first observed
+	life     time.Duration                        // the longest life of its streams that was stated so far
+	lastSeen map[entity.SoftwareVersion]time.Time // versions of the last life
+	// before is the only version that the service had run when a second one was first seen, at mixedAt. It is nil if the
+	// service was not observed for long enough.
+	before  *entity.SoftwareVersion
+	mixedAt time.Time
+}
+
+// NewHistory returns a History without observations.
+func NewHistory() *History {
+	return &History{services: map[entity.ServiceName]*serviceHistory{}}
+}
+
+// Observe records the versions that the targets of each service run at now. life returns how long the streams of a service
+// live, all tries of their callers together. A life that has become shorter is not used, as older streams live on.
+func (h *History) Observe(
+	now time.Time, versions map[entity.ServiceName][]entity.SoftwareVersion, life func(entity.ServiceName) time.Duration,
+) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	for service, list := range versions {
+		s, ok := h.services[service]
+		if !ok {
+			s = &serviceHistory{since: now, lastSeen: map[entity.SoftwareVersion]time.Time{}}
+			h.services[service] = s
+		}
+
+		s.life = max(s.life, life(service))
+		s.observe(now, list)
+	}
+}
+
+func (s *serviceHistory) observe(now time.Time, versions []entity.SoftwareVersion) {
+	for v, at := range s.lastSeen {
+		if now.Sub(at) >= s.life && !slices.Contains(versions, v) {
+			delete(s.lastSeen, v)
+		}
+	}
+
+	_, alone := s.lone()
+	only, settled := s.sole(now)
+
+	for _, v := range versions {
+		s.lastSeen[v] = now
+	}
+
+	if _, still := s.lone(); still || !alone {
+		return
+	}
+
+	s.before, s.mixedAt = nil, now
+	if settled {
+		s.before = &only
+	}
+}
+
+// lone returns the only version of the last life, if there was exactly one.
+func (s *serviceHistory) lone() (entity.SoftwareVersion, bool) {
+	if len(s.lastSeen) != 1 {
+		return "", false
+	}
+
+	for v := range s.lastSeen {
+		return v, true
+	}
+
+	return "", false
+}
+
+// sole returns the only version of the last life. It reports false if there were several, or the service was
+// not observed for that long.
+func (s *serviceHistory) sole(now time.Time) (entity.SoftwareVersion, bool) {
+	v, ok := s.lone()
+
+	return v, ok && now.Sub(s.since) >= s.life
+}
+
+// Sole returns the version that all streams of service have, if replicas of only one version have served it for longer than
+// streams live.
+func (h *History) Sole(now time.Time, service entity.ServiceName) (entity.SoftwareVersion, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	s, ok := h.services[service]
+	if !ok {
+		return "", false
+	}
+
+	return s.sole(now)
+}
+
+// Before returns the version of the streams of service that have no record because they began before a second version was
+// seen. It reports false if there can be no such stream or their version is not known.
+func (h *History) Before(now time.Time, service entity.ServiceName) (entity.SoftwareVersion, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	s, ok := h.services[service]
+	if !ok {
+		return "", false
+	}
+
+	if v, ok := s.sole(now); ok {
+		return v, true
+	}
+
+	if s.before == nil || now.Sub(s.mixedAt) >= s.life {
+		return "", false
+	}
+
+	return *s.before, true
+}
--- /dev/null
+++ b/internal/entry/originsync/find.go
@@ -0,0 +1,145 @@
+package originsync
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/control/origins"
+	"github.com/dotterelflow/dotterelflow/internal/entry/relay"
+	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
+)
+
+// Times in which hosts are asked for a record, many times the round trip between data centres. A host that passes the
+// question on has to wait for the answer.
+const (
+	homeTimeout   = 150 * time.Millisecond
+	remoteTimeout = 350 * time.Millisecond
+)
+
+// Find implements relay.Origins. It asks peers if this host has no record and replicas of several versions have served.
+func (s *Syncer) Find(ctx context.Context, service entity.ServiceName, began entity.RequestID) (relay.Origin, bool) {
+	now := s.opts.Clock.Now()
+	s.Tick(now)
+
+	stream := origins.StreamIDOf(service, began)
+
+	if o, ok := s.opts.Table.Find(now, stream); ok {
+		s.local.Add(1)
+
+		return relay.Origin{Version: o.Version, Source: relay.FromThisHost, Age: o.Age}, true
+	}
+
+	if v, ok := s.opts.History.Sole(now, service); ok {
+		s.inferred.Add(1)
+
+		return relay.Origin{Version: v, Source: relay.FromOnlyVersion, Age: -1}, true
+	}
+
+	ring := newRing(s.opts.Host, s.opts.DataCentre, s.opts.Peers.Live())
+	first, rest := ring.asked(uint64(stream))
+	request := &peer.FindOriginRequest{Stream: uint64(stream), Service: string(service)}
+
+	unrecorded := unrecordedVersion{}
+	if v, ok := s.opts.History.Before(now, service); ok {
+		unrecorded = unrecordedVersion{v, true}
+	}
+
+	for i, group := range [][]holder{first, rest} {
+		timeout := homeTimeout
+		if i > 0 {
+			timeout = remoteTimeout
+		}
+
+		if record, ok := s.ask(ctx, timeout, group, request, &unrecorded); ok {
+			s.opts.Table.Merge(s.opts.Clock.Now(), record)
+			s.remote.Add(1)
+
+			return relay.Origin{Version: record.Version, Source: relay.FromPeer, Age: origins.Lifetime - record.Left}, true
+		}
+	}
+
+	if unrecorded.known {
+		s.inferred.Add(1)
+
+		return relay.Origin{Version: unrecorded.version, Source: relay.FromOnlyVersion, Age: -1}, true
+	}
+
+	s.unknown.Add(1)
+
+	return relay.Origin{}, false
+}
+
+// unrecordedVersion is the version of the streams that have no record because there was only one version when they began.
+type unrecordedVersion struct {
+	version entity.SoftwareVersion
+	known   bool
+}
+
+// ask asks all of group at the same time for a record and returns the first one. If none of them has one, it
+// sets unrecorded to what they know of streams without a record, unless it is set.
+func (s *Syncer) ask(
+	ctx context.Context, timeout time.Duration, group []holder, r *peer.FindOriginRequest, unrecorded *unrecordedVersion,
+) (origins.Record, bool) {
+	ctx, cancel := clockwork.WithTimeout(ctx, s.opts.Clock, timeout)
+	defer cancel()
+
+	replies := make(chan *peer.FindOriginReply, len(group))
+
+	for _, h := range group {
+		go func() {
+			reply, err := s.opts.Peers.FindOrigin(ctx, h.address, &peer.FindOriginRequest{Stream: r.GetStream(), Service: r.GetService(), PassOn: h.passOn})
+			if err != nil && ctx.Err() == nil {
+				s.opts.Log.Info().Str("peer", h.address).Err(err).Msg("could not ask a peer for the version of a stream")
+			}
+
+			replies <- reply
+		}()
+	}
+
+	for range group {
+		select {
+		case <-ctx.Done():
+			return origins.Record{}, false
+		case reply := <-replies:
+			if record, ok := decode(reply.GetRecord()); ok {
+				return record, true
+			}
+
+			if reply.GetUnrecorded() && !unrecorded.known {
+				*unrecorded = unrecordedVersion{entity.SoftwareVersion(reply.GetVersion()), true}
+			}
+		}
+	}
+
+	return origins.Record{}, false
+}
+
+// HandleFind answers the question of another host.
+func (s *Syncer) HandleFind(ctx context.Context, r *peer.FindOriginRequest) *peer.FindOriginReply {
+	now := s.opts.Clock.Now()
+
+	if o, ok := s.opts.Table.Find(now, origins.StreamID(r.GetStream())); ok {
+		return &peer.FindOriginReply{Record: encode(o.Record)}
+	}
+
+	reply := &peer.FindOriginReply{}
+	if v, ok := s.opts.History.Before(now, entity.ServiceName(r.GetService())); ok {
+		reply.Unrecorded, reply.Version = true, string(v)
+	}
+
+	if !r.GetPassOn() {
+		return reply
+	}
+
+	var ignored unrecordedVersion
+
+	first, _ := newRing(s.opts.Host, s.opts.DataCentre, s.opts.Peers.Live()).asked(r.GetStream())
+	if record, ok := s.ask(ctx, homeTimeout, first, r, &ignored); ok {
+		return &peer.FindOriginReply{Record: encode(record)}
+	}
+
+	return reply
+}
--- /dev/null
+++ b/internal/entry/originsync/fleet_test.go
@@ -0,0 +1,227 @@
+package originsync_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
+	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
+	"github.com/dotterelflow/dotterelflow/internal/control/members"
+	"github.com/dotterelflow/dotterelflow/internal/control/origins"
+	"github.com/dotterelflow/dotterelflow/internal/entry/originsync"
+	"github.com/dotterelflow/dotterelflow/internal/entry/relay"
+	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
+)
+
+const (
+	linkDelay   = 2 * time.Millisecond
+	callTimeout = 700 * time.Millisecond // as in package peers
+	minPeriod   = 200 * time.Millisecond
+	streamLife  = 10 * time.Second
+	// maxWait is the longest time for which the first event of a stream waits, as in package relay.
+	maxWait = 50 * time.Millisecond
+)
+
+var errLost = errors.New("no answer")
+
+// node is one entry host.
+type node struct {
+	net     *network
+	address string
+	dc      entity.DataCentre
+
+	mu      sync.Mutex
+	syncer  *originsync.Syncer
+	members *members.Table
+	stop    context.CancelFunc
+	dead    bool
+}
+
+// network is a fleet of hosts whose messages are delayed and lost. Use it in a synctest bubble.
+type network struct {
+	nodes    []*node
+	fleet    atomic.Pointer[fleet.Snapshot]
+	messages atomic.Int64
+
+	mu   sync.Mutex
+	rand *rand.Rand
+	loss float64
+	cut  entity.DataCentre // cut off from the others; "" for none
+}
+
+// snapshotOf returns a fleet that runs versions.
+func snapshotOf(versions ...entity.SoftwareVersion) *fleet.Snapshot {
+	var targets []fleet.Target
+	for i, v := range versions {
+		targets = append(targets, fleet.Target{ID: entity.TargetID(fmt.Sprint("t", i)), Service: "s", Version: v})
+	}
+
+	return fleet.NewSnapshot(targets)
+}
+
+func newNetwork(ctx context.Context, hosts, centres int, seed uint64, versions ...entity.SoftwareVersion) *network {
+	n := &network{rand: rand.New(rand.NewPCG(seed, 0))}
+	n.fleet.Store(snapshotOf(versions...))
+
+	for i := range hosts {
+		n.nodes = append(n.nodes, &node{
+			net: n, address: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250), dc: entity.DataCentre(fmt.Sprint("dc-", i%centres)),
+		})
+	}
+
+	for _, h := range n.nodes {
+		h.start(ctx)
+	}
+
+	return n
+}
+
+// start starts h, or starts it again without any records.
+func (h *node) start(ctx context.Context) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if h.stop != nil {
+		h.stop()
+	}
+
+	ctx, h.stop = context.WithCancel(ctx)
+	h.dead = false
+	h.members = members.NewWithMinPeriod(entity.HostID(h.address), h.dc, minPeriod)
+
+	for _, m := range h.net.nodes {
+		h.members.Update(members.Member{
+			Host: entity.HostID(m.address), Address: m.address, DataCentre: m.dc, ReceivedAt: time.Now().Add(time.Hour),
+		})
+	}
+
+	c := catalog.Build(1, catalog.Limits{}, []catalog.Route{
+		{Streaming: true, Timeout: streamLife, Shares: []catalog.Share{{Service: "s", Weight: 1}}},
+	}, nil)
+	h.syncer = originsync.New(originsync.Options{
+		Log: &log.Logger{Level: log.PanicLevel}, Host: entity.HostID(h.address), DataCentre: h.dc, Table: origins.NewTable(),
+		History: origins.NewHistory(), Catalog: func() *catalog.Catalog { return c }, Fleet: h.net.fleet.Load, Peers: h,
+	})
+	h.syncer.Start(ctx)
+}
+
+// kill ends h. Its peers go on to count it as live.
+func (h *node) kill() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	h.dead = true
+	h.stop()
+}
+
+func (h *node) current() *originsync.Syncer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return h.syncer
+}
+
+// Live implements originsync.Peers. Of other data centres, a host knows two hosts, as with heartbeats.
+func (h *node) Live() []members.Member {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return h.members.HeartbeatPartners(time.Now())
+}
+
+// ShareOrigins implements originsync.Peers.
+func (h *node) ShareOrigins(ctx context.Context, address string, m *peer.OriginRecords) error {
+	return h.call(ctx, address, func(s *originsync.Syncer) { s.HandleRecords(m) })
+}
+
+// FindOrigin implements originsync.Peers.
+func (h *node) FindOrigin(ctx context.Context, address string, r *peer.FindOriginRequest) (reply *peer.FindOriginReply, err error) {
+	err = h.call(ctx, address, func(s *originsync.Syncer) { reply = s.HandleFind(ctx, r) })
+
+	return reply, err
+}
+
+// call calls the host at address, once more if that fails.
+func (h *node) call(ctx context.Context, address string, do func(*originsync.Syncer)) error {
+	for range 2 {
+		h.net.messages.Add(1)
+
+		to := h.net.at(address)
+		if h.net.arrives(h, to) {
+			time.Sleep(linkDelay)
+			do(to.current())
+
+			if h.net.arrives(to, h) {
+				time.Sleep(linkDelay)
+
+				return ctx.Err()
+			}
+		}
+
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(callTimeout):
+		}
+	}
+
+	return errLost
+}
+
+func (n *network) at(address string) *node {
+	for _, h := range n.nodes {
+		if h.address == address {
+			return h
+		}
+	}
+
+	return nil
+}
+
+func (n *network) arrives(from, to *node) bool {
+	to.mu.Lock()
+	dead := to.dead
+	to.mu.Unlock()
+
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return !dead && n.rand.Float64() >= n.loss && (from.dc == to.dc || n.cut != from.dc && n.cut != to.dc)
+}
+
+func (n *network) random(k int) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.rand.IntN(k)
+}
+
+// begun is a stream whose caller has its first event.
+type begun struct {
+	id      entity.RequestID
+	version entity.SoftwareVersion
+	host    *node
+}
+
+// begin begins a stream at h and returns once its caller has the first event.
+func (h *node) begin(id entity.RequestID, version entity.SoftwareVersion) begun {
+	select {
+	case <-h.current().Record("s", id, version):
+	case <-time.After(maxWait):
+	}
+
+	return begun{id, version, h}
+}
+
+// takeUp takes b up through h and returns the version at which it goes on.
+func (h *node) takeUp(ctx context.Context, b begun) (relay.Origin, bool) {
+	return h.current().Find(ctx, "s", b.id)
+}
--- /dev/null
+++ b/internal/entry/originsync/syncer.go
@@ -0,0 +1,296 @@
+package originsync
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/phuslu/log"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
+	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
+	"github.com/dotterelflow/dotterelflow/internal/control/members"
+	"github.com/dotterelflow/dotterelflow/internal/control/origins"
+	"github.com/dotterelflow/dotterelflow/internal/entry/relay"
+	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
+)
+
+const (
+	// minSendInterval and sendIntervalPerPeer bound the messages in which records are sent.
+	minSendInterval     = 2 * time.Millisecond
+	sendIntervalPerPeer = 250 * time.Microsecond
+	// sendTimeout bounds one message, with its second try on a new connection.
+	sendTimeout = 1500 * time.Millisecond
+	// maxRecords bounds the records that are read from one message.
+	maxRecords = 4096
+)
+
+// Peers are the other entry hosts.
+type Peers interface {
+	// Live returns the live hosts with which this host exchanges heartbeats: all of its data centre and some of each other one.
+	Live() []members.Member
+	// ShareOrigins sends m to the host at address.
+	ShareOrigins(ctx context.Context, address string, m *peer.OriginRecords) error
+	// FindOrigin asks the host at address for the version of a stream.
+	FindOrigin(ctx context.Context, address string, r *peer.FindOriginRequest) (*peer.FindOriginReply, error)
+}
+
+// Options configure a Syncer. All fields but Clock and Log are required.
+type Options struct {
+	Clock      clockwork.Clock // nil means the real clock
+	Log        *log.Logger     // nil means the default logger
+	Host       entity.HostID
+	DataCentre entity.DataCentre
+	Table      *origins.Table
+	History    *origins.History
+	Catalog    func() *catalog.Catalog // returns the configuration in force, nil before the first one
+	Fleet      func() *fleet.Snapshot
+	Peers      Peers
+}
+
+// Stats counts what a Syncer has done since its start.
+type Stats struct {
+	Recorded int64 // streams that were recorded on this host
+	Sent     int64 // records sent to peers
+	Unsent   int64 // records that a peer could not be told
+	Local    int64 // streams taken up whose record was on this host
+	Remote   int64 // streams taken up whose record a peer had
+	Inferred int64 // streams taken up without a record, at the only version that there was
+	Unknown  int64 // streams taken up whose version nobody knew
+}
+
+// Syncer sends records and asks for them. It is safe for concurrent use. Make it with New.
+type Syncer struct {
+	opts  Options
+	done  chan struct{}
+	wake  chan struct{}  // receives a value when there is something to send
+	calls sync.WaitGroup // calls under way
+
+	recorded, sent, unsent, local, remote, inferred, unknown atomic.Int64
+
+	mu     sync.Mutex
+	outbox map[string]*message // by address
+}
+
+// message holds the records for one peer.
+type message struct {
+	records []*peer.OriginRecord
+	told    []*receipt // of the records that this host has made
+	passOn  bool       // the peer is in another data centre of a large fleet
+	again   bool       // the records could not be told to the peer that ranks before
+}
+
+var _ relay.Origins = (*Syncer)(nil)
+
+// New returns a Syncer, which sends nothing before Start.
+func New(opts Options) *Syncer {
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
+
+	if opts.Log == nil {
+		opts.Log = &log.DefaultLogger
+	}
+
+	return &Syncer{opts: opts, done: make(chan struct{}), wake: make(chan struct{}, 1), outbox: map[string]*message{}}
+}
+
+// Start begins to send records, until ctx ends.
+func (s *Syncer) Start(ctx context.Context) {
+	go s.run(ctx)
+}
+
+// Done returns a channel that is closed once the Syncer has ended.
+func (s *Syncer) Done() <-chan struct{} { return s.done }
+
+// Stats returns the counts since the start.
+func (s *Syncer) Stats() Stats {
+	return Stats{
+		Recorded: s.recorded.Load(), Sent: s.sent.Load(), Unsent: s.unsent.Load(), Local: s.local.Load(), Remote: s.remote.Load(),
+		Inferred: s.inferred.Load(), Unknown: s.unknown.Load(),
+	}
+}
+
+// Tick observes the versions that targets run at now. It is called regularly, besides each call of Record and Find.
+func (s *Syncer) Tick(now time.Time) {
+	s.opts.History.Observe(now, s.opts.Fleet().Versions(), s.opts.Catalog().StreamLife)
+}
+
+// receipt says that a host other than this one has a record.
+type receipt struct {
+	once sync.Once
+	done chan struct{}
+}
+
+func newReceipt() *receipt { return &receipt{done: make(chan struct{})} }
+
+func (r *receipt) confirm() { r.once.Do(func() { close(r.done) }) }
+
+// Record implements relay.Origins.
+func (s *Syncer) Record(service entity.ServiceName, began entity.RequestID, version entity.SoftwareVersion) <-chan struct{} {
+	now := s.opts.Clock.Now()
+	s.Tick(now)
+
+	told := newReceipt()
+
+	if _, sole := s.opts.History.Sole(now, service); sole {
+		told.confirm()
+
+		return told.done
+	}
+
+	s.recorded.Add(1)
+
+	record := encode(s.opts.Table.Set(now, origins.StreamIDOf(service, began), version))
+	ring := newRing(s.opts.Host, s.opts.DataCentre, s.opts.Peers.Live())
+
+	holders := ring.holders(record.GetStream())
+	if len(holders) == 0 {
+		told.confirm()
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	for _, h := range holders {
+		m := s.add(h, record, false)
+		m.told = append(m.told, told)
+	}
+
+	return told.done
+}
+
+// add puts record into the outbox for h, wakes the sender and returns the message. The caller holds mu.
+func (s *Syncer) add(h holder, record *peer.OriginRecord, again bool) *message {
+	m, ok := s.outbox[h.address]
+	if !ok {
+		m = &message{}
+		s.outbox[h.address] = m
+	}
+
+	m.records = append(m.records, record)
+	m.passOn = h.passOn
+	m.again = m.again || again
+
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+
+	return m
+}
+
+// HandleRecords handles the records m of another host.
+func (s *Syncer) HandleRecords(m *peer.OriginRecords) {
+	now := s.opts.Clock.Now()
+	ring := newRing(s.opts.Host, s.opts.DataCentre, s.opts.Peers.Live())
+
+	for _, r := range m.GetRecords()[:min(len(m.GetRecords()), maxRecords)] {
+		record, ok := decode(r)
+		if !ok {
+			continue
+		}
+
+		s.opts.Table.Merge(now, record)
+
+		if !m.GetPassOn() {
+			continue
+		}
+
+		if h, ok := ring.first(r.GetStream()); ok {
+			s.mu.Lock()
+			s.add(h, r, false)
+			s.mu.Unlock()
+		}
+	}
+}
+
+func (s *Syncer) run(ctx context.Context) {
+	defer close(s.done)
+	defer s.calls.Wait()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		}
+
+		// Later records go into the same messages.
+		interval := max(minSendInterval, time.Duration(len(s.opts.Peers.Live()))*sendIntervalPerPeer)
+
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.opts.Clock.After(interval):
+		}
+
+		s.send(ctx)
+	}
+}
+
+// send starts the calls that send the outbox.
+func (s *Syncer) send(ctx context.Context) {
+	s.mu.Lock()
+	outbox := s.outbox
+	s.outbox = make(map[string]*message, len(outbox))
+	s.mu.Unlock()
+
+	for address, m := range outbox {
+		s.calls.Go(func() {
+			ctx, cancel := clockwork.WithTimeout(ctx, s.opts.Clock, sendTimeout)
+			defer cancel()
+
+			err := s.opts.Peers.ShareOrigins(ctx, address, &peer.OriginRecords{Records: m.records, PassOn: m.passOn})
+			if err == nil {
+				s.sent.Add(int64(len(m.records)))
+
+				for _, told := range m.told {
+					told.confirm()
+				}
+
+				return
+			}
+
+			s.unsent.Add(int64(len(m.records)))
+			s.opts.Log.Info().Str("peer", address).Int("records", len(m.records)).Err(err).Msg("could not tell a peer the versions of streams")
+			s.sendElsewhere(address, m)
+		})
+	}
+}
+
+// sendElsewhere puts the records of m, which the peer at address could not be told, into the outbox for the hosts of this
+// data centre that rank next. It does so once.
+func (s *Syncer) sendElsewhere(address string, m *message) {
+	if m.again {
+		return
+	}
+
+	live := s.opts.Peers.Live()
+	ring := newRing(s.opts.Host, s.opts.DataCentre, without(live, address))
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	for _, record := range m.records {
+		for _, h := range ring.holders(record.GetStream()) {
+			s.add(h, record, true)
+		}
+	}
+}
+
+// without returns list without the member at address.
+func without(list []members.Member, address string) []members.Member {
+	var rest []members.Member
+
+	for _, m := range list {
+		if m.Address != address {
+			rest = append(rest, m)
+		}
+	}
+
+	return rest
+}
--- /dev/null
+++ b/internal/entry/originsync/syncer_test.go
@@ -0,0 +1,284 @@
+package originsync_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/entry/relay"
+)
+
+// sizes are the fleets of today, grown, and of the design.
+var sizes = []struct{ hosts, centres int }{{8, 4}, {89, 4}, {330, 5}}
+
+// drainTime is longer than any call under way at the end of a test.
+const drainTime = 5 * time.Second
+
+// beginMany begins count streams through random hosts, at two versions.
+func (n *network) beginMany(count int) []begun {
+	streams := make([]begun, count)
+
+	var running sync.WaitGroup
+
+	for i := range streams {
+		h := n.nodes[n.random(len(n.nodes))]
+		version := entity.SoftwareVersion(fmt.Sprint("v", 1+i%2))
+
+		running.Go(func() { streams[i] = h.begin(entity.RequestID(fmt.Sprint("q", i)), version) })
+		time.Sleep(time.Millisecond)
+	}
+
+	running.Wait()
+
+	return streams
+}
+
+// result counts streams that are taken up.
+type result struct{ known, wrong, unknown int }
+
+// takeUpAll takes each of streams up through a host that choose returns.
+func (n *network) takeUpAll(ctx context.Context, streams []begun, choose func(b begun) *node) result {
+	var (
+		r       result
+		mu      sync.Mutex
+		running sync.WaitGroup
+	)
+
+	for _, b := range streams {
+		running.Go(func() {
+			o, ok := choose(b).takeUp(ctx, b)
+
+			mu.Lock()
+			defer mu.Unlock()
+
+			switch {
+			case !ok:
+				r.unknown++
+			case o.Version != b.version:
+				r.wrong++
+			default:
+				r.known++
+			}
+		})
+	}
+
+	running.Wait()
+
+	return r
+}
+
+// live returns a random host that runs, of dc unless that is "".
+func (n *network) live(dc entity.DataCentre) *node {
+	for {
+		h := n.nodes[n.random(len(n.nodes))]
+
+		h.mu.Lock()
+		dead := h.dead
+		h.mu.Unlock()
+
+		if !dead && (dc == "" || h.dc == dc) {
+			return h
+		}
+	}
+}
+
+func TestStreamIsKnownToAnyHost(t *testing.T) {
+	const count = 300
+
+	tests := []struct {
+		name    string
+		loss    float64
+		before  func(ctx context.Context, n *network) // before the streams begin
+		between func(ctx context.Context, n *network, streams []begun)
+		known   float64 // least share of the streams whose version is known
+	}{
+		{name: "calm", known: 1},
+		{name: "a tenth of the messages is lost", loss: 0.1, known: 0.95},
+		{name: "the first hosts are killed", known: 0.9, between: func(_ context.Context, n *network, streams []begun) {
+			for _, h := range n.nodes[:len(n.nodes)/4] {
+				h.kill()
+			}
+		}},
+		{name: "half of the hosts start again", known: 0.5, between: func(ctx context.Context, n *network, streams []begun) {
+			for _, h := range n.nodes[:len(n.nodes)/2] {
+				h.start(ctx)
+			}
+		}},
+		{name: "a data centre is cut off, its callers stay", known: 0.9, between: func(_ context.Context, n *network, _ []begun) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+
+			n.cut = "dc-1"
+		}},
+		{name: "a data centre is cut off before", known: 0.9, before: func(_ context.Context, n *network) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+
+			n.cut = "dc-1"
+		}},
+	}
+
+	for _, size := range sizes {
+		for _, tt := range tests {
+			t.Run(fmt.Sprintf("%d hosts, %s", size.hosts, tt.name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					n := newNetwork(ctx, size.hosts, size.centres, 1, "v1", "v2")
+					n.loss = tt.loss
+
+					if tt.before != nil {
+						tt.before(ctx, n)
+					}
+
+					// All versions have been there for longer than streams live.
+					time.Sleep(streamLife)
+
+					streams := n.beginMany(count)
+					if tt.between != nil {
+						tt.between(ctx, n, streams)
+					}
+
+					got := n.takeUpAll(ctx, streams, func(b begun) *node { return n.live(b.host.dc) })
+					t.Logf("%+v", got)
+					require.Zero(t, got.wrong)
+					require.GreaterOrEqual(t, float64(got.known), tt.known*count)
+
+					cancel()
+					time.Sleep(drainTime)
+				})
+			})
+		}
+	}
+}
+
+func TestStreamIsKnownInAnotherDataCentre(t *testing.T) {
+	for _, size := range sizes {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			n := newNetwork(ctx, size.hosts, size.centres, 2, "v1", "v2")
+			time.Sleep(streamLife)
+
+			streams := n.beginMany(200)
+			time.Sleep(time.Second)
+
+			for _, h := range n.nodes {
+				if h.dc == "dc-0" {
+					h.kill()
+				}
+			}
+
+			got := n.takeUpAll(ctx, streams, func(begun) *node { return n.live("") })
+			require.Zero(t, got.wrong)
+			require.GreaterOrEqual(t, got.known, 180, "%d hosts: %+v", size.hosts, got)
+
+			cancel()
+			time.Sleep(drainTime)
+		})
+	}
+}
+
+func TestStreamsOfOneVersionNeedNoMessages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		n := newNetwork(ctx, 8, 4, 3, "v1")
+
+		for _, h := range n.nodes {
+			h.current().Tick(time.Now())
+		}
+
+		time.Sleep(streamLife)
+
+		streams := n.beginMany(100)
+		got := n.takeUpAll(ctx, streams, func(begun) *node { return n.live("") })
+		require.Equal(t, 50, got.known, "%+v", got) // those that the test gave the other version cannot be
+		require.Zero(t, n.messages.Load())
+
+		cancel()
+		time.Sleep(drainTime)
+	})
+}
+
+func TestHostThatHasJustStartedAsksForTheOnlyVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		n := newNetwork(ctx, 8, 4, 4, "v1")
+
+		for _, h := range n.nodes {
+			h.current().Tick(time.Now())
+		}
+
+		time.Sleep(streamLife)
+		n.nodes[0].start(ctx)
+
+		o, ok := n.nodes[0].takeUp(ctx, begun{id: "unseen"})
+		require.True(t, ok)
+		require.Equal(t, relay.Origin{Version: "v1", Source: relay.FromOnlyVersion, Age: -1}, o)
+
+		for _, h := range n.nodes {
+			h.start(ctx)
+		}
+
+		_, ok = n.nodes[0].takeUp(ctx, begun{id: "unseen"})
+		require.False(t, ok, "nobody knows what ran before")
+
+		cancel()
+		time.Sleep(drainTime)
+	})
+}
+
+func TestVersionIsAnsweredForInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		n := newNetwork(ctx, 89, 4, 5, "v1", "v2")
+		n.loss = 1
+
+		time.Sleep(streamLife)
+
+		asked := time.Now()
+		_, ok := n.nodes[0].takeUp(ctx, begun{id: "unseen"})
+		require.False(t, ok)
+		require.LessOrEqual(t, time.Since(asked), 500*time.Millisecond)
+
+		cancel()
+		time.Sleep(drainTime)
+	})
+}
+
+// TestMessagesWhileVersionsAreMixed counts what sharing costs at the rate of the design, 6,100 requests a second over 330 hosts.
+func TestMessagesWhileVersionsAreMixed(t *testing.T) {
+	const (
+		perHost = 18.5 // streams a second
+		length  = 500 * time.Millisecond
+	)
+
+	for _, size := range sizes {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			n := newNetwork(ctx, size.hosts, size.centres, 6, "v1", "v2")
+			time.Sleep(streamLife)
+
+			streams := int(perHost * float64(size.hosts) * length.Seconds())
+			pause := length / time.Duration(streams)
+
+			for i := range streams {
+				n.nodes[n.random(len(n.nodes))].current().Record("s", entity.RequestID(fmt.Sprint("q", i)), "v1")
+				time.Sleep(pause)
+			}
+
+			time.Sleep(time.Second)
+
+			rate := float64(n.messages.Load()) / length.Seconds() / float64(size.hosts)
+			t.Logf("%d hosts: %.0f messages a second from each, as many to each", size.hosts, rate)
+			require.Less(t, rate, 100.0)
+
+			cancel()
+			time.Sleep(drainTime)
+		})
+	}
+}
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -210,6 +210,26 @@
 	return reply, err
 }
 
+// ShareOrigins sends m to the host at address.
+func (n *Network) ShareOrigins(ctx context.Context, address string, m *peer.OriginRecords) error {
+	return n.call(ctx, address, func(ctx context.Context, client peer.PeerClient) error {
+		_, err := client.ShareOrigins(ctx, m)
+
+		return err
+	})
+}
+
+// FindOrigin asks the host at address for the version of a stream.
+func (n *Network) FindOrigin(ctx context.Context, address string, r *peer.FindOriginRequest) (reply *peer.FindOriginReply, err error) {
+	err = n.call(ctx, address, func(ctx context.Context, client peer.PeerClient) error {
+		reply, err = client.FindOrigin(ctx, r)
+
+		return err
+	})
+
+	return reply, err
+}
+
 // call makes one call to the host at address. After a failure it retries at once on a new connection, since the old one
 // may have stopped responding while the peer is alive.
 func (n *Network) call(ctx context.Context, address string, do func(context.Context, peer.PeerClient) error) error {
--- a/internal/entry/peers/server.go
+++ b/internal/entry/peers/server.go
@@ -42,6 +42,12 @@
 	End(r *peer.EndPlaceRequest)
 }
 
+// StreamOrigins handles what other hosts tell and ask about the software versions of streams.
+type StreamOrigins interface {
+	HandleRecords(m *peer.OriginRecords)
+	HandleFind(ctx context.Context, r *peer.FindOriginRequest) *peer.FindOriginReply
+}
+
 // Services are the functions of this host that peers call. Snapshot, Runner and Answers are required.
 type Services struct {
 	Snapshot func() *entity.Snapshot // the configuration in force; nil before the first
@@ -56,6 +62,8 @@
 	Placer PromptPlacer
 	// Crashes handles the records of requests that crash their targets and returns the reply; nil keeps no records.
 	Crashes func(m *peer.CrashRecords) *peer.CrashRecords
+	// Origins holds the versions of streams; nil keeps none.
+	Origins StreamOrigins
 	// Burn returns the encoded service-level counts that this host has not saved yet; nil serves no counts.
 	Burn func() []byte
 }
@@ -146,6 +154,24 @@
 	return s.services.Crashes(m), nil
 }
 
+// ShareOrigins implements peer.PeerServer.
+func (s *Server) ShareOrigins(_ context.Context, m *peer.OriginRecords) (*peer.ShareOriginsReply, error) {
+	if s.services.Origins != nil {
+		s.services.Origins.HandleRecords(m)
+	}
+
+	return &peer.ShareOriginsReply{}, nil
+}
+
+// FindOrigin implements peer.PeerServer.
+func (s *Server) FindOrigin(ctx context.Context, r *peer.FindOriginRequest) (*peer.FindOriginReply, error) {
+	if s.services.Origins == nil {
+		return &peer.FindOriginReply{}, nil
+	}
+
+	return s.services.Origins.HandleFind(ctx, r), nil
+}
+
 // FetchBurn implements peer.PeerServer.
 func (s *Server) FetchBurn(context.Context, *peer.FetchBurnRequest) (*peer.Burn, error) {
 	if s.services.Burn == nil {
