Keep a stream at the software version that began it

Cause: placing did not know versions; a resume, by the caller or by the host, went to any replica.

A stream now has a version. A new one chooses it in proportion to what the versions can serve (the lesser of their shares of the prefill and of the decode replicas), among those with two decode replicas or more where there are any; prompt, KV cache and decode stay at it. Until the first event it may change: after a failed try, and where the version's replicas would be too late. The first event is forwarded once another host knows the version, after 50 ms at most. A request that takes a stream up asks for the version of the attempt that Resumes names, goes before new ones, and is refused at once if nobody knows it or no replica of that version accepts work.

--- a/internal/control/placing/choose.go
+++ b/internal/control/placing/choose.go
@@ -47,6 +47,8 @@
 	Avoid          []entity.TargetID // targets that must not be chosen
 	SolePlacer     bool              // whether no other host places prompts on the candidates
 	AcceptableWait time.Duration     // expected wait up to which no further cell (see package cells) is tried
+	// Version is the software version of the candidates, for a host that knows other candidates; nil means any.
+	Version *entity.SoftwareVersion
 }
 
 func (j *Job) avoids(id entity.TargetID) bool {
--- a/internal/entry/placer/placer.go
+++ b/internal/entry/placer/placer.go
@@ -325,6 +325,10 @@
 		Prompt: int64(job.Prompt), Output: int64(job.Output), Rank: uint32(max(job.Rank, 0)), HoldMs: hold.Milliseconds(),
 	}
 
+	if job.Version != nil {
+		r.OneVersion, r.Version = true, string(*job.Version)
+	}
+
 	for _, part := range job.Parts {
 		r.Parts = append(r.Parts, &peer.PromptPart{Id: part.ID, Tokens: int64(part.Tokens)})
 	}
--- a/internal/entry/placer/placer_test.go
+++ b/internal/entry/placer/placer_test.go
@@ -473,3 +473,28 @@
 		}
 	})
 }
+
+// TestPromptIsPlacedAtItsVersion asks for replicas of one version while replicas of another have less work.
+func TestPromptIsPlacedAtItsVersion(t *testing.T) {
+	n := newNetwork(t, 4, 6)
+
+	var all []fleet.Target
+	for i, target := range n.fleet.Of("llm") {
+		target.Version = entity.SoftwareVersion(fmt.Sprint("v", i%3))
+		all = append(all, target)
+	}
+
+	n.fleet = fleet.NewSnapshot(all)
+
+	for i, h := range n.hosts {
+		version := entity.SoftwareVersion("v1")
+		job := prompt(i, uniquePart(i, 8000))
+		job.Version = &version
+
+		p, ok := h.Place(t.Context(), "llm", n.fleet.AtVersion("llm", entity.Prefill, version), job, hold)
+		require.True(t, ok)
+		require.Equal(t, version, p.Placement().Target.Version)
+	}
+
+	require.Zero(t, n.hosts[0].PlacedLocally()+n.hosts[1].PlacedLocally()+n.hosts[2].PlacedLocally()+n.hosts[3].PlacedLocally())
+}
--- a/internal/entry/placer/server.go
+++ b/internal/entry/placer/server.go
@@ -70,7 +70,13 @@
 	job := jobOf(r)
 	mergeResting(s.opts.Board, now, r.GetResting())
 
-	prefillReplicas := s.opts.Fleet().InRole(entity.ServiceName(r.GetService()), entity.Prefill)
+	service := entity.ServiceName(r.GetService())
+	prefillReplicas := s.opts.Fleet().InRole(service, entity.Prefill)
+
+	if r.GetOneVersion() {
+		prefillReplicas = s.opts.Fleet().AtVersion(service, entity.Prefill, entity.SoftwareVersion(r.GetVersion()))
+	}
+
 	candidates := cells.Members(entity.DataCentre(r.GetDataCentre()), prefillReplicas)
 
 	s.mu.Lock()
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -47,6 +47,7 @@
 	PromptPlacer PromptPlacer        // nil means that this host places all prompts itself, by Board
 	Retries      *retries.Limiter    // bound on repeated sends
 	Crashers     *crashtracker.Table // requests that crash their targets
+	Origins      Origins             // versions of streams; nil means that streams are taken up only while there is one version
 	Targets      Targets
 	Observe      func(Outcome) // called once a request has ended; nil means no call
 }
@@ -70,6 +71,10 @@
 		opts.PromptPlacer = NewLocalPlacer(opts.Clock, opts.Board)
 	}
 
+	if opts.Origins == nil {
+		opts.Origins = soleVersion{opts.Fleet}
+	}
+
 	if opts.TargetsAge == nil {
 		opts.TargetsAge = func() time.Duration { return -1 }
 	}
@@ -132,6 +137,7 @@
 	service     catalog.Service
 	deadline    time.Time
 	version     catalog.Version
+	at          streamVersion
 	fingerprint crashtracker.Fingerprint // identifies the request, whatever its id
 
 	sends       int               // sends so far that count towards maxSends and the retry budget
@@ -152,7 +158,7 @@
 	}
 
 	if timeout == 0 {
-		timeout = defaultTimeout
+		timeout = catalog.DefaultTimeout
 	}
 
 	return &job{
@@ -161,9 +167,6 @@
 	}
 }
 
-// defaultTimeout is the timeout of a request if neither its caller nor its route sets one.
-const defaultTimeout = 30 * time.Second
-
 func (j *job) now() time.Time { return j.opts.Clock.Now() }
 
 // remaining returns the time until the deadline, negative after it.
@@ -171,16 +174,27 @@
 
 // placingJob returns the request as a job of package placing.
 func (j *job) placingJob() placing.Job {
-	return placing.Job{
-		ID: j.r.ID, Prompt: j.r.Prompt, Output: j.r.Output, Parts: j.r.Parts, Rank: j.route.Rank, Near: j.opts.Home, Avoid: j.tried,
+	job := placing.Job{
+		ID: j.r.ID, Prompt: j.r.Prompt, Output: j.r.Output, Parts: j.r.Parts, Rank: j.rank(), Near: j.opts.Home, Avoid: j.tried,
 		AcceptableWait: j.route.Objective / acceptableWaitDivisor,
 	}
+
+	if j.at.chosen {
+		version := j.at.version
+		job.Version = &version
+	}
+
+	return job
 }
 
-// candidates returns the targets of the service in role, or all its targets for entity.Mixed.
+// candidates returns the targets of the service in role, or all its targets for entity.Mixed. Once the version of a stream
+// is chosen, they are those of that version.
 func (j *job) candidates(role entity.Role) []fleet.Target {
-	if role == entity.Mixed {
+	switch {
+	case role == entity.Mixed:
 		return j.opts.Fleet().Of(j.service.Name)
+	case j.at.chosen:
+		return j.opts.Fleet().AtVersion(j.service.Name, role, j.at.version)
 	}
 
 	return j.opts.Fleet().InRole(j.service.Name, role)
--- a/internal/entry/relay/request.go
+++ b/internal/entry/relay/request.go
@@ -32,6 +32,9 @@
 	Output      entity.Tokens  // the caller's limit on the length of the answer
 	Parts       []placing.Part // the parts of the prompt, in order; replicas cache prefixes of this list
 	LastEventID string         // id of the last event that the caller already has; empty for none
+	// Resumes is the id of the request that brought the first event of the stream that this one takes up; empty if it takes
+	// none up or the caller does not say so.
+	Resumes entity.RequestID
 }
 
 // Send describes one send of a request to a target.
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -29,6 +29,14 @@
 func (j *job) stream(ctx context.Context, w Reply) {
 	p := progress{lastEventID: j.r.LastEventID}
 
+	if j.resumes() {
+		if err := j.takeUp(ctx); err != nil {
+			j.refuse(w, err)
+
+			return
+		}
+	}
+
 	for p.runs < j.route.MaxTargets && j.endError(ctx, verdict.MayHaveRun) == nil {
 		done, err := j.streamOnce(ctx, w, &p)
 		if done {
@@ -73,6 +81,10 @@
 // where one refuses or was not reached. It reports whether the stream has ended. An error means that the request must
 // not be sent any further.
 func (j *job) streamOnce(ctx context.Context, w Reply, p *progress) (bool, *verdict.Error) {
+	if !p.begun && !j.resumes() {
+		j.chooseVersion()
+	}
+
 	handle, refusal := j.prefill(ctx, p)
 	if refusal != nil {
 		return false, refusal
@@ -136,9 +148,13 @@
 			j.opts.Board.AddDemand(j.now(), j.service.Name, j.r.Prompt-placement.Cached)
 		}
 
-		if !p.begun && !j.pacing().Worthwhile(placement.Wait, j.now().Sub(j.r.Arrived)) {
+		if !p.begun && !j.inTime(placement.Wait) {
 			prompt.End(placing.PromptResult{})
 
+			if j.passOver() {
+				continue
+			}
+
 			return nil, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the first event would come too late").WithRetryAfter(placement.Wait)
 		}
 
@@ -162,6 +178,16 @@
 	}
 }
 
+// inTime reports whether a first event that is expected after wait is early enough. A stream that is taken up can go on
+// only at its version, so it waits for as long as its caller does.
+func (j *job) inTime(wait time.Duration) bool {
+	if j.resumes() {
+		return wait < j.remaining()
+	}
+
+	return j.pacing().Worthwhile(wait, j.now().Sub(j.r.Arrived))
+}
+
 // prefillOnce sends the prompt to one replica. If the caller disconnects or the deadline passes meanwhile, the result
 // is that of a prompt that was not sent, since the failure is not the replica's.
 func (j *job) prefillOnce(ctx context.Context, placement placing.Placement, p *progress) (*KVHandle, placing.PromptResult) {
@@ -171,7 +197,7 @@
 	sentAt := j.now()
 
 	handle, answer, err := j.opts.Targets.Prefill(prefillCtx, j.r, Send{
-		Target: placement.Target, Rank: j.route.Rank, Timeout: j.remaining(), LastEventID: p.lastEventID,
+		Target: placement.Target, Rank: j.rank(), Timeout: j.remaining(), LastEventID: p.lastEventID,
 	})
 
 	switch {
@@ -211,7 +237,7 @@
 	defer silenceTimer.Stop()
 
 	answer, err := j.opts.Targets.Run(ctx, j.r, Send{
-		Target: placement.Target, Rank: j.route.Rank, Timeout: j.remaining(), LastEventID: p.lastEventID, KVCache: handle,
+		Target: placement.Target, Rank: j.rank(), Timeout: j.remaining(), LastEventID: p.lastEventID, KVCache: handle,
 	})
 	if err != nil {
 		p.cause = err
@@ -241,7 +267,7 @@
 		return false, j.passErrorAnswer(w, answer, p)
 	}
 
-	return false, j.passEvents(w, answer, placement, p, silenceTimer.Reset)
+	return false, j.passEvents(ctx, w, answer, placement, p, silenceTimer.Reset)
 }
 
 // firstEventTimeout returns how long a replica may take to send its first event. A replica that has no KV cache to
@@ -287,7 +313,7 @@
 
 // passEvents forwards events as they arrive. It reports whether the stream has ended: the answer is complete or the
 // caller cannot be written to. reset restarts the timer that cancels a silent replica.
-func (j *job) passEvents(w Reply, answer *Answer, placement placing.Placement, p *progress, reset func(time.Duration) bool) bool {
+func (j *job) passEvents(ctx context.Context, w Reply, answer *Answer, placement placing.Placement, p *progress, reset func(time.Duration) bool) bool {
 	stream := &events{body: answer.Body}
 
 	for {
@@ -308,6 +334,7 @@
 		}
 
 		if !p.begun {
+			j.awaitRecord(ctx)
 			j.beginReply(w, answer, p)
 		}
 
--- a/internal/wire/verdict/verdict.go
+++ b/internal/wire/verdict/verdict.go
@@ -66,6 +66,7 @@
 	CodeNoTarget            Code = "no-target"
 	CodeDeadline            Code = "deadline"
 	CodeQuarantined         Code = "quarantined"
+	CodeUnknownOrigin       Code = "unknown-origin"
 	CodePlatformUnavailable Code = "platform-unavailable"
 	CodeKeyExpired          Code = "key-expired"
 	CodeKeyReused           Code = "key-reused"
