Give both roles to each software version

Roles were balanced over the whole service. While two versions serve, one could get all prefill replicas and the other all decode replicas; since prompt and decode stay at one version, neither could serve as it should.

A role now goes first to the version in which it is rarest, no version gives up its last decode replica, and one without any gets one back. With one version the choice is as before.

--- a/internal/control/rolesplit/controller.go
+++ b/internal/control/rolesplit/controller.go
@@ -102,7 +102,9 @@
 	c.adjustShare(in, prefill)
 
 	missing := c.wantedPrefill(len(in.Targets)) - prefill
-	if missing == 0 {
+	unpaired := c.unpaired(in.Targets)
+
+	if missing == 0 && len(unpaired) == 0 {
 		c.mismatchSince = time.Time{}
 
 		return nil
@@ -122,9 +124,35 @@
 		limit = maxPending - len(c.pending)
 	}
 
+	if len(unpaired) > 0 {
+		return c.order(in, unpaired, entity.Decode, min(len(unpaired), limit))
+	}
+
 	return c.orderChanges(in, missing, limit)
 }
 
+// unpaired returns a prefill replica of each software version that has no decode replica, and so cannot generate anything.
+func (c *Controller) unpaired(targets []fleet.Target) []fleet.Target {
+	decode := map[entity.SoftwareVersion]bool{}
+
+	for _, t := range targets {
+		if c.role(t) != entity.Prefill {
+			decode[t.Version] = true
+		}
+	}
+
+	var list []fleet.Target
+
+	for _, t := range targets {
+		if !decode[t.Version] {
+			decode[t.Version] = true
+			list = append(list, t)
+		}
+	}
+
+	return list
+}
+
 // wantedPrefill returns how many of n replicas should have the prefill role: at least one, and at most all but one.
 func (c *Controller) wantedPrefill(n int) int {
 	return min(max(int(math.Round((initialPrefillShare+c.shareShift)*float64(n))), 1), n-1)
@@ -194,39 +222,63 @@
 }
 
 // orderChanges orders up to limit replicas to change their role. missing is the number of missing prefill replicas;
-// if negative, its absolute value is that of missing decode replicas. Replicas with a pending order or in the pause
-// after a withdrawn one get no order.
+// if negative, its absolute value is that of missing decode replicas. It takes no software version's last decode replica.
 func (c *Controller) orderChanges(in Input, missing, limit int) []Order {
 	to, from := entity.Prefill, entity.Decode
 	if missing < 0 {
 		to, from, missing = entity.Decode, entity.Prefill, -missing
 	}
 
-	var (
-		candidates []fleet.Target
-		perCentre  = map[entity.DataCentre]int{}
-	)
+	var candidates []fleet.Target
 
 	for _, t := range in.Targets {
-		if _, changing := c.pending[t.ID]; t.Role == from && !changing && !in.Now.Before(c.withdrawn[t.ID]) {
+		if t.Role == from {
 			candidates = append(candidates, t)
-			perCentre[t.DataCentre]++
 		}
 	}
 
+	return c.order(in, candidates, to, min(missing, limit))
+}
+
+// order orders up to n of candidates to take the role to. Replicas with a pending order or in the pause after a withdrawn one
+// get no order. The first orders go to the software versions in which the role is rarest.
+func (c *Controller) order(in Input, candidates []fleet.Target, to entity.Role, n int) []Order {
+	candidates = slices.DeleteFunc(slices.Clone(candidates), func(t fleet.Target) bool {
+		_, changing := c.pending[t.ID]
+
+		return changing || in.Now.Before(c.withdrawn[t.ID])
+	})
+
+	perCentre := map[entity.DataCentre]int{}
+	for _, t := range candidates {
+		perCentre[t.DataCentre]++
+	}
+
 	var orders []Order
 
-	for len(orders) < min(missing, limit) && len(candidates) > 0 {
+	for len(orders) < n {
+		versions := c.rolesByVersion(in.Targets)
+
 		// Take the least busy replica of the data centre that has the most candidates.
 		i := minIndex(candidates, func(a, b fleet.Target) int {
 			return cmp.Or(
+				cmp.Compare(versions[a.Version].share(to), versions[b.Version].share(to)),
 				cmp.Compare(perCentre[b.DataCentre], perCentre[a.DataCentre]),
 				cmp.Compare(in.Busy(a.ID), in.Busy(b.ID)),
 				cmp.Compare(a.ID, b.ID),
 			)
 		})
+		if len(candidates) == 0 {
+			break
+		}
+
 		t := candidates[i]
 		candidates = slices.Delete(candidates, i, i+1)
+
+		if to == entity.Prefill && versions[t.Version].decode < 2 && len(versions) > 1 {
+			continue
+		}
+
 		perCentre[t.DataCentre]--
 		c.pending[t.ID] = pending{role: to, until: in.Now.Add(orderTimeout)}
 		orders = append(orders, Order{Target: t, Role: to})
@@ -235,6 +287,37 @@
 	return orders
 }
 
+// roleCounts are the replicas of one software version by role, pending orders included.
+type roleCounts struct{ prefill, decode int }
+
+// share returns the share of the replicas that have role.
+func (r roleCounts) share(role entity.Role) float64 {
+	n := r.decode
+	if role == entity.Prefill {
+		n = r.prefill
+	}
+
+	return float64(n) / float64(r.prefill+r.decode)
+}
+
+func (c *Controller) rolesByVersion(targets []fleet.Target) map[entity.SoftwareVersion]roleCounts {
+	versions := map[entity.SoftwareVersion]roleCounts{}
+
+	for _, t := range targets {
+		r := versions[t.Version]
+
+		if c.role(t) == entity.Prefill {
+			r.prefill++
+		} else {
+			r.decode++
+		}
+
+		versions[t.Version] = r
+	}
+
+	return versions
+}
+
 // minIndex returns the index of the least target by compare, or 0 if there are none.
 func minIndex(targets []fleet.Target, compare func(a, b fleet.Target) int) int {
 	least := 0
