--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -93,6 +93,8 @@
 	Status      int            // status of the target's answer; zero if Problem is not nil
 	TimeToFirst time.Duration  // from arrival to the answer, or to the first event of a stream; zero if neither was sent
 	Total       time.Duration  // from arrival to the end of the request
+	Silences    int            // number of times that a target was silent for longer than its patience
+	Replaced    int            // number of times that another target replaced a silent one
 }
 
 // Serve serves r and returns when w has its final answer. ctx must end when the caller disconnects.
@@ -129,7 +131,8 @@
 	j.finish()
 }
 
-// job is the state of one request while it is served. Only one goroutine uses it.
+// job is the state of one request while it is served. Only one goroutine uses it at a time: the one that serves the
+// request, or that of a watch.
 type job struct {
 	*Relay
 	r           *Request
@@ -144,6 +147,13 @@
 	prefilled   bool              // a replica has prefilled the prompt; the first prefill is not counted in sends
 	tried       []entity.TargetID // targets that are not tried again
 	losses      int               // recorded losses of targets
+	reserved    int               // repeats that the retry budget has counted for the next sends
+	reservedAt  time.Time         // when it has counted them
+	left        []entity.TargetID // silent targets from which the request was taken over and that may be sound
+	lack        lack              // why the last attempt to send to another target failed
+	sentAt      time.Time         // when the request was last sent to a target; zero if it was not
+	lastHeard   time.Time         // when a target last sent something; zero if none has
+	silent      entity.TargetID   // silent target that has not been replaced yet; empty for none
 	timeToFirst time.Duration     // as Outcome.TimeToFirst
 	outcome     Outcome
 }
@@ -202,17 +212,29 @@
 
 // maySend reports whether one more send is allowed: maxSends is not reached, the request is not quarantined and,
 // after the first send, the retry budget allows another. If so, it counts the send, and charges it to the retry
-// budget unless it is the first.
+// budget unless it is the first. A request that was taken over from a silent target may be sent once more, so that it
+// can return there.
 func (j *job) maySend() bool {
-	if j.sends >= maxSends {
+	if j.sends >= maxSends+min(len(j.left), 1) {
+		j.lack = lackSends
+
 		return false
 	}
 
 	if _, quarantined := j.opts.Crashers.Refuses(j.now(), j.fingerprint); quarantined {
+		j.lack = lackQuarantine
+
 		return false
 	}
 
-	if j.sends > 0 && !j.opts.Retries.Take(j.now(), j.service.Name) {
+	switch {
+	case j.sends == 0:
+	case j.reserved > 0:
+		j.reserved--
+		j.opts.Retries.Postpone(j.now(), j.reservedAt, j.service.Name)
+	case !j.opts.Retries.Take(j.now(), j.service.Name):
+		j.lack = lackBudget
+
 		return false
 	}
 
@@ -221,18 +243,21 @@
 	return true
 }
 
-// noteFailure records that a send to t ended with err, and returns the verdict of err. A cancelled send only excludes
-// t from further tries.
+// noteFailure records that a send to t ended with err, and returns the verdict of err. A cancelled send, or one that the
+// deadline has ended before t was silent for long, only excludes t from further tries.
 func (j *job) noteFailure(t fleet.Target, err error) verdict.Verdict {
 	j.tried = append(j.tried, t.ID)
+	v := verdict.Of(err)
 
-	if !errors.Is(err, context.Canceled) {
+	switch {
+	case errors.Is(err, context.Canceled):
+	case !endedHere(err) || v == verdict.NotRun:
 		j.opts.Board.RecordOutcome(j.now(), t, placing.Lost)
+	case j.silent == "" && j.silentFor() >= j.patience():
+		j.noteSilence(t, j.patience())
 	}
 
 	j.noteLoss(t, err)
-
-	v := verdict.Of(err)
 	j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Str("target", string(t.ID)).
 		Str("verdict", v.String()).Str("fingerprint", j.fingerprint.String()).Int("losses", j.opts.Crashers.Losses(j.now(), j.fingerprint)).
 		Dur("targets-age", j.opts.TargetsAge()).Err(err).Msg("target did not answer")
@@ -240,6 +265,11 @@
 	return v
 }
 
+// endedHere reports whether err is that of a send which this host has ended, or that of a dial that took too long.
+func endedHere(err error) bool {
+	return errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+}
+
 // noteLoss records that t may have crashed on the request, whose send ended with err. A timeout or a cancellation alone is
 // no evidence of a crash.
 func (j *job) noteLoss(t fleet.Target, err error) {
@@ -250,7 +280,7 @@
 	j.losses++
 
 	loss := crashtracker.Loss{Request: j.fingerprint, Target: t.ID}
-	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+	if endedHere(err) {
 		j.opts.Crashers.RecordSilence(j.now(), loss)
 	} else {
 		j.opts.Crashers.RecordLoss(j.now(), loss)
@@ -287,6 +317,8 @@
 
 // finish logs the outcome and reports it to Observe.
 func (j *job) finish() {
+	j.returnReserve()
+
 	j.outcome.Route = j.route
 	j.outcome.TimeToFirst = j.timeToFirst
 	j.outcome.Total = j.now().Sub(j.r.Arrived)
@@ -303,6 +335,7 @@
 	j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Uint64("configuration", uint64(j.version)).
 		Str("code", string(j.outcome.Problem.Code)).Str("verdict", j.outcome.Problem.Verdict.String()).
 		Dur("retry-after", j.outcome.Problem.RetryAfter).Dur("total", j.outcome.Total).Int("sends", j.sends).
+		Int("silences", j.outcome.Silences).Int("replaced", j.outcome.Replaced).Dur("last-heard", j.sinceLastHeard()).Str("lack", string(j.lack)).
 		Str("fingerprint", j.fingerprint.String()).Err(j.outcome.Problem.Err).Msg("failed")
 }
 
@@ -314,15 +347,15 @@
 	w.Refuse(err)
 }
 
-// endError returns an error with verdict ran if the deadline has passed or the caller has disconnected, else nil.
+// endError returns an error with verdict ran if the deadline has passed or the caller has disconnected, else nil. The
+// timer of ctx may fire before the clock reads the deadline.
 func (j *job) endError(ctx context.Context, ran verdict.Verdict) *verdict.Error {
-	if ctx.Err() == nil && j.remaining() > 0 {
+	switch {
+	case ctx.Err() == nil && j.remaining() > 0:
 		return nil
-	}
-
-	if j.remaining() > 0 {
+	case errors.Is(ctx.Err(), context.Canceled) && j.remaining() > 0:
 		return verdict.New(ran, verdict.CodeCallerGone, "the caller disconnected")
+	default:
+		return verdict.New(ran, verdict.CodeDeadline, "the deadline of the request has passed")
 	}
-
-	return verdict.New(ran, verdict.CodeDeadline, "the deadline of the request has passed")
 }
