--- a/internal/entry/relay/prefill.go
+++ b/internal/entry/relay/prefill.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
@@ -55,9 +56,13 @@
 		j.opts.Board.AddDemand(j.now(), j.service.Name, j.r.Prompt-placement.Cached)
 	}
 
-	if !p.begun && !j.pacing().Worthwhile(placement.Wait, j.now().Sub(j.r.Arrived)) {
+	if !p.begun && !j.inTime(placement.Wait) {
 		prompt.End(placing.PromptResult{})
 
+		if j.passOver() {
+			return j.placePrompt(ctx, p, false)
+		}
+
 		return nil, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the first event would come too late").WithRetryAfter(placement.Wait)
 	}
 
@@ -70,6 +75,16 @@
 	return &successor{prompt: prompt, paidAt: j.now()}, nil
 }
 
+// inTime reports whether a first event that is expected after wait is early enough. A stream that is taken up can go on
+// only at its version, so it waits for as long as its caller does.
+func (j *job) inTime(wait time.Duration) bool {
+	if j.resumes() {
+		return wait < j.remaining()
+	}
+
+	return j.pacing().Worthwhile(wait, j.now().Sub(j.r.Arrived))
+}
+
 // prefillOnce sends the prompt to one replica. If the replica is silent for too long, the send is ended; if replaceable,
 // only once there is a successor, which is returned. If the caller disconnects or the deadline passes meanwhile, the
 // result is that of a prompt that was not sent, since the failure is not the replica's.
@@ -95,7 +110,7 @@
 	}
 
 	handle, answer, err := j.opts.Targets.Prefill(runCtx, j.r, Send{
-		Target: target, Rank: j.route.Rank, Timeout: j.deadline.Sub(sentAt), LastEventID: p.lastEventID,
+		Target: target, Rank: j.rank(), Timeout: j.deadline.Sub(sentAt), LastEventID: p.lastEventID,
 	})
 	next, endedRun := silence.stop(err != nil)
 
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -52,6 +52,14 @@
 func (j *job) stream(ctx context.Context, w Reply) {
 	p := progress{lastEventID: j.r.LastEventID}
 
+	if j.resumes() {
+		if err := j.takeUp(ctx); err != nil {
+			j.refuse(w, err)
+
+			return
+		}
+	}
+
 	var (
 		next    *successor
 		handle  *KVHandle // KV cache of the prompt that no replica has fetched
@@ -104,6 +112,10 @@
 		return nil, handle, j.noTargetError()
 	}
 
+	if handle == nil && !p.begun && !j.resumes() {
+		j.chooseVersion()
+	}
+
 	// A prefill is of no use if no send is left for the run.
 	if handle == nil && j.sends+2 <= maxSends {
 		var (
@@ -196,7 +208,7 @@
 	}
 
 	answer, err := j.opts.Targets.Run(runCtx, j.r, Send{
-		Target: target, Rank: j.route.Rank, Timeout: j.remaining(), LastEventID: p.lastEventID, KVCache: s.handle,
+		Target: target, Rank: j.rank(), Timeout: j.remaining(), LastEventID: p.lastEventID, KVCache: s.handle,
 	})
 	if err != nil {
 		next, endedRun := silence.stop(true)
@@ -239,7 +251,7 @@
 
 	silence.resume(j.now(), patience)
 
-	done, err = j.passEvents(w, answer, target, p, silence)
+	done, err = j.passEvents(ctx, w, answer, target, p, silence)
 	next, endedRun := silence.stop(!done)
 
 	if done {
@@ -301,7 +313,7 @@
 
 // passEvents forwards events as they arrive. It reports whether the stream has ended: the answer is complete or the
 // caller cannot be written to. Otherwise it returns the error of the replica t, whose silences silence watches.
-func (j *job) passEvents(w Reply, answer *Answer, t fleet.Target, p *progress, silence *watch) (bool, error) {
+func (j *job) passEvents(ctx context.Context, w Reply, answer *Answer, t fleet.Target, p *progress, silence *watch) (bool, error) {
 	stream := &events{body: answer.Body, buf: j.newBuffer(maxEventBytes)}
 	defer stream.buf.Release()
 
@@ -331,6 +343,7 @@
 		}
 
 		if !p.begun {
+			j.awaitRecord(ctx)
 			j.beginReply(w, answer, p)
 		}
 
