Read the limits of callers when a connection is accepted

What callers see: connections of a host's first tenth of a second with a configuration idle under the limits that hold while none is known, and close later than the configured limit.

Cause: limits were read on the host's tick and at a passed deadline alone; since the first request of a connection keeps what was in force when it began.

Change: they are also read when a connection is accepted.

Evidence: TestIdleConnectionClosesAtTheConfiguredLimit failed 15 of 15 times at the commit before and passes 15 of 15.

--- a/internal/entry/serving/connections.go
+++ b/internal/entry/serving/connections.go
@@ -130,6 +130,8 @@
 		return nil, err
 	}
 
+	l.connections.refresh()
+
 	c := &connection{TCPConn: tcp, connections: l.connections}
 
 	l.connections.mu.Lock()
