Spread the watches that hosts replace at one time

Cause, from a trace of all eight hosts: most hosts had silent connections and learned of a change from a peer. Each replaced its watch at once, and such a watch did not count as shared: it got the length of a later turn, 19 s, instead of its place in the first round. So all of them ended together 16 s later and none in turn. When all connections fell silent then, no watch ended, and the hosts' own bound on the age (2.2 s and spread and up to 1 s by the time left of a watch, which was 12 to 16 s for all) came at 3.26 s.

Change: a watch that follows Refresh counts as shared. A test on virtual time fails without it: late removals 2 of 60 with 7 hosts, 1 of 60 with 8; with it none with 3, 7 and 8.

--- a/internal/entry/freshness/fleet_test.go
+++ b/internal/entry/freshness/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -284,6 +285,9 @@
 	return h.readers.ShouldPause(time.Now(), h.Hosts(), h.Period(), h.reads())
 }
 
+// turn returns the place of h among the hosts that read the store.
+func (h *host) turn() int { return peersync.TurnOf(h, h.home, readersKey, 0).Index }
+
 // report is what a heartbeat tells.
 type report struct {
 	from                         *host
@@ -565,6 +569,65 @@
 	}
 }
 
+// TestSilenceIsNoticedLateAfterWatchesWereReplacedTogether silences the connections of some hosts, which replace their watches once
+// a peer knows of changes, and then those of all hosts.
+func TestSilenceIsNoticedLateAfterWatchesWereReplacedTogether(t *testing.T) {
+	for _, size := range sizes()[:3] {
+		t.Run(fmt.Sprint(size.hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+
+				r := rand.New(rand.NewPCG(3, uint64(size.hosts)))
+				s := newSimulation(ctx, size.hosts, size.centres, r, size.bound/5)
+				between := func(least, most time.Duration) time.Duration {
+					return least + time.Duration(r.Int64N(int64(most-least)))
+				}
+				late := 0
+
+				for round := range size.rounds {
+					time.Sleep(20*time.Second + between(0, 20*time.Second))
+
+					listener := slices.MaxFunc(s.order, func(a, b *host) int { return a.turn() - b.turn() })
+
+					for _, h := range s.order {
+						if h != listener {
+							h.link.silence()
+						}
+					}
+
+					time.Sleep(between(0, time.Second))
+					s.store.put("config", "main", strconv.Itoa(round+2))
+					time.Sleep(between(0, time.Second))
+					s.store.put("servers", "t0", strconv.Itoa(round))
+					time.Sleep(between(50*time.Millisecond, 300*time.Millisecond))
+
+					for _, h := range s.order {
+						h.link.silence()
+					}
+
+					silent, target := time.Now(), fmt.Sprint("t", 1+round%19)
+
+					time.Sleep(between(0, size.stability-size.bound))
+					s.store.remove("servers", target)
+					time.Sleep(time.Until(silent.Add(size.stability)))
+
+					if s.believing(entity.TargetID(target)) > 0 {
+						late++
+					}
+
+					s.store.put("servers", target, "x")
+				}
+
+				cancel()
+				synctest.Wait()
+				time.Sleep(time.Minute)
+				require.Zero(t, late, "removals that hosts did not know in time, of %d", size.rounds)
+			})
+		})
+	}
+}
+
 // TestCalmFleetCallsTheStoreNoMoreOften counts the calls of a fleet in which no target and no configuration changes. Two
 // watches of 15 s for each reader, a refused one and a list would be four calls for each reader and kind in 30 s. A fleet of
 // fewer than seven hosts may call as often as one of seven.
--- a/internal/entry/storewatch/watcher.go
+++ b/internal/entry/storewatch/watcher.go
@@ -181,8 +181,9 @@
 	return w.current
 }
 
-// Refresh ends the watch under way, which may be on a connection that has fallen silent, and reads the list again. It does
-// not wait, and may be called from any goroutine.
+// Refresh ends the watch under way, which may be on a connection that has fallen silent, and reads the list again. The next watch
+// counts as shared, since other hosts often replace theirs at the same time. Refresh does not wait, and may be called from any
+// goroutine.
 func (w *Watcher) Refresh() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -235,7 +236,11 @@
 		return pausedCheckInterval, nil
 	}
 
-	if w.takeOutdated() || w.opts.History > 0 && w.opts.Clock.Since(w.revisionAt) >= w.opts.History {
+	if w.takeOutdated() {
+		w.listed, w.shared = false, true
+	}
+
+	if w.opts.History > 0 && w.opts.Clock.Since(w.revisionAt) >= w.opts.History {
 		w.listed = false
 	}
 
@@ -248,7 +253,12 @@
 	began := w.opts.Clock.Now()
 
 	changes, revision, err := w.watch(ctx)
-	if w.takeOutdated() {
+	outdated := w.takeOutdated()
+
+	// A watch that is refused at once concerns this host alone.
+	w.shared = outdated || len(changes) > 0 || err != nil && w.opts.Clock.Since(began) > refusedAtOnce
+
+	if outdated {
 		w.listed = false
 
 		if err != nil {
@@ -256,9 +266,6 @@
 		}
 	}
 
-	// A watch that is refused at once concerns this host alone.
-	w.shared = len(changes) > 0 || err != nil && w.opts.Clock.Since(began) > refusedAtOnce
-
 	if errors.Is(err, ErrCompacted) {
 		w.listed = false
 
