Write the standard log of a host, bounded, to its own log

Seen: net/http writes a line with up to 4 KiB of what a target has sent, quoted, for each idle connection on which bytes arrive, to the standard error of the process: 12 kB for noise, unbounded in number and with a write that may block.

Change: dotterelflow-front writes the standard log to its own log, which never blocks, with 2 KiB of a message.

TestStandardLogIsRedirectedAndCut checks the writer; that the program calls it was not run on a host.

--- a/cmd/dotterelflow-front/main.go
+++ b/cmd/dotterelflow-front/main.go
@@ -55,6 +55,8 @@
 	logger := logging.NewWithWriter(lines, c.String("log-level"), cfg.Host)
 	log.DefaultLogger = *logger
 
+	logging.RedirectStandard(logger)
+
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 
