Ask other hosts for the version of a stream after a pause

The age of the targets does not show a pause of less than 3 s.

A host now notices a gap of more than 0.25 s between its regular ticks, by a clock that also counts suspensions, and does not count as up to date for 2 s after it. It then asks, and believes hosts without a record only if none of them has seen several versions, none names another one, and none was paused itself.

Open: a host that has just started takes all versions for equally new and may begin streams at one that others do not know yet.

--- a/internal/control/origins/history.go
+++ b/internal/control/origins/history.go
@@ -134,6 +134,16 @@
 	return true
 }
 
+// Mixed reports whether the service has lately run several versions.
+func (h *History) Mixed(service entity.ServiceName) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	s, ok := h.services[service]
+
+	return ok && len(s.lastSeen) > 1
+}
+
 // Before returns the version of the streams of service that have no record because they began before a second version was
 // seen. It reports false if there can be no such stream or their version is not known.
 func (h *History) Before(now time.Time, service entity.ServiceName) (entity.SoftwareVersion, bool) {
--- a/internal/entry/originsync/catchup.go
+++ b/internal/entry/originsync/catchup.go
@@ -81,7 +81,7 @@
 func (s *Syncer) HandleFetch() *peer.OriginRecords {
 	now := s.opts.Clock.Now()
 
-	if s.Tick(now); s.opts.History.Settled(now) && s.upToDate() {
+	if s.observe(now); s.opts.History.Settled(now) && s.upToDate() {
 		return &peer.OriginRecords{}
 	}
 
--- a/internal/entry/originsync/find.go
+++ b/internal/entry/originsync/find.go
@@ -22,7 +22,7 @@
 // Find implements relay.Origins. It asks peers if this host has no record and replicas of several versions have served.
 func (s *Syncer) Find(ctx context.Context, service entity.ServiceName, began entity.RequestID) (relay.Origin, bool) {
 	now := s.opts.Clock.Now()
-	s.Tick(now)
+	s.observe(now)
 
 	stream := origins.StreamIDOf(service, began)
 
@@ -42,10 +42,7 @@
 	first, rest := ring.asked(uint64(stream))
 	request := &peer.FindOriginRequest{Stream: uint64(stream), Service: string(service)}
 
-	var unrecorded unrecordedVersion
-	if v, ok := s.opts.History.Before(now, service); ok {
-		unrecorded.version, unrecorded.known = v, true
-	}
+	heard := opinion{differ: s.opts.History.Mixed(service)}
 
 	for i, group := range [][]holder{first, rest} {
 		timeout := homeTimeout
@@ -53,7 +50,7 @@
 			timeout = remoteTimeout
 		}
 
-		if record, ok := s.ask(ctx, timeout, group, request, &unrecorded); ok {
+		if record, ok := s.ask(ctx, timeout, group, request, &heard); ok {
 			s.opts.Table.Merge(s.opts.Clock.Now(), record)
 			s.remote.Add(1)
 
@@ -61,11 +58,16 @@
 		}
 	}
 
-	// A host that has outdated targets and hears nobody does not know what the others have begun.
-	if unrecorded.known && (unrecorded.replies > 0 || s.upToDate()) {
+	// A host that may have missed a version believes those that it can ask.
+	version, known := heard.version, heard.agreed()
+	if own, ok := s.opts.History.Before(now, service); ok && s.upToDate() {
+		version, known = own, true
+	}
+
+	if known {
 		s.inferred.Add(1)
 
-		return relay.Origin{Version: unrecorded.version, Source: relay.FromOnlyVersion, Age: -1}, true
+		return relay.Origin{Version: version, Source: relay.FromOnlyVersion, Age: -1}, true
 	}
 
 	s.unknown.Add(1)
@@ -73,17 +75,32 @@
 	return relay.Origin{}, false
 }
 
-// unrecordedVersion is the version of the streams that have no record because there was only one version when they began.
-type unrecordedVersion struct {
+// opinion is what other hosts say of the version of streams that have no record.
+type opinion struct {
 	version entity.SoftwareVersion
-	known   bool
-	replies int // hosts that have answered
+	known   bool // a host knows the version
+	differ  bool // a host knows several versions, or another one
 }
 
-// ask asks all of group at the same time for a record and returns the first one. If none of them has one, it
-// sets unrecorded to what they know of streams without a record, unless it is known, and counts the replies.
+func (o *opinion) add(reply *peer.FindOriginReply) {
+	o.differ = o.differ || reply.GetMixed()
+
+	if !reply.GetUnrecorded() {
+		return
+	}
+
+	version := entity.SoftwareVersion(reply.GetVersion())
+	o.differ = o.differ || o.known && version != o.version
+	o.version, o.known = version, true
+}
+
+// agreed reports whether hosts know the version and none knows another one.
+func (o *opinion) agreed() bool { return o.known && !o.differ }
+
+// ask asks all of group at the same time for a record and returns the first one. It adds the replies of those without
+// one to heard.
 func (s *Syncer) ask(
-	ctx context.Context, timeout time.Duration, group []holder, r *peer.FindOriginRequest, unrecorded *unrecordedVersion,
+	ctx context.Context, timeout time.Duration, group []holder, r *peer.FindOriginRequest, heard *opinion,
 ) (origins.Record, bool) {
 	ctx, cancel := clockwork.WithTimeout(ctx, s.opts.Clock, timeout)
 	defer cancel()
@@ -111,11 +128,7 @@
 			}
 
 			if reply != nil {
-				unrecorded.replies++
-			}
-
-			if reply.GetUnrecorded() && !unrecorded.known {
-				unrecorded.version, unrecorded.known = entity.SoftwareVersion(reply.GetVersion()), true
+				heard.add(reply)
 			}
 		}
 	}
@@ -126,13 +139,14 @@
 // HandleFind answers the question of another host.
 func (s *Syncer) HandleFind(ctx context.Context, r *peer.FindOriginRequest) *peer.FindOriginReply {
 	now := s.opts.Clock.Now()
+	s.observe(now)
 
 	if o, ok := s.opts.Table.Find(now, origins.StreamID(r.GetStream())); ok {
 		return &peer.FindOriginReply{Record: encode(o.Record)}
 	}
 
-	reply := &peer.FindOriginReply{}
-	if v, ok := s.opts.History.Before(now, entity.ServiceName(r.GetService())); ok {
+	reply := &peer.FindOriginReply{Mixed: s.opts.History.Mixed(entity.ServiceName(r.GetService()))}
+	if v, ok := s.opts.History.Before(now, entity.ServiceName(r.GetService())); ok && !s.paused() {
 		reply.Unrecorded, reply.Version = true, string(v)
 	}
 
@@ -140,7 +154,7 @@
 		return reply
 	}
 
-	var ignored unrecordedVersion
+	var ignored opinion
 
 	first, _ := newRing(s.opts.Host, s.opts.DataCentre, s.opts.Peers.Live()).asked(r.GetStream())
 	if record, ok := s.ask(ctx, homeTimeout, first, r, &ignored); ok {
--- a/internal/entry/originsync/fleet_test.go
+++ b/internal/entry/originsync/fleet_test.go
@@ -25,7 +25,9 @@
 	linkDelay   = 2 * time.Millisecond
 	callTimeout = 700 * time.Millisecond // as in package peers
 	minPeriod   = 200 * time.Millisecond
-	streamLife  = 10 * time.Second
+	// tickInterval is the time between two calls of Tick, as in package host.
+	tickInterval = 100 * time.Millisecond
+	streamLife   = 10 * time.Second
 	// maxWait is the longest time for which the first event of a stream waits, as in package relay.
 	maxWait = 50 * time.Millisecond
 )
@@ -44,6 +46,9 @@
 	stop    context.CancelFunc
 	dead    bool
 	age     time.Duration // of the targets
+
+	fleet      *fleet.Snapshot // what a paused host knows; nil means that of the network
+	pauseTicks bool
 }
 
 // network is a fleet of hosts whose messages are delayed and lost. Use it in a synctest bubble.
@@ -109,9 +114,22 @@
 	}, nil)
 	h.syncer = originsync.New(originsync.Options{
 		Log: &log.Logger{Level: log.PanicLevel}, Host: entity.HostID(h.address), DataCentre: h.dc, Table: origins.NewTable(),
-		History: origins.NewHistory(), Catalog: func() *catalog.Catalog { return c }, Fleet: h.net.fleet.Load, TargetsAge: h.targetsAge, Peers: h,
+		History: origins.NewHistory(), Catalog: func() *catalog.Catalog { return c }, Fleet: h.knownFleet, TargetsAge: h.targetsAge, Peers: h,
 	})
 	h.syncer.Start(ctx)
+
+	go h.tick(ctx, h.syncer)
+}
+
+// tick calls s.Tick as a host does, until ctx ends.
+func (h *node) tick(ctx context.Context, s *originsync.Syncer) {
+	for ctx.Err() == nil {
+		if h.ticks() {
+			s.Tick(time.Now())
+		}
+
+		time.Sleep(tickInterval)
+	}
 }
 
 // kill ends h. Its peers go on to count it as live.
@@ -130,6 +148,24 @@
 	return h.syncer
 }
 
+func (h *node) knownFleet() *fleet.Snapshot {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if h.fleet != nil {
+		return h.fleet
+	}
+
+	return h.net.fleet.Load()
+}
+
+func (h *node) ticks() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return !h.pauseTicks
+}
+
 func (h *node) targetsAge() time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/entry/originsync/syncer.go
+++ b/internal/entry/originsync/syncer.go
@@ -26,6 +26,10 @@
 	sendTimeout = 1500 * time.Millisecond
 	// maxTargetsAge is the age of the targets from which on other hosts may know versions that this one does not.
 	maxTargetsAge = 3 * time.Second
+	// maxTickGap is the time without a tick from which on this host was paused, and wakeTime the time in which it learns after that
+	// what the others have learned meanwhile.
+	maxTickGap = 250 * time.Millisecond
+	wakeTime   = 2 * time.Second
 	// maxRecords bounds the records that are read from one message.
 	maxRecords = 4096
 )
@@ -45,6 +49,7 @@
 // Options configure a Syncer. All fields but Clock and Log are required.
 type Options struct {
 	Clock      clockwork.Clock // nil means the real clock
+	BootClock  clockwork.Clock // also counts the time for which the machine is suspended; nil means Clock
 	Log        *log.Logger     // nil means the default logger
 	Host       entity.HostID
 	DataCentre entity.DataCentre
@@ -77,8 +82,10 @@
 
 	recorded, sent, unsent, fetched, local, remote, inferred, unknown atomic.Int64
 
-	mu     sync.Mutex
-	outbox map[string]*message // by address
+	mu       sync.Mutex
+	outbox   map[string]*message // by address
+	tickedAt time.Time           // last call of Tick, by BootClock
+	wokeAt   time.Time           // when this host was last found to have been paused, by BootClock; zero for never
 }
 
 // message holds the records for one peer.
@@ -97,6 +104,10 @@
 		opts.Clock = clockwork.NewRealClock()
 	}
 
+	if opts.BootClock == nil {
+		opts.BootClock = opts.Clock
+	}
+
 	if opts.Log == nil {
 		opts.Log = &log.DefaultLogger
 	}
@@ -120,8 +131,37 @@
 	}
 }
 
-// Tick observes the versions that targets run at now. It is called regularly, besides each call of Record and Find.
+// Tick observes the versions that targets run at now. Call it several times a second.
 func (s *Syncer) Tick(now time.Time) {
+	s.noteTick()
+	s.observe(now)
+}
+
+// noteTick notices that this host was paused.
+func (s *Syncer) noteTick() {
+	now := s.opts.BootClock.Now()
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if !s.tickedAt.IsZero() && now.Sub(s.tickedAt) > maxTickGap {
+		s.wokeAt = now
+	}
+
+	s.tickedAt = now
+}
+
+// paused reports whether this host was paused lately.
+func (s *Syncer) paused() bool {
+	now := s.opts.BootClock.Now()
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return now.Sub(s.tickedAt) > maxTickGap || !s.wokeAt.IsZero() && now.Sub(s.wokeAt) < wakeTime
+}
+
+func (s *Syncer) observe(now time.Time) {
 	s.opts.History.Observe(now, s.opts.Fleet().Versions(), s.opts.Catalog().StreamLife)
 }
 
@@ -139,7 +179,7 @@
 func (s *Syncer) upToDate() bool {
 	age := s.opts.TargetsAge()
 
-	return age >= 0 && age < maxTargetsAge
+	return age >= 0 && age < maxTargetsAge && !s.paused()
 }
 
 // New implements relay.Origins.
@@ -150,7 +190,7 @@
 // Record implements relay.Origins.
 func (s *Syncer) Record(service entity.ServiceName, began entity.RequestID, version entity.SoftwareVersion) <-chan struct{} {
 	now := s.opts.Clock.Now()
-	s.Tick(now)
+	s.observe(now)
 
 	told := newReceipt()
 
--- a/internal/entry/originsync/syncer_test.go
+++ b/internal/entry/originsync/syncer_test.go
@@ -199,11 +199,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		n := newNetwork(ctx, 8, 4, 3, "v1")
 
-		for _, h := range n.nodes {
-			h.current().Tick(time.Now())
-		}
-
-		time.Sleep(streamLife)
+		time.Sleep(streamLife + tickInterval)
 
 		n.messages.Store(0)
 
@@ -226,11 +222,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		n := newNetwork(ctx, 8, 4, 4, "v1")
 
-		for _, h := range n.nodes {
-			h.current().Tick(time.Now())
-		}
-
-		time.Sleep(streamLife)
+		time.Sleep(streamLife + tickInterval)
 		n.nodes[0].start(ctx)
 
 		o, ok := n.nodes[0].takeUp(ctx, begun{id: "unseen"})
@@ -308,11 +300,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		n := newNetwork(ctx, 8, 4, 7, "v1")
 
-		for _, h := range n.nodes {
-			h.current().Tick(time.Now())
-		}
-
-		time.Sleep(streamLife)
+		time.Sleep(streamLife + tickInterval)
 
 		cutOff := n.nodes[0]
 		own := cutOff.begin("own", "v1")
@@ -337,3 +325,30 @@
 		time.Sleep(drainTime)
 	})
 }
+
+// TestHostThatWasPausedAsksOthers resumes a stream of a version that came while the host was paused.
+func TestHostThatWasPausedAsksOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		n := newNetwork(ctx, 8, 4, 8, "v1")
+		time.Sleep(streamLife + tickInterval)
+
+		paused := n.nodes[0]
+		paused.mu.Lock()
+		paused.fleet = n.fleet.Load()
+		paused.pauseTicks = true
+		paused.mu.Unlock()
+
+		time.Sleep(time.Second)
+		n.fleet.Store(snapshotOf("v1", "v2"))
+		time.Sleep(tickInterval)
+
+		began := n.nodes[3].begin("q", "v2")
+		o, ok := paused.takeUp(ctx, began)
+		require.True(t, ok)
+		require.Equal(t, began.version, o.Version)
+
+		cancel()
+		time.Sleep(drainTime)
+	})
+}
