Record the outcomes of concurrent requests in a test under the lock

What was seen: go test -race ./internal/entry/relay at fails in TestLargeAnswersLeaveMemoryForSmallOnes with a data race on fixture.outcome. Cause: a merge kept an Observe function that does not take the lock, beside observe, which does and was not used.

--- a/internal/entry/relay/fakes_test.go
+++ b/internal/entry/relay/fakes_test.go
@@ -289,7 +289,7 @@
 	fx.relay = relay.New(relay.Options{
 		Clock: slowClock{clockwork.NewRealClock(), &fx.clockLag}, Log: &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &fx.log}}, Catalog: func() *catalog.Catalog { return c },
 		Fleet: func() *fleet.Snapshot { return fleet.NewSnapshot(fx.fleet) }, Board: fx.board, Targets: fx.targets, Crashers: fx.crashers,
-		Observe:     func(o relay.Outcome) { fx.outcome = o },
+		Observe:     fx.observe,
 		BufferBytes: fixtureBufferBytes,
 		Retries:     fx.retries,
 	})
