Keep the deadline of a body that is being read when a host stops

What callers see: a request whose body stops arriving is cut at the end of the stop, without the refusal that it gets at its time limit. Cause: connections.stop sets the read deadlines of all connections, also of those that serve a request, whose deadline is the handler's. By reading: it could also undo the deadline by which net/http ends its background read, whose request then counts as under way until its caller sends or closes. Change: only connections that wait for a request get another deadline. Evidence: TestStopKeepsTheDeadlineOfABody fails before (unexpected EOF) and passes.

--- a/internal/entry/serving/connections.go
+++ b/internal/entry/serving/connections.go
@@ -93,7 +93,9 @@
 
 	for _, c := range open {
 		c.mu.Lock()
-		c.setDeadline()
+		if c.phase != serving { // the deadline of a request that is served is net/http's or the handler's
+			c.setDeadline()
+		}
 		c.mu.Unlock()
 	}
 }
