Refuse requests that arrive late in a stop and may outlast it

What callers see: a stream that began before a host was told to stop ends later; the next request on its connection, sent within 0.25 s, is passed on and cut at the end of the stop, with neither an answer nor a refusal. Change: from 3 s after the begin of a stop, a request whose time limit lies beyond the end of the stop, or that states none, is refused with 503 at once, before it is passed on.

--- a/internal/entry/serving/server.go
+++ b/internal/entry/serving/server.go
@@ -23,6 +23,9 @@
 	// notReadyNotice is how long a stopping host still accepts connections after it has become not ready. The load
 	// balancer checks readiness each second and stops sending callers after two failed checks.
 	notReadyNotice = 2500 * time.Millisecond
+	// stopNotice is how long after the begin of Stop a request is served whatever its time limit is, since callers may not
+	// have noticed yet that the host stops.
+	stopNotice = 3 * time.Second
 	// stopMargin is the time before the bound of Stop at which the requests still in progress are cut.
 	stopMargin = 250 * time.Millisecond
 	// stopPollInterval is the time between two looks of a stopping host for open connections.
@@ -59,8 +62,9 @@
 	callersDone     chan struct{} // closed when no more connections of callers are accepted
 	callersAddress  string
 	readyAddress    string
-	stopping        atomic.Bool // Stop was called
-	failures        chan error  // has room for one error of each server
+	stopping        atomic.Bool               // Stop was called
+	times           atomic.Pointer[stopTimes] // nil before Stop was called
+	failures        chan error                // has room for one error of each server
 }
 
 // Start opens all listeners and serves them in the background. If one cannot be opened, it closes the others and
@@ -173,6 +177,20 @@
 // Closing reports whether Stop was called. Callers should then be asked to use other connections.
 func (s *Server) Closing() bool { return s.stopping.Load() }
 
+// stopTimes are the times at which a request is late for a host that stops, and at which requests are cut.
+type stopTimes struct{ lateFrom, cutAt time.Time }
+
+// TimeLeft returns how long a request that has arrived now can be served, and false if it is served whatever its time
+// limit is.
+func (s *Server) TimeLeft() (time.Duration, bool) {
+	now, times := s.opts.Clock.Now(), s.times.Load()
+	if times == nil || now.Before(times.lateFrom) {
+		return 0, false
+	}
+
+	return times.cutAt.Sub(now), true
+}
+
 // serveReady answers a readiness check of the load balancer: 200 if the host is ready and not stopping, else 503.
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if s.stopping.Load() || !s.opts.IsReady() {
@@ -188,9 +206,11 @@
 // bound, then waits for the requests that have begun to arrive and closes all servers. It takes at most bound. If requests
 // are still in progress near its end, it cuts them and returns an error.
 func (s *Server) Stop(bound time.Duration) error {
+	now := s.opts.Clock.Now()
+	deadline := now.Add(bound - stopMargin)
+	s.times.Store(&stopTimes{lateFrom: now.Add(stopNotice), cutAt: deadline})
 	s.stopping.Store(true)
 
-	deadline := s.opts.Clock.Now().Add(bound - stopMargin)
 	s.opts.Clock.Sleep(min(notReadyNotice, bound/2))
 
 	// http.Server.Shutdown would close connections whose next request is arriving, and drop requests that arrive later.
