--- a/internal/entry/serving/connections.go
+++ b/internal/entry/serving/connections.go
@@ -185,6 +185,10 @@
 }
 
 func (c *connection) enter(p phase) {
+	if p == serving {
+		c.connections.refresh() // the limits that are in force for the wait that follows
+	}
+
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
