Reproduce a stream that is moved to a replica known to be silent, failing

What callers see: the replica of a stream is silent for 0.9 to 1.5 s and would go on in time. The stream is moved to the only other replica, which is known to be silent too, and has a gap of 3.9 to 4.5 s, for which callers do not wait. Cause: a place on a paused target is a place for the search; only full ones are left out.

--- /dev/null
+++ b/internal/entry/relay/paused_test.go
@@ -0,0 +1,70 @@
+package relay_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
+	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
+	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/entry/relay"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+// The only other replica was known to be silent too, and for longer than the caller waits.
+func TestStreamIsMovedToAReplicaThatIsSilentToo(t *testing.T) {
+	forPaces(t, shortSilences, func(t *testing.T, route catalog.Route, silence time.Duration) {
+		fx := newFixture(t, route, 100)
+		fx.keepOnly("d1", "d2", "p1", "p2")
+
+		pacing := placing.Pacing{Objective: route.Objective, Gap: route.Gap}
+		resumes := time.Now().Add(silence)
+
+		var first entity.TargetID
+
+		fx.targets.run = func(n int, ctx context.Context, s relay.Send) (*relay.Answer, error) {
+			if n == 1 {
+				first = s.Target.ID
+
+				time.AfterFunc(pacing.ReplaceAfter()-100*time.Millisecond, func() {
+					for _, id := range []entity.TargetID{"d1", "d2"} {
+						if id != first {
+							fx.board.RecordOutcome(time.Now(), fleet.Target{ID: id}, placing.Silent)
+						}
+					}
+				})
+
+				return streamWithPause(ctx, s, resumes), nil
+			}
+
+			if err := pause(ctx, resumes.Add(3*time.Second)); err != nil {
+				return nil, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "no answer").WithCause(err)
+			}
+
+			return streamFrom(s), nil
+		}
+
+		var (
+			last    time.Time
+			longest time.Duration
+		)
+
+		out := &replyRecorder{}
+		out.onEvent = func() error {
+			if !last.IsZero() {
+				longest = max(longest, time.Since(last))
+			}
+
+			last = time.Now()
+
+			return nil
+		}
+		fx.serveTo(t.Context(), t, out)
+		requireWhole(t, out)
+		require.Less(t, longest, pacing.AbandonAfter(), "the caller has left, though the first replica went on in time")
+	})
+}
