Do not move a stream to a paused replica while its own may go on

Change: a place says whether its target is paused, as a silent, lost or full one is for a while. Such a place replaces a silent replica only from when on a full one does. A search is repeated each 0.1 s, so the stream is moved once the pause of the other replica ends or a third one has a place.

--- a/internal/control/placing/choose.go
+++ b/internal/control/placing/choose.go
@@ -60,6 +60,7 @@
 	Cached        entity.Tokens // prompt tokens that the target is expected to have cached
 	Wait          time.Duration // expected time until the end of the prefill; zero for plain services and decode
 	Full          bool          // Target lacks a free slot or KV cache, as do all unpaused candidates; decode only
+	Paused        bool          // Target is paused, as are all candidates; not set for prompts
 	PrefillTokens entity.Tokens // tokens to process until the end of the prefill, uncached ones of this prompt included
 	Exclusive     bool          // no other prompt is waiting or being prefilled on Target
 }
@@ -291,12 +292,13 @@
 			score += penalty
 		}
 
-		if b.paused(now, t, job.Near) {
+		paused := b.paused(now, t, job.Near)
+		if paused {
 			score += 2 * penalty
 		}
 
 		if !found || score < bestScore {
-			best = Placement{Target: t, Full: full}
+			best = Placement{Target: t, Full: full, Paused: paused}
 			bestScore, found = score, true
 		}
 	}
--- a/internal/entry/relay/successor.go
+++ b/internal/entry/relay/successor.go
@@ -12,7 +12,7 @@
 )
 
 // fullPlaceFraction is the fraction of the time after which the caller is expected to leave, from which on a silent
-// replica may be replaced by one that is full. Before, it is likelier to go on than the full one to accept the request.
+// replica may be replaced by one that is full or paused. Before, it is likelier to go on than the other one to accept the request.
 const fullPlaceFraction = 0.7
 
 // successor is a place for a request: a target with a claim, and the permission to send. A successor that is not used
@@ -93,12 +93,12 @@
 }
 
 // placeToReplace places the run of the request on a replica other than those that placingJob avoids, unless that replica
-// is full and the caller has still time.
+// is full or paused and the caller has still time.
 func (j *job) placeToReplace(placingJob placing.Job) (placing.Placement, bool) {
 	placement, ok := j.placeDecode(j.now(), j.candidates(entity.Decode), placingJob)
 	urgent := time.Duration(fullPlaceFraction * float64(j.pacing().AbandonAfter()))
 
-	if !ok || placement.Full && j.sinceLastHeard() < urgent {
+	if !ok || (placement.Full || placement.Paused) && j.sinceLastHeard() < urgent {
 		placement.Claim.Release()
 
 		j.lack = lackTarget
