Do not move a call to a paused target

What callers see: a repeatable call whose target is silent for longer than its patience, and would go on in time, ends with 504 at its time limit. Cause: it is moved to the only other target, which is known to be silent too; its place is not told from one on a sound target. Evidence: TestCallIsMovedToATargetThatIsSilentToo fails before (deadline) and passes; the package passes.

--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -212,7 +212,9 @@
 	}
 
 	placement, ok := j.opts.Board.PlaceCall(j.now(), j.candidates(entity.Mixed), j.avoiding(t))
-	if !ok {
+	if !ok || placement.Paused { // a paused target is likelier to be silent too than t is to stay so
+		placement.Claim.Release()
+
 		j.lack = lackTarget
 
 		return nil
--- a/internal/entry/relay/paused_test.go
+++ b/internal/entry/relay/paused_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -68,3 +69,33 @@
 		require.Less(t, longest, pacing.AbandonAfter(), "the caller has left, though the first replica went on in time")
 	})
 }
+
+func TestCallIsMovedToATargetThatIsSilentToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture(t, repeatable, 100)
+		resumes := time.Now().Add(4*repeatable.Objective + 100*time.Millisecond)
+
+		fx.targets.run = func(n int, ctx context.Context, s relay.Send) (*relay.Answer, error) {
+			at := resumes
+			if n > 1 {
+				at = resumes.Add(time.Minute)
+			}
+
+			for _, id := range []entity.TargetID{"s1", "s2"} {
+				if n == 1 && id != s.Target.ID {
+					fx.board.RecordOutcome(time.Now().Add(4*repeatable.Objective), fleet.Target{ID: id}, placing.Silent)
+				}
+			}
+
+			if err := pause(ctx, at); err != nil {
+				return nil, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "no answer").WithCause(err)
+			}
+
+			return answer(200, "done"), nil
+		}
+
+		out := fx.serve(t.Context(), t)
+		require.Nil(t, out.refused)
+		require.Equal(t, 200, out.status)
+	})
+}
