Reproduce a stream that is cut off when its replica refuses its return once, failing

What callers see: a stream is cut off within its caller's patience. Its replica was silent; the successor refused it, and the replica itself refused the first return, or was not reached, as it would while the slot of the run that was ended is still taken. Cause: placeWhereLeft forgets the replica before it has taken the stream back, so waitForPlace has nothing to wait for.

--- a/internal/entry/relay/paused_test.go
+++ b/internal/entry/relay/paused_test.go
@@ -99,3 +99,43 @@
 		require.Equal(t, 200, out.status)
 	})
 }
+
+// The successor of a silent replica refused the stream, and so did the silent one once, as its slot was not free yet.
+func TestStreamIsCutOffWhenItsOwnReplicaRefusesItsReturnOnce(t *testing.T) {
+	forPaces(t, shortSilences, func(t *testing.T, route catalog.Route, silence time.Duration) {
+		for name, failure := range map[string]error{"refuses": nil, "not there": notRun()} {
+			fx := newFixture(t, route, 100)
+			fx.keepOnly("d1", "d2", "p1", "p2")
+
+			resumes := time.Now().Add(silence)
+			returns := 0
+
+			var first entity.TargetID
+
+			fx.targets.run = func(n int, ctx context.Context, s relay.Send) (*relay.Answer, error) {
+				if n == 1 {
+					first = s.Target.ID
+
+					return streamWithPause(ctx, s, resumes), nil
+				}
+
+				if s.Target.ID != first {
+					return refusal(), nil
+				}
+
+				if returns++; returns > 1 {
+					return streamFrom(s), nil
+				}
+
+				if failure != nil {
+					return nil, failure
+				}
+
+				return refusal(), nil
+			}
+			out := fx.serve(t.Context(), t)
+			require.False(t, out.broken, name)
+			requireWhole(t, out)
+		}
+	})
+}
