Return to a silent target again if it refuses the first return

Evidence: TestStreamIsCutOffWhenItsOwnReplicaRefusesItsReturnOnce fails before in its four cases and passes; the package passes with -race (1 run).

--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -49,10 +49,11 @@
 			}
 		}
 
-		target := next.placement.Target
+		place := next
+		target := place.placement.Target
 		j.noteReplacement(target)
 
-		r := j.callOnce(ctx, next, runs+1 < j.route.MaxTargets)
+		r := j.callOnce(ctx, place, runs+1 < j.route.MaxTargets)
 		next = r.next
 
 		switch {
@@ -61,7 +62,8 @@
 			cause = r.err
 
 			if v == verdict.NotRun {
-				j.sends-- // the request did not reach the target
+				j.noteNotRun(place, false)
+				j.waitToReturn(ctx, place, next)
 
 				continue
 			}
@@ -77,6 +79,8 @@
 			}
 		case r.answer.NotRun:
 			j.noteRefusal(target, r.answer.Status)
+			j.noteNotRun(place, true)
+			j.waitToReturn(ctx, place, next)
 		case r.answer.Status >= 500 && j.route.Repeat == catalog.Repeatable:
 			j.noteCompletion(target, r.answer.Status)
 			j.tried = append(j.tried, target.ID)
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -153,6 +153,7 @@
 	reserved    int               // repeats that the retry budget has counted for the next sends
 	reservedAt  time.Time         // when it has counted them
 	left        []entity.TargetID // silent targets from which the request was taken over and that may be sound
+	notReturned int               // repeated attempts to return the request to a target of left
 	lack        lack              // why the last attempt to send to another target failed
 	sentAt      time.Time         // when the request was last sent to a target; zero if it was not
 	lastHeard   time.Time         // when a target last sent something; zero if none has
@@ -223,7 +224,7 @@
 // maySend reports whether one more send is allowed: maxSends is not reached, the request is not quarantined and,
 // after the first send, the retry budget allows another. If so, it counts the send, and charges it to the retry
 // budget unless it is the first. A request that was taken over from a silent target may be sent once more, so that it
-// can return there.
+// can return there. Attempts to return that are repeated do not count, see noteNotRun.
 func (j *job) maySend() bool {
 	if j.sends >= maxSends+min(len(j.left), 1) {
 		j.lack = lackSends
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -70,12 +70,15 @@
 			}
 		}
 
-		j.noteReplacement(next.placement.Target)
+		place := next
+		j.noteReplacement(place.placement.Target)
 
-		if next, handle, done = j.generate(ctx, w, next, &p); done {
+		if next, handle, done = j.generate(ctx, w, place, &p); done {
 			return
 		}
 
+		j.waitToReturn(ctx, place, next)
+
 		if next != nil {
 			j.releaseKV(handle)
 			handle = nil
@@ -202,7 +205,7 @@
 		next, endedRun := silence.stop(true)
 
 		if j.noteFailedRun(target, err, endedRun, p) == verdict.NotRun {
-			j.sends-- // the request did not reach the target
+			j.noteNotRun(s, false)
 
 			return next, s.handle, false
 		}
@@ -218,6 +221,7 @@
 
 	if answer.NotRun {
 		j.noteRefusal(target, answer.Status)
+		j.noteNotRun(s, true)
 
 		next, _ = silence.stop(true)
 
--- a/internal/entry/relay/successor.go
+++ b/internal/entry/relay/successor.go
@@ -15,6 +15,9 @@
 // replica may be replaced by one that is full or paused. Before, it is likelier to go on than the other one to accept the request.
 const fullPlaceFraction = 0.7
 
+// maxNotReturned bounds the attempts to return a request to a silent target that are repeated because they failed.
+const maxNotReturned = 2
+
 // successor is a place for a request: a target with a claim, and the permission to send. A successor that is not used
 // must be given up.
 type successor struct {
@@ -22,6 +25,7 @@
 	handle    *KVHandle    // KV cache of the prompt; nil if the replica has to prefill the prompt itself
 	prompt    PlacedPrompt // set if the prompt is to be prefilled there; placement is not used then
 	paidAt    time.Time    // when the send was counted by the retry budget
+	returned  bool         // the request was taken over from this target before
 }
 
 // reserve takes n repeats from the retry budget, which the next sends use.
@@ -261,7 +265,7 @@
 type placeFunc func(now time.Time, candidates []fleet.Target, placingJob placing.Job) (placing.Placement, bool)
 
 // placeWhereLeft returns a place at a silent target in role that the request was taken over from, if there is one. Each
-// such target is used once more at most.
+// such target runs the request once more at most.
 func (j *job) placeWhereLeft(role entity.Role, place placeFunc) (*successor, bool) {
 	if len(j.left) == 0 {
 		return nil, false
@@ -285,7 +289,30 @@
 
 	j.left = slices.DeleteFunc(j.left, func(id entity.TargetID) bool { return id == placement.Target.ID })
 
-	return &successor{placement: placement, paidAt: j.now()}, true
+	return &successor{placement: placement, paidAt: j.now(), returned: true}, true
+}
+
+// noteNotRun records that the target of s, which the request reached, has not run it, or that the request did not reach it.
+// If the request was returned to the target, it may be again after a while, since the place of the run that was ended may
+// not be free yet. The attempt does not count towards maxSends then.
+func (j *job) noteNotRun(s *successor, reached bool) {
+	mayReturn := s.returned && j.notReturned < maxNotReturned
+	if mayReturn {
+		j.notReturned++
+		j.left = append(j.left, s.placement.Target.ID)
+	}
+
+	if mayReturn || !reached {
+		j.sends--
+	}
+}
+
+// waitToReturn waits for a while if the request was returned to the target of s, which has not run it and may get it again,
+// and there is no other place next.
+func (j *job) waitToReturn(ctx context.Context, s, next *successor) {
+	if next == nil && s.returned && slices.Contains(j.left, s.placement.Target.ID) {
+		j.waitForPlace(ctx)
+	}
 }
 
 // placeDecode places the run of a request to a model on one of candidates.
