--- a/internal/entry/relay/successor.go
+++ b/internal/entry/relay/successor.go
@@ -221,7 +221,7 @@
 		j.lack = lackTarget
 	case ctx.Err() != nil:
 		prompt.End(placing.PromptResult{})
-	case !p.begun && !j.pacing().Worthwhile(prompt.Placement().Wait, j.now().Sub(j.r.Arrived)):
+	case !p.begun && !j.inTime(prompt.Placement().Wait):
 		prompt.End(placing.PromptResult{})
 
 		j.lack = lackTarget
--- a/internal/entry/serving/connections.go
+++ b/internal/entry/serving/connections.go
@@ -132,6 +132,8 @@
 		return nil, err
 	}
 
+	l.connections.refresh()
+
 	c := &connection{TCPConn: tcp, connections: l.connections}
 
 	l.connections.mu.Lock()
