--- a/internal/entry/serving/connections.go
+++ b/internal/entry/serving/connections.go
@@ -93,7 +93,9 @@
 
 	for _, c := range open {
 		c.mu.Lock()
-		c.setDeadline()
+		if c.phase != serving { // the deadline of a request that is served is net/http's or the handler's
+			c.setDeadline()
+		}
 		c.mu.Unlock()
 	}
 }
@@ -185,6 +187,10 @@
 }
 
 func (c *connection) enter(p phase) {
+	if p == serving {
+		c.connections.refresh() // the limits that are in force for the wait that follows
+	}
+
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
