--- a/internal/entry/freshness/fleet_test.go
+++ b/internal/entry/freshness/fleet_test.go
@@ -573,6 +573,10 @@
 // a peer knows of changes, and then those of all hosts.
 func TestSilenceIsNoticedLateAfterWatchesWereReplacedTogether(t *testing.T) {
 	for _, size := range sizes()[:3] {
+		if testing.Short() {
+			size.rounds /= 3
+		}
+
 		t.Run(fmt.Sprint(size.hosts), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
