Reserve the ports of programs that process tests start

Cause: the test asked the system for a free port, closed it and wrote it into the settings of the host.

Evidence: a failed start now prints the exit status and the output of the program. Beside a process that holds 800 listeners and connections on ports given by the system, for 0.3 s each, the same test failed at the same line in one of 9 runs: "listen tcp 127.0.0.1:36653: bind: address already in use". Ruled out: a start that fails for another reason, as the program prints one and it was this.

--- a/cmd/dotterelflow/fleet_test.go
+++ b/cmd/dotterelflow/fleet_test.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -26,6 +25,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/configuration"
 	"github.com/dotterelflow/dotterelflow/internal/control/document"
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/standin/ports"
 	"github.com/dotterelflow/dotterelflow/internal/wire/caller"
 	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
 )
@@ -33,6 +33,7 @@
 const (
 	startTimeout  = 30 * time.Second
 	answerTimeout = 30 * time.Second
+	maxKeptOutput = 64 << 10 // bytes of a program's output that a failed start prints
 	operatorKey   = "operator-key-of-the-process-tests"
 )
 
@@ -97,10 +98,16 @@
 	p := &process{cmd: cmd, exited: make(chan struct{})}
 	found := make(chan []string, 1)
 
+	var output strings.Builder // complete once p.exited is closed
+
 	go func() {
 		defer close(p.exited)
 
 		for lines := bufio.NewScanner(pipe); lines.Scan(); {
+			if output.Len() < maxKeptOutput {
+				output.WriteString(lines.Text() + "\n")
+			}
+
 			if m := readyLine.FindStringSubmatch(lines.Text()); m != nil {
 				select {
 				case found <- m:
@@ -121,7 +128,7 @@
 	case m := <-found:
 		return p, m
 	case <-p.exited:
-		require.FailNow(t, "program exited before it was ready", "%s %v", name, args)
+		require.FailNow(t, "program exited before it was ready", "%s %v: %v\n%s", name, args, cmd.ProcessState, output.String())
 	case <-time.After(startTimeout):
 		require.FailNow(t, "program was not ready in time", "%s %v", name, args)
 	}
@@ -171,18 +178,6 @@
 
 var startedLine = regexp.MustCompile(`"caller":"([^"]+)","operator":"([^"]+)","peer":"([^"]+)"`)
 
-// freeAddress returns a loopback address that nothing listens on.
-func freeAddress(t testing.TB) string {
-	t.Helper()
-
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-
-	defer listener.Close()
-
-	return listener.Addr().String()
-}
-
 // startHost writes a settings file for a new entry host and starts the host.
 func (f *fleet) startHost(t testing.TB, name, dataCentre string, peers ...string) *entryHost {
 	t.Helper()
@@ -191,7 +186,9 @@
 	key := filepath.Join(dir, "operator.key")
 	require.NoError(t, os.WriteFile(key, []byte(operatorKey), 0o600))
 
-	text := fmt.Sprintf(settingsTemplate, name, dataCentre, freeAddress(t), freeAddress(t), freeAddress(t), f.platformAddress, key)
+	port := ports.Reserve(t)
+	text := fmt.Sprintf(settingsTemplate, name, dataCentre, ports.Address(port), ports.Address(port+1), ports.Address(port+2),
+		f.platformAddress, key)
 	if len(peers) > 0 {
 		text += "peers: [" + strings.Join(peers, ", ") + "]\n"
 	}
