Do not lose a stop behind reloads

Seen: found by reading beside the reload of a host that starts. SIGTERM, SIGINT and SIGHUP shared a channel with one place, and os/signal drops a signal that finds its channel full. While a reload is under way, or the host is still starting, a waiting SIGHUP fills the place; a SIGTERM that comes then is lost. The host serves on until the platform kills it, which cuts its requests.

A larger buffer would only move the number of reloads at which it happens. Reloads and stops now have a channel each: one waiting reload reads the latest settings, so further ones may be dropped, and one waiting stop is enough. Nothing else of the program changes; both are still registered at the same moment.

--- a/cmd/dotterelflow-front/main.go
+++ b/cmd/dotterelflow-front/main.go
@@ -57,8 +57,10 @@
 
 	logging.RedirectStandard(logger)
 
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// A full channel takes no further signal, so a stop must not share one with reloads.
+	reloads, stops := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
 
 	h, err := host.Start(cfg, logger, lines.Dropped)
 	if err != nil {
@@ -67,12 +69,12 @@
 
 	logger.Info().Str("data-centre", string(cfg.DataCentre)).Str("callers", cfg.CallerAddress).Msg("started")
 
-	return supervise(h, c.String("settings"), signals, logger)
+	return supervise(h, c.String("settings"), reloads, stops, logger)
 }
 
-// supervise reloads the settings when SIGHUP arrives or the file at path changes. Another signal stops h, and supervise
-// returns. It also returns the error of a listener that fails.
-func supervise(h *host.Host, path string, signals <-chan os.Signal, logger *log.Logger) error {
+// supervise reloads the settings when a signal arrives at reloads or the file at path changes. A signal at stops stops h, and
+// supervise returns. It also returns the error of a listener that fails.
+func supervise(h *host.Host, path string, reloads, stops <-chan os.Signal, logger *log.Logger) error {
 	poll := time.NewTicker(settingsPollInterval)
 	defer poll.Stop()
 
@@ -87,14 +89,10 @@
 				loaded = now
 				reload(h, path, logger)
 			}
-		case s := <-signals:
-			if s == syscall.SIGHUP {
-				loaded = modTime(path)
-				reload(h, path, logger)
-
-				continue
-			}
-
+		case <-reloads:
+			loaded = modTime(path)
+			reload(h, path, logger)
+		case s := <-stops:
 			logger.Info().Str("signal", s.String()).Msg("stopping")
 			err := h.Stop()
 			logger.Info().Err(err).Msg("stopped")
