Receive reload signals while packages are initialized

Seen: SIGHUP within some milliseconds of the start of a host ends it (soak, signals). Until signal.Notify, the Go runtime gives the signal its default action. Notify came after the settings had been read; before it lie the command line and the initialization of 161 packages.

TestReloadDuringTheStartIsAppliedAfterIt holds the first reading of the settings with a FIFO, sends SIGHUP and expects the start and then a reload that applies the new file.

Registration as the first statement of main was tried first. It passes that test and helps little in practice, since most of the time passes before main.

So a package that imports nothing but os, os/signal and syscall registers it. The linker initializes packages by import path as soon as their imports are done, which puts it right behind os/signal: at 1.0 ms of 3.9 ms in a trace of the runtime. TestReloadsAreReceivedAsEarlyAsGoCan reads such a trace; it fails with registration in main ("unicode" comes first). Signals that come during the start wait in the channel and are applied by supervise after it, as before.

Not closed: the time from exec to the runtime's own start, about 3 ms there. Only whoever starts the program can close it, by starting it with SIGHUP ignored, which Go respects until Notify. SIGTERM and SIGINT are registered where they were: before that they end a host that has no listener yet.

The soak had no workaround for this and stays as it is: a host that ends by SIGHUP fails it.

--- a/cmd/dotterelflow-front/main.go
+++ b/cmd/dotterelflow-front/main.go
@@ -14,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/dotterelflow/dotterelflow/internal/site/logging"
+	"github.com/dotterelflow/dotterelflow/internal/site/reloads"
 	"github.com/dotterelflow/dotterelflow/platform/host"
 	"github.com/dotterelflow/dotterelflow/platform/settings"
 )
@@ -58,8 +59,7 @@
 	logging.RedirectStandard(logger)
 
 	// A full channel takes no further signal, so a stop must not share one with reloads.
-	reloads, stops := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
+	stops := make(chan os.Signal, 1)
 	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
 
 	h, err := host.Start(cfg, logger, lines.Dropped)
@@ -69,12 +69,12 @@
 
 	logger.Info().Str("data-centre", string(cfg.DataCentre)).Str("callers", cfg.CallerAddress).Msg("started")
 
-	return supervise(h, c.String("settings"), reloads, stops, logger)
+	return supervise(h, c.String("settings"), reloads.Signals(), stops, logger)
 }
 
-// supervise reloads the settings when a signal arrives at reloads or the file at path changes. A signal at stops stops h, and
+// supervise reloads the settings when a signal arrives at hangups or the file at path changes. A signal at stops stops h, and
 // supervise returns. It also returns the error of a listener that fails.
-func supervise(h *host.Host, path string, reloads, stops <-chan os.Signal, logger *log.Logger) error {
+func supervise(h *host.Host, path string, hangups, stops <-chan os.Signal, logger *log.Logger) error {
 	poll := time.NewTicker(settingsPollInterval)
 	defer poll.Stop()
 
@@ -89,7 +89,7 @@
 				loaded = now
 				reload(h, path, logger)
 			}
-		case <-reloads:
+		case <-hangups:
 			loaded = modTime(path)
 			reload(h, path, logger)
 		case s := <-stops:
--- a/cmd/dotterelflow-front/signals_test.go
+++ b/cmd/dotterelflow-front/signals_test.go
@@ -21,10 +21,15 @@
 	// waitLimit bounds each wait for a process, far beyond what one takes.
 	waitLimit = 30 * time.Second
 
+	startCount = 20 // starts of the program in one test
+
 	firstStore  = "127.0.0.1:1"
 	secondStore = "127.0.0.1:2"
 
-	startedLine = `"message":"started"`
+	startedLine  = `"message":"started"`
+	reloadedLine = `"message":"settings reloaded"`
+	// changedLine is logged by a reload that applies another address of the store than that of the start.
+	changedLine = "settings changed an address"
 )
 
 // program is a running process of the program under test.
@@ -193,3 +198,55 @@
 
 	require.Zero(t, p.cmd.ProcessState.ExitCode(), "%v:\n%s", p.cmd.ProcessState, strings.Join(p.output(), "\n"))
 }
+
+// TestReloadDuringTheStartIsAppliedAfterIt sends SIGHUP while the program reads its settings for the first time.
+func TestReloadDuringTheStartIsAppliedAfterIt(t *testing.T) {
+	t.Parallel()
+
+	path := buildProgram(t)
+
+	for range startCount {
+		settings := filepath.Join(t.TempDir(), "local.toml")
+		replaceWithFIFO(t, settings)
+
+		p := runProgram(t, path, settings)
+		fifo := p.openForWriting()
+
+		replace(t, settings, secondStore)
+		p.signal(syscall.SIGHUP)
+
+		_, err := fifo.WriteString(settingsWith(firstStore))
+		require.NoError(t, err)
+		require.NoError(t, fifo.Close())
+
+		p.waitFor(startedLine)
+		p.waitFor(reloadedLine)
+		p.waitFor(changedLine)
+	}
+}
+
+// TestReloadsAreReceivedAsEarlyAsGoCan reads the runtime's trace of initialized packages.
+func TestReloadsAreReceivedAsEarlyAsGoCan(t *testing.T) {
+	t.Parallel()
+
+	settings := filepath.Join(t.TempDir(), "local.toml")
+	replace(t, settings, firstStore)
+
+	cmd := exec.CommandContext(t.Context(), buildProgram(t), "--settings", settings, "--check")
+	cmd.Env = append(os.Environ(), "GODEBUG=inittrace=1")
+
+	trace, err := cmd.CombinedOutput()
+	require.NoError(t, err, string(trace))
+
+	var packages []string
+
+	for line := range strings.Lines(string(trace)) {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "init" {
+			packages = append(packages, fields[1])
+		}
+	}
+
+	signals := slices.Index(packages, "os/signal")
+	require.GreaterOrEqual(t, signals, 0, string(trace))
+	require.Equal(t, "github.com/dotterelflow/dotterelflow/internal/site/reloads", packages[signals+1], string(trace))
+}
