Show a refusal only once its request may run again

A caller whose keyed request was refused as not run, and who sent the key again at once, got the refusal again or target-lost (may-have-run), although it had a complete refusal in hand.

Cause: the run ended the answer, which its readers saw at once, and only then returned to the service, which dropped the answer from the table and had another goroutine mark the nonce of the claim as spent. Both steps came after the refusal.

Now readers of a keyed answer see its end only after these steps. The service withholds the end when it starts the answer. When the run has returned, it gives up the claim and drops the answer in one step under the lock of the table, so that no request which arrives after a repeat may run joins the refusal, and then releases the end. Ledger.GiveUp is the part of Abandon that does not wait for the platform. A repeat that comes before that joins a run that still goes on, as before. Resumed answers now record their result in the background, as others do, so that the platform does not delay their end. A withdrawal that finds the claim taken by a repeat is no failure and is not logged.

Ruled out: waiting for the withdrawal on the platform before the refusal is shown.

The fakes of two test packages got the new method of requests.Claims. That of wire/caller forgets a claim in GiveUp instead of Abandon, which comes later; no check changed.

Open: a repeat through another host, or whose claim another host makes, still meets the claim until it is withdrawn.

--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -191,20 +191,30 @@
 	return l.awaitError(ctx, o)
 }
 
-// Abandon gives up the claim of r, whose request no target has run or will run. From this call on, no
-// Claim under r.Nonce succeeds on this host, and a repeat may run the request at any time. The claimant
-// therefore answers "not run" to its caller before the call, while that is still true. Abandon blocks until
-// the withdrawal is stored or refused, or ctx ends. If ctx ends before the withdrawal is stored, it goes on
-// in the background, for Options.AbandonTimeout at most.
-// Abandon fails with ErrNotClaimant for the claim of another host, because only that host has a record of
-// whether it dispatched.
-func (l *Ledger) Abandon(ctx context.Context, r claims.Record) error {
+// GiveUp gives up the claim of r, whose request no target has run or will run. From this call on, no Claim under r.Nonce
+// succeeds on this host, and a repeat that claims through this host may run the request at any time. A request that
+// arrives after the call therefore must not be answered with the "not run" of r. GiveUp does not block.
+// It fails with ErrNotClaimant for the claim of another host, because only that host has a record of whether it
+// dispatched.
+func (l *Ledger) GiveUp(r claims.Record) error {
 	if r.Claimant != l.opts.Host {
 		return ErrNotClaimant
 	}
 
 	l.spent.Add(r.Nonce, struct{}{})
 
+	return nil
+}
+
+// Abandon gives up the claim of r like GiveUp, and withdraws it on the platform, so that repeats through all hosts may
+// run. It blocks until the withdrawal is stored or refused, or ctx ends. If ctx ends before the withdrawal is stored, it
+// goes on in the background, for Options.AbandonTimeout at most. It fails with claims.ErrClaimNotHeld if a repeat has
+// claimed the key already.
+func (l *Ledger) Abandon(ctx context.Context, r claims.Record) error {
+	if err := l.GiveUp(r); err != nil {
+		return err
+	}
+
 	now := l.clock.Now()
 	o := newOperation(abandon, l.opts.Layout.Place(r.Key), r)
 	o.expires = now.Add(l.opts.AbandonTimeout)
--- a/internal/entry/answers/answer.go
+++ b/internal/entry/answers/answer.go
@@ -31,6 +31,7 @@
 	meta      Meta
 	delivered bool // an event was passed to a reader, so that Restart is no longer possible
 	ended     bool
+	withheld  bool           // readers do not see the end yet
 	problem   *verdict.Error // why the answer is not whole; nil if it is, or has not ended
 	changed   chan struct{}  // closed and replaced on each change
 }
@@ -138,6 +139,24 @@
 	}
 }
 
+// WithholdEnd hides the end of the answer from Read and Wait until ReleaseEnd is called. It must be called before the
+// answer ends.
+func (a *Answer) WithholdEnd() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	a.withheld = true
+}
+
+// ReleaseEnd shows readers the end that WithholdEnd hides.
+func (a *Answer) ReleaseEnd() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	a.withheld = false
+	a.signal()
+}
+
 // end marks the end of the answer; the caller holds mu.
 func (a *Answer) end(problem *verdict.Error) {
 	a.ended = true
@@ -145,7 +164,8 @@
 	a.signal()
 }
 
-// Ended reports whether the answer has ended, and its problem, which is nil for a whole answer.
+// Ended reports whether the answer has ended, and its problem, which is nil for a whole answer. It also reports an end
+// that is withheld from readers.
 func (a *Answer) Ended() (bool, *verdict.Error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -195,7 +215,7 @@
 func (a *Answer) Wait(ctx context.Context) ([][]byte, error) {
 	for {
 		a.mu.Lock()
-		ended, events, changed := a.ended, a.events, a.changed
+		ended, events, changed := a.endVisible(), a.events, a.changed
 		a.mu.Unlock()
 
 		if ended {
@@ -211,20 +231,25 @@
 }
 
 // eventsFrom returns the events from sequence number from on, or none if from precedes the first event held. It also
-// returns whether the answer has ended, and a channel that is closed on the next change. If it returns events, the
+// returns whether readers may see the end of the answer, and a channel that is closed on the next change. If it returns events, the
 // answer can't be restarted any more.
 func (a *Answer) eventsFrom(from uint64) ([][]byte, bool, <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
 	if from < a.firstSeq || from >= a.firstSeq+uint64(len(a.events)) {
-		return nil, a.ended, a.changed
+		return nil, a.endVisible(), a.changed
 	}
 
 	a.delivered = true
 	batch := a.events[from-a.firstSeq:]
 
-	return batch, a.ended, a.changed
+	return batch, a.endVisible(), a.changed
+}
+
+// endVisible reports whether the answer has ended and its end is not withheld; the caller holds mu.
+func (a *Answer) endVisible() bool {
+	return a.ended && !a.withheld
 }
 
 // finalError returns the answer's problem as an error, or nil if there is none.
--- a/internal/entry/answers/answer_test.go
+++ b/internal/entry/answers/answer_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -233,3 +234,35 @@
 	_, ok := answerTable.Find(id)
 	require.True(t, ok)
 }
+
+func TestWithheldEndIsSeenOnceItIsReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refusal := verdict.New(verdict.NotRun, verdict.CodeOverloaded, "busy")
+		a := answers.New()
+		results := make(chan error, 2)
+
+		go func() {
+			_, err := a.Wait(t.Context())
+			results <- err
+		}()
+
+		go func() {
+			_, err := read(t.Context(), a, 0)
+			results <- err
+		}()
+
+		a.WithholdEnd()
+		a.Finish(refusal)
+		synctest.Wait()
+		require.Empty(t, results)
+
+		ended, problem := a.Ended()
+		require.True(t, ended)
+		require.Equal(t, refusal, problem)
+		require.False(t, a.Append([]byte("late")))
+
+		a.ReleaseEnd()
+		require.ErrorIs(t, <-results, refusal)
+		require.ErrorIs(t, <-results, refusal)
+	})
+}
--- a/internal/entry/answers/table.go
+++ b/internal/entry/answers/table.go
@@ -114,9 +114,17 @@
 
 // Forget drops id's answer at once, so that the next request with id is run again.
 func (t *Table) Forget(id ID) {
+	t.ForgetAfter(id, func() {})
+}
+
+// ForgetAfter is like Forget, and calls giveUp first. No request can join the answer after the call of giveUp, which must
+// neither block nor use the Table.
+func (t *Table) ForgetAfter(id ID, giveUp func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
+	giveUp()
+
 	if e, ok := t.entries[id]; ok {
 		t.bytes -= e.bytes
 		delete(t.entries, id)
--- a/internal/entry/requests/keyed.go
+++ b/internal/entry/requests/keyed.go
@@ -34,8 +34,9 @@
 
 // claimAndRun claims the key of c and runs the request if this host gets the claim. If another run holds the claim,
 // it follows that run. If the claim fails because the platform is unavailable, a kind that may run twice is run
-// without a claim; any other failure ends c.ans. It finishes c.ans in all cases.
-func (s *Service) claimAndRun(ctx context.Context, c keyedRequest) {
+// without a claim; any other failure ends c.ans. It finishes c.ans in all cases. The returned function gives up the
+// claim if a repeat may run, and must be called before readers see the end of c.ans.
+func (s *Service) claimAndRun(ctx context.Context, c keyedRequest) (giveUp func()) {
 	ctx, cancel := s.withDeadline(ctx, c.req)
 	defer cancel()
 
@@ -52,7 +53,7 @@
 
 	switch {
 	case err == nil && out.Mine:
-		s.runAndRecord(ctx, c, out.Record)
+		return s.runAndRecord(ctx, c, out.Record)
 	case err == nil:
 		s.followClaim(ctx, c, out.Record)
 	case !c.req.Kind.AtMostOnce && verdict.From(err).Code == verdict.CodePlatformUnavailable:
@@ -61,6 +62,8 @@
 	default:
 		c.ans.Finish(verdict.From(err))
 	}
+
+	return func() {}
 }
 
 // chooseTargets sets the preferred targets of req and returns the one that will generate its answer, or "" if
@@ -89,27 +92,51 @@
 	return claims.FingerprintOf(req.Kind.Name, append([]byte(req.Path+"\n"), req.Body...))
 }
 
-// runAndRecord runs a request whose claim this host holds. It then records the result in the claim, or withdraws
-// the claim if a repeat may run.
-func (s *Service) runAndRecord(ctx context.Context, c keyedRequest, record claims.Record) {
+// runAndRecord runs a request whose claim this host holds. It then records the result in the claim, unless a repeat
+// may run: the returned function gives up the claim in that case.
+func (s *Service) runAndRecord(ctx context.Context, c keyedRequest, record claims.Record) (giveUp func()) {
 	s.admitAndRun(ctx, c.req, c.ans)
 
 	_, problem := c.ans.Ended()
+	if problem != nil && mayRunAgain(c.req, problem) {
+		return func() { s.giveUp(ctx, c.req, record) }
+	}
+
+	s.updateClaim(ctx, c.req, "record the result", func(ctx context.Context) error {
+		return s.opts.Claims.Finish(ctx, record, resultOf(c.ans, problem))
+	})
+
+	return func() {}
+}
+
+// giveUp lets repeats claim the key of record, and withdraws the claim in the background.
+func (s *Service) giveUp(ctx context.Context, req entity.Request, record claims.Record) {
+	s.logFailure(req, "give up the claim", s.opts.Claims.GiveUp(record))
 
-	// The caller has its answer already, so the claim is updated in the background.
+	s.updateClaim(ctx, req, "withdraw the claim", func(ctx context.Context) error {
+		return ignoreNotHeld(s.opts.Claims.Abandon(ctx, record))
+	})
+}
+
+// updateClaim calls update in the background, since the caller does not wait for it, and logs its failure as one of
+// action.
+func (s *Service) updateClaim(ctx context.Context, req entity.Request, action string, update func(context.Context) error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
 
 	go func() {
 		defer cancel()
 
-		if problem != nil && mayRunAgain(c.req, problem) {
-			s.logFailure(c.req, "withdraw the claim", s.opts.Claims.Abandon(ctx, record))
+		s.logFailure(req, action, update(ctx))
+	}()
+}
 
-			return
-		}
+// ignoreNotHeld returns err, or nil if err means that the claim has since passed to another attempt or has been dropped.
+func ignoreNotHeld(err error) error {
+	if errors.Is(err, claims.ErrClaimNotHeld) {
+		return nil
+	}
 
-		s.logFailure(c.req, "record the result", s.opts.Claims.Finish(ctx, record, resultOf(c.ans, problem)))
-	}()
+	return err
 }
 
 // mayRunAgain reports whether the claim of req is withdrawn after problem, so that a repeat can claim the key and run.
@@ -212,7 +239,7 @@
 	_, problem := ans.Ended()
 	if problem == nil {
 		copyAnswer(c.ans, ans)
-		s.logFailure(c.req, "record the result", s.finishClaim(ctx, record, resultOf(c.ans, nil)))
+		s.recordResumed(ctx, c, record)
 
 		return
 	}
@@ -227,22 +254,15 @@
 	s.admitAndRun(ctx, c.req, c.ans)
 
 	if _, problem = c.ans.Ended(); problem == nil {
-		s.logFailure(c.req, "record the result", s.finishClaim(ctx, record, resultOf(c.ans, nil)))
+		s.recordResumed(ctx, c, record)
 	}
 }
 
-// finishClaim records res in the claim. It is no error if the claim has since passed to another attempt or has
-// been dropped.
-func (s *Service) finishClaim(ctx context.Context, record claims.Record, res claims.Result) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
-	defer cancel()
-
-	err := s.opts.Claims.Finish(ctx, record, res)
-	if errors.Is(err, claims.ErrClaimNotHeld) {
-		return nil
-	}
-
-	return err
+// recordResumed records the whole answer in record, the claim of another run.
+func (s *Service) recordResumed(ctx context.Context, c keyedRequest, record claims.Record) {
+	s.updateClaim(ctx, c.req, "record the result", func(ctx context.Context) error {
+		return ignoreNotHeld(s.opts.Claims.Finish(ctx, record, resultOf(c.ans, nil)))
+	})
 }
 
 // logFailure logs err, unless it is nil, as a failure of action.
--- a/internal/entry/requests/service.go
+++ b/internal/entry/requests/service.go
@@ -40,6 +40,8 @@
 type Claims interface {
 	Claim(ctx context.Context, req ledger.Request) (ledger.Outcome, error)
 	Finish(ctx context.Context, r claims.Record, res claims.Result) error
+	// GiveUp lets a repeat through this host claim the key of r at once. Abandon stores that for all hosts.
+	GiveUp(r claims.Record) error
 	Abandon(ctx context.Context, r claims.Record) error
 	Lookup(ctx context.Context, k claims.Key) (claims.Record, bool, error)
 }
@@ -115,15 +117,21 @@
 
 	ctx = context.WithoutCancel(ctx)
 
+	// A caller that has seen a refusal may repeat the request at once, and the repeat must run.
+	ans.WithholdEnd()
+
 	go func() {
+		giveUp := func() {}
+
 		// A key without a time cannot be claimed, so only this host recognises repeats of it.
 		if err != nil {
 			s.admitAndRun(ctx, req, ans)
 		} else {
-			s.claimAndRun(ctx, keyedRequest{req: req, key: key, ans: ans})
+			giveUp = s.claimAndRun(ctx, keyedRequest{req: req, key: key, ans: ans})
 		}
 
-		s.holdOrForget(id, ans)
+		s.holdOrForget(id, ans, giveUp)
+		ans.ReleaseEnd()
 	}()
 
 	return ans, nil
@@ -143,11 +151,11 @@
 	return ans, nil
 }
 
-// holdOrForget keeps a whole answer for repeats of its request. It forgets an answer that ended with a
-// problem, so that a repeat is claimed or looked up anew.
-func (s *Service) holdOrForget(id answers.ID, ans *answers.Answer) {
+// holdOrForget keeps a whole answer for repeats of its request. It gives up the claim of an answer that ended with a
+// problem and forgets the answer, so that a repeat is claimed or looked up anew.
+func (s *Service) holdOrForget(id answers.ID, ans *answers.Answer, giveUp func()) {
 	if _, problem := ans.Ended(); problem != nil {
-		s.opts.Answers.Forget(id)
+		s.opts.Answers.ForgetAfter(id, giveUp)
 
 		return
 	}
--- a/internal/entry/requests/service_test.go
+++ b/internal/entry/requests/service_test.go
@@ -50,6 +50,8 @@
 	return nil
 }
 
+func (c *staleClaims) GiveUp(claims.Record) error { return nil }
+
 func (c *staleClaims) Abandon(context.Context, claims.Record) error { return nil }
 
 func (c *staleClaims) Lookup(context.Context, claims.Key) (claims.Record, bool, error) {
--- a/internal/wire/caller/fakes_test.go
+++ b/internal/wire/caller/fakes_test.go
@@ -181,7 +181,7 @@
 	return r, ok, nil
 }
 
-func (c *fakeClaims) Abandon(_ context.Context, r claims.Record) error {
+func (c *fakeClaims) GiveUp(r claims.Record) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
@@ -189,3 +189,5 @@
 
 	return nil
 }
+
+func (c *fakeClaims) Abandon(context.Context, claims.Record) error { return nil }
