Keep the ring of live hosts between streams

Each begun stream, and each message of another host, listed the live hosts, built a ring of them, and sorted it by scores that were computed anew in each comparison.

Now a ring is kept for 250 ms, less than the three heartbeat periods, 600 ms at least, after which a host counts as lost; candidates are scored once and only the first few are kept in order.

A ring without hosts is not kept: a host that has just started would tell nobody of its streams for up to 250 ms after it hears of the first peer. A revision of the membership in place of the age was considered: members die by the passage of time, so each look would go over them again.

--- a/internal/entry/originsync/find.go
+++ b/internal/entry/originsync/find.go
@@ -38,8 +38,7 @@
 		return relay.Origin{Version: v, Source: relay.FromOnlyVersion, Age: -1}, true
 	}
 
-	ring := newRing(s.opts.Host, s.opts.DataCentre, s.opts.Peers.Live())
-	first, rest := ring.asked(uint64(stream))
+	first, rest := s.currentRing().asked(uint64(stream))
 	request := &peer.FindOriginRequest{Stream: uint64(stream), Service: string(service)}
 
 	heard := opinion{differ: s.opts.History.Mixed(service)}
@@ -156,7 +155,7 @@
 
 	var ignored opinion
 
-	first, _ := newRing(s.opts.Host, s.opts.DataCentre, s.opts.Peers.Live()).asked(r.GetStream())
+	first, _ := s.currentRing().asked(r.GetStream())
 	if record, ok := s.ask(ctx, homeTimeout, first, r, &ignored); ok {
 		return &peer.FindOriginReply{Record: encode(record)}
 	}
--- a/internal/entry/originsync/ring.go
+++ b/internal/entry/originsync/ring.go
@@ -21,49 +21,68 @@
 	remoteCopies = 1
 )
 
+// candidate is a host or a data centre that is ranked.
+type candidate struct {
+	name    string
+	address string // of a host
+}
+
 // holder is a host that holds records.
 type holder struct {
 	address string
 	passOn  bool // the host is in another data centre and has to involve the host there that ranks first
 }
 
-// ring ranks the live hosts for a stream.
+// ring ranks the live hosts for a stream. It never changes.
 type ring struct {
-	self   entity.HostID
-	home   []members.Member // the other hosts of this data centre
-	remote map[entity.DataCentre][]members.Member
-	small  bool
+	self    string
+	home    []candidate            // the other hosts of this data centre
+	centres []candidate            // the other data centres with live hosts
+	remote  map[string][]candidate // their hosts
+	live    int                    // number of hosts
 }
 
 func newRing(self entity.HostID, home entity.DataCentre, live []members.Member) *ring {
-	r := &ring{self: self, remote: map[entity.DataCentre][]members.Member{}, small: len(live) < smallFleetHosts}
+	r := &ring{self: string(self), remote: map[string][]candidate{}, live: len(live)}
 
 	for _, m := range live {
+		host := candidate{name: string(m.Host), address: m.Address}
+
 		if m.DataCentre == home {
-			r.home = append(r.home, m)
-		} else {
-			r.remote[m.DataCentre] = append(r.remote[m.DataCentre], m)
+			r.home = append(r.home, host)
+
+			continue
 		}
+
+		dc := string(m.DataCentre)
+		if _, ok := r.remote[dc]; !ok {
+			r.centres = append(r.centres, candidate{name: dc})
+		}
+
+		r.remote[dc] = append(r.remote[dc], host)
 	}
 
 	return r
 }
 
+// small reports whether all data centres hold each record.
+func (r *ring) small() bool { return r.live < smallFleetHosts }
+
 // holders returns the hosts that hold the record of stream, besides this one.
 func (r *ring) holders(stream uint64) []holder {
 	var list []holder
 
-	for _, m := range ranked(r.home, stream, homeCopies) {
-		list = append(list, holder{address: m.Address})
+	for _, h := range ranked(r.home, stream, homeCopies) {
+		list = append(list, holder{address: h.address})
 	}
 
-	centres := r.centres(stream)
-	if !r.small {
-		centres = centres[:min(len(centres), remoteCopies)]
+	copies := len(r.centres)
+	if !r.small() {
+		copies = remoteCopies
 	}
 
-	for _, dc := range centres {
-		list = append(list, r.contact(dc, stream))
+	for _, dc := range ranked(r.centres, stream, copies) {
+		list = append(list, r.contact(dc.name, stream))
 	}
 
 	return list
@@ -72,23 +91,23 @@
 // asked returns the hosts to ask for the record of stream: first those that probably hold it, then the others.
 func (r *ring) asked(stream uint64) (first, rest []holder) {
 	queries := homeQueries
-	if r.small {
+	if r.small() {
 		queries = len(r.home)
 	}
 
-	for _, m := range ranked(r.home, stream, queries) {
-		first = append(first, holder{address: m.Address})
+	for _, h := range ranked(r.home, stream, queries) {
+		first = append(first, holder{address: h.address})
 	}
 
-	for _, dc := range r.centres(stream) {
-		if !r.small {
-			rest = append(rest, r.contact(dc, stream))
+	for _, dc := range ranked(r.centres, stream, len(r.centres)) {
+		if !r.small() {
+			rest = append(rest, r.contact(dc.name, stream))
 
 			continue
 		}
 
-		for _, m := range r.remote[dc] {
-			rest = append(rest, holder{address: m.Address})
+		for _, h := range r.remote[dc.name] {
+			rest = append(rest, holder{address: h.address})
 		}
 	}
 
@@ -98,42 +117,50 @@
 // first returns the host of this data centre that ranks first for stream. It reports false if that is this host.
 func (r *ring) first(stream uint64) (holder, bool) {
 	best := ranked(r.home, stream, 1)
-	if len(best) == 0 || weight(r.self, stream) > weight(best[0].Host, stream) {
+	if len(best) == 0 || rendezvous.Score(r.self, keyOf(stream)) > best[0].weight {
 		return holder{}, false
 	}
 
-	return holder{address: best[0].Address}, true
+	return holder{address: best[0].address}, true
 }
 
 // contact returns the host of dc that is told of stream. In a large fleet only some hosts of dc are known here.
-func (r *ring) contact(dc entity.DataCentre, stream uint64) holder {
-	return holder{address: ranked(r.remote[dc], stream, 1)[0].Address, passOn: !r.small}
+func (r *ring) contact(dc string, stream uint64) holder {
+	return holder{address: ranked(r.remote[dc], stream, 1)[0].address, passOn: !r.small()}
 }
 
-// centres returns the other data centres with live hosts, ranked for stream.
-func (r *ring) centres(stream uint64) []entity.DataCentre {
-	list := make([]entity.DataCentre, 0, len(r.remote))
-	for dc := range r.remote {
-		list = append(list, dc)
-	}
+// scored is a candidate with its weight for a stream.
+type scored struct {
+	candidate
 
-	slices.SortFunc(list, func(a, b entity.DataCentre) int {
-		return cmp.Or(cmp.Compare(weight(b, stream), weight(a, stream)), cmp.Compare(a, b))
-	})
-
-	return list
+	weight uint64
 }
 
-// ranked returns the first n members of list in the order in which they rank for stream.
-func ranked(list []members.Member, stream uint64, n int) []members.Member {
-	sorted := slices.Clone(list)
-	slices.SortFunc(sorted, func(a, b members.Member) int {
-		return cmp.Or(cmp.Compare(weight(b.Host, stream), weight(a.Host, stream)), cmp.Compare(a.Host, b.Host))
-	})
+// rank orders candidates by descending weight.
+func rank(a, b scored) int {
+	if c := cmp.Compare(b.weight, a.weight); c != 0 {
+		return c
+	}
 
-	return sorted[:min(len(sorted), n)]
+	return cmp.Compare(a.name, b.name)
 }
 
-func weight[N ~string](name N, stream uint64) uint64 {
-	return rendezvous.Score(string(name), strconv.FormatUint(stream, 36))
+// ranked returns the first n candidates of list in the order in which they rank for stream.
+func ranked(list []candidate, stream uint64, n int) []scored {
+	key := keyOf(stream)
+	best := make([]scored, 0, n+1)
+
+	for _, c := range list {
+		s := scored{c, rendezvous.Score(c.name, key)}
+
+		if i, _ := slices.BinarySearchFunc(best, s, rank); i < n {
+			best = slices.Insert(best, i, s)
+			best = best[:min(len(best), n)]
+		}
+	}
+
+	return best
 }
+
+// keyOf returns the key by which stream is ranked, on all hosts.
+func keyOf(stream uint64) string { return strconv.FormatUint(stream, 36) }
--- a/internal/entry/originsync/syncer.go
+++ b/internal/entry/originsync/syncer.go
@@ -30,6 +30,9 @@
 	// what the others have learned meanwhile.
 	maxTickGap = 250 * time.Millisecond
 	wakeTime   = 2 * time.Second
+	// maxRingAge is the longest time for which the ring of live hosts is kept. Hosts take longer to notice that another one has
+	// gone.
+	maxRingAge = 250 * time.Millisecond
 	// maxRecords bounds the records that are read from one message.
 	maxRecords = 4096
 )
@@ -86,6 +89,8 @@
 	outbox   map[string]*message // by address
 	tickedAt time.Time           // last call of Tick, by BootClock
 	wokeAt   time.Time           // when this host was last found to have been paused, by BootClock; zero for never
+	ring     *ring               // of the live hosts at ringAt; nil before its first use
+	ringAt   time.Time
 }
 
 // message holds the records for one peer.
@@ -204,9 +209,7 @@
 
 	s.recorded.Add(1)
 
-	ring := newRing(s.opts.Host, s.opts.DataCentre, s.opts.Peers.Live())
-
-	holders := ring.holders(record.GetStream())
+	holders := s.currentRing().holders(record.GetStream())
 	if len(holders) == 0 {
 		told.confirm()
 	}
@@ -222,6 +225,29 @@
 	return told.done
 }
 
+// currentRing returns the ring of the live hosts, as it was at most maxRingAge ago. A ring without hosts is not kept, since a host
+// that has just started hears of the first ones at any moment.
+func (s *Syncer) currentRing() *ring {
+	now := s.opts.Clock.Now()
+
+	s.mu.Lock()
+	r, age := s.ring, now.Sub(s.ringAt)
+	s.mu.Unlock()
+
+	if r != nil && r.live > 0 && age < maxRingAge {
+		return r
+	}
+
+	r = newRing(s.opts.Host, s.opts.DataCentre, s.opts.Peers.Live())
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.ring, s.ringAt = r, now
+
+	return r
+}
+
 // add puts record into the outbox for h, wakes the sender and returns the message. The caller holds mu.
 func (s *Syncer) add(h holder, record *peer.OriginRecord, again bool) *message {
 	m, ok := s.outbox[h.address]
@@ -245,7 +271,7 @@
 // HandleRecords handles the records m of another host.
 func (s *Syncer) HandleRecords(m *peer.OriginRecords) {
 	now := s.opts.Clock.Now()
-	ring := newRing(s.opts.Host, s.opts.DataCentre, s.opts.Peers.Live())
+	ring := s.currentRing()
 
 	for _, r := range m.GetRecords()[:min(len(m.GetRecords()), maxRecords)] {
 		record, ok := decode(r)
@@ -281,7 +307,7 @@
 		}
 
 		// Later records go into the same messages.
-		interval := max(minSendInterval, time.Duration(len(s.opts.Peers.Live()))*sendIntervalPerPeer)
+		interval := max(minSendInterval, time.Duration(s.currentRing().live)*sendIntervalPerPeer)
 
 		select {
 		case <-ctx.Done():
