Let repeats ask the claimant whether it has given up its claim

A caller whose keyed request was refused as not run, and who sent the key again before the withdrawal (due after 250 ms) was on the platform, got target-lost (may-have-run): through another host always if that host made the claim, and through the same host if another one made it.

Cause: only the ledger of the claimant knows at once that a nonce is spent. Another ledger returned the claim as held, and the service took a claimant without an answer for one that was lost.

If the claim is not done, and its claimant can be reached but holds no answer, the service now claims the key again through the ledger of the claimant, under a fresh nonce. That ledger replaces the claim if it was given up, by the rule and the conditional write that were there already. If not, and the record has not changed, all goes on as before. If another repeat has the claim by then, the service follows that one. Requests that find an answer to join make no further call.

An at-most-once request still runs once: a nonce is spent only by its claimant, after the run has ended as not run or without having begun, and pages change by conditional writes alone.

The fakes of two test packages and of TestRepeatRightAfterARefusalRuns got the new method of requests.Claims; no check changed.

Open: a follower gets the refusal of the run that it follows on another host while a third host may run already.

--- a/internal/entry/host/claims.go
+++ b/internal/entry/host/claims.go
@@ -26,7 +26,12 @@
 		}
 	}
 
-	return s.ClaimThrough(ctx, claimForwarder{s.host}, s.PreferredHost(req.Key, hosts), req)
+	return s.ClaimAt(ctx, s.PreferredHost(req.Key, hosts), req)
+}
+
+// ClaimAt implements requests.Claims.
+func (s sharedClaims) ClaimAt(ctx context.Context, to entity.HostID, req ledger.Request) (ledger.Outcome, error) {
+	return s.ClaimThrough(ctx, claimForwarder{s.host}, to, req)
 }
 
 // claimForwarder implements ledger.Forwarder over the peer protocol.
--- a/internal/entry/requests/keyed.go
+++ b/internal/entry/requests/keyed.go
@@ -44,18 +44,20 @@
 
 	age := s.opts.Clock.Since(c.key.Time())
 
-	out, err := s.opts.Claims.Claim(ctx, ledger.Request{
+	claim := ledger.Request{
 		Key: c.key, Fingerprint: fingerprintOf(c.req), Nonce: claims.NewNonce(),
 		Claimant: s.opts.Host, DataCentre: s.opts.Home, Request: c.req.ID, Target: target,
 		// Only a patient request that must not run without a claim waits for the platform.
 		Patient: c.req.Kind.AtMostOnce && c.req.Kind.Urgency == entity.Patient, Repeat: age > maxFreshKeyAge || age < -maxFreshKeyAge,
-	})
+	}
+
+	out, err := s.opts.Claims.Claim(ctx, claim)
 
 	switch {
 	case err == nil && out.Mine:
 		return s.runAndRecord(ctx, c, out.Record)
 	case err == nil:
-		s.followClaim(ctx, c, out.Record)
+		return s.followClaim(ctx, c, claim, out.Record)
 	case !c.req.Kind.AtMostOnce && verdict.From(err).Code == verdict.CodePlatformUnavailable:
 		// This kind may run twice, so it is served without a claim while the platform is unavailable.
 		s.admitAndRun(ctx, c.req, c.ans)
@@ -147,34 +149,75 @@
 }
 
 // followClaim finishes c.ans with the answer of the run that holds the claim: from the recorded result, from
-// the host that holds the claim, or from the engine. It never runs a kind that runs at most once.
-func (s *Service) followClaim(ctx context.Context, c keyedRequest, record claims.Record) {
-	if record.State == claims.Done {
-		if finishFromResult(c.ans, record.Result) {
-			return
+// the host that holds the claim, or from the engine. If the claimant has given up the claim, it claims the key again and
+// runs the request, and returns the function that claimAndRun returns. Otherwise it never runs a kind that runs at most
+// once.
+func (s *Service) followClaim(ctx context.Context, c keyedRequest, claim ledger.Request, record claims.Record) (giveUp func()) {
+	for {
+		ended, claimantHasNone := s.followRun(ctx, c, record)
+		if ended {
+			return func() {}
 		}
-	}
 
-	if s.opts.Peers != nil && record.Claimant != s.opts.Host {
-		if s.awaitClaimant(ctx, c, record) {
-			return
+		if !claimantHasNone {
+			break
 		}
 
-		err := s.opts.Peers.Join(ctx, record.Claimant, c.req.Account, c.req.Key, c.ans)
-		if err == nil {
-			c.ans.Finish(nil)
+		claim.Nonce = claims.NewNonce()
 
-			return
+		out, err := s.opts.Claims.ClaimAt(ctx, record.Claimant, claim)
+		if err == nil && out.Mine {
+			return s.runAndRecord(ctx, c, out.Record)
 		}
 
-		if e := verdict.From(err); isFinalJoinError(e.Code) {
-			c.ans.Finish(e)
+		s.logFailure(c.req, "ask the claimant for its claim", err)
 
-			return
+		if err != nil || out.Record.Nonce == record.Nonce && out.Record.State == record.State {
+			break
 		}
+
+		record = out.Record
 	}
 
 	s.resumeOnEngine(ctx, c, record)
+
+	return func() {}
+}
+
+// followRun finishes c.ans from the recorded result or from the host that holds the claim, and reports whether it could.
+// If not, claimantHasNone reports that the claim is not done although the claimant, which can be reached, holds no answer.
+func (s *Service) followRun(ctx context.Context, c keyedRequest, record claims.Record) (ended, claimantHasNone bool) {
+	if record.State == claims.Done && finishFromResult(c.ans, record.Result) {
+		return true, false
+	}
+
+	if record.Claimant == s.opts.Host {
+		return false, record.State == claims.Claimed
+	}
+
+	if s.opts.Peers == nil {
+		return false, false
+	}
+
+	if s.awaitClaimant(ctx, c, record) {
+		return true, false
+	}
+
+	err := s.opts.Peers.Join(ctx, record.Claimant, c.req.Account, c.req.Key, c.ans)
+	if err == nil {
+		c.ans.Finish(nil)
+
+		return true, false
+	}
+
+	e := verdict.From(err)
+	if isFinalJoinError(e.Code) {
+		c.ans.Finish(e)
+
+		return true, false
+	}
+
+	return false, record.State == claims.Claimed && e.Code == verdict.CodeNotFound && c.ans.NextSeq() == 0
 }
 
 // awaitClaimant waits, for at most maxClaimantChecks checks, until the claimant counts as alive, since a host
--- a/internal/entry/requests/refusal_test.go
+++ b/internal/entry/requests/refusal_test.go
@@ -45,6 +45,10 @@
 	mayAbandon <-chan struct{}
 }
 
+func (c ledgerClaims) ClaimAt(ctx context.Context, _ entity.HostID, req ledger.Request) (ledger.Outcome, error) {
+	return c.Claim(ctx, req)
+}
+
 func (c ledgerClaims) Abandon(ctx context.Context, r claims.Record) error {
 	<-c.mayAbandon
 
--- a/internal/entry/requests/service.go
+++ b/internal/entry/requests/service.go
@@ -39,6 +39,8 @@
 // Claims records which host runs a keyed request, and the result of the run.
 type Claims interface {
 	Claim(ctx context.Context, req ledger.Request) (ledger.Outcome, error)
+	// ClaimAt is Claim through host, which knows the claims of its own that it has given up before all others do.
+	ClaimAt(ctx context.Context, host entity.HostID, req ledger.Request) (ledger.Outcome, error)
 	Finish(ctx context.Context, r claims.Record, res claims.Result) error
 	// GiveUp lets a repeat through this host claim the key of r at once. Abandon stores that for all hosts.
 	GiveUp(r claims.Record) error
--- a/internal/entry/requests/service_test.go
+++ b/internal/entry/requests/service_test.go
@@ -39,6 +39,10 @@
 	return ledger.Outcome{Mine: true, Record: c.claimed}, nil
 }
 
+func (c *staleClaims) ClaimAt(ctx context.Context, _ entity.HostID, req ledger.Request) (ledger.Outcome, error) {
+	return c.Claim(ctx, req)
+}
+
 func (c *staleClaims) Finish(_ context.Context, r claims.Record, res claims.Result) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/wire/caller/fakes_test.go
+++ b/internal/wire/caller/fakes_test.go
@@ -162,6 +162,10 @@
 	return ledger.Outcome{Mine: true, Record: r}, nil
 }
 
+func (c *fakeClaims) ClaimAt(ctx context.Context, _ entity.HostID, req ledger.Request) (ledger.Outcome, error) {
+	return c.Claim(ctx, req)
+}
+
 func (c *fakeClaims) Finish(_ context.Context, r claims.Record, res claims.Result) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
