Test that answers of the own interface hold tokens of one version

Callers of the own interface can get answers that two software versions of engines wrote. Engines did not state a version.

The stand-in engine gets a software version, which its load report states and its tokens show, together with that of the KV cache if it is another one.

Ruled out by reading: a stream that breaks off is resumed on its own engine alone (dispatch.streamWithResume); another engine starts anew and only if no reader has an event (answers.Restart); a forwarded answer goes on at the engine that its events name; a run without a claim, or after a claim was withdrawn, refuses callers that have events.

--- a/internal/entry/host/deployment_test.go
+++ b/internal/entry/host/deployment_test.go
@@ -180,8 +180,9 @@
 type outcome struct {
 	status     int
 	text       string
-	whole      bool   // a stream ended with its end marker; any other answer with status 200 is whole
-	retryAfter string // Retry-After header
+	ids        []string // ids of a stream's events
+	whole      bool     // a stream ended with its end marker; any other answer with status 200 is whole
+	retryAfter string   // Retry-After header
 	problem    caller.Problem
 }
 
@@ -241,6 +242,7 @@
 		out.text, out.whole = string(body), true
 	case c.stream:
 		out.text, out.whole = joinStream(body)
+		out.ids = eventIDs(body)
 	default:
 		out.text, out.whole = completionText(body), true
 	}
@@ -297,6 +299,19 @@
 	return joined, false
 }
 
+// eventIDs returns the ids of a stream's events.
+func eventIDs(body []byte) []string {
+	var ids []string
+
+	for line := range bytes.Lines(body) {
+		if id, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte("id: ")); ok {
+			ids = append(ids, string(id))
+		}
+	}
+
+	return ids
+}
+
 func newKey() string {
 	return uuid.Must(uuid.NewV7()).String()
 }
--- a/internal/standin/engine/answer.go
+++ b/internal/standin/engine/answer.go
@@ -6,6 +6,8 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 )
 
 const defaultOutputTokens = 32
@@ -56,6 +58,16 @@
 	return fmt.Sprintf("%04x.%d ", xxhash.Sum64String(text)&0xffff, n)
 }
 
+// VersionedToken returns output token n that an engine of the given software version generates for a prompt text. It is that
+// of Token for an engine that states no version.
+func VersionedToken(version entity.SoftwareVersion, text string, n int) string {
+	if version == "" {
+		return Token(text, n)
+	}
+
+	return string(version) + "/" + Token(text, n)
+}
+
 // Answer returns the complete answer of n tokens to a prompt text.
 func Answer(text string, n int) string {
 	var b strings.Builder
@@ -72,10 +84,11 @@
 	Total      int `json:"total_tokens"`
 }
 
-// eventData returns the JSON of event n of the answer to p, for a request to the URL path. Each event before
-// the last one carries one token; the last one carries the finish reason and the usage.
-func eventData(id, path string, p prompt, n int) []byte {
-	chat := strings.Contains(path, "chat")
+// eventData returns the JSON of event n of a, the answer to the request id. Each event before the last one carries one
+// token; the last one carries the finish reason and the usage.
+func eventData(id string, a *answer, n int) []byte {
+	p := a.prompt
+	chat := strings.Contains(a.path, "chat")
 	choice := map[string]any{"index": 0, "finish_reason": nil}
 	body := map[string]any{"id": id, "created": 0, "model": p.Model, "choices": []any{choice}, "object": "text_completion"}
 
@@ -85,7 +98,7 @@
 
 	text := ""
 	if n < p.outputTokens() {
-		text = Token(p.text(), n)
+		text = VersionedToken(a.version, p.text(), n)
 	} else {
 		choice["finish_reason"] = "stop"
 		in := len(strings.Fields(p.text()))
--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -21,6 +21,8 @@
 	fetchTimeout = 2 * time.Second
 	maxKVBytes   = 64 // maximum size of the digest that replaces a KV cache
 
+	kvVersionHeader = "X-Kv-Version" // software version of the engine that filled a KV cache
+
 	defaultKVTTL = 10 * time.Second
 )
 
@@ -95,6 +97,7 @@
 	s.kvExports++
 	s.mu.Unlock()
 
+	w.Header().Set(kvVersionHeader, string(a.version))
 	_, _ = io.WriteString(w, kvDigest(a.prompt))
 
 	s.cancel(id)
@@ -108,34 +111,34 @@
 	return a.ended
 }
 
-// fetchKV fetches the KV cache of the request id from the engine at source, an ip:port. It fails if that engine
-// has no KV cache for p.
-func fetchKV(ctx context.Context, source string, id entity.RequestID, p prompt) error {
+// fetchKV fetches the KV cache of the request id from the engine at source, an ip:port, and returns the
+// software version of that engine. It fails if the engine has no KV cache for p.
+func fetchKV(ctx context.Context, source string, id entity.RequestID, p prompt) (entity.SoftwareVersion, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+source+kvPath+string(id), http.NoBody)
 	if err != nil {
-		return err
+		return "", err
 	}
 
 	resp, err := kvClient.Do(r)
 	if err != nil {
-		return err
+		return "", err
 	}
 
 	defer func() { _ = resp.Body.Close() }()
 
 	kv, err := io.ReadAll(io.LimitReader(resp.Body, maxKVBytes))
 	if err != nil {
-		return err
+		return "", err
 	}
 
 	if resp.StatusCode != http.StatusOK || string(kv) != kvDigest(p) {
-		return errors.New("source has no KV cache for this prompt: " + strings.TrimSpace(string(kv)))
+		return "", errors.New("source has no KV cache for this prompt: " + strings.TrimSpace(string(kv)))
 	}
 
-	return nil
+	return entity.SoftwareVersion(resp.Header.Get(kvVersionHeader)), nil
 }
 
 // promptTime returns how long this engine takes to process the prompt of a. It is zero for a decode, whose KV
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -55,6 +55,7 @@
 
 	mu        sync.Mutex
 	faults    Faults
+	version   entity.SoftwareVersion
 	answers   map[entity.RequestID]*answer
 	runs      map[entity.RequestID]int // number of starts, without prefills
 	prefills  map[entity.RequestID]int // number of starts as a prefill without decode
@@ -99,6 +100,15 @@
 	s.faults = f
 }
 
+// SetVersion sets the software version. The load report states it, and the tokens of answers that start later show it, see
+// VersionedToken. An engine without one states none.
+func (s *Server) SetVersion(v entity.SoftwareVersion) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.version = v
+}
+
 // Runs returns how often each request ID was started, without the prefills that Prefills counts.
 func (s *Server) Runs() map[entity.RequestID]int {
 	s.mu.Lock()
@@ -165,7 +175,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	report := engine.Report{At: time.Now(), Boot: strconv.Itoa(s.crashes)}
+	report := engine.Report{At: time.Now(), Boot: strconv.Itoa(s.crashes), Version: s.version}
 
 	if state, err := s.orderEngine.State(); err == nil {
 		report.Role, report.Changing = state.Role, state.Changing
@@ -207,7 +217,7 @@
 	}
 
 	s.mu.Lock()
-	f := s.faults
+	f, version := s.faults, s.version
 	s.mu.Unlock()
 
 	phase := phaseOf(r)
@@ -218,16 +228,23 @@
 		return
 	}
 
+	written := version
+
 	if source := r.Header.Get(engine.HeaderKVSource); source != "" {
-		if err := fetchKV(r.Context(), source, id, p); err != nil {
+		kvVersion, err := fetchKV(r.Context(), source, id, p)
+		if err != nil {
 			s.orderEngine.Finish()
 			refuse(w, http.StatusFailedDependency, err.Error())
 
 			return
 		}
+
+		if kvVersion != version {
+			written = kvVersion + "+" + version
+		}
 	}
 
-	a := s.startAnswer(id, r.URL.Path, p, phase)
+	a := s.startAnswer(id, &answer{path: r.URL.Path, prompt: p, phase: phase, version: written})
 
 	if strings.Contains(p.text(), CrashMark) {
 		s.crash()
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -17,6 +17,8 @@
 	path   string
 	prompt prompt
 	phase  entity.Role // Prefill, Decode, or Mixed for both
+	// version is the software version that the tokens show: that of the engine, after that of the KV cache if it is another.
+	version entity.SoftwareVersion
 
 	mu        sync.Mutex
 	generated int // events generated so far
@@ -26,12 +28,13 @@
 	faulted   bool          // one of the faults that occur once per request has occurred
 }
 
-// startAnswer registers the request id and starts its generation. A restarted request replaces its former answer.
-func (s *Server) startAnswer(id entity.RequestID, path string, p prompt, phase entity.Role) *answer {
-	a := &answer{path: path, prompt: p, phase: phase, changed: make(chan struct{}), cancelled: make(chan struct{})}
+// startAnswer registers a, a new answer, for the request id and starts its generation. A restarted request replaces its
+// former answer.
+func (s *Server) startAnswer(id entity.RequestID, a *answer) *answer {
+	a.changed, a.cancelled = make(chan struct{}), make(chan struct{})
 
 	s.mu.Lock()
-	if phase == entity.Prefill {
+	if a.phase == entity.Prefill {
 		s.prefills[id]++
 	} else {
 		s.runs[id]++
@@ -165,7 +168,7 @@
 		return
 	}
 
-	data := eventData(string(id), a.path, a.prompt, n)
+	data := eventData(string(id), a, n)
 
 	a.mu.Lock()
 	unfaulted := !a.faulted
@@ -195,7 +198,7 @@
 	}
 
 	if inject && f.WrongRequestID {
-		data = eventData("another-request", a.path, a.prompt, n)
+		data = eventData("another-request", a, n)
 	}
 
 	_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, data)
--- a/internal/wire/engine/message.go
+++ b/internal/wire/engine/message.go
@@ -55,4 +55,6 @@
 	Role           entity.Role   `json:"role"`
 	Changing       bool          `json:"changing"` // an order is being carried out
 	Boot           string        `json:"boot"`     // identifies the run of the engine process; changes when the engine restarts
+	// Version is the software version that the engine runs; empty if it states none.
+	Version entity.SoftwareVersion `json:"version,omitempty"`
 }
