Keep answers of the own interface at one software version

While engines of several software versions serve, callers of the own interface got answers that two versions wrote: tokens of one version after a KV cache of another, and streams that went on at another version after their host was lost. What two versions write does not fit together.

Cause: no host knew versions, and where a stream began was known to one host, or to nobody. The claim names the engine that its host meant to use, not the one that answered after a retry; and a sequence number alone does not tell the answer of a second run from that of the first.

Engines state their version in the load report and in X-Software-Version of each response. An answer carries the version of its engine, also in its recorded result and, as gRPC metadata, between hosts; the peer protocol's messages are unchanged. The id of an event names the version (12@v1.2), so the caller brings it back with Last-Event-ID: no record of it can be lost, and no host is asked. A stream goes on only if versions are equal, and ends at once with other-version and a true verdict if not. The decode of a split request runs at the version of the prefill. A host that does not know an engine's version, as it does not poll it, learns it from a refusal with status 412, not run, which counts as no try. An answer joined from a lost host now goes on at the engine that its events name. Without versions nothing changes on the wire.

The code of the platform's path is not used: origins and originsync keep and ask for records that are not needed here, and ChooseVersion needs the version of each target before the prefill, which hosts that don't poll it lack.

--- a/internal/control/entity/entity.go
+++ b/internal/control/entity/entity.go
@@ -144,4 +144,6 @@
 	Role           Role
 	Changing       bool   // an order is being executed
 	Boot           string // identifies the run of the target's process; empty if the target reports none
+	// Version is the software version of the target; empty if the report states none or came from another host.
+	Version SoftwareVersion
 }
--- a/internal/control/entity/id.go
+++ b/internal/control/entity/id.go
@@ -1,5 +1,7 @@
 package entity
 
+import "strings"
+
 // AccountID identifies a client account.
 type AccountID string
 
@@ -10,6 +12,19 @@
 // version of its own. What targets of two versions produce cannot be joined to one stream.
 type SoftwareVersion string
 
+// maxVersionBytes limits the length of a version that is read from a message.
+const maxVersionBytes = 64
+
+// ParseSoftwareVersion returns the version that text names. It reports false if text is too long or has characters other
+// than printable ASCII without the space, which the id of an event cannot hold.
+func ParseSoftwareVersion(text string) (SoftwareVersion, bool) {
+	if len(text) > maxVersionBytes || strings.ContainsFunc(text, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		return "", false
+	}
+
+	return SoftwareVersion(text), true
+}
+
 // HostID identifies one run of an entry host; a restarted host has a new HostID.
 type HostID string
 
--- a/internal/control/entity/request.go
+++ b/internal/control/entity/request.go
@@ -21,6 +21,9 @@
 
 	// EventsSeen is the number of answer events that the caller has already received.
 	EventsSeen uint64
+	// SeenVersion is the software version of the engine that generated what the rest of the answer builds on: the events
+	// seen, or the KV cache of the prompt.
+	SeenVersion SoftwareVersion
 	// Forwarded is set on a request received from a peer; it is not forwarded again.
 	Forwarded bool
 	// Preferred is the target to try first; empty for none.
--- a/internal/entry/answers/answer.go
+++ b/internal/entry/answers/answer.go
@@ -13,7 +13,8 @@
 type Meta struct {
 	Status      int
 	ContentType string
-	Target      entity.TargetID // target that produces the answer
+	Target      entity.TargetID        // target that produces the answer
+	Version     entity.SoftwareVersion // software version of Target; does not change once there is an event
 }
 
 // MaxBytes bounds the memory of one answer's events, in bytes.
--- a/internal/entry/dispatch/direct.go
+++ b/internal/entry/dispatch/direct.go
@@ -19,7 +19,7 @@
 
 // runOnTarget sends req from this host to t, without another entry host in between.
 func (r *Runner) runOnTarget(ctx context.Context, req entity.Request, t entity.Target, ans *answers.Answer) error {
-	ans.SetMeta(answers.Meta{Target: t.ID})
+	setTarget(ans, t.ID)
 
 	if t.Type == entity.Service {
 		return r.callService(ctx, req, t, ans)
@@ -51,20 +51,51 @@
 
 // engineRequest returns req as a request to an engine, without a phase.
 func engineRequest(req entity.Request) engine.Request {
-	return engine.Request{ID: req.ID, Path: req.Path, Body: req.Body, Urgency: req.Kind.Urgency, Resume: req.Resume}
+	return engine.Request{
+		ID: req.ID, Path: req.Path, Body: req.Body, Urgency: req.Kind.Urgency, Resume: req.Resume, Version: req.SeenVersion,
+	}
+}
+
+// setTarget names t as the target that produces ans. An answer that has events keeps their software version.
+func setTarget(ans *answers.Answer, t entity.TargetID) {
+	meta := answers.Meta{Target: t}
+	if ans.NextSeq() > 0 {
+		meta.Version = ans.Meta().Version
+	}
+
+	ans.SetMeta(meta)
+}
+
+// recordVersion records the software version that the engine t states, also in ans unless that has events.
+func (r *Runner) recordVersion(t entity.TargetID, v entity.SoftwareVersion, ans *answers.Answer) {
+	if r.opts.Versions != nil {
+		r.opts.Versions.SetVersion(t, v)
+	}
+
+	if ans.NextSeq() == 0 {
+		meta := ans.Meta()
+		meta.Version = v
+		ans.SetMeta(meta)
+	}
 }
 
 // streamWithResume runs call on the engine t and appends the events to ans. When the stream breaks, it resumes the
 // call on t, up to Options.MaxStreams streams in all. It resumes neither a new call that fails with NotRun nor a call
-// that t no longer holds. If ans or ctx ends while a stream is open, it cancels the call on t.
+// that t no longer holds or cannot go on with at its software version. If ans or ctx ends while a stream is open, it
+// cancels the call on t.
 func (r *Runner) streamWithResume(ctx context.Context, call engine.Request, t entity.Target, ans *answers.Answer) error {
 	var (
 		firstErr          error
 		resumesEarlierRun = call.Resume
 	)
 
+	call.Stated = func(v entity.SoftwareVersion) { r.recordVersion(t.ID, v, ans) }
+
 	for range r.opts.MaxStreams {
 		call.ResumeFrom = ans.NextSeq()
+		if call.ResumeFrom > 0 {
+			call.Version = ans.Meta().Version
+		}
 
 		err := r.opts.Engines.Stream(ctx, t, call, func(ev engine.Event) error {
 			if !ans.Append(ev.Data) {
@@ -83,6 +114,14 @@
 			return err
 		}
 
+		if verdict.From(err).Code == verdict.CodeOtherVersion {
+			if !call.Resume && verdict.Of(err) != verdict.NotRun {
+				r.cancel(t, call.ID)
+			}
+
+			return withResumeVerdict(call, err)
+		}
+
 		if firstErr == nil {
 			firstErr = err
 		}
--- a/internal/entry/dispatch/phases.go
+++ b/internal/entry/dispatch/phases.go
@@ -21,8 +21,8 @@
 type PhaseRouter interface {
 	// Role returns the role that an engine last reported, or its configured role before the first report.
 	Role(t entity.TargetID) entity.Role
-	// PickDecode chooses an engine in the data centre near that may run the decode phase of req and is
-	// not among tried. It reports false if there is none.
+	// PickDecode chooses an engine in the data centre near that may run the decode phase of req, whose prompt runs on
+	// req.Preferred, and is not among tried. It reports false if there is none.
 	PickDecode(req entity.Request, near entity.DataCentre, tried []entity.TargetID) (entity.Target, bool)
 }
 
@@ -50,16 +50,18 @@
 		worst  = verdict.NotRun
 		source string // address of the engine that holds the KV cache; empty for none
 		latest *verdict.Error
+		try    int
 	)
 
-	for try := range maxDecodeTries {
+	for try < maxDecodeTries {
 		if source == "" {
-			holder, err := r.prefill(ctx, req, t)
+			holder, version, err := r.prefill(ctx, req, t)
 			if err != nil {
 				return finalError(worst, verdict.From(err), nil)
 			}
 
 			t, source = holder, holder.Address
+			req.Preferred, req.SeenVersion = holder.ID, version
 		}
 
 		d, ok := r.opts.Phases.PickDecode(req, t.DataCentre, tried)
@@ -80,6 +82,13 @@
 			worst = verdict.MayHaveRun
 		}
 
+		// The refusal told the version of d, so it is no try: there may be many such engines after a release.
+		if latest.Code == verdict.CodeOtherVersion && latest.Verdict == verdict.NotRun && ctx.Err() == nil {
+			tried = append(tried, d.ID)
+
+			continue
+		}
+
 		if ctx.Err() != nil || !r.mayRetry(req, latest, ans, try+1 < maxDecodeTries) {
 			break
 		}
@@ -93,6 +102,8 @@
 		if latest.Code == verdict.CodeKVLost || latest.Verdict != verdict.NotRun {
 			source = ""
 		}
+
+		try++
 	}
 
 	r.cancel(t, req.ID)
@@ -101,35 +112,35 @@
 }
 
 // prefill runs the prefill of req on t, or on the engine that the guard chooses instead, and returns the
-// engine that then holds the KV cache.
-func (r *Runner) prefill(ctx context.Context, req entity.Request, t entity.Target) (entity.Target, error) {
-	req.Decode, req.Phase = 0, entity.Prefill
+// engine that then holds the KV cache and its software version.
+func (r *Runner) prefill(ctx context.Context, req entity.Request, t entity.Target) (entity.Target, entity.SoftwareVersion, error) {
+	req.Decode, req.Phase, req.SeenVersion = 0, entity.Prefill, ""
+	output := answers.New() // stays empty, as a prefill generates nothing
 
 	err := r.withGuard(ctx, req, t, func(chosen entity.Target) error {
 		t = chosen
 
-		if err := r.prefillOn(ctx, req, t); err != nil {
+		if err := r.prefillOn(ctx, req, t, output); err != nil {
 			return err
 		}
 
 		return errPromptOnly
 	})
 	if errors.Is(err, errPromptOnly) {
-		return t, nil
+		return t, output.Meta().Version, nil
 	}
 
-	return t, err
+	return t, "", err
 }
 
-// prefillOn runs the prefill of req on t. It fails if t generates anything.
-func (r *Runner) prefillOn(ctx context.Context, req entity.Request, t entity.Target) error {
+// prefillOn runs the prefill of req on t. It fails if t generates anything in output.
+func (r *Runner) prefillOn(ctx context.Context, req entity.Request, t entity.Target, output *answers.Answer) error {
 	if !r.opts.Router.Begin(t.ID, req) {
 		return leavingError(t)
 	}
 
 	call := engineRequest(req)
 	call.Phase = entity.Prefill
-	output := answers.New() // stays empty, as a prefill generates nothing
 
 	err := r.streamWithResume(ctx, call, t, output)
 	if err == nil && output.NextSeq() > 0 {
@@ -151,7 +162,7 @@
 			return leavingError(d)
 		}
 
-		ans.SetMeta(answers.Meta{Target: d.ID})
+		setTarget(ans, d.ID)
 
 		call := engineRequest(req)
 		call.Phase, call.KVSource = entity.Decode, source
--- a/internal/entry/dispatch/runner.go
+++ b/internal/entry/dispatch/runner.go
@@ -65,6 +65,12 @@
 	Ended(ctx context.Context, req entity.Request, t entity.TargetID, err error)
 }
 
+// Versions learns the software versions of engines.
+type Versions interface {
+	// SetVersion records that t has just stated the software version v; empty if it states none.
+	SetVersion(t entity.TargetID, v entity.SoftwareVersion)
+}
+
 // Options configure a Runner. Engines, Services and Router are required.
 type Options struct {
 	Clock      clockwork.Clock   // nil means the real clock
@@ -75,6 +81,7 @@
 	Retries    Retries     // nil allows each retry that the verdict allows
 	Guard      Guard       // nil lets each request run on any engine
 	Phases     PhaseRouter // nil runs each request on one engine
+	Versions   Versions    // nil records no versions
 	Router     Router
 	Log        *log.Logger // nil means the default logger
 	MaxStreams int         // limit on the streams of one call, the first included; zero means 4
@@ -154,7 +161,7 @@
 
 		latest = verdict.From(err)
 		r.opts.Log.Warn().Str("request", string(req.ID)).Str("target", string(t.ID)).
-			Str("verdict", latest.Verdict.String()).Err(err).Msg("attempt failed")
+			Str("version", string(ans.Meta().Version)).Str("verdict", latest.Verdict.String()).Err(err).Msg("attempt failed")
 
 		if latest.Verdict != verdict.NotRun {
 			worst = verdict.MayHaveRun
@@ -251,7 +258,7 @@
 		return r.runOnTarget(ctx, req, t, ans)
 	}
 
-	ans.SetMeta(answers.Meta{Target: t.ID})
+	setTarget(ans, t.ID)
 
 	err := r.opts.Peers.Forward(ctx, t.DataCentre, t.ID, req, ans)
 
--- a/internal/entry/host/build.go
+++ b/internal/entry/host/build.go
@@ -61,7 +61,7 @@
 	heldAnswers := answers.NewTable(answers.Options{Clock: clock})
 	h.runner = dispatch.New(dispatch.Options{
 		Clock: clock, Home: h.opts.DataCentre, Engines: h.engines, Services: service.NewClient(service.Options{}),
-		Peers: h.network, Router: h.router, Phases: h.router, Retries: h.budget, Guard: h.guard, Log: h.opts.Log,
+		Peers: h.network, Router: h.router, Phases: h.router, Versions: h.router, Retries: h.budget, Guard: h.guard, Log: h.opts.Log,
 	})
 	h.fleetControl = fleetcontrol.Start(ctx, fleetcontrol.Options{
 		Clock: clock, Log: h.opts.Log, Host: h.opts.ID, Address: h.PeerAddress(), DataCentre: h.opts.DataCentre,
--- a/internal/entry/host/versions_test.go
+++ b/internal/entry/host/versions_test.go
@@ -20,6 +20,7 @@
 
 const (
 	streamTokens = 400 // tokens of a stream that lasts until the platform is away
+	maxTries     = 10  // calls until one is sent to an engine that is silent first
 	partSeen     = 100 // events that a caller has of a stream that it takes up
 )
 
@@ -54,6 +55,7 @@
 	if !rest.whole {
 		require.Empty(t, rest.text)
 		require.Equal(t, verdict.MayHaveRun, rest.problem.Verdict, "%+v", rest.problem)
+		require.Equal(t, verdict.CodeOtherVersion, rest.problem.Code)
 
 		return rest
 	}
@@ -65,18 +67,27 @@
 	return rest
 }
 
-// sendUnrecorded sends c, a stream, through the first host. The platform goes away for that host once an engine runs c, so
-// the result is not recorded in the claim.
-func (d *deployment) sendUnrecorded(t *testing.T, c call) outcome {
-	t.Helper()
+// ranOnBoth returns the number of requests that the first two engines have both started.
+func (d *deployment) ranOnBoth() int {
+	n, second := 0, d.engines[1].Runs()
 
-	d.views[0].SetFaults(standinplatform.Faults{})
+	for id := range d.engines[0].Runs() {
+		if second[id] > 0 {
+			n++
+		}
+	}
 
-	ran := func() int { return total(d.engines[0].Runs()) + total(d.engines[1].Runs()) }
-	before, sent := ran(), make(chan outcome, 1)
+	return n
+}
+
+// sendInBackground sends c, a stream, to h and returns the channel that receives the answer.
+func (c call) sendInBackground(t *testing.T, h *host.Host) <-chan outcome {
+	t.Helper()
+
+	sent := make(chan outcome, 1)
 
 	go func() {
-		out, err := c.do(t.Context(), d.hosts[0])
+		out, err := c.do(t.Context(), h)
 		if err != nil {
 			t.Errorf("%v", err)
 		}
@@ -84,13 +95,24 @@
 		sent <- out
 	}()
 
-	require.Eventually(t, func() bool { return ran() > before }, settleTimeout, time.Millisecond)
-	d.views[0].SetFaults(standinplatform.Faults{Down: true})
+	return sent
+}
 
-	out := <-sent
-	require.True(t, out.whole, "%+v", out.problem)
+// sendUnrecorded sends c, a stream, through the host with the index i. The platform goes away for that host once an engine
+// runs c, so the result is not recorded in the claim.
+func (d *deployment) sendUnrecorded(t *testing.T, i int, c call) outcome {
+	t.Helper()
 
-	return out
+	d.views[i].SetFaults(standinplatform.Faults{})
+
+	ran := func() int { return total(d.engines[0].Runs()) + total(d.engines[1].Runs()) }
+	before := ran()
+	sent := c.sendInBackground(t, d.hosts[i])
+
+	require.Eventually(t, func() bool { return ran() > before }, settleTimeout, time.Millisecond)
+	d.views[i].SetFaults(standinplatform.Faults{Down: true})
+
+	return <-sent
 }
 
 func TestKVCacheOfAnotherVersionIsNotUsed(t *testing.T) {
@@ -132,9 +154,12 @@
 		before outcome
 	)
 
-	for i := 0; total(d.engines[0].Runs()) == 0; i++ {
+	for i, moved := 0, 0; !before.whole || d.ranOnBoth() == moved; i++ {
+		require.Less(t, i, maxTries)
+
+		moved = d.ranOnBoth()
 		c = call{kind: "report", prompt: fmt.Sprintf("a long report %d", i), tokens: streamTokens, stream: true, key: newKey()}
-		before = d.sendUnrecorded(t, c)
+		before = d.sendUnrecorded(t, 0, c)
 	}
 
 	require.Equal(t, []string{"v2"}, versionsOf(before.text))
@@ -152,7 +177,8 @@
 	first, second := d.addHost(t, "a"), d.addHost(t, "a")
 
 	c := call{kind: "report", prompt: "a long report", tokens: streamTokens, stream: true, key: newKey()}
-	before := d.sendUnrecorded(t, c)
+	before := d.sendUnrecorded(t, 0, c)
+	require.True(t, before.whole, "%+v", before.problem)
 
 	ran := slices.IndexFunc(d.engines, func(e *engine.Server) bool { return total(e.Runs()) > 0 })
 	require.NoError(t, first.Stop())
@@ -168,14 +194,72 @@
 func TestStreamTakenUpAtItsVersionGoesOn(t *testing.T) {
 	t.Parallel()
 
-	d := newDeployment(t, 2, engine.Options{})
+	for _, dc := range []entity.DataCentre{"a", "b"} { // the engines are in a
+		t.Run(string(dc), func(t *testing.T) {
+			t.Parallel()
+
+			d := newDeployment(t, 2, engine.Options{})
+			d.setVersions("v1", "v2")
+			d.addHost(t, "a")
+			first, second := d.addHost(t, dc), d.addHost(t, dc)
+
+			c := call{kind: "report", prompt: "a long report", tokens: streamTokens, stream: true, key: newKey()}
+			// A host counts as ready before it has heard that the other data centre can be reached.
+			for _, h := range []*host.Host{first, second} {
+				require.Eventually(t, func() bool { return call{kind: "note", prompt: "ready", tokens: 1}.send(t, h).whole }, settleTimeout, pollEvery)
+			}
+
+			before := d.sendUnrecorded(t, 1, c)
+			require.True(t, before.whole, "%+v", before.problem)
+			require.True(t, c.takeUp(t, first, before).whole)
+
+			require.NoError(t, first.Stop())
+			rest := c.takeUp(t, second, before)
+			require.True(t, rest.whole, "%+v", rest.problem)
+		})
+	}
+}
+
+func TestJoinedStreamOfALostHostGoesOnAtItsEngine(t *testing.T) {
+	t.Parallel()
+
+	const (
+		streams   = 6
+		tokens    = 200
+		tokenTime = 10 * time.Millisecond
+		joinTime  = 500 * time.Millisecond // after which the second host has a part of each answer
+	)
+
+	d := newDeployment(t, 2, engine.Options{TokenTime: tokenTime})
 	d.setVersions("v1", "v2")
+	d.tune = func(opts *host.Options) { opts.StopTimeout = tokenTime }
 	first, second := d.addHost(t, "a"), d.addHost(t, "a")
 
-	c := call{kind: "report", prompt: "a long report", tokens: streamTokens, stream: true, key: newKey()}
-	before := d.sendUnrecorded(t, c)
-	require.True(t, c.takeUp(t, first, before).whole)
+	// Some claims name engine-1, which refuses; engine-2 generates all answers.
+	d.engines[0].SetFaults(engine.Faults{Refuse: true})
 
-	require.NoError(t, first.Stop())
-	require.True(t, c.takeUp(t, second, before).whole)
+	var calls []call
+
+	for i := range streams {
+		c := call{kind: "report", prompt: fmt.Sprintf("a long report %d", i), tokens: tokens, stream: true, key: newKey()}
+		calls = append(calls, c)
+
+		go func() { _, _ = c.do(t.Context(), first) }() // broken off with its host
+	}
+
+	require.Eventually(t, func() bool { return total(d.engines[1].Runs()) == streams }, settleTimeout, time.Millisecond)
+
+	var joined []<-chan outcome
+	for _, c := range calls {
+		joined = append(joined, c.sendInBackground(t, second))
+	}
+
+	time.Sleep(joinTime)
+	_ = first.Stop() // streams are cut, as when the host is lost
+
+	for _, answer := range joined {
+		out := <-answer
+		require.True(t, out.whole, "%+v", out.problem)
+		require.Equal(t, []string{"v2"}, versionsOf(out.text))
+	}
 }
--- a/internal/entry/loadreports/table.go
+++ b/internal/entry/loadreports/table.go
@@ -138,7 +138,7 @@
 	t.update(entity.Load{
 		Target: target.ID, At: report.At, Running: report.Running, Queued: report.Queued,
 		PrefillPending: report.PrefillPending, DecodePending: report.DecodePending,
-		Role: report.Role, Changing: report.Changing, Boot: report.Boot,
+		Role: report.Role, Changing: report.Changing, Boot: report.Boot, Version: report.Version,
 	}, requestedAt)
 }
 
--- a/internal/entry/peers/forward.go
+++ b/internal/entry/peers/forward.go
@@ -91,7 +91,12 @@
 		return peerLost(m, verdict.NotRun, err)
 	}
 
-	stream, err := client.Forward(ctx, &peer.ForwardRequest{
+	version := req.SeenVersion
+	if ans.NextSeq() > 0 {
+		version = ans.Meta().Version
+	}
+
+	stream, err := client.Forward(withVersion(ctx, version), &peer.ForwardRequest{
 		RequestId: string(req.ID), Account: string(req.Account), Kind: string(req.Kind.Name), Key: req.Key,
 		Path: req.Path, Body: req.Body, ContentType: req.ContentType, Target: string(t),
 		DeadlineUnixMs: req.Deadline.UnixMilli(), From: ans.NextSeq(), Resume: req.Resume, HandOver: string(req.PreferredDecode),
@@ -163,9 +168,17 @@
 		}
 
 		if ev.GetStatus() != 0 || ev.GetTarget() != "" {
-			ans.SetMeta(answers.Meta{
+			meta := answers.Meta{
 				Status: int(ev.GetStatus()), ContentType: ev.GetContentType(), Target: entity.TargetID(ev.GetTarget()),
-			})
+				Version: versionOf(stream),
+			}
+
+			if began := ans.Meta().Version; ans.NextSeq() > 0 && meta.Version != began {
+				return verdict.New(verdict.MayHaveRun, verdict.CodeOtherVersion, "entry host %s goes on at version %q, the answer began at %q",
+					m.Host, meta.Version, began)
+			}
+
+			ans.SetMeta(meta)
 		}
 
 		if ev.GetLast() {
--- a/internal/entry/peers/server.go
+++ b/internal/entry/peers/server.go
@@ -210,6 +210,8 @@
 	}
 
 	ans := answers.NewFrom(r.GetFrom())
+	req.SeenVersion = versionFrom(stream.Context())
+	ans.SetMeta(answers.Meta{Version: req.SeenVersion})
 
 	go s.services.Runner.Run(stream.Context(), req, ans)
 
@@ -302,9 +304,19 @@
 // sendAnswer streams ans to a peer, beginning with event from, and then either a problem or a last event. The problem
 // is that of ans, or that from is beyond the end of ans.
 func sendAnswer(stream grpc.ServerStreamingServer[peer.AnswerEvent], ans *answers.Answer, from uint64) error {
+	started := false
+
 	err := ans.Read(stream.Context(), from, func(seq uint64, data []byte) error {
 		meta := ans.Meta()
 
+		if !started {
+			started = true
+
+			if err := setVersion(stream, meta.Version); err != nil {
+				return err
+			}
+		}
+
 		return stream.Send(&peer.AnswerEvent{
 			Sequence: seq, Data: data, Status: uint32(max(meta.Status, 0)), ContentType: meta.ContentType, Target: string(meta.Target),
 		})
--- a/internal/entry/requests/keyed.go
+++ b/internal/entry/requests/keyed.go
@@ -207,6 +207,13 @@
 	resumed.Resume = true
 
 	ans := answers.NewFrom(c.ans.NextSeq())
+
+	// Events that have come from another host name the engine that generated them, which may not be the one of the claim.
+	if meta := c.ans.Meta(); ans.NextSeq() > 0 && meta.Target != "" {
+		resumed.Pinned, resumed.SeenVersion = meta.Target, meta.Version
+		ans.SetMeta(meta)
+	}
+
 	s.opts.Runner.Run(ctx, resumed, ans)
 
 	_, problem := ans.Ended()
@@ -217,8 +224,14 @@
 		return
 	}
 
-	if c.req.Kind.AtMostOnce || !c.ans.Restart() {
-		c.ans.Finish(lost.WithCause(problem))
+	otherVersion := problem.Code == verdict.CodeOtherVersion
+
+	if c.req.Kind.AtMostOnce || otherVersion && c.req.EventsSeen > 0 || !c.ans.Restart() {
+		if !otherVersion {
+			problem = lost.WithCause(problem)
+		}
+
+		c.ans.Finish(problem)
 
 		return
 	}
--- a/internal/entry/requests/result.go
+++ b/internal/entry/requests/result.go
@@ -17,10 +17,11 @@
 
 // storedAnswer is an answer as a claim's result stores it, in compressed JSON.
 type storedAnswer struct {
-	Status      int             `json:"status,omitempty"`
-	ContentType string          `json:"content-type,omitempty"`
-	Target      entity.TargetID `json:"target,omitempty"`
-	Events      [][]byte        `json:"events"`
+	Status      int                    `json:"status,omitempty"`
+	ContentType string                 `json:"content-type,omitempty"`
+	Target      entity.TargetID        `json:"target,omitempty"`
+	Version     entity.SoftwareVersion `json:"version,omitempty"`
+	Events      [][]byte               `json:"events"`
 }
 
 // resultOf returns the result that a claim records for an ended answer. It contains the answer only if the answer is
@@ -31,7 +32,9 @@
 	}
 
 	meta := ans.Meta()
-	encoded, err := encode(storedAnswer{Status: meta.Status, ContentType: meta.ContentType, Target: meta.Target, Events: ans.Events()})
+	encoded, err := encode(storedAnswer{
+		Status: meta.Status, ContentType: meta.ContentType, Target: meta.Target, Version: meta.Version, Events: ans.Events(),
+	})
 
 	if err != nil || len(encoded) > claims.MaxAnswerBytes {
 		return claims.Result{Verdict: verdict.Ran, Status: meta.Status, AnswerDropped: true}
@@ -51,7 +54,7 @@
 		return false
 	}
 
-	ans.SetMeta(answers.Meta{Status: stored.Status, ContentType: stored.ContentType, Target: stored.Target})
+	ans.SetMeta(answers.Meta{Status: stored.Status, ContentType: stored.ContentType, Target: stored.Target, Version: stored.Version})
 
 	for _, data := range stored.Events {
 		ans.Append(data)
--- a/internal/entry/router/phases.go
+++ b/internal/entry/router/phases.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/routing"
@@ -18,8 +19,9 @@
 	return (*roles)[t]
 }
 
-// PickDecode chooses an engine in the data centre near that may run the decode of req and is not among tried.
-// It prefers req.PreferredDecode while tried is empty. It reports false if no engine is usable.
+// PickDecode chooses an engine in the data centre near that may run the decode of req, whose prompt runs on req.Preferred,
+// and is not among tried. Engines that are known to run another software version than req.Preferred cannot use its KV
+// cache. PickDecode prefers req.PreferredDecode while tried is empty. It reports false if no engine is usable.
 func (r *Router) PickDecode(req entity.Request, near entity.DataCentre, tried []entity.TargetID) (entity.Target, bool) {
 	view, snapshot := r.dataCentreView.Load(), r.snapshot.Load()
 	if view == nil {
@@ -35,12 +37,37 @@
 		Model: req.Kind.Model, Phase: routing.Decode, Urgency: req.Kind.Urgency, Decode: req.Decode, Near: near,
 	}
 
-	return r.pickFrom(view, q, tried, func(t entity.Target) bool { return t.DataCentre == near && r.canDecode(t, req) })
+	accepts := func(t entity.Target) bool { return t.DataCentre == near && r.canDecode(t, req) }
+
+	t, ok := r.pickFrom(view, q, tried, accepts)
+	if ok || !r.versions.known(req.Preferred) {
+		return t, ok
+	}
+
+	// The engines of one version may be too few to be drawn.
+	return r.leastUsed(snapshot, func(t entity.Target) bool { return !slices.Contains(tried, t.ID) && accepts(t) })
+}
+
+// leastUsed returns the target that accepts returns true for and that has the fewest requests of this host.
+func (r *Router) leastUsed(snapshot *entity.Snapshot, accepts func(entity.Target) bool) (entity.Target, bool) {
+	var (
+		best  entity.Target
+		found bool
+	)
+
+	for _, t := range snapshot.Targets {
+		if accepts(t) && (!found || r.InFlight(t.ID) < r.InFlight(best.ID)) {
+			best, found = t, true
+		}
+	}
+
+	return best, found
 }
 
-// canDecode reports whether t serves the model of req, runs decodes and is usable.
+// canDecode reports whether t serves the model of req, runs decodes, is usable and is not known to run another software
+// version than req.Preferred.
 func (r *Router) canDecode(t entity.Target, req entity.Request) bool {
-	return t.Model == req.Kind.Model && r.Role(t.ID) != entity.Prefill && r.usable(t, req)
+	return t.Model == req.Kind.Model && r.Role(t.ID) != entity.Prefill && r.versions.mayMatch(t.ID, req.Preferred) && r.usable(t, req)
 }
 
 // canHandOver reports whether a request whose prompt runs on t can be completed: either t runs both phases, or
@@ -50,6 +77,7 @@
 		return true
 	}
 
+	req.Preferred = t.ID
 	_, ok := r.PickDecode(req, t.DataCentre, nil)
 
 	return ok
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -44,6 +44,7 @@
 	seeds          atomic.Int64                             // number of generators made for rngs so far, added to Options.Seed
 	refreshes      int                                      // number of Refresh calls
 	leaving        atomic.Pointer[map[entity.TargetID]bool] // targets that take no new work
+	versions       *versions
 
 	mu           sync.Mutex
 	downUntil    map[entity.TargetID]time.Time // time before which the target gets no new work
@@ -57,7 +58,7 @@
 	}
 
 	r := &Router{
-		opts: opts, ledger: routing.NewLedger(), prefixes: routing.NewPrefixes(0),
+		opts: opts, ledger: routing.NewLedger(), prefixes: routing.NewPrefixes(0), versions: newVersions(),
 		downUntil: map[entity.TargetID]time.Time{}, refusedUntil: map[entity.TargetID]time.Time{},
 	}
 	r.rngs.New = func() any { return rand.New(rand.NewSource(opts.Seed + r.seeds.Add(1))) }
@@ -103,9 +104,17 @@
 	r.view.Store(view)
 	r.dataCentreView.Store(view.WithinDataCentre())
 
+	for _, l := range in.Loads {
+		if l.Version != "" {
+			r.versions.set(l.Target, l.Version, l.At)
+		}
+	}
+
 	r.refreshes++
 	if r.refreshes%ledgerCleanupRounds == 0 {
-		r.ledger.Retain(func(id entity.TargetID) bool { _, ok := snapshot.Target(id); return ok })
+		configured := func(id entity.TargetID) bool { _, ok := snapshot.Target(id); return ok }
+		r.ledger.Retain(configured)
+		r.versions.retain(configured)
 	}
 }
 
@@ -321,6 +330,11 @@
 	return ok
 }
 
+// SetVersion records that a target has just stated the software version v; empty if it states none.
+func (r *Router) SetVersion(t entity.TargetID, v entity.SoftwareVersion) {
+	r.versions.set(t, v, r.opts.Clock.Now())
+}
+
 // InFlight returns the number of this host's requests in flight on a target.
 func (r *Router) InFlight(t entity.TargetID) int {
 	return r.ledger.Flight(t).Open()
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -196,6 +196,12 @@
 func (s *Server) handleCompletion(w http.ResponseWriter, r *http.Request) {
 	id := entity.RequestID(r.Header.Get(engine.HeaderRequestID))
 
+	if version := s.stateVersion(w); r.Header.Get(engine.HeaderVersion) != "" && r.Header.Get(engine.HeaderVersion) != string(version) {
+		refuse(w, http.StatusPreconditionFailed, "this engine runs another version")
+
+		return
+	}
+
 	if from := r.Header.Get(engine.HeaderResumeFrom); from != "" {
 		s.resume(w, r, id, from)
 
@@ -254,6 +260,18 @@
 	s.writeEvents(w, r, id, a, 0)
 }
 
+// stateVersion adds the software version, if there is one, to the header of a response, and returns it.
+func (s *Server) stateVersion(w http.ResponseWriter) entity.SoftwareVersion {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.version != "" {
+		w.Header().Set(engine.HeaderVersion, string(s.version))
+	}
+
+	return s.version
+}
+
 // cancel stops the request id and drops its answer and KV cache.
 func (s *Server) cancel(id entity.RequestID) {
 	s.mu.Lock()
--- a/internal/wire/caller/request.go
+++ b/internal/wire/caller/request.go
@@ -27,6 +27,9 @@
 	HeaderResume   = "Last-Event-ID" // id of the last event received of a stream with an idempotency key
 )
 
+// versionMark separates the sequence number from the software version in the id of an event.
+const versionMark = "@"
+
 const (
 	defaultDeadline     = 2 * time.Minute
 	maxDeadline         = 24 * time.Hour
@@ -242,24 +245,38 @@
 	}
 }
 
-// resumeFrom returns the sequence number of the first event that the caller has not received, zero for a new call.
+// resumeFrom returns the sequence number of the first event that the caller has not received, zero for a new call, and the
+// software version that the id of the last event names.
 // Only a stream with an idempotency key can be resumed. Any other call would run again and could generate other text.
-func resumeFrom(r *http.Request, key string, stream bool) (uint64, *verdict.Error) {
+func resumeFrom(r *http.Request, key string, stream bool) (uint64, entity.SoftwareVersion, *verdict.Error) {
 	text := r.Header.Get(HeaderResume)
 	if text == "" {
-		return 0, nil
+		return 0, "", nil
 	}
 
 	if key == "" || !stream {
-		return 0, refuse(verdict.CodeBadRequest, "%s is only for a stream with %s", HeaderResume, HeaderKey)
+		return 0, "", refuse(verdict.CodeBadRequest, "%s is only for a stream with %s", HeaderResume, HeaderKey)
 	}
 
-	last, err := strconv.ParseUint(text, 10, 63)
-	if err != nil {
-		return 0, refuse(verdict.CodeBadRequest, "%s must be the id of an event of this stream", HeaderResume)
+	number, name, _ := strings.Cut(text, versionMark)
+	version, ok := entity.ParseSoftwareVersion(name)
+
+	last, err := strconv.ParseUint(number, 10, 63)
+	if err != nil || !ok {
+		return 0, "", refuse(verdict.CodeBadRequest, "%s must be the id of an event of this stream", HeaderResume)
+	}
+
+	return last + 1, version, nil
+}
+
+// eventID returns the id of the event seq of an answer that is generated at a software version.
+func eventID(seq uint64, version entity.SoftwareVersion) string {
+	id := strconv.FormatUint(seq, 10)
+	if version == "" {
+		return id
 	}
 
-	return last + 1, nil
+	return id + versionMark + string(version)
 }
 
 // outputLimit returns the maximum number of output tokens: the caller's limit, else the kind's, else a default.
--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -231,7 +231,7 @@
 		return
 	}
 
-	req.EventsSeen, problem = resumeFrom(ctx.Request(), req.Key, stream)
+	req.EventsSeen, req.SeenVersion, problem = resumeFrom(ctx.Request(), req.Key, stream)
 	if problem != nil {
 		writeProblem(w, problem, "")
 
--- a/internal/wire/caller/stream.go
+++ b/internal/wire/caller/stream.go
@@ -34,7 +34,15 @@
 		out.pingWhileIdle(readCtx, cancel)
 	}()
 
-	err := ans.Read(readCtx, req.EventsSeen, out.writeEvent)
+	err := ans.Read(readCtx, req.EventsSeen, func(seq uint64, data []byte) error {
+		if seq == req.EventsSeen {
+			if problem := s.checkVersion(req, ans); problem != nil {
+				return problem
+			}
+		}
+
+		return out.writeEvent(eventID(seq, ans.Meta().Version), data)
+	})
 
 	cancel()
 	<-pingDone
@@ -48,10 +56,29 @@
 		problem = verdict.New(verdict.Ran, verdict.CodeBadRequest, "%s is beyond the last event of this answer", HeaderResume)
 	}
 
+	if problem == nil && out.events == 0 {
+		problem = s.checkVersion(req, ans)
+	}
+
 	s.observe(req, problem, out.timeToFirst, out.events)
 	out.finish(problem)
 }
 
+// checkVersion returns a problem if the events that the caller of req has seen were generated at another software version
+// than ans.
+func (s *Server) checkVersion(req entity.Request, ans *answers.Answer) *verdict.Error {
+	version := ans.Meta().Version
+	if req.EventsSeen == 0 || version == req.SeenVersion {
+		return nil
+	}
+
+	s.opts.Log.Info().Str("request", string(req.ID)).Str("seen-version", string(req.SeenVersion)).Str("version", string(version)).
+		Msg("an answer cannot go on at another version")
+
+	return verdict.New(verdict.MayHaveRun, verdict.CodeOtherVersion,
+		"the answer that is held is of version %q and does not continue one of version %q; send the request without %s", version, req.SeenVersion, HeaderResume)
+}
+
 // limitWriteTime sets a deadline of WriteTimeout for the writes of an answer. It returns a function that clears the
 // deadline, so that the next call on the connection is not affected.
 func (s *Server) limitWriteTime(ctx iris.Context) func() {
@@ -82,7 +109,7 @@
 }
 
 // writeEvent writes one event of the answer; the first one also starts the response.
-func (e *eventWriter) writeEvent(seq uint64, data []byte) error {
+func (e *eventWriter) writeEvent(id string, data []byte) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 
@@ -93,7 +120,7 @@
 
 	e.events++
 
-	return e.write("id: %d\ndata: %s\n\n", seq, data)
+	return e.write("id: %s\ndata: %s\n\n", id, data)
 }
 
 // setWriteDeadline sets a deadline of WriteTimeout for the next write.
--- a/internal/wire/engine/client.go
+++ b/internal/wire/engine/client.go
@@ -82,10 +82,19 @@
 
 	defer func() { _ = resp.Body.Close() }()
 
+	stated, _ := entity.ParseSoftwareVersion(resp.Header.Get(HeaderVersion))
+	if req.Stated != nil {
+		req.Stated(stated)
+	}
+
 	if resp.StatusCode != http.StatusOK {
 		return refusal(t, resp)
 	}
 
+	if stated != req.Version && (req.Version != "" || req.ResumeFrom > 0) {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeOtherVersion, "%s runs version %q, the answer began at %q", t.ID, stated, req.Version)
+	}
+
 	body := &idleReader{r: resp.Body, idle: idle, limit: c.opts.IdleTimeout}
 
 	return readAnswer(t, req, body, emit)
@@ -114,6 +123,10 @@
 		r.Header.Set(HeaderKVSource, req.KVSource)
 	}
 
+	if req.Version != "" {
+		r.Header.Set(HeaderVersion, string(req.Version))
+	}
+
 	return r, nil
 }
 
@@ -211,6 +224,10 @@
 		code = verdict.CodeKVLost
 	}
 
+	if resp.StatusCode == http.StatusPreconditionFailed {
+		code = verdict.CodeOtherVersion
+	}
+
 	return verdict.New(v, code, "%s refused with status %d: %.200s", t.ID, resp.StatusCode, bytes.TrimSpace(text))
 }
 
@@ -265,6 +282,8 @@
 		return Report{}, Error.New("load report of %s has no time", t.ID)
 	}
 
+	report.Version, _ = entity.ParseSoftwareVersion(string(report.Version))
+
 	return report, nil
 }
 
--- a/internal/wire/engine/message.go
+++ b/internal/wire/engine/message.go
@@ -19,6 +19,10 @@
 	HeaderPhase      = "X-Phase"       // "prefill" or "decode"; absent for both phases
 	HeaderKVSource   = "X-Kv-Source"   // ip:port of the engine that holds the KV cache
 	HeaderVerdict    = "X-Verdict"     // verdict of an error response
+	// HeaderVersion names a software version: in a response that of the engine, in a request that of what the answer builds
+	// on, the KV cache or the events before. An engine of another version refuses such a request with status 412. A version
+	// that entity.ParseSoftwareVersion does not accept counts as none.
+	HeaderVersion = "X-Software-Version"
 	// HeaderPrefix carries the hash of the prompt prefix, by which an engine can name the prefix in the events that report
 	// what it caches. Client does not send it.
 	HeaderPrefix = "X-Prefix-Hash"
@@ -37,6 +41,11 @@
 	ResumeFrom uint64      // first sequence number to receive, counted from zero; used only with Resume
 	Phase      entity.Role // phase to run; entity.Mixed means both
 	KVSource   string      // ip:port of the engine to import the KV cache from; empty for none
+	// Version is the software version of the KV cache or of the events before ResumeFrom. An engine of another version must
+	// not go on. If Version is empty, any engine may use a KV cache, but only one that states no version may resume.
+	Version entity.SoftwareVersion
+	// Stated is called with the software version that the engine states, before the first event; nil means no call.
+	Stated func(entity.SoftwareVersion)
 }
 
 // Event is one event of an answer. Sequence numbers count from zero without gaps.
--- a/internal/wire/verdict/verdict.go
+++ b/internal/wire/verdict/verdict.go
@@ -74,6 +74,7 @@
 	CodeTargetLost          Code = "target-lost"
 	CodePeerLost            Code = "peer-lost"
 	CodeKVLost              Code = "kv-cache-lost"
+	CodeOtherVersion        Code = "other-version"
 	CodeTruncated           Code = "truncated"
 	CodeAnswerTooLarge      Code = "answer-too-large"
 	CodeStopping            Code = "stopping"
