--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -55,6 +55,7 @@
 
 	mu        sync.Mutex
 	faults    Faults
+	version   entity.SoftwareVersion
 	answers   map[entity.RequestID]*answer
 	runs      map[entity.RequestID]int // number of starts, without prefills
 	prefills  map[entity.RequestID]int // number of starts as a prefill without decode
@@ -99,6 +100,15 @@
 	s.faults = f
 }
 
+// SetVersion sets the software version. The load report states it, and the tokens of answers that start later show it, see
+// VersionedToken. An engine without one states none.
+func (s *Server) SetVersion(v entity.SoftwareVersion) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.version = v
+}
+
 // Runs returns how often each request ID was started, without the prefills that Prefills counts.
 func (s *Server) Runs() map[entity.RequestID]int {
 	s.mu.Lock()
@@ -165,7 +175,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	report := engine.Report{At: time.Now(), Boot: strconv.Itoa(s.crashes)}
+	report := engine.Report{At: time.Now(), Boot: strconv.Itoa(s.crashes), Version: s.version}
 
 	if state, err := s.orderEngine.State(); err == nil {
 		report.Role, report.Changing = state.Role, state.Changing
@@ -186,6 +196,12 @@
 func (s *Server) handleCompletion(w http.ResponseWriter, r *http.Request) {
 	id := entity.RequestID(r.Header.Get(engine.HeaderRequestID))
 
+	if version := s.stateVersion(w); r.Header.Get(engine.HeaderVersion) != "" && r.Header.Get(engine.HeaderVersion) != string(version) {
+		refuse(w, http.StatusPreconditionFailed, "this engine runs another version")
+
+		return
+	}
+
 	if from := r.Header.Get(engine.HeaderResumeFrom); from != "" {
 		s.resume(w, r, id, from)
 
@@ -207,7 +223,7 @@
 	}
 
 	s.mu.Lock()
-	f := s.faults
+	f, version := s.faults, s.version
 	s.mu.Unlock()
 
 	phase := phaseOf(r)
@@ -218,16 +234,23 @@
 		return
 	}
 
+	written := version
+
 	if source := r.Header.Get(engine.HeaderKVSource); source != "" {
-		if err := fetchKV(r.Context(), source, id, p); err != nil {
+		kvVersion, err := fetchKV(r.Context(), source, id, p)
+		if err != nil {
 			s.orderEngine.Finish()
 			refuse(w, http.StatusFailedDependency, err.Error())
 
 			return
 		}
+
+		if kvVersion != version {
+			written = kvVersion + "+" + version
+		}
 	}
 
-	a := s.startAnswer(id, r.URL.Path, p, phase)
+	a := s.startAnswer(id, &answer{path: r.URL.Path, prompt: p, phase: phase, version: written})
 
 	if strings.Contains(p.text(), CrashMark) {
 		s.crash()
@@ -237,6 +260,18 @@
 	s.writeEvents(w, r, id, a, 0)
 }
 
+// stateVersion adds the software version, if there is one, to the header of a response, and returns it.
+func (s *Server) stateVersion(w http.ResponseWriter) entity.SoftwareVersion {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.version != "" {
+		w.Header().Set(engine.HeaderVersion, string(s.version))
+	}
+
+	return s.version
+}
+
 // cancel stops the request id and drops its answer and KV cache.
 func (s *Server) cancel(id entity.RequestID) {
 	s.mu.Lock()
