Bound a call of a service by its request's deadline alone

Callers of kinds with a deadline of more than 10 s got target-lost (502, may-have-run) after 10 s from a service that was still at work; a kind that runs at most once can't be sent again then.

Its only caller is dispatch.Runner, whose context always has the request's deadline (caller.baseRequest gives 2 min where the kind has none, a forwarded request carries its own), so no bound is kept for a context without one. The constant also limited what silent connections cost: it closed the idle ones of the client when it passed. That is kept, without ending the call: after Options.SilenceTimeout, 10 s as before, later calls use new connections. Ruled out: probing connections as to replicas of the platform, which would end calls in a partition of 3 s that heals.

Failing before, with a limit of 100 ms (200 ms) in the field Timeout that the new one replaces: TestSlowServiceIsGivenUpBeforeTheDeadline/head and /body ("target-lost (may-have-run) ... context deadline exceeded") and TestSilentCallWithALateDeadlineCostsNoOther (the call had ended). Tests that ended a call by Options.Timeout now do so by the deadline of their context, with the same times and assertions: TestHostileAnswers, TestEndlessAnswers, TestEndlessAnswersInBoundedMemory, TestSilentConnectionsCostOneCall, FuzzServiceAnswer. Run: go test -race -count=3 ./internal/wire/service passes.

--- a/internal/wire/service/client.go
+++ b/internal/wire/service/client.go
@@ -20,10 +20,10 @@
 var Error = errs.Class("service")
 
 const (
-	defaultDialTimeout = time.Second
-	defaultTimeout     = 10 * time.Second
-	maxAnswerBytes     = 4 << 20
-	maxRefusalBytes    = 4 << 10 // limit on what is read of the body of a refusal
+	defaultDialTimeout    = time.Second
+	defaultSilenceTimeout = 10 * time.Second
+	maxAnswerBytes        = 4 << 20
+	maxRefusalBytes       = 4 << 10 // limit on what is read of the body of a refusal
 	// bufferBytes bounds the memory of all answers that are being read, beyond buffers.FreeBytes each.
 	bufferBytes = 32 << 20
 
@@ -35,14 +35,15 @@
 // Options configures a Client. The zero value selects the defaults.
 type Options struct {
 	DialTimeout time.Duration // limit on establishing a connection; zero means 1 s
-	Timeout     time.Duration // limit on a whole call; zero means 10 s
+	// SilenceTimeout is the time after which a call that goes on makes later calls use new connections; zero means 10 s.
+	SilenceTimeout time.Duration
 }
 
 // Client calls services. It is safe for concurrent use and sends each request at most once.
 type Client struct {
-	timeout time.Duration
-	budget  *buffers.Budget
-	http    *http.Client
+	silenceTimeout time.Duration
+	budget         *buffers.Budget
+	http           *http.Client
 }
 
 // Request is one call to a service.
@@ -67,31 +68,31 @@
 		opts.DialTimeout = defaultDialTimeout
 	}
 
-	if opts.Timeout == 0 {
-		opts.Timeout = defaultTimeout
+	if opts.SilenceTimeout == 0 {
+		opts.SilenceTimeout = defaultSilenceTimeout
 	}
 
 	return &Client{
-		timeout: opts.Timeout, budget: buffers.NewBudget(bufferBytes),
+		silenceTimeout: opts.SilenceTimeout, budget: buffers.NewBudget(bufferBytes),
 		http: once.NewClient(once.Options{DialTimeout: opts.DialTimeout}),
 	}
 }
 
-// Call runs req on the service at t.
+// Call runs req on the service at t. It lasts until ctx ends at most, so ctx needs a deadline.
 //
 // An error status of the service is an Answer, not an error, unless it is a 5xx status with the verdict not-run.
 // The error is a *verdict.Error. Its verdict is NotRun if the request was not sent or the service answered with that
 // verdict, Ran if the answer is larger than 4 MiB, else MayHaveRun.
 func (c *Client) Call(ctx context.Context, t entity.Target, req Request) (Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.Address+req.Path, bytes.NewReader(req.Body))
 	if err != nil {
 		return Answer{}, verdict.New(verdict.NotRun, verdict.CodeInternal, "cannot build the service request").WithCause(err)
 	}
 
 	// When one connection stops delivering data, others to the same target usually have too.
+	silent := time.AfterFunc(c.silenceTimeout, c.http.CloseIdleConnections)
+	defer silent.Stop()
+
 	defer func() {
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			c.http.CloseIdleConnections()
--- a/internal/wire/service/endless_test.go
+++ b/internal/wire/service/endless_test.go
@@ -1,6 +1,7 @@
 package service_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"runtime"
@@ -115,7 +116,10 @@
 					answer(w)
 				})
 
-				c := service.NewClient(service.Options{Timeout: longTimeout})
+				c := service.NewClient(service.Options{})
+
+				ctx, cancel := context.WithTimeout(t.Context(), longTimeout)
+				defer cancel()
 
 				runtime.GC()
 				debug.FreeOSMemory()
@@ -126,7 +130,7 @@
 
 				for range n {
 					sends.Go(func() {
-						_, err := c.Call(t.Context(), entity.Target{ID: "service-1", Address: s.Address()}, service.Request{ID: "r-1", Path: "/"})
+						_, err := c.Call(ctx, entity.Target{ID: "service-1", Address: s.Address()}, service.Request{ID: "r-1", Path: "/"})
 						if err == nil {
 							t.Error("an answer without end is complete")
 						}
--- a/internal/wire/service/hostile_test.go
+++ b/internal/wire/service/hostile_test.go
@@ -37,9 +37,10 @@
 func call(t testing.TB, s *rawserver.Server, timeout time.Duration) (service.Answer, error) {
 	t.Helper()
 
-	c := service.NewClient(service.Options{Timeout: timeout})
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
 
-	return c.Call(t.Context(), entity.Target{ID: "service-1", Address: s.Address()},
+	return service.NewClient(service.Options{}).Call(ctx, entity.Target{ID: "service-1", Address: s.Address()},
 		service.Request{ID: "r-1", Path: "/hold", ContentType: "text/plain", Body: []byte("x")})
 }
 
@@ -60,7 +61,7 @@
 		status  int          // status of the returned Answer; zero if there is none
 		code    verdict.Code // empty if there is an Answer
 		verdict verdict.Verdict
-		silent  bool // the call ends by its timeout
+		silent  bool // the call ends by its deadline
 	}{
 		{name: "whole", answer: func(w io.Writer) { repeat(w, "HTTP/1.1 200 OK\r\n\r\nheld", 1) }, status: 200},
 		{name: "own error", answer: func(w io.Writer) { repeat(w, "HTTP/1.1 500 Broken\r\n\r\nbroken", 1) }, status: 500},
--- a/internal/wire/service/silent_test.go
+++ b/internal/wire/service/silent_test.go
@@ -1,6 +1,8 @@
 package service_test
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -15,40 +17,41 @@
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
-// TestSilentConnectionsCostOneCall checks that only the first call on silent connections, which are open but deliver
-// nothing any more, fails after its timeout, and that later calls use new connections.
-func TestSilentConnectionsCostOneCall(t *testing.T) {
-	const idleConns = 8
+const idleConns = 8
+
+// silentService is a service behind a forwarder. Its client has idle connections that the forwarder has silenced: they
+// are open but deliver nothing any more.
+type silentService struct {
+	client *service.Client
+	target entity.Target
+}
+
+func newSilentService(t *testing.T, opts service.Options) silentService {
+	t.Helper()
 
 	var barrier sync.WaitGroup
 
 	barrier.Add(idleConns)
 
-	target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/together" {
 			barrier.Done()
 			barrier.Wait()
 		}
 	}))
-	defer target.Close()
+	t.Cleanup(server.Close)
 
-	proxy, err := forwarder.Listen(target.Listener.Addr().String())
+	proxy, err := forwarder.Listen(server.Listener.Addr().String())
 	require.NoError(t, err)
+	t.Cleanup(func() { _ = proxy.Close() })
 
-	defer proxy.Close()
-
-	c := service.NewClient(service.Options{Timeout: timeout})
-	send := func(path string) error {
-		_, err := c.Call(t.Context(), entity.Target{ID: "service-1", Address: proxy.Address()}, service.Request{ID: "r-1", Path: path})
-
-		return err
-	}
+	s := silentService{client: service.NewClient(opts), target: entity.Target{ID: "service-1", Address: proxy.Address()}}
 
 	var calls sync.WaitGroup
 
 	for range idleConns {
 		calls.Go(func() {
-			if err := send("/together"); err != nil {
+			if err := s.send(t.Context(), "/together"); err != nil {
 				t.Error(err)
 			}
 		})
@@ -57,12 +60,84 @@
 	calls.Wait()
 	require.Equal(t, idleConns, proxy.Silence())
 
+	return s
+}
+
+func (s silentService) send(ctx context.Context, path string) error {
+	_, err := s.client.Call(ctx, s.target, service.Request{ID: "r-1", Path: path})
+
+	return err
+}
+
+// TestSilentConnectionsCostOneCall checks that only the first call on silent connections, which are open but deliver
+// nothing any more, fails at its deadline, and that later calls use new connections.
+func TestSilentConnectionsCostOneCall(t *testing.T) {
+	s := newSilentService(t, service.Options{})
+
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+
 	start := time.Now()
 
-	require.Equal(t, verdict.MayHaveRun, verdict.Of(send("/")))
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(s.send(ctx, "/")))
 	require.Less(t, time.Since(start), 2*timeout)
 
 	for range idleConns {
-		require.NoError(t, send("/"))
+		require.NoError(t, s.send(t.Context(), "/"))
+	}
+}
+
+func TestSilentCallWithALateDeadlineCostsNoOther(t *testing.T) {
+	const silenceTimeout = 200 * time.Millisecond
+
+	s := newSilentService(t, service.Options{SilenceTimeout: silenceTimeout})
+
+	ctx, cancel := context.WithCancel(t.Context())
+	silent := make(chan error, 1)
+
+	go func() { silent <- s.send(ctx, "/") }()
+
+	time.Sleep(5 * silenceTimeout)
+
+	for range idleConns {
+		require.NoError(t, s.send(t.Context(), "/"))
+	}
+
+	require.Empty(t, silent)
+	cancel()
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(<-silent))
+}
+
+func TestSlowServiceIsGivenUpBeforeTheDeadline(t *testing.T) {
+	const (
+		silenceTimeout = 100 * time.Millisecond
+		answerTime     = 3 * silenceTimeout
+	)
+
+	slow := func(w io.Writer, texts ...string) {
+		for _, text := range texts {
+			time.Sleep(answerTime)
+
+			_, _ = io.WriteString(w, text)
+		}
+	}
+
+	for name, answer := range map[string]func(io.Writer){
+		"head": func(w io.Writer) { slow(w, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nheld") },
+		"body": func(w io.Writer) { slow(w, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", "he", "ld") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t)
+			s.SetAnswer(answer)
+
+			ctx, cancel := context.WithTimeout(t.Context(), longTimeout)
+			defer cancel()
+
+			c := service.NewClient(service.Options{SilenceTimeout: silenceTimeout})
+
+			got, err := c.Call(ctx, entity.Target{ID: "service-1", Address: s.Address()}, service.Request{ID: "r-1", Path: "/"})
+			require.NoError(t, err)
+			require.Equal(t, "held", string(got.Body))
+		})
 	}
 }
