Keep a silent engine until another target is at hand

Cause: streamWithResume counted streams, and what could follow was looked for afterwards.

Now a handover secures the next target first: another one is picked, a try is left, the retry is charged, and no reader has an event. Only then the engine is left, and the secured target is the one that runs the request. Otherwise the call is resumed until its deadline, with delays of 100 ms doubled up to 2 s, which bound the rate in place of the number. Definite losses end it earlier: the engine does not know the request, refuses to resume it as malformed, or nothing has listened at its address for 5 s, so that its process and the answers in its memory are gone (an engine that starts again says not-found). A host that runs a request for one of another data centre can't see what is at hand there: it answers target-silent while it has passed on nothing, and the other host moves the request or forwards it again as a resume.

Verdicts: each of these ends stays may-have-run; a kind that runs at most once is never moved; nothing is moved of which a caller has a part. Ruled out: the idle limit of the client, which ends a connection and not the call; a removed target as a loss, since an edit may remove one whose streams go on. Found on the way: a deadline that passed between two streams did not cancel the work on the engine; it does now. The hot path of events is unchanged.

The router of the tests keeps to pinned targets now.

--- a/internal/entry/answers/answer.go
+++ b/internal/entry/answers/answer.go
@@ -113,12 +113,25 @@
 	return a.bytes
 }
 
+// CanRestart reports whether Restart is possible at present.
+func (a *Answer) CanRestart() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.canRestart()
+}
+
+// canRestart is CanRestart for a caller that holds mu.
+func (a *Answer) canRestart() bool {
+	return !a.delivered && !a.ended
+}
+
 // Restart drops the events so far and reports true, unless the answer has ended or a reader has received an event.
 func (a *Answer) Restart() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	if a.delivered || a.ended {
+	if !a.canRestart() {
 		return false
 	}
 
--- a/internal/entry/dispatch/direct.go
+++ b/internal/entry/dispatch/direct.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/dotterelflow/dotterelflow/internal/control/backoff"
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
 	"github.com/dotterelflow/dotterelflow/internal/wire/engine"
@@ -13,19 +14,23 @@
 )
 
 const (
-	resumeDelay   = 100 * time.Millisecond
+	// resumeDelay and maxResumeDelay are the first and the longest delay before a stream without a new event is resumed.
+	resumeDelay    = 100 * time.Millisecond
+	maxResumeDelay = 2 * time.Second
+	// refusedTime is how long an engine must refuse connections before it counts as ended, and its answers as lost.
+	refusedTime   = 5 * time.Second
 	cancelTimeout = time.Second
 )
 
 // runOnTarget sends req from this host to t, without another entry host in between.
-func (r *Runner) runOnTarget(ctx context.Context, req entity.Request, t entity.Target, ans *answers.Answer) error {
+func (r *Runner) runOnTarget(ctx context.Context, req entity.Request, t entity.Target, ans *answers.Answer, next *handover) error {
 	ans.SetMeta(answers.Meta{Target: t.ID})
 
 	if t.Type == entity.Service {
 		return r.callService(ctx, req, t, ans)
 	}
 
-	return r.streamWithResume(ctx, engineRequest(req), t, ans)
+	return r.streamWithResume(ctx, engineRequest(req), t, ans, next)
 }
 
 // callService calls the service t and appends its response body to ans as one event.
@@ -54,16 +59,19 @@
 	return engine.Request{ID: req.ID, Path: req.Path, Body: req.Body, Urgency: req.Kind.Urgency, Resume: req.Resume}
 }
 
-// streamWithResume runs call on the engine t and appends the events to ans. When the stream breaks, it resumes the
-// call on t, up to Options.MaxStreams streams in all. It resumes neither a new call that fails with NotRun nor a call
-// that t no longer holds. If ans or ctx ends while a stream is open, it cancels the call on t.
-func (r *Runner) streamWithResume(ctx context.Context, call engine.Request, t entity.Target, ans *answers.Answer) error {
+// streamWithResume runs call on the engine t and appends the events to ans. When the stream breaks, it resumes the call on
+// t until ctx ends, since an engine that has fallen silent may go on. It gives t up earlier only if next has secured
+// another target, or if t has ended or no longer holds the call. It does not resume a new call that fails with NotRun. If
+// ans or ctx ends, it cancels the call on t.
+func (r *Runner) streamWithResume(ctx context.Context, call engine.Request, t entity.Target, ans *answers.Answer, next *handover) error {
 	var (
 		firstErr          error
 		resumesEarlierRun = call.Resume
+		gap               silence
 	)
 
-	for range r.opts.MaxStreams {
+	for {
+		began := r.opts.Clock.Now()
 		call.ResumeFrom = ans.NextSeq()
 
 		err := r.opts.Engines.Stream(ctx, t, call, func(ev engine.Event) error {
@@ -101,18 +109,70 @@
 			return verdict.New(verdict.MayHaveRun, verdict.CodeNotFound, "%s has no such request", t.ID).WithCause(err)
 		}
 
-		if isNotFound(err) {
+		if isNotFound(err) || call.Resume && hasCode(err, verdict.CodeBadRequest) {
 			break
 		}
 
+		if ans.NextSeq() > call.ResumeFrom {
+			gap = silence{}
+		}
+
+		now := r.opts.Clock.Now()
+		gap.add(began, now, err)
 		call.Resume = true
 
-		if !r.waitToResume(ctx) {
+		if gap.refused(now) || gap.streams >= r.opts.MaxStreams && next.secure(t.ID, err) {
 			break
 		}
+
+		if gap.streams == r.opts.MaxStreams {
+			r.opts.Log.Warn().Str("request", string(call.ID)).Str("target", string(t.ID)).Uint64("next-event", ans.NextSeq()).
+				Err(err).Msg("silent engine kept")
+		}
+
+		if !r.waitToResume(ctx, gap.pause.End().Sub(now)) {
+			r.cancel(t, call.ID)
+
+			return withResumeVerdict(call, firstErr)
+		}
 	}
 
-	return verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "%s lost the request", t.ID).WithCause(firstErr)
+	return lostError(t, firstErr)
+}
+
+// silence is a series of streams of one call without a new event.
+type silence struct {
+	streams      int
+	refusedSince time.Time // start of the first of the latest streams that were all refused; zero if the last was not
+	pause        backoff.Backoff
+}
+
+// add records that a stream from began until now failed with err.
+func (s *silence) add(began, now time.Time, err error) {
+	s.streams++
+
+	if !engine.IsRefused(err) {
+		s.refusedSince = time.Time{}
+	} else if s.refusedSince.IsZero() {
+		s.refusedSince = began
+	}
+
+	// A stream that was open for long needs no further delay to bound the rate.
+	if now.Sub(began) >= maxResumeDelay {
+		s.pause = backoff.Backoff{}
+	}
+
+	s.pause.Fail(now, resumeDelay, maxResumeDelay)
+}
+
+// refused reports whether the engine has refused connections for refusedTime.
+func (s *silence) refused(now time.Time) bool {
+	return !s.refusedSince.IsZero() && now.Sub(s.refusedSince) >= refusedTime
+}
+
+// lostError returns the error for a call that the engine t no longer runs or that has left t.
+func lostError(t entity.Target, cause error) *verdict.Error {
+	return verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "%s lost the request", t.ID).WithCause(cause)
 }
 
 // withResumeVerdict returns err, with NotRun raised to MayHaveRun if call resumes an earlier run: the
@@ -131,17 +191,15 @@
 
 // isNotFound reports whether err means that the engine has no such request.
 func isNotFound(err error) bool {
-	var e *verdict.Error
-
-	return errors.As(err, &e) && e.Code == verdict.CodeNotFound
+	return hasCode(err, verdict.CodeNotFound)
 }
 
-// waitToResume waits for resumeDelay, and reports false if ctx ends first.
-func (r *Runner) waitToResume(ctx context.Context) bool {
+// waitToResume waits for delay, and reports false if ctx ends first.
+func (r *Runner) waitToResume(ctx context.Context, delay time.Duration) bool {
 	select {
 	case <-ctx.Done():
 		return false
-	case <-r.opts.Clock.After(resumeDelay):
+	case <-r.opts.Clock.After(delay):
 		return true
 	}
 }
--- /dev/null
+++ b/internal/entry/dispatch/handover.go
@@ -0,0 +1,71 @@
+package dispatch
+
+import (
+	"slices"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+// handover secures who goes on with a request before an engine that has fallen silent is given up, since the engine may
+// be sound. It belongs to one attempt.
+type handover struct {
+	runner    *Runner
+	req       entity.Request
+	ans       *answers.Answer
+	tried     []entity.TargetID // the target of the attempt included
+	triesLeft bool
+	split     bool // the attempt runs in two phases
+
+	target   entity.Target // target of the next attempt, if secured
+	secured  bool          // target was picked, the retry is charged, and ans has no events
+	deferred bool          // the entry host that forwarded the request decides
+}
+
+// secure reports whether the engine from, which failed with err, may be given up.
+func (h *handover) secure(from entity.TargetID, err error) bool {
+	if h.req.Kind.AtMostOnce || !h.ans.CanRestart() {
+		return false
+	}
+
+	if h.req.Forwarded {
+		// In two phases, the forwarding host does not know which engine holds the answer.
+		h.deferred = !h.split && h.ans.Restart()
+
+		return h.deferred
+	}
+
+	fresh := h.req
+	fresh.Resume, fresh.Pinned = false, ""
+
+	t, ok := h.runner.opts.Router.Pick(fresh, append(slices.Clip(h.tried), from))
+	if !ok {
+		return false
+	}
+
+	// Package requests runs a resumed request again, unless its caller has a part of the answer.
+	if h.req.Resume {
+		return h.req.EventsSeen == 0
+	}
+
+	if !h.triesLeft || h.runner.opts.Retries != nil && !h.runner.opts.Retries.Allow(h.req, err) {
+		return false
+	}
+
+	h.target, h.secured = t, h.ans.Restart()
+
+	return h.secured
+}
+
+// silentError returns the error of a request that the forwarding host may move away from t, or forward again.
+func silentError(t entity.Target, cause error) *verdict.Error {
+	return verdict.New(verdict.MayHaveRun, verdict.CodeTargetSilent, "%s sends no events", t.ID).WithCause(cause)
+}
+
+// hasCode reports whether err has the code.
+func hasCode(err error, code verdict.Code) bool {
+	e := verdict.From(err)
+
+	return e != nil && e.Code == code
+}
--- a/internal/entry/dispatch/phases.go
+++ b/internal/entry/dispatch/phases.go
@@ -44,7 +44,7 @@
 // A failed prefill keeps its verdict, even MayHaveRun, since an engine that ignores the phase could have
 // generated tokens. Once t has confirmed the prefill, nothing is generated until a decode engine accepts
 // the request. A decode that fails with NotRun therefore leaves the whole request NotRun.
-func (r *Runner) runSplit(ctx context.Context, req entity.Request, t entity.Target, ans *answers.Answer) error {
+func (r *Runner) runSplit(ctx context.Context, req entity.Request, t entity.Target, ans *answers.Answer, next *handover) error {
 	var (
 		tried  []entity.TargetID
 		worst  = verdict.NotRun
@@ -54,7 +54,7 @@
 
 	for try := range maxDecodeTries {
 		if source == "" {
-			holder, err := r.prefill(ctx, req, t)
+			holder, err := r.prefill(ctx, req, t, next)
 			if err != nil {
 				return finalError(worst, verdict.From(err), nil)
 			}
@@ -67,7 +67,7 @@
 			break
 		}
 
-		err := r.decode(ctx, req, d, source, ans)
+		err := r.decode(ctx, req, d, source, ans, next)
 		if err == nil {
 			return nil
 		}
@@ -80,7 +80,7 @@
 			worst = verdict.MayHaveRun
 		}
 
-		if ctx.Err() != nil || !r.mayRetry(req, latest, ans, try+1 < maxDecodeTries) {
+		if ctx.Err() != nil || next.secured || !r.mayRetry(req, latest, ans, try+1 < maxDecodeTries) {
 			break
 		}
 
@@ -102,13 +102,13 @@
 
 // prefill runs the prefill of req on t, or on the engine that the guard chooses instead, and returns the
 // engine that then holds the KV cache.
-func (r *Runner) prefill(ctx context.Context, req entity.Request, t entity.Target) (entity.Target, error) {
+func (r *Runner) prefill(ctx context.Context, req entity.Request, t entity.Target, next *handover) (entity.Target, error) {
 	req.Decode, req.Phase = 0, entity.Prefill
 
 	err := r.withGuard(ctx, req, t, func(chosen entity.Target) error {
 		t = chosen
 
-		if err := r.prefillOn(ctx, req, t); err != nil {
+		if err := r.prefillOn(ctx, req, t, next); err != nil {
 			return err
 		}
 
@@ -122,7 +122,7 @@
 }
 
 // prefillOn runs the prefill of req on t. It fails if t generates anything.
-func (r *Runner) prefillOn(ctx context.Context, req entity.Request, t entity.Target) error {
+func (r *Runner) prefillOn(ctx context.Context, req entity.Request, t entity.Target, next *handover) error {
 	if !r.opts.Router.Begin(t.ID, req) {
 		return leavingError(t)
 	}
@@ -131,7 +131,7 @@
 	call.Phase = entity.Prefill
 	output := answers.New() // stays empty, as a prefill generates nothing
 
-	err := r.streamWithResume(ctx, call, t, output)
+	err := r.streamWithResume(ctx, call, t, output, next)
 	if err == nil && output.NextSeq() > 0 {
 		err = verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "%s generated tokens although only the prompt was to run", t.ID)
 	}
@@ -143,7 +143,7 @@
 
 // decode runs the decode phase of req on d, or on the engine that the guard chooses instead. That engine
 // fetches the KV cache from the address source.
-func (r *Runner) decode(ctx context.Context, req entity.Request, d entity.Target, source string, ans *answers.Answer) error {
+func (r *Runner) decode(ctx context.Context, req entity.Request, d entity.Target, source string, ans *answers.Answer, next *handover) error {
 	req.Prefill, req.Prefix, req.Phase = 0, 0, entity.Decode
 
 	return r.withGuard(ctx, req, d, func(d entity.Target) error {
@@ -155,7 +155,7 @@
 
 		call := engineRequest(req)
 		call.Phase, call.KVSource = entity.Decode, source
-		err := r.streamWithResume(ctx, call, d, ans)
+		err := r.streamWithResume(ctx, call, d, ans, next)
 
 		r.opts.Router.End(d.ID, req, err)
 
--- a/internal/entry/dispatch/runner.go
+++ b/internal/entry/dispatch/runner.go
@@ -67,17 +67,19 @@
 
 // Options configure a Runner. Engines, Services and Router are required.
 type Options struct {
-	Clock      clockwork.Clock   // nil means the real clock
-	Home       entity.DataCentre // data centre of this host
-	Engines    Engines
-	Services   Services
-	Peers      Peers       // nil forwards no request
-	Retries    Retries     // nil allows each retry that the verdict allows
-	Guard      Guard       // nil lets each request run on any engine
-	Phases     PhaseRouter // nil runs each request on one engine
-	Router     Router
-	Log        *log.Logger // nil means the default logger
-	MaxStreams int         // limit on the streams of one call, the first included; zero means 4
+	Clock    clockwork.Clock   // nil means the real clock
+	Home     entity.DataCentre // data centre of this host
+	Engines  Engines
+	Services Services
+	Peers    Peers       // nil forwards no request
+	Retries  Retries     // nil allows each retry that the verdict allows
+	Guard    Guard       // nil lets each request run on any engine
+	Phases   PhaseRouter // nil runs each request on one engine
+	Router   Router
+	Log      *log.Logger // nil means the default logger
+	// MaxStreams is the number of successive streams without a new event after which a call may move to another target;
+	// zero means 4.
+	MaxStreams int
 }
 
 // Runner runs requests. It is safe for concurrent use.
@@ -134,14 +136,21 @@
 		worst = verdict.MayHaveRun
 	}
 
+	next := &handover{}
+
 	for try := range maxTries {
-		t, ok := r.opts.Router.Pick(req, tried)
+		t, ok := next.target, next.secured
+		if !ok {
+			t, ok = r.opts.Router.Pick(req, tried)
+		}
+
 		if !ok {
 			return finalError(worst, latest, noTargetError(req))
 		}
 
 		tried = append(tried, t.ID)
-		err := r.attempt(ctx, req, t, ans)
+		next = &handover{runner: r, req: req, ans: ans, tried: tried, triesLeft: try+1 < maxTries}
+		err := r.attempt(ctx, req, t, ans, next)
 
 		if err == nil {
 			return nil
@@ -164,11 +173,15 @@
 			return finalError(worst, nil, contextError(ctx))
 		}
 
+		if next.deferred {
+			return silentError(t, err)
+		}
+
 		if latest.Code == verdict.CodeBadRequest || latest.Verdict == verdict.Ran {
 			return latest
 		}
 
-		if !r.mayRetry(req, latest, ans, try+1 < maxTries) {
+		if !next.secured && !r.mayRetry(req, latest, ans, try+1 < maxTries) {
 			break
 		}
 	}
@@ -194,12 +207,14 @@
 
 // attempt makes one attempt at req, on t or on another engine that the guard chooses, in two phases if shouldSplit
 // reports true.
-func (r *Runner) attempt(ctx context.Context, req entity.Request, t entity.Target, ans *answers.Answer) error {
+func (r *Runner) attempt(ctx context.Context, req entity.Request, t entity.Target, ans *answers.Answer, next *handover) error {
 	if r.shouldSplit(req, t) {
-		return r.runSplit(ctx, req, t, ans)
+		next.split = true
+
+		return r.runSplit(ctx, req, t, ans, next)
 	}
 
-	return r.withGuard(ctx, req, t, func(t entity.Target) error { return r.runCounted(ctx, req, t, ans) })
+	return r.withGuard(ctx, req, t, func(t entity.Target) error { return r.runCounted(ctx, req, t, ans, next) })
 }
 
 // withGuard calls run with t, or with the engine that the guard chooses instead. It bypasses the guard for
@@ -231,12 +246,12 @@
 }
 
 // runCounted runs req on t and counts it at the router while it runs.
-func (r *Runner) runCounted(ctx context.Context, req entity.Request, t entity.Target, ans *answers.Answer) error {
+func (r *Runner) runCounted(ctx context.Context, req entity.Request, t entity.Target, ans *answers.Answer, next *handover) error {
 	if !r.opts.Router.Begin(t.ID, req) {
 		return leavingError(t)
 	}
 
-	err := r.runOrForward(ctx, req, t, ans)
+	err := r.runOrForward(ctx, req, t, ans, next)
 
 	r.opts.Router.End(t.ID, req, err)
 
@@ -246,14 +261,14 @@
 // runOrForward forwards req to an entry host of t's data centre if that is another one and req has not been
 // forwarded yet, and otherwise runs req on t from here. If the entry hosts there are lost while an engine may
 // be producing the answer, it resumes the answer on that engine directly.
-func (r *Runner) runOrForward(ctx context.Context, req entity.Request, t entity.Target, ans *answers.Answer) error {
+func (r *Runner) runOrForward(ctx context.Context, req entity.Request, t entity.Target, ans *answers.Answer, next *handover) error {
 	if t.DataCentre == r.opts.Home || r.opts.Peers == nil || req.Forwarded {
-		return r.runOnTarget(ctx, req, t, ans)
+		return r.runOnTarget(ctx, req, t, ans, next)
 	}
 
 	ans.SetMeta(answers.Meta{Target: t.ID})
 
-	err := r.opts.Peers.Forward(ctx, t.DataCentre, t.ID, req, ans)
+	err := r.forward(ctx, &req, t, ans, next)
 
 	if !mayBeRunning(req, t, err) || ctx.Err() != nil {
 		return err
@@ -261,7 +276,31 @@
 
 	req.Resume = true
 
-	return r.runOnTarget(ctx, req, r.producingTarget(t, ans), ans)
+	return r.runOnTarget(ctx, req, r.producingTarget(t, ans), ans, next)
+}
+
+// forward forwards req to t, again while t is silent and no other target is at hand. It then sets req.Resume.
+func (r *Runner) forward(ctx context.Context, req *entity.Request, t entity.Target, ans *answers.Answer, next *handover) error {
+	err := r.opts.Peers.Forward(ctx, t.DataCentre, t.ID, *req, ans)
+
+	for hasCode(err, verdict.CodeTargetSilent) {
+		if next.secure(t.ID, err) {
+			return lostError(t, err)
+		}
+
+		if !r.waitToResume(ctx, resumeDelay) {
+			return err
+		}
+
+		req.Resume = true
+		err = r.opts.Peers.Forward(ctx, t.DataCentre, t.ID, *req, ans)
+	}
+
+	if hasCode(err, verdict.CodeNotFound) && req.Resume && !next.req.Resume {
+		return lostError(t, err)
+	}
+
+	return err
 }
 
 // mayBeRunning reports whether err means that the entry hosts of t's data centre are lost while t, an
--- a/internal/entry/dispatch/runner_test.go
+++ b/internal/entry/dispatch/runner_test.go
@@ -4,7 +4,9 @@
 	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -29,13 +31,16 @@
 	errUnknown   = verdict.New(verdict.NotRun, verdict.CodeNotFound, "unknown request")
 	errMalformed = verdict.New(verdict.NotRun, verdict.CodeBadRequest, "malformed")
 	errPeerLost  = verdict.New(verdict.MayHaveRun, verdict.CodePeerLost, "peer lost")
+	errSilent    = verdict.New(verdict.MayHaveRun, verdict.CodeTargetSilent, "silent")
+	errRefused   = verdict.New(verdict.NotRun, verdict.CodeTargetLost, "not sent").WithCause(syscall.ECONNREFUSED)
 )
 
 // reply scripts one call to a target: it sends the events before sequence number to, then returns err.
 type reply struct {
 	to    uint64
-	bytes int  // size of each event; zero sends the sequence number as text
-	hang  bool // waits for the end of the context before it returns
+	bytes int           // size of each event; zero sends the sequence number as text
+	quiet time.Duration // time before it returns, unless the context ends
+	hang  bool          // waits for the end of the context before it returns
 	err   error
 }
 
@@ -88,6 +93,13 @@
 		}
 	}
 
+	if r.quiet > 0 {
+		select {
+		case <-time.After(r.quiet):
+		case <-ctx.Done():
+		}
+	}
+
 	if r.hang {
 		<-ctx.Done()
 	}
@@ -131,14 +143,18 @@
 	return entity.Target{ID: id, Type: typ, DataCentre: dc}
 }
 
-// Pick returns the preferred target on the first try, and otherwise the first of e1, e2 and e3 that has replies
-// and is not among tried.
+// Pick returns the pinned target of a pinned request, the preferred target on the first try, and otherwise the first of
+// e1, e2 and e3 that has replies and is not among tried.
 func (f *fakeTargets) Pick(req entity.Request, tried []entity.TargetID) (entity.Target, bool) {
 	typ := entity.Engine
 	if req.Kind.Service != "" {
 		typ = entity.Service
 	}
 
+	if req.Pinned != "" {
+		return target(req.Pinned, typ), !slices.Contains(tried, req.Pinned)
+	}
+
 	if req.Preferred != "" && len(tried) == 0 {
 		return target(req.Preferred, typ), true
 	}
@@ -239,9 +255,9 @@
 			verdict: verdict.MayHaveRun, code: verdict.CodeNoTarget,
 		},
 		{
-			name: "a resumed run that cannot be reached may have run", kind: once, req: entity.Request{Resume: true},
-			replies: replies{"e1": {{err: errUnsent}, {err: errUnsent}}, "e2": {whole}},
-			calls:   []call{{target: "e1", resume: true}, {target: "e1", resume: true}}, verdict: verdict.MayHaveRun, code: verdict.CodeTargetLost,
+			name: "a resumed run that its engine does not know may have run", kind: once, req: entity.Request{Resume: true},
+			replies: replies{"e1": {{err: errUnsent}, {err: errUnknown}}, "e2": {whole}},
+			calls:   []call{{target: "e1", resume: true}, {target: "e1", resume: true}}, verdict: verdict.MayHaveRun, code: verdict.CodeNotFound,
 		},
 		{
 			name: "a lost peer's run is resumed on its engine", kind: once, req: entity.Request{Preferred: "far"},
@@ -291,20 +307,26 @@
 func TestRunEndsAtItsDeadline(t *testing.T) {
 	for name, tt := range map[string]struct {
 		target  entity.TargetID // e1 if empty
+		once    bool
+		resume  bool
 		replies []reply
 		verdict verdict.Verdict
 	}{
-		"while the engine works":     {replies: []reply{{to: 1, hang: true, err: errBroken}}, verdict: verdict.MayHaveRun},
-		"before the request is sent": {replies: []reply{{hang: true, err: errUnsent}}, verdict: verdict.NotRun},
-		"while it cannot be resumed": {replies: []reply{{err: errBroken}, {hang: true, err: errUnsent}}, verdict: verdict.MayHaveRun},
-		"after its peer was lost":    {target: "far", replies: []reply{{err: errPeerLost}, {hang: true, err: errUnsent}}, verdict: verdict.MayHaveRun},
+		"while the engine works":               {replies: []reply{{to: 1, hang: true, err: errBroken}}, verdict: verdict.MayHaveRun},
+		"before the request is sent":           {replies: []reply{{hang: true, err: errUnsent}}, verdict: verdict.NotRun},
+		"while it cannot be resumed":           {replies: []reply{{err: errBroken}, {hang: true, err: errUnsent}}, verdict: verdict.MayHaveRun},
+		"a resumed run that cannot be reached": {once: true, resume: true, replies: slices.Repeat([]reply{{err: errUnsent}}, 9), verdict: verdict.MayHaveRun},
+		"after its peer was lost":              {target: "far", replies: []reply{{err: errPeerLost}, {hang: true, err: errUnsent}}, verdict: verdict.MayHaveRun},
 	} {
 		t.Run(name, func(t *testing.T) {
 			id := cmp.Or(tt.target, "e1")
 			f := &fakeTargets{replies: map[entity.TargetID][]reply{id: tt.replies, "e2": {{to: 3}}}}
 			ans := answers.New()
 
-			f.runner(nil).Run(t.Context(), entity.Request{ID: "r", Preferred: tt.target, Kind: entity.Kind{Model: "m"}, Deadline: time.Now().Add(300 * time.Millisecond)}, ans)
+			f.runner(nil).Run(t.Context(), entity.Request{
+				ID: "r", Preferred: tt.target, Resume: tt.resume, Kind: entity.Kind{Model: "m", AtMostOnce: tt.once},
+				Deadline: time.Now().Add(300 * time.Millisecond),
+			}, ans)
 
 			_, problem := ans.Ended()
 			require.Equal(t, verdict.CodeDeadline, problem.Code)
--- a/internal/wire/engine/client.go
+++ b/internal/wire/engine/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -31,7 +32,9 @@
 type Options struct {
 	Clock       clockwork.Clock // nil means the real clock
 	DialTimeout time.Duration   // limit on establishing a connection; zero means 1 s
-	IdleTimeout time.Duration   // time without data after which a stream is cancelled; zero means 5 s
+	// IdleTimeout is the time without data after which a stream is cancelled, so that its caller resumes it on another
+	// connection; zero means 5 s.
+	IdleTimeout time.Duration
 }
 
 // Client calls engines. It is safe for concurrent use and sends each request at most once.
@@ -192,6 +195,11 @@
 	return verdict.New(verdict.MayHaveRun, verdict.CodeTruncated, "answer of %s broke off before event %d", t.ID, next)
 }
 
+// IsRefused reports whether err means that the address of an engine refused the connection, so that nothing listens there.
+func IsRefused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // refusal converts an error response of an engine to an Error. The verdict is that of the X-Verdict header, or
 // MayHaveRun if the header is missing or has an unknown value.
 func refusal(t entity.Target, resp *http.Response) *verdict.Error {
--- a/internal/wire/engine/silent_test.go
+++ b/internal/wire/engine/silent_test.go
@@ -111,3 +111,20 @@
 		require.NoError(t, err)
 	}
 }
+
+func TestRefusedConnectionLooksLikeABrokenOne(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer server.Close()
+
+	s := silentEngine{client: engine.NewClient(engine.Options{}), target: entity.Target{ID: "engine-1", Address: server.Listener.Addr().String()}}
+
+	err := s.stream(t.Context(), "/")
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+	require.False(t, engine.IsRefused(err))
+
+	server.Close()
+
+	err = s.stream(t.Context(), "/")
+	require.Equal(t, verdict.NotRun, verdict.Of(err))
+	require.True(t, engine.IsRefused(err))
+}
--- a/internal/wire/verdict/verdict.go
+++ b/internal/wire/verdict/verdict.go
@@ -72,6 +72,7 @@
 	CodeKeyReused           Code = "key-reused"
 	CodeKeyRequired         Code = "key-required"
 	CodeTargetLost          Code = "target-lost"
+	CodeTargetSilent        Code = "target-silent" // between entry hosts only
 	CodePeerLost            Code = "peer-lost"
 	CodeKVLost              Code = "kv-cache-lost"
 	CodeTruncated           Code = "truncated"
