Answer requests that arrive while an entry host stops

Cause: http.Server.Shutdown, and SetKeepAlivesEnabled(false) before it, close connections that net/http holds for idle; one is idle for it until the head of its next request is whole. One that was never used is closed once it is 5 s old.

The connections of the platform's path (entry/serving) have a stop that does this right, so the servers of callers and operators use them now: serving.HTTPServer closes the listener, lets connections wait for a next request for 250 ms and for a first one for 1 s, answers with Connection: close, and cuts what is left when the stop timeout ends. The server of the platform's path is not changed. The limits keep their values, 10 s for a head, now from its first byte, and 2 min idle, now also before the first request, where net/http allowed 10 s. The metrics listener still uses Shutdown: a scrape is no request of a caller.

--- a/internal/entry/host/build.go
+++ b/internal/entry/host/build.go
@@ -101,7 +101,7 @@
 		return Error.Wrap(err)
 	}
 
-	h.operator = newHTTPServer(handler)
+	h.operator = h.newHTTPServer(h.operatorSocket, handler)
 
 	return nil
 }
@@ -123,7 +123,7 @@
 		return Error.Wrap(err)
 	}
 
-	h.callers = newHTTPServer(api)
+	h.callers = h.newHTTPServer(h.callerSocket, api)
 
 	return nil
 }
--- a/internal/entry/host/listeners.go
+++ b/internal/entry/host/listeners.go
@@ -9,18 +9,19 @@
 	"github.com/zeebo/errs"
 	"google.golang.org/grpc"
 
+	"github.com/dotterelflow/dotterelflow/internal/entry/serving"
 	meters "github.com/dotterelflow/dotterelflow/internal/measure/metrics"
 )
 
 // listeners holds the sockets of a host and their servers.
 type listeners struct {
-	callerSocket   net.Listener
-	operatorSocket net.Listener
-	peerSocket     net.Listener
-	metricsSocket  net.Listener // nil if metrics are not served
+	callerSocket   *net.TCPListener
+	operatorSocket *net.TCPListener
+	peerSocket     *net.TCPListener
+	metricsSocket  *net.TCPListener // nil if metrics are not served
 
-	callers  *http.Server
-	operator *http.Server
+	callers  *serving.HTTPServer
+	operator *serving.HTTPServer
 	metrics  *http.Server
 	peers    *grpc.Server
 }
@@ -29,7 +30,7 @@
 func (h *Host) listen() error {
 	for _, s := range []struct {
 		address string
-		socket  *net.Listener
+		socket  **net.TCPListener
 	}{
 		{h.opts.CallerAddress, &h.callerSocket},
 		{h.opts.OperatorAddress, &h.operatorSocket},
@@ -40,12 +41,14 @@
 			continue
 		}
 
-		listener, err := net.Listen("tcp", s.address)
+		address, err := net.ResolveTCPAddr("tcp", s.address)
 		if err != nil {
 			return Error.Wrap(err)
 		}
 
-		*s.socket = listener
+		if *s.socket, err = net.ListenTCP("tcp", address); err != nil {
+			return Error.Wrap(err)
+		}
 	}
 
 	return nil
@@ -53,24 +56,27 @@
 
 // closeSockets closes the sockets of a host that failed to start.
 func (l *listeners) closeSockets() {
-	for _, listener := range []net.Listener{l.callerSocket, l.operatorSocket, l.peerSocket, l.metricsSocket} {
+	for _, listener := range []*net.TCPListener{l.callerSocket, l.operatorSocket, l.peerSocket, l.metricsSocket} {
 		if listener != nil {
 			_ = listener.Close()
 		}
 	}
 }
 
-func newHTTPServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+// newHTTPServer returns a server of callers or operators.
+func (h *Host) newHTTPServer(socket *net.TCPListener, handler http.Handler) *serving.HTTPServer {
+	return serving.NewHTTPServer(serving.HTTPOptions{
+		Clock: h.opts.Clock, Log: h.opts.Log, Listener: socket, Handler: handler, HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+	})
 }
 
 // serve accepts connections on all sockets in the background. A server that ends with an error is logged.
 func (h *Host) serve() {
-	h.metrics = newHTTPServer(meters.Handler(h.registry))
+	h.metrics = &http.Server{Handler: meters.Handler(h.registry), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 
 	servers := map[string]func() error{
-		"caller":   func() error { return h.callers.Serve(h.callerSocket) },
-		"operator": func() error { return h.operator.Serve(h.operatorSocket) },
+		"caller":   h.callers.Serve,
+		"operator": h.operator.Serve,
 		"peer":     func() error { return h.peers.Serve(h.peerSocket) },
 	}
 
@@ -89,12 +95,10 @@
 
 // shutdown stops accepting connections and waits until the open requests have ended or ctx ends.
 func (l *listeners) shutdown(ctx context.Context) error {
-	l.callers.SetKeepAlivesEnabled(false)
-
 	var group errs.Group
 
-	group.Add(l.callers.Shutdown(ctx))
-	group.Add(l.operator.Shutdown(ctx))
+	group.Add(l.callers.Stop(ctx))
+	group.Add(l.operator.Stop(ctx))
 	group.Add(l.metrics.Shutdown(ctx))
 	l.shutdownPeers(ctx)
 
--- a/internal/entry/serving/server.go
+++ b/internal/entry/serving/server.go
@@ -1,5 +1,6 @@
 // Package serving runs the HTTP servers of an entry host of package platform/host: for callers, for the readiness checks
-// of the load balancer, and for metrics. It stops them gracefully, so that no request is lost.
+// of the load balancer, and for metrics. It stops them gracefully, so that no request is lost. An HTTPServer does the same
+// for one listener of package entry/host.
 package serving
 
 import (
