Remove the unused server of package operator

Package operator now ends at the handler. Run: go build ./... and go test -race ./internal/wire/operator pass.

--- a/internal/wire/operator/server.go
+++ b/internal/wire/operator/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/subtle"
 	"encoding/json"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -18,10 +17,6 @@
 
 const (
 	maxBodyBytes        = 8 << 20
-	maxHeaderBytes      = 16 << 10
-	headerTimeout       = 5 * time.Second
-	readTimeout         = 30 * time.Second
-	idleTimeout         = 2 * time.Minute
 	maxWait             = time.Minute
 	defaultApplyTimeout = 15 * time.Second
 	confirmPollInterval = 100 * time.Millisecond
@@ -46,7 +41,7 @@
 	Burn(ctx context.Context) (any, error)
 }
 
-// Options configures a Server. KeyHash is required.
+// Options configure the API that Handler returns. KeyHash is required.
 type Options struct {
 	KeyHash string          // hex SHA-256 of the operators' bearer key
 	Clock   clockwork.Clock // nil means the real clock
@@ -54,49 +49,6 @@
 	ApplyTimeout time.Duration // limit on applying one edit, with its retries; zero means 15 s
 }
 
-// Server serves the operators' API on a listener of its own.
-type Server struct {
-	http *http.Server
-	done chan struct{}
-}
-
-// Serve starts a Server on l. The Server closes l when it stops.
-func Serve(l net.Listener, b Backend, opts Options) (*Server, error) {
-	handler, err := Handler(b, opts)
-	if err != nil {
-		return nil, err
-	}
-
-	s := &Server{
-		http: &http.Server{
-			Handler:           handler,
-			ReadHeaderTimeout: headerTimeout,
-			ReadTimeout:       readTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-		},
-		done: make(chan struct{}),
-	}
-
-	go func() {
-		defer close(s.done)
-
-		_ = s.http.Serve(l)
-	}()
-
-	return s, nil
-}
-
-// Stop closes the listener and waits for running calls until ctx ends.
-func (s *Server) Stop(ctx context.Context) error {
-	return Error.Wrap(s.http.Shutdown(ctx))
-}
-
-// Done returns a channel that is closed when the Server no longer accepts connections.
-func (s *Server) Done() <-chan struct{} {
-	return s.done
-}
-
 // Handler returns the API as an http.Handler. It fails if opts.KeyHash is empty.
 func Handler(b Backend, opts Options) (http.Handler, error) {
 	if opts.KeyHash == "" {
