Make the time limits of connections settings of the host

They are header-timeout and idle-timeout now; files that leave them out keep the values. They hold for callers, operators and metrics.

--- a/internal/command/entry/command.go
+++ b/internal/command/entry/command.go
@@ -58,7 +58,7 @@
 		Platform: platform.NewClient(s.Platform, platform.Options{
 			Timeout: time.Duration(s.PlatformTimeout), Name: s.ID, Address: s.Listen.Peer, DataCentre: string(s.DataCentre),
 		}),
-		StopTimeout: time.Duration(s.StopTimeout),
+		StopTimeout: time.Duration(s.StopTimeout), HeaderTimeout: time.Duration(s.HeaderTimeout), IdleTimeout: time.Duration(s.IdleTimeout),
 	})
 	if err != nil {
 		return err
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -36,12 +36,12 @@
 	// admissionHorizon bounds the started work that the engines have not absorbed yet, in time at this host's share
 	// of their rate. It is long so that a host with a small share can admit a long prompt; engines schedule their
 	// work by themselves.
-	admissionHorizon   = 3 * time.Second
-	refreshInterval    = 200 * time.Millisecond
-	readHeaderTimeout  = 10 * time.Second
-	idleTimeout        = 2 * time.Minute
-	defaultStopTimeout = 2 * time.Minute
-	stopNotice         = 300 * time.Millisecond // time between reporting not ready and closing the listeners
+	admissionHorizon     = 3 * time.Second
+	refreshInterval      = 200 * time.Millisecond
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 2 * time.Minute
+	defaultStopTimeout   = 2 * time.Minute
+	stopNotice           = 300 * time.Millisecond // time between reporting not ready and closing the listeners
 )
 
 // Platform is the part of the platform's API that an entry host uses.
@@ -72,6 +72,8 @@
 	Roles           roles.Options       // options of decisions on role changes; the zero value works
 	Demand          roles.DemandOptions // options of averaging the demand; the zero value works
 	StopTimeout     time.Duration       // longest time that Stop waits for open requests; zero means 2 min
+	HeaderTimeout   time.Duration       // limit on the arrival of a request's head, from its first byte; zero means 10 s
+	IdleTimeout     time.Duration       // limit on the wait of a connection for its next request; zero means 2 min
 }
 
 // Host is one running entry host.
@@ -124,6 +126,14 @@
 		opts.StopTimeout = defaultStopTimeout
 	}
 
+	if opts.HeaderTimeout == 0 {
+		opts.HeaderTimeout = defaultHeaderTimeout
+	}
+
+	if opts.IdleTimeout == 0 {
+		opts.IdleTimeout = defaultIdleTimeout
+	}
+
 	h := &Host{opts: opts, registry: metrics.NewRegistry(), stopRequested: make(chan struct{}), done: make(chan struct{}),
 		roleState: newRoleState(),
 	}
--- a/internal/entry/host/listeners.go
+++ b/internal/entry/host/listeners.go
@@ -66,13 +66,14 @@
 // newHTTPServer returns a server of callers or operators.
 func (h *Host) newHTTPServer(socket *net.TCPListener, handler http.Handler) *serving.HTTPServer {
 	return serving.NewHTTPServer(serving.HTTPOptions{
-		Clock: h.opts.Clock, Log: h.opts.Log, Listener: socket, Handler: handler, HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		Clock: h.opts.Clock, Log: h.opts.Log, Listener: socket, Handler: handler,
+		HeaderTimeout: h.opts.HeaderTimeout, IdleTimeout: h.opts.IdleTimeout,
 	})
 }
 
 // serve accepts connections on all sockets in the background. A server that ends with an error is logged.
 func (h *Host) serve() {
-	h.metrics = &http.Server{Handler: meters.Handler(h.registry), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	h.metrics = &http.Server{Handler: meters.Handler(h.registry), ReadHeaderTimeout: h.opts.HeaderTimeout, IdleTimeout: h.opts.IdleTimeout}
 
 	servers := map[string]func() error{
 		"caller":   h.callers.Serve,
--- a/internal/site/settings/settings.go
+++ b/internal/site/settings/settings.go
@@ -20,6 +20,8 @@
 	DefaultLogLevel        = "info"
 	DefaultStopTimeout     = 2 * time.Minute
 	DefaultPlatformTimeout = 2 * time.Second
+	DefaultHeaderTimeout   = 10 * time.Second
+	DefaultIdleTimeout     = 2 * time.Minute
 )
 
 // Listen holds the addresses that a host listens on, each an IP address and a port.
@@ -45,6 +47,8 @@
 	LogLevel        string   `yaml:"log-level,omitempty" validate:"omitempty,oneof=debug info warn error"`
 	StopTimeout     Duration `yaml:"stop-timeout,omitempty"`     // maximum wait for open streams after SIGTERM
 	PlatformTimeout Duration `yaml:"platform-timeout,omitempty"` // limit on one call to the platform
+	HeaderTimeout   Duration `yaml:"header-timeout,omitempty"`   // limit on the arrival of a request's head, from its first byte
+	IdleTimeout     Duration `yaml:"idle-timeout,omitempty"`     // limit on the wait of a connection for its next request
 }
 
 // Load reads the settings file at path and the operator key file that it names. A relative path of the key file is
@@ -108,5 +112,13 @@
 		s.PlatformTimeout = Duration(DefaultPlatformTimeout)
 	}
 
+	if s.HeaderTimeout == 0 {
+		s.HeaderTimeout = Duration(DefaultHeaderTimeout)
+	}
+
+	if s.IdleTimeout == 0 {
+		s.IdleTimeout = Duration(DefaultIdleTimeout)
+	}
+
 	return s, nil
 }
--- a/internal/site/settings/settings_test.go
+++ b/internal/site/settings/settings_test.go
@@ -50,6 +50,8 @@
 		{"peer host name", settingsText(platform, key+"peers: [127.0.0.1:9, node:1]\n"), "must be an IP number and a port"},
 		{"peer twice", settingsText(platform, key+"peers: [127.0.0.1:9, 127.0.0.1:9]\n"), "s.yaml:9: peers must not list a value twice"},
 		{"bad duration", settingsText(platform, key+"stop-timeout: 5 minutes\n"), "s.yaml:9: \"5 minutes\" is not a duration"},
+		{"limits of connections", settingsText(platform, key+"header-timeout: 3s\nidle-timeout: 15s\n"), ""},
+		{"bad limit", settingsText(platform, key+"idle-timeout: long\n"), "s.yaml:9: \"long\" is not a duration"},
 		{"negative duration", settingsText(platform, key+"stop-timeout: -5s\n"), "s.yaml:9: \"-5s\" is out of range"},
 		{"no key", settingsText(platform, ""), "operator-key-file is missing"},
 		{"two keys", settingsText(platform, key+"operator-key-file: k\n"), "s.yaml:9: operator-key-file cannot be combined with operator-key-hash"},
