Bound writes to a caller by its request's deadline

Cause: each write had the constant WriteTimeout. The deadline of the request bounds the writes now; WriteTimeout, 15 s as before, is left for those that begin near or after it, such as the refusal of a request whose deadline has passed, also for refusals, which had no bound. A stream sets its deadline twice, not for each event.

Cost: a caller that never reads holds its stream until its deadline instead of 15 s. It is one of the 4,096 open requests of a host, whose run ends at that time too.

Failing before: TestCallerThatReadsSlowlyIsCut, as a stream and as the answer of a service ("unexpected EOF" after a pause of four times the limit). TestCallerThatDoesNotReadIsDisconnected and TestSilentCallerIsDisconnected state the same ends for a deadline of 1 s that their requests carry; WriteTimeout alone no longer ends them. Run: go test -race -count=3 ./internal/wire/caller passes.

--- a/internal/wire/caller/answer.go
+++ b/internal/wire/caller/answer.go
@@ -32,7 +32,7 @@
 	s.observe(req, nil, s.opts.Clock.Since(req.Arrived), len(events))
 	ctx.ContentType("application/json")
 
-	defer s.limitWriteTime(ctx)()
+	defer s.limitWriteTime(ctx, req)()
 
 	_, _ = ctx.ResponseWriter().Write(doc)
 }
@@ -61,7 +61,7 @@
 
 	ctx.StatusCode(max(meta.Status, http.StatusOK))
 
-	defer s.limitWriteTime(ctx)()
+	defer s.limitWriteTime(ctx, req)()
 
 	for _, data := range events {
 		_, _ = ctx.ResponseWriter().Write(data)
--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -60,7 +60,7 @@
 	MaxBodyBytes    int64         // limit on the size of a request body, in bytes; zero means 4 MiB
 	MaxOpenRequests int64         // limit on the number of open requests; zero means 4,096
 	PingInterval    time.Duration // time between two checks whether a stream is idle; zero means DefaultPingInterval
-	WriteTimeout    time.Duration // limit on the time of each write to a caller; zero means 15 s
+	WriteTimeout    time.Duration // time for writes that begin near or after the deadline of their request; zero means 15 s
 }
 
 // Server is the http.Handler of the callers' API. It is safe for concurrent use.
@@ -309,6 +309,8 @@
 	s.observe(req, problem, 0, 0)
 
 	if problem.Code != verdict.CodeCallerGone {
+		defer s.limitWriteTime(ctx, req)()
+
 		writeProblem(ctx.ResponseWriter(), problem, string(req.ID))
 	}
 }
--- a/internal/wire/caller/stream.go
+++ b/internal/wire/caller/stream.go
@@ -52,15 +52,20 @@
 	out.finish(problem)
 }
 
-// limitWriteTime sets a deadline of WriteTimeout for the writes of an answer. It returns a function that clears the
-// deadline, so that the next call on the connection is not affected.
-func (s *Server) limitWriteTime(ctx iris.Context) func() {
+// limitWriteTime bounds the writes of the answer to req that follow. It returns a function that removes the bound, so that
+// the next call on the connection is not affected.
+func (s *Server) limitWriteTime(ctx iris.Context, req entity.Request) func() {
 	rc := http.NewResponseController(ctx.ResponseWriter().Naive())
-	_ = rc.SetWriteDeadline(time.Now().Add(s.opts.WriteTimeout)) // not every ResponseWriter supports this
+	_ = rc.SetWriteDeadline(s.writeDeadline(req)) // not every ResponseWriter supports this
 
 	return func() { _ = rc.SetWriteDeadline(time.Time{}) }
 }
 
+// writeDeadline returns the deadline of req, or the end of WriteTimeout if that is later, on the clock of the system.
+func (s *Server) writeDeadline(req entity.Request) time.Time {
+	return time.Now().Add(max(req.Deadline.Sub(s.opts.Clock.Now()), s.opts.WriteTimeout))
+}
+
 // eventWriter writes one stream of server-sent events. mu serializes the writes of events and pings.
 type eventWriter struct {
 	s   *Server
@@ -78,7 +83,10 @@
 func (s *Server) newEventWriter(ctx iris.Context, req entity.Request) *eventWriter {
 	w := ctx.ResponseWriter()
 
-	return &eventWriter{s: s, req: req, w: w, rc: http.NewResponseController(w.Naive())}
+	e := &eventWriter{s: s, req: req, w: w, rc: http.NewResponseController(w.Naive())}
+	e.setWriteDeadline()
+
+	return e
 }
 
 // writeEvent writes one event of the answer; the first one also starts the response.
@@ -96,9 +104,9 @@
 	return e.write("id: %d\ndata: %s\n\n", seq, data)
 }
 
-// setWriteDeadline sets a deadline of WriteTimeout for the next write.
+// setWriteDeadline bounds the writes that follow.
 func (e *eventWriter) setWriteDeadline() {
-	_ = e.rc.SetWriteDeadline(time.Now().Add(e.s.opts.WriteTimeout)) // not every ResponseWriter supports this
+	_ = e.rc.SetWriteDeadline(e.s.writeDeadline(e.req)) // not every ResponseWriter supports this
 }
 
 // clearWriteDeadline clears the deadline, so that the next call on the connection is not affected.
@@ -112,7 +120,6 @@
 		return e.writeErr
 	}
 
-	e.setWriteDeadline()
 	e.lastWrite = e.s.opts.Clock.Now()
 
 	_, err := fmt.Fprintf(e.w, format, args...)
