--- a/internal/entry/dispatch/phases.go
+++ b/internal/entry/dispatch/phases.go
@@ -44,7 +44,7 @@
 // A failed prefill keeps its verdict, even MayHaveRun, since an engine that ignores the phase could have
 // generated tokens. Once t has confirmed the prefill, nothing is generated until a decode engine accepts
 // the request. A decode that fails with NotRun therefore leaves the whole request NotRun.
-func (r *Runner) runSplit(ctx context.Context, req entity.Request, t entity.Target, ans *answers.Answer) error {
+func (r *Runner) runSplit(ctx context.Context, req entity.Request, t entity.Target, ans *answers.Answer, next *handover) error {
 	var (
 		tried  []entity.TargetID
 		worst  = verdict.NotRun
@@ -55,7 +55,7 @@
 
 	for try < maxDecodeTries {
 		if source == "" {
-			holder, version, err := r.prefill(ctx, req, t)
+			holder, version, err := r.prefill(ctx, req, t, next)
 			if err != nil {
 				return finalError(worst, verdict.From(err), nil)
 			}
@@ -69,7 +69,7 @@
 			break
 		}
 
-		err := r.decode(ctx, req, d, source, ans)
+		err := r.decode(ctx, req, d, source, ans, next)
 		if err == nil {
 			return nil
 		}
@@ -89,7 +89,7 @@
 			continue
 		}
 
-		if ctx.Err() != nil || !r.mayRetry(req, latest, ans, try+1 < maxDecodeTries) {
+		if ctx.Err() != nil || next.secured || !r.mayRetry(req, latest, ans, try+1 < maxDecodeTries) {
 			break
 		}
 
@@ -113,14 +113,16 @@
 
 // prefill runs the prefill of req on t, or on the engine that the guard chooses instead, and returns the
 // engine that then holds the KV cache and its software version.
-func (r *Runner) prefill(ctx context.Context, req entity.Request, t entity.Target) (entity.Target, entity.SoftwareVersion, error) {
+func (r *Runner) prefill(
+	ctx context.Context, req entity.Request, t entity.Target, next *handover,
+) (entity.Target, entity.SoftwareVersion, error) {
 	req.Decode, req.Phase, req.SeenVersion = 0, entity.Prefill, ""
 	output := answers.New() // stays empty, as a prefill generates nothing
 
 	err := r.withGuard(ctx, req, t, func(chosen entity.Target) error {
 		t = chosen
 
-		if err := r.prefillOn(ctx, req, t, output); err != nil {
+		if err := r.prefillOn(ctx, req, t, output, next); err != nil {
 			return err
 		}
 
@@ -134,7 +136,7 @@
 }
 
 // prefillOn runs the prefill of req on t. It fails if t generates anything in output.
-func (r *Runner) prefillOn(ctx context.Context, req entity.Request, t entity.Target, output *answers.Answer) error {
+func (r *Runner) prefillOn(ctx context.Context, req entity.Request, t entity.Target, output *answers.Answer, next *handover) error {
 	if !r.opts.Router.Begin(t.ID, req) {
 		return leavingError(t)
 	}
@@ -142,7 +144,7 @@
 	call := engineRequest(req)
 	call.Phase = entity.Prefill
 
-	err := r.streamWithResume(ctx, call, t, output)
+	err := r.streamWithResume(ctx, call, t, output, next)
 	if err == nil && output.NextSeq() > 0 {
 		err = verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "%s generated tokens although only the prompt was to run", t.ID)
 	}
@@ -154,7 +156,7 @@
 
 // decode runs the decode phase of req on d, or on the engine that the guard chooses instead. That engine
 // fetches the KV cache from the address source.
-func (r *Runner) decode(ctx context.Context, req entity.Request, d entity.Target, source string, ans *answers.Answer) error {
+func (r *Runner) decode(ctx context.Context, req entity.Request, d entity.Target, source string, ans *answers.Answer, next *handover) error {
 	req.Prefill, req.Prefix, req.Phase = 0, 0, entity.Decode
 
 	return r.withGuard(ctx, req, d, func(d entity.Target) error {
@@ -166,7 +168,7 @@
 
 		call := engineRequest(req)
 		call.Phase, call.KVSource = entity.Decode, source
-		err := r.streamWithResume(ctx, call, d, ans)
+		err := r.streamWithResume(ctx, call, d, ans, next)
 
 		r.opts.Router.End(d.ID, req, err)
 
