--- a/internal/standin/rawserver/server.go
+++ b/internal/standin/rawserver/server.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,7 +15,23 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("hostile")
 
-const readTimeout = 5 * time.Second
+const (
+	readTimeout = 5 * time.Second
+	pieceBytes  = 64 << 10 // bytes that an endless answer writes at once
+)
+
+// Endless returns an answer that sends start and then unit, again and again, until a write fails. The unit must not be
+// empty.
+func Endless(start, unit string) func(io.Writer) {
+	piece := []byte(strings.Repeat(unit, max(pieceBytes/len(unit), 1)))
+
+	return func(w io.Writer) {
+		_, err := io.WriteString(w, start)
+		for err == nil {
+			_, err = w.Write(piece)
+		}
+	}
+}
 
 // Server reads one request on each connection, answers it with raw bytes and closes the connection. Until an
 // answer is set, it closes the connection without one. It is safe for concurrent use.
--- a/internal/wire/engine/endless_test.go
+++ b/internal/wire/engine/endless_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"runtime"
-	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,13 +13,13 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/standin/memory"
+	"github.com/dotterelflow/dotterelflow/internal/standin/rawserver"
 	"github.com/dotterelflow/dotterelflow/internal/wire/engine"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
 const (
-	hostMemory     = 184 << 20 // memory of the smallest host, in bytes
-	limitPercent   = 60        // soft limit of the Go runtime, as a host sets it
 	pieceBytes     = 64 << 10
 	endlessTimeout = time.Second
 	endMargin      = 3 * time.Second // time for a busy machine to end a call after its deadline
@@ -31,46 +29,34 @@
 	okChunked = ok200 + "Transfer-Encoding: chunked\r\n\r\n"
 )
 
-// endless returns an answer that sends start and then unit, again and again, until a write fails.
-func endless(start, unit string) func(io.Writer) {
-	piece := []byte(strings.Repeat(unit, max(pieceBytes/len(unit), 1)))
-
-	return func(w io.Writer) {
-		_, err := io.WriteString(w, start)
-		for err == nil {
-			_, err = w.Write(piece)
-		}
-	}
-}
-
 func endlessAnswers() map[string]func(io.Writer) {
 	text := strings.Repeat("x", pieceBytes)
 	one := sse(0, `{"id":"r-1"}`)
 
 	return map[string]func(io.Writer){
-		"no answer":          endless("", "\x00\xff"),
-		"status line":        endless("HTTP/1.1 200 ", text),
-		"header line":        endless(ok200+"X: ", text),
-		"header lines":       endless(ok200, "X: y\r\n"),
-		"malformed line":     endless("", strings.Repeat("\xff", 40<<10)+"\r\n"),
-		"interim answers":    endless("", "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"),
-		"another protocol":   endless("HTTP/1.1 101 Switching\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", one),
-		"status below 100":   endless("HTTP/1.1 042 Odd\r\n\r\n", text),
-		"chunk extension":    endless(okChunked+"5;", "x"),
-		"trailers":           endless(okChunked+"0\r\n", "X: y\r\n"),
-		"noise":              endless(head, "\x00\xff\x17"),
-		"noise, empty lines": endless(head, "\x00\xff\x17\n\n"),
-		"comments":           endless(head, ":\n\n"),
-		"empty lines":        endless(head, "\n"),
-		"one line":           endless(head+"data: ", text),
-		"one event":          endless(head, "data: x\n"),
-		"error status":       endless("HTTP/1.1 500 Broken\r\n\r\n", text),
-		"spaces":             endless(head, " "),
-		"JSON string":        endless(head+`{"boot":"`, text),
-		"JSON fields":        endless(head+`{"a":1`, `,"a":1`),
-		"JSON nesting":       endless(head, "["),
-		"JSON, spaces after": endless(head+`{"at":"2030-01-01T00:00:00Z"}`, " "),
-		"long number":        endless(head+`{"running":1`+strings.Repeat("0", 500<<10)+"}", "}"),
+		"no answer":          rawserver.Endless("", "\x00\xff"),
+		"status line":        rawserver.Endless("HTTP/1.1 200 ", text),
+		"header line":        rawserver.Endless(ok200+"X: ", text),
+		"header lines":       rawserver.Endless(ok200, "X: y\r\n"),
+		"malformed line":     rawserver.Endless("", strings.Repeat("\xff", 40<<10)+"\r\n"),
+		"interim answers":    rawserver.Endless("", "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"),
+		"another protocol":   rawserver.Endless("HTTP/1.1 101 Switching\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", one),
+		"status below 100":   rawserver.Endless("HTTP/1.1 042 Odd\r\n\r\n", text),
+		"chunk extension":    rawserver.Endless(okChunked+"5;", "x"),
+		"trailers":           rawserver.Endless(okChunked+"0\r\n", "X: y\r\n"),
+		"noise":              rawserver.Endless(head, "\x00\xff\x17"),
+		"noise, empty lines": rawserver.Endless(head, "\x00\xff\x17\n\n"),
+		"comments":           rawserver.Endless(head, ":\n\n"),
+		"empty lines":        rawserver.Endless(head, "\n"),
+		"one line":           rawserver.Endless(head+"data: ", text),
+		"one event":          rawserver.Endless(head, "data: x\n"),
+		"error status":       rawserver.Endless("HTTP/1.1 500 Broken\r\n\r\n", text),
+		"spaces":             rawserver.Endless(head, " "),
+		"JSON string":        rawserver.Endless(head+`{"boot":"`, text),
+		"JSON fields":        rawserver.Endless(head+`{"a":1`, `,"a":1`),
+		"JSON nesting":       rawserver.Endless(head, "["),
+		"JSON, spaces after": rawserver.Endless(head+`{"at":"2030-01-01T00:00:00Z"}`, " "),
+		"long number":        rawserver.Endless(head+`{"running":1`+strings.Repeat("0", 500<<10)+"}", "}"),
 	}
 }
 
@@ -128,7 +114,7 @@
 
 // TestEndlessAnswersInBoundedMemory lets many engines send without end at once.
 func TestEndlessAnswersInBoundedMemory(t *testing.T) {
-	defer debug.SetMemoryLimit(debug.SetMemoryLimit(hostMemory * limitPercent / 100))
+	defer memory.LimitAsHost()()
 
 	answers := endlessAnswers()
 
@@ -152,10 +138,7 @@
 				ctx, cancel := context.WithTimeout(t.Context(), endlessTimeout)
 
 				defer cancel()
-				runtime.GC()
-				debug.FreeOSMemory()
-
-				peak := samplePeak()
+				peaks := memory.Sample()
 
 				var streams sync.WaitGroup
 
@@ -171,43 +154,10 @@
 
 				streams.Wait()
 
-				total := peak()
+				total := peaks().Total
 				t.Logf("peak %d MiB", total>>20)
-				require.Less(t, total, uint64(hostMemory))
+				require.Less(t, total, uint64(memory.HostBytes))
 			})
 		}
 	}
 }
-
-// samplePeak samples the memory that this process holds until the returned function is called, which returns the peak.
-func samplePeak() func() uint64 {
-	var (
-		total   uint64
-		ended   = make(chan struct{})
-		sampled = make(chan struct{})
-	)
-
-	go func() {
-		defer close(sampled)
-
-		for {
-			var m runtime.MemStats
-
-			runtime.ReadMemStats(&m)
-			total = max(total, m.Sys-m.HeapReleased)
-
-			select {
-			case <-ended:
-				return
-			case <-time.After(2 * time.Millisecond):
-			}
-		}
-	}()
-
-	return func() uint64 {
-		close(ended)
-		<-sampled
-
-		return total
-	}
-}
