Count requests that arrived before the first one counted

Seen: a trial that delayed requests ended one without an answer: "http: panic serving: runtime error: index out of range [-2]" in retries.(*Limiter).CountRequest.

Cause: a request is counted once its body is there, at the time of its arrival. Buckets are numbered from the first request that a host counts, whatever its service. If a body takes longer than a bucket (0.5 s with the platform's window of 10 s) and a request that arrived later, for another service, is the first one counted, the slow request gets a negative bucket. As the first one of its service it takes that for the newest, and the index of the ring is negative. net/http recovers and closes the connection: the caller has neither an answer nor a refusal (LOST). The counts stay behind with the negative bucket, so each next request for the service panics too until the number has come up to zero: about two requests for each second that the body took.

Such a request now counts in the first bucket, which is what its time would be rounded to. Setting the epoch when the limiter is made was ruled out: its clock is that of its callers.

--- a/internal/control/retries/limiter.go
+++ b/internal/control/retries/limiter.go
@@ -140,7 +140,7 @@
 		l.epoch = now
 	}
 
-	n := l.bucketOf(now)
+	n := max(l.bucketOf(now), 0) // a request counts from its arrival, which may be before the epoch
 
 	c, ok := l.services[service]
 	if !ok {
--- a/internal/control/retries/limiter_test.go
+++ b/internal/control/retries/limiter_test.go
@@ -110,3 +110,14 @@
 	require.False(t, limiter.Take(now.Add(11*time.Second), "s"))
 	require.True(t, limiter.Take(now.Add(16*time.Second), "s"))
 }
+
+// A request arrives before its body, so one that arrived later may be counted first.
+func TestRequestThatArrivedBeforeTheFirstOneIsCounted(t *testing.T) {
+	limiter := retries.NewLimiter(retries.LimiterOptions{Ratio: 1, Span: 10 * time.Second, Margin: 1})
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+	limiter.CountRequest(now, "a")
+	limiter.CountRequest(now.Add(-4*time.Second), "b")
+	require.True(t, limiter.Take(now, "b"), "the request allows a repeat")
+	require.False(t, limiter.Take(now, "b"))
+}
