Bound the arrival of a caller's body in time

Cause: readBody read without any time limit. The body must arrive now within the longest time that the request may have: its X-Request-Deadline, else the deadline of the kind that a header names, else the longest deadline of the account's kinds, since the kind may be known only by the model in the body. After that the caller gets the problem that the package has for a deadline, 504 with code deadline and verdict not-run, and the connection is closed; nothing was dispatched.

Ruled out: a limit that stays and cuts the answer or the next request.

--- a/internal/wire/caller/fakes_test.go
+++ b/internal/wire/caller/fakes_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -40,6 +41,7 @@
 		{Name: "twin-b", Model: "twin"},
 		{Name: "hold", Service: "s", AtMostOnce: true},
 		{Name: "look-up", Service: "t"},
+		{Name: "brief", Service: "brief", Deadline: 300 * time.Millisecond},
 	} {
 		kinds[k.Name] = k
 	}
--- a/internal/wire/caller/request.go
+++ b/internal/wire/caller/request.go
@@ -2,17 +2,20 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
+	"github.com/kataras/iris/v12"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
@@ -61,15 +64,32 @@
 	return strings.TrimSpace(key)
 }
 
-// readBody reads the body of r, of at most limit bytes.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *verdict.Error) {
+// readBody reads the body of the request of ctx, of at most limit bytes. It must arrive within bodyTimeout.
+func readBody(ctx iris.Context, account *entity.Account, limit int64) ([]byte, *verdict.Error) {
+	w, r := ctx.ResponseWriter(), ctx.Request()
+	rc := http.NewResponseController(w.Naive())
+	timeout := bodyTimeout(r, account)
+
+	// Not every ResponseWriter supports this.
+	limited := r.ContentLength != 0 && rc.SetReadDeadline(time.Now().Add(timeout)) == nil
+
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil && limited {
+		err = rc.SetReadDeadline(time.Time{})
+	}
 
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, refuse(verdict.CodeTooLarge, "the body exceeds %d bytes", limit)
 	}
 
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// Without this field, net/http would wait for the rest of the body before it answers.
+		w.Header().Set("Connection", "close")
+
+		return nil, refuse(verdict.CodeDeadline, "the body did not arrive within %v", timeout).WithCause(err)
+	}
+
 	if err != nil {
 		return nil, refuse(verdict.CodeBadRequest, "the body could not be read").WithCause(err)
 	}
@@ -77,6 +97,24 @@
 	return body, nil
 }
 
+// bodyTimeout returns the longest time that r may have by deadlineOf, whose kind may be known only by its body.
+func bodyTimeout(r *http.Request, account *entity.Account) time.Duration {
+	if kind, ok := account.Kinds[entity.KindName(r.Header.Get(HeaderKind))]; ok || r.Header.Get(HeaderDeadline) != "" {
+		if timeout, problem := deadlineOf(r, kind); problem == nil {
+			return timeout
+		}
+
+		return defaultDeadline // the request is refused once its body has arrived
+	}
+
+	longest := time.Duration(0)
+	for _, kind := range account.Kinds {
+		longest = max(longest, cmp.Or(kind.Deadline, defaultDeadline))
+	}
+
+	return cmp.Or(longest, defaultDeadline)
+}
+
 // baseRequest builds a request with the fields that requests to engines and to services have in common.
 func (s *Server) baseRequest(r *http.Request, account *entity.Account, kind entity.Kind, path string, body []byte) (entity.Request, *verdict.Error) {
 	now := s.opts.Clock.Now()
--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -217,7 +217,7 @@
 func (s *Server) complete(ctx iris.Context, account *entity.Account) {
 	w := ctx.ResponseWriter()
 
-	body, problem := readBody(w, ctx.Request(), s.opts.MaxBodyBytes)
+	body, problem := readBody(ctx, account, s.opts.MaxBodyBytes)
 	if problem != nil {
 		writeProblem(w, problem, "")
 
@@ -257,7 +257,7 @@
 	w := ctx.ResponseWriter()
 	name := entity.ServiceName(ctx.Params().Get("service"))
 
-	body, problem := readBody(w, ctx.Request(), s.opts.MaxBodyBytes)
+	body, problem := readBody(ctx, account, s.opts.MaxBodyBytes)
 	if problem != nil {
 		writeProblem(w, problem, "")
 
