Move a call from a silent service once another is at hand

Cause: a failed call was what made dispatch.Runner try another target, and a silent call no longer fails before the deadline. Engines got a handover for that; runOnTarget did not pass it to callService.

Now the runner watches a call of a service. Each time that another Options.ServiceSilence (10 s, as the limit that was lifted) has passed, it tries to secure another target as for engines: the kind may run again, a target is picked, a try is left, the retry is charged. Only then the call is ended, through its context. Without one, and for kinds that run at most once, it goes on to its deadline ('silent service kept' in the log). The answer is collected apart and copied when it is whole, so no reader can have a part of an answer that is moved. The end of the call is awaited: an answer that arrives just then is used.

A forwarded call is watched by the host that forwards it. Ruled out: that the far host answers target-silent, as for engines. A service can't resume, so each answer of that kind would end the call, and a sound service that needs longer than 10 s would be begun anew until the deadline where no other is at hand.

Failing before (direct.go, handover.go, runner.go of the parent): the 3 cases of TestCallStaysAtASilentServiceAlthoughAnotherIsAtHand, 'the deadline has passed'. TestCallOfASilentServiceIsGivenUp passed before and bounds the change. The fake services and peers of the tests wait as scripted now, and the fake router locks what it reads. Run: go test -race -count=3 ./internal/entry/dispatch passes.

--- a/internal/entry/dispatch/direct.go
+++ b/internal/entry/dispatch/direct.go
@@ -27,12 +27,71 @@
 	setTarget(ans, t.ID)
 
 	if t.Type == entity.Service {
-		return r.callService(ctx, req, t, ans)
+		return r.watchService(ctx, t, ans, next, func(ctx context.Context, ans *answers.Answer) error {
+			return r.callService(ctx, req, t, ans)
+		})
 	}
 
 	return r.streamWithResume(ctx, engineRequest(req), t, ans, next)
 }
 
+// watchService runs call, which collects the answer of the service t, and copies that to ans once it is whole. It ends
+// call early only if next has secured another target, which it tries each time that another ServiceSilence has passed.
+func (r *Runner) watchService(
+	ctx context.Context, t entity.Target, ans *answers.Answer, next *handover, call func(context.Context, *answers.Answer) error,
+) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	own := answers.New() // a handover must not find a part of the answer in ans
+	done := make(chan error, 1)
+
+	go func() { done <- call(ctx, own) }()
+
+	err := r.awaitService(t, next, cancel, done)
+	if ended, problem := own.Ended(); ended {
+		return problem
+	}
+
+	if err != nil {
+		return err
+	}
+
+	ans.SetMeta(own.Meta())
+
+	for _, data := range own.Events() {
+		if !ans.Append(data) {
+			return errAnswerEnded
+		}
+	}
+
+	return nil
+}
+
+// awaitService returns the result of a call to t from done, and cancels the call once next has secured another target.
+func (r *Runner) awaitService(t entity.Target, next *handover, cancel context.CancelFunc, done <-chan error) error {
+	ticker := r.opts.Clock.NewTicker(r.opts.ServiceSilence)
+	defer ticker.Stop()
+
+	for kept := false; ; kept = true {
+		select {
+		case err := <-done:
+			return err
+		case <-ticker.Chan():
+		}
+
+		if next.secure(t.ID, silentError(t, nil)) {
+			cancel()
+
+			return <-done
+		}
+
+		if !kept {
+			r.opts.Log.Warn().Str("request", string(next.req.ID)).Str("target", string(t.ID)).Msg("silent service kept")
+		}
+	}
+}
+
 // callService calls the service t and appends its response body to ans as one event.
 func (r *Runner) callService(ctx context.Context, req entity.Request, t entity.Target, ans *answers.Answer) error {
 	answer, err := r.opts.Services.Call(ctx, t, service.Request{
--- a/internal/entry/dispatch/handover.go
+++ b/internal/entry/dispatch/handover.go
@@ -8,7 +8,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
-// handover secures who goes on with a request before an engine that has fallen silent is given up, since the engine may
+// handover secures who goes on with a request before a target that has fallen silent is given up, since the target may
 // be sound. It belongs to one attempt.
 type handover struct {
 	runner    *Runner
@@ -23,13 +23,18 @@
 	deferred bool          // the entry host that forwarded the request decides
 }
 
-// secure reports whether the engine from, which failed with err, may be given up.
+// secure reports whether the target from, which failed with err, may be given up.
 func (h *handover) secure(from entity.TargetID, err error) bool {
 	if h.req.Kind.AtMostOnce || !h.ans.CanRestart() {
 		return false
 	}
 
 	if h.req.Forwarded {
+		// A service can't resume a call, so the forwarding host watches it and ends it only once it has secured a target.
+		if h.req.Kind.Service != "" {
+			return false
+		}
+
 		// In two phases, the forwarding host does not know which engine holds the answer.
 		h.deferred = !h.split && h.ans.Restart()
 
@@ -60,7 +65,7 @@
 
 // silentError returns the error of a request that the forwarding host may move away from t, or forward again.
 func silentError(t entity.Target, cause error) *verdict.Error {
-	return verdict.New(verdict.MayHaveRun, verdict.CodeTargetSilent, "%s sends no events", t.ID).WithCause(cause)
+	return verdict.New(verdict.MayHaveRun, verdict.CodeTargetSilent, "%s is silent", t.ID).WithCause(cause)
 }
 
 // hasCode reports whether err has the code.
--- a/internal/entry/dispatch/runner.go
+++ b/internal/entry/dispatch/runner.go
@@ -20,6 +20,8 @@
 	maxTries           = 3 // most targets that one request is tried on
 	defaultMaxStreams  = 4
 	noTargetRetryAfter = 2 * time.Second
+
+	defaultServiceSilence = 10 * time.Second
 )
 
 // Engines runs requests on model engines.
@@ -87,6 +89,9 @@
 	// MaxStreams is the number of successive streams without a new event after which a call may move to another target;
 	// zero means 4.
 	MaxStreams int
+	// ServiceSilence is the time without an answer after which a call of a service may move to another target; zero means
+	// 10 s.
+	ServiceSilence time.Duration
 }
 
 // Runner runs requests. It is safe for concurrent use.
@@ -109,6 +114,10 @@
 		opts.MaxStreams = defaultMaxStreams
 	}
 
+	if opts.ServiceSilence == 0 {
+		opts.ServiceSilence = defaultServiceSilence
+	}
+
 	return &Runner{opts: opts}
 }
 
@@ -275,6 +284,12 @@
 
 	setTarget(ans, t.ID)
 
+	if t.Type == entity.Service {
+		return r.watchService(ctx, t, ans, next, func(ctx context.Context, ans *answers.Answer) error {
+			return r.opts.Peers.Forward(ctx, t.DataCentre, t.ID, req, ans)
+		})
+	}
+
 	err := r.forward(ctx, &req, t, ans, next)
 
 	if !mayBeRunning(req, t, err) || ctx.Err() != nil {
--- a/internal/entry/dispatch/runner_test.go
+++ b/internal/entry/dispatch/runner_test.go
@@ -44,6 +44,22 @@
 	err   error
 }
 
+// await waits for quiet and, with hang, for the end of ctx, and returns err, or errLost if ctx ends first.
+func (r reply) await(ctx context.Context) error {
+	var answered <-chan time.Time
+
+	if !r.hang {
+		answered = time.After(r.quiet)
+	}
+
+	select {
+	case <-answered:
+		return r.err
+	case <-ctx.Done():
+		return cmp.Or[error](r.err, errLost)
+	}
+}
+
 // call records a call that reached a target.
 type call struct {
 	target entity.TargetID
@@ -116,18 +132,20 @@
 	return nil
 }
 
-func (f *fakeTargets) Call(_ context.Context, t entity.Target, _ service.Request) (service.Answer, error) {
+func (f *fakeTargets) Call(ctx context.Context, t entity.Target, _ service.Request) (service.Answer, error) {
 	r := f.next(t.ID, 0, false)
 
-	return service.Answer{Status: 200, Body: make([]byte, r.bytes)}, r.err
+	return service.Answer{Status: 200, Body: make([]byte, r.bytes)}, r.await(ctx)
 }
 
-func (f *fakeTargets) Forward(_ context.Context, _ entity.DataCentre, t entity.TargetID, req entity.Request, _ *answers.Answer) error {
+func (f *fakeTargets) Forward(ctx context.Context, _ entity.DataCentre, t entity.TargetID, req entity.Request, _ *answers.Answer) error {
 	f.mu.Lock()
 	f.forwards++
 	f.mu.Unlock()
 
-	return f.next(t, 0, req.Resume).err
+	r := f.next(t, 0, req.Resume)
+
+	return r.await(ctx)
 }
 
 func (f *fakeTargets) Target(id entity.TargetID) (entity.Target, bool) {
@@ -159,6 +177,9 @@
 		return target(req.Preferred, typ), true
 	}
 
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
 	for _, id := range []entity.TargetID{"e1", "e2", "e3"} {
 		seen := false
 		for _, other := range tried {
--- a/internal/entry/dispatch/silent_test.go
+++ b/internal/entry/dispatch/silent_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"cmp"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -19,6 +20,7 @@
 	idleTimeout    = 5 * time.Second // after which the client of engines ends a silent stream
 	refusedTime    = 5 * time.Second // after which an engine that refuses connections has ended
 	maxResumeDelay = 2 * time.Second
+	serviceSilence = 10 * time.Second // after which a call of a service may move to another one
 )
 
 // refusingRetries refuses all retries.
@@ -227,3 +229,83 @@
 		require.LessOrEqual(t, len(f.calls), int(longDeadline/maxResumeDelay)+firstDelays)
 	})
 }
+
+func TestCallStaysAtASilentServiceAlthoughAnotherIsAtHand(t *testing.T) {
+	type replies = map[entity.TargetID][]reply
+
+	hang := reply{hang: true, err: errLost}
+
+	for name, tt := range map[string]struct {
+		req     entity.Request
+		replies replies
+		targets []entity.TargetID
+	}{
+		"silent":      {replies: replies{"e1": {hang}, "e2": {{}}}, targets: []entity.TargetID{"e1", "e2"}},
+		"both silent": {replies: replies{"e1": {hang}, "e2": {hang}, "e3": {{}}}, targets: []entity.TargetID{"e1", "e2", "e3"}},
+		"silent in another data centre": {
+			req: entity.Request{Preferred: "far"}, replies: replies{"far": {hang}, "e1": {{}}}, targets: []entity.TargetID{"far", "e1"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, budget, ans, start := &fakeTargets{replies: tt.replies}, &countingRetries{}, answers.New(), time.Now()
+				r := dispatch.New(dispatch.Options{Home: "a", Engines: f, Services: f, Peers: f, Router: f, Retries: budget})
+
+				tt.req.ID, tt.req.Kind, tt.req.Deadline = "r", entity.Kind{Service: "s"}, start.Add(longDeadline)
+				r.Run(t.Context(), tt.req, ans)
+
+				_, problem := ans.Ended()
+				require.Nil(t, problem)
+				require.Len(t, ans.Events(), 1)
+				require.Equal(t, tt.targets, targetsOf(f.calls))
+
+				moves := len(tt.targets) - 1
+				require.Equal(t, moves, budget.n)
+				require.Equal(t, time.Duration(moves)*serviceSilence, time.Since(start))
+				require.Zero(t, f.running)
+			})
+		})
+	}
+}
+
+func TestCallOfASilentServiceIsGivenUp(t *testing.T) {
+	const answerTime = 4 * serviceSilence
+
+	once, plain := entity.Kind{Service: "s", AtMostOnce: true}, entity.Kind{Service: "s"}
+
+	for name, tt := range map[string]struct {
+		req     entity.Request
+		retries dispatch.Retries
+		others  []entity.TargetID
+	}{
+		"runs at most once":                        {req: entity.Request{Kind: once}, others: []entity.TargetID{"e2"}},
+		"runs at most once, another data centre":   {req: entity.Request{Kind: once, Preferred: "far"}, others: []entity.TargetID{"e2"}},
+		"no other service":                         {req: entity.Request{Kind: plain}},
+		"no other service, another data centre":    {req: entity.Request{Kind: plain, Preferred: "far"}},
+		"no retry budget":                          {req: entity.Request{Kind: plain}, retries: refusingRetries{}, others: []entity.TargetID{"e2"}},
+		"forwarded, decided by the other host":     {req: entity.Request{Kind: plain, Forwarded: true}, others: []entity.TargetID{"e2"}},
+		"forwarded, runs at most once, on its own": {req: entity.Request{Kind: once, Forwarded: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, ans, start := &fakeTargets{replies: map[entity.TargetID][]reply{}}, answers.New(), time.Now()
+
+				first := cmp.Or(tt.req.Preferred, "e1")
+				f.replies[first] = []reply{{quiet: answerTime}}
+
+				for _, id := range tt.others {
+					f.replies[id] = []reply{{}}
+				}
+
+				r := dispatch.New(dispatch.Options{Home: "a", Engines: f, Services: f, Peers: f, Router: f, Retries: tt.retries})
+				tt.req.ID, tt.req.Deadline = "r", start.Add(longDeadline)
+				r.Run(t.Context(), tt.req, ans)
+
+				_, problem := ans.Ended()
+				require.Nil(t, problem)
+				require.Equal(t, []call{{target: first}}, f.calls)
+				require.Equal(t, answerTime, time.Since(start))
+			})
+		})
+	}
+}
