Bound the streams to an engine also across forwards

Cause: the far host answers target-silent after MaxStreams streams, so the 5 s of refusals that show an ended engine never add up, and the backoff of both hosts began anew: the near host waited 100 ms after each forward, the far host began each with 100 ms.

Now the far host does not answer target-silent while the engine refuses connections, so the definite loss shows after refusedTime as on the direct path. The near host backs off between forwards up to maxResumeDelay, and the far host begins a forwarded resume at the longest delay. A stream that was open for long and an event reset the delay of the far host as before. Ruled out: resetting the near host's delay after a long forward, which may have held several short streams.

Price: a forwarded request that could go to another engine waits out the 5 s of refusals; the loss used to be taken for a silence.

Both tests keep their cases and bounds; the forwarded twins run two Runners, and the bound on streams allows the first delays of each host.

--- a/internal/entry/dispatch/direct.go
+++ b/internal/entry/dispatch/direct.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -80,7 +81,7 @@
 		case <-ticker.Chan():
 		}
 
-		if next.secure(t.ID, silentError(t, nil)) {
+		if next.secure(t.ID, silentError(t, nil), false) {
 			cancel()
 
 			return <-done
@@ -151,7 +152,7 @@
 	var (
 		firstErr          error
 		resumesEarlierRun = call.Resume
-		gap               silence
+		gap               = silence{firstDelay: next.firstDelay()}
 	)
 
 	call.Stated = func(v entity.SoftwareVersion) { r.recordVersion(t.ID, v, ans) }
@@ -218,7 +219,7 @@
 		gap.add(began, now, err)
 		call.Resume = true
 
-		if gap.refused(now) || gap.streams >= r.opts.MaxStreams && next.secure(t.ID, err) {
+		if gap.refused(now) || gap.streams >= r.opts.MaxStreams && next.secure(t.ID, err, gap.refuses()) {
 			break
 		}
 
@@ -240,7 +241,8 @@
 // silence is a series of streams of one call without a new event.
 type silence struct {
 	streams      int
-	refusedSince time.Time // start of the first of the latest streams that were all refused; zero if the last was not
+	refusedSince time.Time     // start of the first of the latest streams that were all refused; zero if the last was not
+	firstDelay   time.Duration // zero means resumeDelay
 	pause        backoff.Backoff
 }
 
@@ -256,15 +258,18 @@
 
 	// A stream that was open for long needs no further delay to bound the rate.
 	if now.Sub(began) >= maxResumeDelay {
-		s.pause = backoff.Backoff{}
+		s.pause, s.firstDelay = backoff.Backoff{}, 0
 	}
 
-	s.pause.Fail(now, resumeDelay, maxResumeDelay)
+	s.pause.Fail(now, cmp.Or(s.firstDelay, resumeDelay), maxResumeDelay)
 }
 
+// refuses reports whether the engine refused the latest connection.
+func (s *silence) refuses() bool { return !s.refusedSince.IsZero() }
+
 // refused reports whether the engine has refused connections for refusedTime.
 func (s *silence) refused(now time.Time) bool {
-	return !s.refusedSince.IsZero() && now.Sub(s.refusedSince) >= refusedTime
+	return s.refuses() && now.Sub(s.refusedSince) >= refusedTime
 }
 
 // lostError returns the error for a call that the engine t no longer runs or that has left t.
--- a/internal/entry/dispatch/handover.go
+++ b/internal/entry/dispatch/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
@@ -23,15 +24,17 @@
 	deferred bool          // the entry host that forwarded the request decides
 }
 
-// secure reports whether the target from, which failed with err, may be given up.
-func (h *handover) secure(from entity.TargetID, err error) bool {
+// secure reports whether the target from, which failed with err, may be given up. The target refuses connections if refuses
+// is set.
+func (h *handover) secure(from entity.TargetID, err error, refuses bool) bool {
 	if h.req.Kind.AtMostOnce || !h.ans.CanRestart() {
 		return false
 	}
 
 	if h.req.Forwarded {
 		// A service can't resume a call, so the forwarding host watches it and ends it only once it has secured a target.
-		if h.req.Kind.Service != "" {
+		// Refusals show after a while that an engine has ended, which takes this host to see them in a row.
+		if h.req.Kind.Service != "" || refuses {
 			return false
 		}
 
@@ -63,6 +66,16 @@
 	return h.secured
 }
 
+// firstDelay returns the first delay before a stream without a new event is resumed; zero means resumeDelay.
+func (h *handover) firstDelay() time.Duration {
+	// The delays of a request that is forwarded again do not begin anew.
+	if h.req.Forwarded && h.req.Resume {
+		return maxResumeDelay
+	}
+
+	return 0
+}
+
 // silentError returns the error of a request that the forwarding host may move away from t, or forward again.
 func silentError(t entity.Target, cause error) *verdict.Error {
 	return verdict.New(verdict.MayHaveRun, verdict.CodeTargetSilent, "%s is silent", t.ID).WithCause(cause)
--- a/internal/entry/dispatch/runner.go
+++ b/internal/entry/dispatch/runner.go
@@ -303,14 +303,20 @@
 
 // forward forwards req to t, again while t is silent and no other target is at hand. It then sets req.Resume.
 func (r *Runner) forward(ctx context.Context, req *entity.Request, t entity.Target, ans *answers.Answer, next *handover) error {
+	var gap silence
+
 	err := r.opts.Peers.Forward(ctx, t.DataCentre, t.ID, *req, ans)
 
 	for hasCode(err, verdict.CodeTargetSilent) {
-		if next.secure(t.ID, err) {
+		if next.secure(t.ID, err, false) {
 			return lostError(t, err)
 		}
 
-		if !r.waitToResume(ctx, resumeDelay) {
+		now := r.opts.Clock.Now()
+		// The time of the forward does not count, as it may have held many short streams.
+		gap.add(now, now, err)
+
+		if !r.waitToResume(ctx, gap.pause.End().Sub(now)) {
 			return err
 		}
 
--- a/internal/entry/dispatch/silent_test.go
+++ b/internal/entry/dispatch/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -190,20 +191,59 @@
 	}
 }
 
+// farHost is the entry host of data centre b that runs forwarded requests. It sends each event on as it arrives.
+type farHost struct{ runner *dispatch.Runner }
+
+func (h farHost) Forward(ctx context.Context, _ entity.DataCentre, t entity.TargetID, req entity.Request, ans *answers.Answer) error {
+	req.Forwarded, req.Pinned = true, t
+	own := answers.NewFrom(ans.NextSeq())
+
+	go h.runner.Run(ctx, req, own)
+
+	return own.Read(ctx, ans.NextSeq(), func(_ uint64, data []byte) error {
+		ans.Append(data)
+
+		return nil
+	})
+}
+
+// forwardingRunner returns the Runner of a host in data centre a that forwards requests for far to a farHost.
+func (f *fakeTargets) forwardingRunner() *dispatch.Runner {
+	far := dispatch.New(dispatch.Options{Home: "b", Engines: f, Services: f, Router: f, MaxStreams: 2})
+
+	return dispatch.New(dispatch.Options{Home: "a", Engines: f, Services: f, Peers: farHost{far}, Router: f, MaxStreams: 2})
+}
+
 func TestEngineThatHasEndedIsWaitedFor(t *testing.T) {
+	refused := slices.Repeat([]reply{{err: errRefused}}, 100)
+	once, plain := entity.Kind{Model: "m", AtMostOnce: true}, entity.Kind{Model: "m"}
+
 	for name, tt := range map[string]struct {
+		kind    entity.Kind
 		replies []reply
+		forward bool
 		bound   time.Duration
 	}{
-		"nothing listens":     {replies: append([]reply{{to: 1, err: errBroken}}, slices.Repeat([]reply{{err: errRefused}}, 20)...), bound: refusedTime + 2*maxResumeDelay},
-		"started again":       {replies: []reply{{to: 1, err: errBroken}, {err: errUnsent}, {err: errUnknown}}, bound: maxResumeDelay},
-		"cannot resume there": {replies: []reply{{to: 1, err: errBroken}, {err: errMalformed}}, bound: maxResumeDelay},
+		"nothing listens":                     {kind: once, replies: append([]reply{{to: 1, err: errBroken}}, refused...), bound: refusedTime + 2*maxResumeDelay},
+		"started again":                       {kind: once, replies: []reply{{to: 1, err: errBroken}, {err: errUnsent}, {err: errUnknown}}, bound: maxResumeDelay},
+		"cannot resume there":                 {kind: once, replies: []reply{{to: 1, err: errBroken}, {err: errMalformed}}, bound: maxResumeDelay},
+		"nothing listens, forwarded once":     {kind: once, forward: true, replies: append([]reply{{to: 1, err: errBroken}}, refused...), bound: refusedTime + 2*maxResumeDelay},
+		"nothing listens, forwarded":          {kind: plain, forward: true, replies: append([]reply{{err: errBroken}}, refused...), bound: refusedTime + 2*maxResumeDelay},
+		"nothing listens, forwarded again":    {kind: plain, forward: true, replies: append(slices.Repeat([]reply{{err: errBroken}}, 2), refused...), bound: refusedTime + 2*maxResumeDelay},
+		"started again, forwarded again":      {kind: plain, forward: true, replies: append(slices.Repeat([]reply{{err: errBroken}}, 2), reply{err: errUnknown}), bound: maxResumeDelay},
+		"refuses between silences, forwarded": {kind: plain, forward: true, replies: append([]reply{{err: errBroken}, {err: errRefused}, {err: errBroken}}, refused...), bound: refusedTime + 2*maxResumeDelay},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f, ans, start := &fakeTargets{replies: map[entity.TargetID][]reply{"e1": tt.replies}}, answers.New(), time.Now()
+				f, ans, start := &fakeTargets{replies: map[entity.TargetID][]reply{}}, answers.New(), time.Now()
+				r, engine := f.runner(nil), entity.TargetID("e1")
 
-				f.runner(nil).Run(t.Context(), entity.Request{ID: "r", Kind: entity.Kind{Model: "m", AtMostOnce: true}, Deadline: start.Add(longDeadline)}, ans)
+				if tt.forward {
+					r, engine = f.forwardingRunner(), "far"
+				}
+
+				f.replies[engine] = tt.replies
+				r.Run(t.Context(), entity.Request{ID: "r", Kind: tt.kind, Preferred: engine, Deadline: start.Add(longDeadline)}, ans)
 
 				_, problem := ans.Ended()
 				require.Equal(t, verdict.CodeTargetLost, problem.Code)
@@ -215,19 +255,31 @@
 }
 
 func TestResumesWithoutEndAreRare(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f, ans := &fakeTargets{replies: map[entity.TargetID][]reply{"e1": {{to: 1, err: errBroken}}}}, answers.New()
+	const firstDelays = 6 // 100 ms, doubled up to maxResumeDelay
 
-		f.runner(nil).Run(t.Context(), entity.Request{ID: "r", Kind: entity.Kind{Model: "m", AtMostOnce: true}, Deadline: time.Now().Add(longDeadline)}, ans)
-
-		_, problem := ans.Ended()
-		require.Equal(t, verdict.CodeDeadline, problem.Code)
-		require.Equal(t, verdict.MayHaveRun, problem.Verdict)
+	for name, tt := range map[string]struct {
+		kind   entity.Kind
+		engine entity.TargetID
+		first  reply
+		hosts  int // that have first delays
+	}{
+		"direct":                  {kind: entity.Kind{Model: "m", AtMostOnce: true}, engine: "e1", first: reply{to: 1, err: errBroken}, hosts: 1},
+		"forwarded":               {kind: entity.Kind{Model: "m"}, engine: "far", first: reply{err: errBroken}, hosts: 2},
+		"forwarded, at most once": {kind: entity.Kind{Model: "m", AtMostOnce: true}, engine: "far", first: reply{err: errBroken}, hosts: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, ans := &fakeTargets{replies: map[entity.TargetID][]reply{tt.engine: {tt.first}}}, answers.New()
 
-		const firstDelays = 6 // 100 ms, doubled up to maxResumeDelay
+				f.forwardingRunner().Run(t.Context(), entity.Request{ID: "r", Kind: tt.kind, Preferred: tt.engine, Deadline: time.Now().Add(longDeadline)}, ans)
 
-		require.LessOrEqual(t, len(f.calls), int(longDeadline/maxResumeDelay)+firstDelays)
-	})
+				_, problem := ans.Ended()
+				require.Equal(t, verdict.CodeDeadline, problem.Code)
+				require.Equal(t, verdict.MayHaveRun, problem.Verdict)
+				require.LessOrEqual(t, len(f.calls), int(longDeadline/maxResumeDelay)+tt.hosts*firstDelays)
+			})
+		})
+	}
 }
 
 func TestCallStaysAtASilentServiceAlthoughAnotherIsAtHand(t *testing.T) {
