Keep an engine whose answer began on a lost host

Cause: for a resumed request, handover.secure asked whether the caller has a part and whether the local answer can be restarted. After a broken Join, requests.resumeOnEngine resumes into an answer that begins at n; the n events are in another Answer, may have been read there, and then the request can't run again.

Now a resumed request whose answer begins at n > 0 is never given up for a handover; definite losses and the deadline end it as before. A far host still answers target-silent, as the near host decides by its own answer. Ruled out: asking whether the n events have been read, since a reader may take them between that and the rerun.

Failing before (handover.go, runner.go of the parent): 'earlier events held elsewhere' and its twin in another data centre of TestSoundEngineThatFallsSilentIsGivenUp ('lost the request'). The test compares the next sequence number in place of the number of events, which is the same for answers that begin at 0, and forwards through a second Runner. Run: go test -race -count=3 ./internal/entry/dispatch passes.

--- a/internal/entry/dispatch/handover.go
+++ b/internal/entry/dispatch/handover.go
@@ -16,6 +16,7 @@
 	req       entity.Request
 	ans       *answers.Answer
 	tried     []entity.TargetID // the target of the attempt included
+	first     uint64            // sequence number of the first event of ans
 	triesLeft bool
 	split     bool // the attempt runs in two phases
 
@@ -52,9 +53,10 @@
 		return false
 	}
 
-	// Package requests runs a resumed request again, unless its caller has a part of the answer.
+	// Package requests runs a resumed request again, unless its caller has a part of the answer or may get one from where the
+	// earlier events are held.
 	if h.req.Resume {
-		return h.req.EventsSeen == 0
+		return h.req.EventsSeen == 0 && h.first == 0
 	}
 
 	if !h.triesLeft || h.runner.opts.Retries != nil && !h.runner.opts.Retries.Allow(h.req, err) {
--- a/internal/entry/dispatch/runner.go
+++ b/internal/entry/dispatch/runner.go
@@ -165,7 +165,7 @@
 		}
 
 		tried = append(tried, t.ID)
-		next = &handover{runner: r, req: req, ans: ans, tried: tried, triesLeft: try+1 < maxTries}
+		next = &handover{runner: r, req: req, ans: ans, tried: tried, first: ans.NextSeq(), triesLeft: try+1 < maxTries}
 		err := r.attempt(ctx, req, t, ans, next)
 
 		if err == nil {
--- a/internal/entry/dispatch/silent_test.go
+++ b/internal/entry/dispatch/silent_test.go
@@ -50,7 +50,8 @@
 	for name, tt := range map[string]struct {
 		kind    entity.Kind
 		req     entity.Request
-		seen    bool // a reader receives the events as they arrive
+		from    uint64 // sequence number of the first event of the answer
+		seen    bool   // a reader receives the events as they arrive
 		retries dispatch.Retries
 		engine  []reply
 		others  map[entity.TargetID][]reply
@@ -59,10 +60,16 @@
 		"begun answer of a broken connection": {
 			kind: plain, seen: true, engine: slices.Repeat([]reply{{to: 2, err: errBroken}}, 20), others: map[entity.TargetID][]reply{"e2": {whole}},
 		},
-		"kind that runs at most once":   {kind: once, engine: silent(20, 2), others: map[entity.TargetID][]reply{"e2": {whole}}},
-		"before the first event":        {kind: once, engine: silent(20, 0), others: map[entity.TargetID][]reply{"e2": {whole}}},
-		"resumed run":                   {kind: once, req: entity.Request{Resume: true}, engine: slices.Repeat([]reply{{err: errUnsent}}, 20)},
-		"caller that has a part":        {kind: plain, req: entity.Request{Resume: true, Pinned: "e1", EventsSeen: 1}, engine: silent(20, 0), others: map[entity.TargetID][]reply{"e2": {whole}}},
+		"kind that runs at most once": {kind: once, engine: silent(20, 2), others: map[entity.TargetID][]reply{"e2": {whole}}},
+		"before the first event":      {kind: once, engine: silent(20, 0), others: map[entity.TargetID][]reply{"e2": {whole}}},
+		"resumed run":                 {kind: once, req: entity.Request{Resume: true}, engine: slices.Repeat([]reply{{err: errUnsent}}, 20)},
+		"caller that has a part":      {kind: plain, req: entity.Request{Resume: true, Pinned: "e1", EventsSeen: 1}, engine: silent(20, 0), others: map[entity.TargetID][]reply{"e2": {whole}}},
+		"earlier events held elsewhere": {
+			kind: plain, req: entity.Request{Resume: true, Pinned: "e1"}, from: 2, engine: silent(20, 0), others: map[entity.TargetID][]reply{"e2": {whole}},
+		},
+		"earlier events held elsewhere, in another data centre": {
+			kind: plain, req: entity.Request{Resume: true, Pinned: "far"}, from: 2, engine: silent(20, 0), others: map[entity.TargetID][]reply{"e2": {whole}},
+		},
 		"no other target":               {kind: plain, engine: silent(20, 2)},
 		"no retry budget":               {kind: plain, retries: refusingRetries{}, engine: silent(20, 2), others: map[entity.TargetID][]reply{"e2": {whole}}},
 		"refuses for a moment":          {kind: once, engine: append(slices.Repeat([]reply{{to: 2, err: errBroken}, {err: errRefused}}, 10), reply{err: errRefused})},
@@ -72,24 +79,25 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := &fakeTargets{replies: map[entity.TargetID][]reply{"e1": append(tt.engine, whole)}}
+				f := &fakeTargets{replies: map[entity.TargetID][]reply{cmp.Or(tt.req.Pinned, "e1"): append(tt.engine, whole)}}
 				for id, replies := range tt.others {
 					f.replies[id] = replies
 				}
 
-				ans := answers.New()
+				ans := answers.NewFrom(tt.from)
 
 				if tt.seen {
 					go func() { _ = ans.Read(t.Context(), 0, func(uint64, []byte) error { return nil }) }()
 				}
 
-				r := dispatch.New(dispatch.Options{Home: "a", Engines: f, Services: f, Peers: f, Router: f, Retries: tt.retries, MaxStreams: 2})
+				far := dispatch.New(dispatch.Options{Home: "b", Engines: f, Services: f, Router: f, MaxStreams: 2})
+				r := dispatch.New(dispatch.Options{Home: "a", Engines: f, Services: f, Peers: farHost{far}, Router: f, Retries: tt.retries, MaxStreams: 2})
 				tt.req.ID, tt.req.Kind, tt.req.Deadline = "r", tt.kind, time.Now().Add(longDeadline)
 				r.Run(t.Context(), tt.req, ans)
 
 				_, problem := ans.Ended()
 				require.Nil(t, problem)
-				require.Len(t, ans.Events(), 3)
+				require.Equal(t, whole.to, ans.NextSeq())
 				require.Zero(t, f.running)
 			})
 		})
