Cancel the work of an engine that is left

Cause: streamWithResume cancelled at the end of the answer and of its context alone. The same held for a forward: the far host defers without a cancel, as the engine may be resumed, and the near host that then moved the request, or met its deadline between two forwards, did not cancel.

Now the host that secured the next target cancels the engine first, through the engine's own interface, as it resumes it when the far hosts are lost. The cancel is awaited, 1 s at most, since the decode of the next attempt may run on the same engine under the same id, and a late cancel would end that. Ruled out: a cancel by the far host when it defers, which would end what the near host may resume; a cancel by a host that resumed a request of another host, which may live and have readers.

Run: go test -race -count=3 ./internal/entry/dispatch passes.

--- a/internal/entry/dispatch/direct.go
+++ b/internal/entry/dispatch/direct.go
@@ -219,7 +219,7 @@
 		gap.add(began, now, err)
 		call.Resume = true
 
-		if gap.refused(now) || gap.streams >= r.opts.MaxStreams && next.secure(t.ID, err, gap.refuses()) {
+		if gap.refused(now) || gap.streams >= r.opts.MaxStreams && next.leave(t, err, gap.refuses()) {
 			break
 		}
 
--- a/internal/entry/dispatch/handover.go
+++ b/internal/entry/dispatch/handover.go
@@ -68,6 +68,22 @@
 	return h.secured
 }
 
+// leave is secure for the engine t, and cancels the work of t on the request if this host began it and no host may resume
+// it.
+func (h *handover) leave(t entity.Target, err error, refuses bool) bool {
+	if !h.secure(t.ID, err, refuses) {
+		return false
+	}
+
+	// A resumed request may still have readers at the host that began it. The cancel is awaited because t may run the
+	// decode of the next attempt under the same id.
+	if !h.deferred && !h.req.Resume {
+		h.runner.cancel(t, h.req.ID)
+	}
+
+	return true
+}
+
 // firstDelay returns the first delay before a stream without a new event is resumed; zero means resumeDelay.
 func (h *handover) firstDelay() time.Duration {
 	// The delays of a request that is forwarded again do not begin anew.
--- a/internal/entry/dispatch/runner.go
+++ b/internal/entry/dispatch/runner.go
@@ -308,7 +308,7 @@
 	err := r.opts.Peers.Forward(ctx, t.DataCentre, t.ID, *req, ans)
 
 	for hasCode(err, verdict.CodeTargetSilent) {
-		if next.secure(t.ID, err, false) {
+		if next.leave(t, err, false) {
 			return lostError(t, err)
 		}
 
@@ -317,6 +317,8 @@
 		gap.add(now, now, err)
 
 		if !r.waitToResume(ctx, gap.pause.End().Sub(now)) {
+			r.cancel(t, req.ID)
+
 			return err
 		}
 
--- a/internal/entry/dispatch/runner_test.go
+++ b/internal/entry/dispatch/runner_test.go
@@ -337,6 +337,7 @@
 		"before the request is sent":           {replies: []reply{{hang: true, err: errUnsent}}, verdict: verdict.NotRun},
 		"while it cannot be resumed":           {replies: []reply{{err: errBroken}, {hang: true, err: errUnsent}}, verdict: verdict.MayHaveRun},
 		"a resumed run that cannot be reached": {once: true, resume: true, replies: slices.Repeat([]reply{{err: errUnsent}}, 9), verdict: verdict.MayHaveRun},
+		"between two forwards":                 {target: "far", once: true, replies: slices.Repeat([]reply{{err: errSilent}}, 9), verdict: verdict.MayHaveRun},
 		"after its peer was lost":              {target: "far", replies: []reply{{err: errPeerLost}, {hang: true, err: errUnsent}}, verdict: verdict.MayHaveRun},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/entry/dispatch/silent_test.go
+++ b/internal/entry/dispatch/silent_test.go
@@ -110,26 +110,27 @@
 		req     entity.Request
 		replies map[entity.TargetID][]reply
 		targets []entity.TargetID
+		cancels []entity.TargetID
 		retries int
 		code    verdict.Code // empty for a whole answer
 	}{
-		"silent": {replies: map[entity.TargetID][]reply{"e1": silent(20, 2), "e2": {{to: 3}}}, targets: []entity.TargetID{"e1", "e2"}, retries: 1},
+		"silent": {replies: map[entity.TargetID][]reply{"e1": silent(20, 2), "e2": {{to: 3}}}, targets: []entity.TargetID{"e1", "e2"}, cancels: []entity.TargetID{"e1"}, retries: 1},
 		"both silent": {
 			replies: map[entity.TargetID][]reply{"e1": silent(20, 2), "e2": silent(20, 2), "e3": {{to: 3}}},
-			targets: []entity.TargetID{"e1", "e2", "e3"}, retries: 2,
+			targets: []entity.TargetID{"e1", "e2", "e3"}, cancels: []entity.TargetID{"e1", "e2"}, retries: 2,
 		},
 		"silent in the prefill": {
 			phases: splitPhases{}, replies: map[entity.TargetID][]reply{"e1": silent(20, 0), "e2": {{}}, "d1": {{to: 3}}},
-			targets: []entity.TargetID{"e1", "e2", "d1"}, retries: 1,
+			targets: []entity.TargetID{"e1", "e2", "d1"}, cancels: []entity.TargetID{"e1"}, retries: 1,
 		},
 		"silent in the decode": {
 			phases: splitPhases{}, replies: map[entity.TargetID][]reply{"e1": {{}}, "e2": {{}}, "d1": append(silent(2, 2), reply{to: 3})},
-			targets: []entity.TargetID{"e1", "d1", "e2", "d1"}, retries: 1,
+			targets: []entity.TargetID{"e1", "d1", "e2", "d1"}, cancels: []entity.TargetID{"d1", "e1"}, retries: 1,
 		},
 		"silent in another data centre": {
 			req:     entity.Request{Preferred: "far"},
 			replies: map[entity.TargetID][]reply{"far": slices.Repeat([]reply{{err: errSilent}}, 20), "e1": {{to: 3}}},
-			targets: []entity.TargetID{"far", "e1"}, retries: 1,
+			targets: []entity.TargetID{"far", "e1"}, cancels: []entity.TargetID{"far"}, retries: 1,
 		},
 		"forwarded": {
 			req: entity.Request{Forwarded: true}, replies: map[entity.TargetID][]reply{"e1": silent(20, 0)}, targets: []entity.TargetID{"e1"},
@@ -150,6 +151,7 @@
 				r.Run(t.Context(), tt.req, ans)
 
 				require.Equal(t, tt.targets, targetsOf(f.calls))
+				require.Equal(t, tt.cancels, f.cancels)
 
 				if _, problem := ans.Ended(); tt.code != "" {
 					require.Equal(t, tt.code, problem.Code)
