--- a/internal/entry/dispatch/direct.go
+++ b/internal/entry/dispatch/direct.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -27,12 +28,71 @@
 	setTarget(ans, t.ID)
 
 	if t.Type == entity.Service {
-		return r.callService(ctx, req, t, ans)
+		return r.watchService(ctx, t, ans, next, func(ctx context.Context, ans *answers.Answer) error {
+			return r.callService(ctx, req, t, ans)
+		})
 	}
 
 	return r.streamWithResume(ctx, engineRequest(req), t, ans, next)
 }
 
+// watchService runs call, which collects the answer of the service t, and copies that to ans once it is whole. It ends
+// call early only if next has secured another target, which it tries each time that another ServiceSilence has passed.
+func (r *Runner) watchService(
+	ctx context.Context, t entity.Target, ans *answers.Answer, next *handover, call func(context.Context, *answers.Answer) error,
+) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	own := answers.New() // a handover must not find a part of the answer in ans
+	done := make(chan error, 1)
+
+	go func() { done <- call(ctx, own) }()
+
+	err := r.awaitService(t, next, cancel, done)
+	if ended, problem := own.Ended(); ended {
+		return problem
+	}
+
+	if err != nil {
+		return err
+	}
+
+	ans.SetMeta(own.Meta())
+
+	for _, data := range own.Events() {
+		if !ans.Append(data) {
+			return errAnswerEnded
+		}
+	}
+
+	return nil
+}
+
+// awaitService returns the result of a call to t from done, and cancels the call once next has secured another target.
+func (r *Runner) awaitService(t entity.Target, next *handover, cancel context.CancelFunc, done <-chan error) error {
+	ticker := r.opts.Clock.NewTicker(r.opts.ServiceSilence)
+	defer ticker.Stop()
+
+	for kept := false; ; kept = true {
+		select {
+		case err := <-done:
+			return err
+		case <-ticker.Chan():
+		}
+
+		if next.secure(t.ID, silentError(t, nil), false) {
+			cancel()
+
+			return <-done
+		}
+
+		if !kept {
+			r.opts.Log.Warn().Str("request", string(next.req.ID)).Str("target", string(t.ID)).Msg("silent service kept")
+		}
+	}
+}
+
 // callService calls the service t and appends its response body to ans as one event.
 func (r *Runner) callService(ctx context.Context, req entity.Request, t entity.Target, ans *answers.Answer) error {
 	answer, err := r.opts.Services.Call(ctx, t, service.Request{
@@ -92,7 +152,7 @@
 	var (
 		firstErr          error
 		resumesEarlierRun = call.Resume
-		gap               silence
+		gap               = silence{firstDelay: next.firstDelay()}
 	)
 
 	call.Stated = func(v entity.SoftwareVersion) { r.recordVersion(t.ID, v, ans) }
@@ -159,7 +219,7 @@
 		gap.add(began, now, err)
 		call.Resume = true
 
-		if gap.refused(now) || gap.streams >= r.opts.MaxStreams && next.secure(t.ID, err) {
+		if gap.refused(now) || gap.streams >= r.opts.MaxStreams && next.leave(t, err, gap.refuses()) {
 			break
 		}
 
@@ -181,7 +241,8 @@
 // silence is a series of streams of one call without a new event.
 type silence struct {
 	streams      int
-	refusedSince time.Time // start of the first of the latest streams that were all refused; zero if the last was not
+	refusedSince time.Time     // start of the first of the latest streams that were all refused; zero if the last was not
+	firstDelay   time.Duration // zero means resumeDelay
 	pause        backoff.Backoff
 }
 
@@ -197,15 +258,18 @@
 
 	// A stream that was open for long needs no further delay to bound the rate.
 	if now.Sub(began) >= maxResumeDelay {
-		s.pause = backoff.Backoff{}
+		s.pause, s.firstDelay = backoff.Backoff{}, 0
 	}
 
-	s.pause.Fail(now, resumeDelay, maxResumeDelay)
+	s.pause.Fail(now, cmp.Or(s.firstDelay, resumeDelay), maxResumeDelay)
 }
 
+// refuses reports whether the engine refused the latest connection.
+func (s *silence) refuses() bool { return !s.refusedSince.IsZero() }
+
 // refused reports whether the engine has refused connections for refusedTime.
 func (s *silence) refused(now time.Time) bool {
-	return !s.refusedSince.IsZero() && now.Sub(s.refusedSince) >= refusedTime
+	return s.refuses() && now.Sub(s.refusedSince) >= refusedTime
 }
 
 // lostError returns the error for a call that the engine t no longer runs or that has left t.
--- a/internal/entry/dispatch/runner.go
+++ b/internal/entry/dispatch/runner.go
@@ -20,6 +20,8 @@
 	maxTries           = 3 // most targets that one request is tried on
 	defaultMaxStreams  = 4
 	noTargetRetryAfter = 2 * time.Second
+
+	defaultServiceSilence = 10 * time.Second
 )
 
 // Engines runs requests on model engines.
@@ -87,6 +89,9 @@
 	// MaxStreams is the number of successive streams without a new event after which a call may move to another target;
 	// zero means 4.
 	MaxStreams int
+	// ServiceSilence is the time without an answer after which a call of a service may move to another target; zero means
+	// 10 s.
+	ServiceSilence time.Duration
 }
 
 // Runner runs requests. It is safe for concurrent use.
@@ -109,6 +114,10 @@
 		opts.MaxStreams = defaultMaxStreams
 	}
 
+	if opts.ServiceSilence == 0 {
+		opts.ServiceSilence = defaultServiceSilence
+	}
+
 	return &Runner{opts: opts}
 }
 
@@ -156,7 +165,7 @@
 		}
 
 		tried = append(tried, t.ID)
-		next = &handover{runner: r, req: req, ans: ans, tried: tried, triesLeft: try+1 < maxTries}
+		next = &handover{runner: r, req: req, ans: ans, tried: tried, first: ans.NextSeq(), triesLeft: try+1 < maxTries}
 		err := r.attempt(ctx, req, t, ans, next)
 
 		if err == nil {
@@ -275,6 +284,12 @@
 
 	setTarget(ans, t.ID)
 
+	if t.Type == entity.Service {
+		return r.watchService(ctx, t, ans, next, func(ctx context.Context, ans *answers.Answer) error {
+			return r.opts.Peers.Forward(ctx, t.DataCentre, t.ID, req, ans)
+		})
+	}
+
 	err := r.forward(ctx, &req, t, ans, next)
 
 	if !mayBeRunning(req, t, err) || ctx.Err() != nil {
@@ -288,14 +303,22 @@
 
 // forward forwards req to t, again while t is silent and no other target is at hand. It then sets req.Resume.
 func (r *Runner) forward(ctx context.Context, req *entity.Request, t entity.Target, ans *answers.Answer, next *handover) error {
+	var gap silence
+
 	err := r.opts.Peers.Forward(ctx, t.DataCentre, t.ID, *req, ans)
 
 	for hasCode(err, verdict.CodeTargetSilent) {
-		if next.secure(t.ID, err) {
+		if next.leave(t, err, false) {
 			return lostError(t, err)
 		}
 
-		if !r.waitToResume(ctx, resumeDelay) {
+		now := r.opts.Clock.Now()
+		// The time of the forward does not count, as it may have held many short streams.
+		gap.add(now, now, err)
+
+		if !r.waitToResume(ctx, gap.pause.End().Sub(now)) {
+			r.cancel(t, req.ID)
+
 			return err
 		}
 
