Time the silence of a service's call by the passed-in clock

service.Client timed the silence of a call by time.AfterFunc, so tests on virtual time could not drive it. It has Options.Clock now, nil for the real one, and the host passes its own.

Each silence closes the idle connections to all targets, not only to the silent one. That stays and is documented: net/http closes idle connections of a transport alone, a transport for each target would need an end with its target, and the price is a dial.

Failing before (time.AfterFunc put back, the field kept): TestSilenceIsTimedByTheSystemClock waits 30 s for a timer that the clock does not know.

--- a/internal/entry/host/build.go
+++ b/internal/entry/host/build.go
@@ -60,7 +60,7 @@
 	h.budget = newRetryBudget(clock)
 	heldAnswers := answers.NewTable(answers.Options{Clock: clock})
 	h.runner = dispatch.New(dispatch.Options{
-		Clock: clock, Home: h.opts.DataCentre, Engines: h.engines, Services: service.NewClient(service.Options{}),
+		Clock: clock, Home: h.opts.DataCentre, Engines: h.engines, Services: service.NewClient(service.Options{Clock: clock}),
 		Peers: h.network, Router: h.router, Phases: h.router, Versions: h.router, Retries: h.budget, Guard: h.guard, Log: h.opts.Log,
 	})
 	h.fleetControl = fleetcontrol.Start(ctx, fleetcontrol.Options{
--- a/internal/wire/service/client.go
+++ b/internal/wire/service/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/zeebo/errs"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
@@ -36,11 +37,14 @@
 type Options struct {
 	DialTimeout time.Duration // limit on establishing a connection; zero means 1 s
 	// SilenceTimeout is the time after which a call that goes on makes later calls use new connections; zero means 10 s.
+	// Idle connections to all targets are closed then, which costs each of them a dial.
 	SilenceTimeout time.Duration
+	Clock          clockwork.Clock // nil means the real clock
 }
 
 // Client calls services. It is safe for concurrent use and sends each request at most once.
 type Client struct {
+	clock          clockwork.Clock
 	silenceTimeout time.Duration
 	budget         *buffers.Budget
 	http           *http.Client
@@ -72,8 +76,12 @@
 		opts.SilenceTimeout = defaultSilenceTimeout
 	}
 
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
+
 	return &Client{
-		silenceTimeout: opts.SilenceTimeout, budget: buffers.NewBudget(bufferBytes),
+		clock: opts.Clock, silenceTimeout: opts.SilenceTimeout, budget: buffers.NewBudget(bufferBytes),
 		http: once.NewClient(once.Options{DialTimeout: opts.DialTimeout}),
 	}
 }
@@ -90,7 +98,7 @@
 	}
 
 	// When one connection stops delivering data, others to the same target usually have too.
-	silent := time.AfterFunc(c.silenceTimeout, c.http.CloseIdleConnections)
+	silent := c.clock.AfterFunc(c.silenceTimeout, c.http.CloseIdleConnections)
 	defer silent.Stop()
 
 	defer func() {
--- a/internal/wire/service/silent_test.go
+++ b/internal/wire/service/silent_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
@@ -108,6 +110,56 @@
 	require.Equal(t, verdict.MayHaveRun, verdict.Of(<-silent))
 }
 
+func TestSilenceIsTimedByTheSystemClock(t *testing.T) {
+	const silenceTimeout = time.Hour
+
+	var (
+		clock   = clockwork.NewFakeClock()
+		client  = service.NewClient(service.Options{Clock: clock, SilenceTimeout: silenceTimeout})
+		closed  = make(chan struct{}, idleConns)
+		release = make(chan struct{})
+		silent  = make(chan error, 1)
+	)
+
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/silent" {
+			<-release
+		}
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateClosed {
+			closed <- struct{}{}
+		}
+	}
+
+	server.Start()
+	t.Cleanup(server.Close)
+
+	answer := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(answer)
+
+	ctx, cancel := context.WithTimeout(t.Context(), longTimeout)
+	defer cancel()
+
+	s := silentService{client: client, target: entity.Target{ID: "service-1", Address: server.Listener.Addr().String()}}
+
+	go func() { silent <- s.send(ctx, "/silent") }()
+
+	require.NoError(t, clock.BlockUntilContext(ctx, 1))
+	require.NoError(t, s.send(ctx, "/")) // leaves an idle connection
+
+	clock.Advance(silenceTimeout)
+
+	select {
+	case <-closed:
+	case <-ctx.Done():
+		t.Error("the idle connection is still open")
+	}
+
+	answer()
+	require.NoError(t, <-silent)
+}
+
 func TestSlowServiceIsGivenUpBeforeTheDeadline(t *testing.T) {
 	const (
 		silenceTimeout = 100 * time.Millisecond
