Do not call a service again for a request that runs at most once

A request that runs at most once, forwarded to a service of another data centre, could run twice when the far host was lost after it had sent the call: peers.Forward then takes the next host and marks the request as a resume, and that host called the service again. Found by reading, not seen in a run of hosts. A service can't resume, so a resumed request of such a kind now ends as target-lost, may-have-run, without a call. A kind that may repeat is called again as before.

Run: go test -race -count=3 ./internal/entry/dispatch passes.

--- a/internal/entry/dispatch/direct.go
+++ b/internal/entry/dispatch/direct.go
@@ -95,6 +95,11 @@
 
 // callService calls the service t and appends its response body to ans as one event.
 func (r *Runner) callService(ctx context.Context, req entity.Request, t entity.Target, ans *answers.Answer) error {
+	// A service can't resume, so the call would run the request again.
+	if req.Resume && req.Kind.AtMostOnce {
+		return lostError(t, nil)
+	}
+
 	answer, err := r.opts.Services.Call(ctx, t, service.Request{
 		ID: req.ID, Key: req.Key, Path: req.Path, ContentType: req.ContentType, Body: req.Body,
 	})
--- a/internal/entry/dispatch/silent_test.go
+++ b/internal/entry/dispatch/silent_test.go
@@ -371,3 +371,17 @@
 		})
 	}
 }
+
+func TestServiceRunsAnAtMostOnceRequestAgainAfterALostHost(t *testing.T) {
+	f, ans := &fakeTargets{replies: map[entity.TargetID][]reply{"e1": {{}}}}, answers.New()
+
+	f.runner(nil).Run(t.Context(), entity.Request{
+		ID: "r", Kind: entity.Kind{Service: "s", AtMostOnce: true}, Forwarded: true, Resume: true, Pinned: "e1", Deadline: time.Now().Add(testBound),
+	}, ans)
+
+	_, problem := ans.Ended()
+	require.Empty(t, f.calls)
+	require.NotNil(t, problem)
+	require.Equal(t, verdict.CodeTargetLost, problem.Code)
+	require.Equal(t, verdict.MayHaveRun, problem.Verdict)
+}
