--- a/internal/entry/dispatch/silent_test.go
+++ b/internal/entry/dispatch/silent_test.go
@@ -1,6 +1,8 @@
 package dispatch_test
 
 import (
+	"cmp"
+	"context"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -19,6 +21,7 @@
 	idleTimeout    = 5 * time.Second // after which the client of engines ends a silent stream
 	refusedTime    = 5 * time.Second // after which an engine that refuses connections has ended
 	maxResumeDelay = 2 * time.Second
+	serviceSilence = 10 * time.Second // after which a call of a service may move to another one
 )
 
 // refusingRetries refuses all retries.
@@ -47,7 +50,8 @@
 	for name, tt := range map[string]struct {
 		kind    entity.Kind
 		req     entity.Request
-		seen    bool // a reader receives the events as they arrive
+		from    uint64 // sequence number of the first event of the answer
+		seen    bool   // a reader receives the events as they arrive
 		retries dispatch.Retries
 		engine  []reply
 		others  map[entity.TargetID][]reply
@@ -56,10 +60,16 @@
 		"begun answer of a broken connection": {
 			kind: plain, seen: true, engine: slices.Repeat([]reply{{to: 2, err: errBroken}}, 20), others: map[entity.TargetID][]reply{"e2": {whole}},
 		},
-		"kind that runs at most once":   {kind: once, engine: silent(20, 2), others: map[entity.TargetID][]reply{"e2": {whole}}},
-		"before the first event":        {kind: once, engine: silent(20, 0), others: map[entity.TargetID][]reply{"e2": {whole}}},
-		"resumed run":                   {kind: once, req: entity.Request{Resume: true}, engine: slices.Repeat([]reply{{err: errUnsent}}, 20)},
-		"caller that has a part":        {kind: plain, req: entity.Request{Resume: true, Pinned: "e1", EventsSeen: 1}, engine: silent(20, 0), others: map[entity.TargetID][]reply{"e2": {whole}}},
+		"kind that runs at most once": {kind: once, engine: silent(20, 2), others: map[entity.TargetID][]reply{"e2": {whole}}},
+		"before the first event":      {kind: once, engine: silent(20, 0), others: map[entity.TargetID][]reply{"e2": {whole}}},
+		"resumed run":                 {kind: once, req: entity.Request{Resume: true}, engine: slices.Repeat([]reply{{err: errUnsent}}, 20)},
+		"caller that has a part":      {kind: plain, req: entity.Request{Resume: true, Pinned: "e1", EventsSeen: 1}, engine: silent(20, 0), others: map[entity.TargetID][]reply{"e2": {whole}}},
+		"earlier events held elsewhere": {
+			kind: plain, req: entity.Request{Resume: true, Pinned: "e1"}, from: 2, engine: silent(20, 0), others: map[entity.TargetID][]reply{"e2": {whole}},
+		},
+		"earlier events held elsewhere, in another data centre": {
+			kind: plain, req: entity.Request{Resume: true, Pinned: "far"}, from: 2, engine: silent(20, 0), others: map[entity.TargetID][]reply{"e2": {whole}},
+		},
 		"no other target":               {kind: plain, engine: silent(20, 2)},
 		"no retry budget":               {kind: plain, retries: refusingRetries{}, engine: silent(20, 2), others: map[entity.TargetID][]reply{"e2": {whole}}},
 		"refuses for a moment":          {kind: once, engine: append(slices.Repeat([]reply{{to: 2, err: errBroken}, {err: errRefused}}, 10), reply{err: errRefused})},
@@ -69,24 +79,25 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := &fakeTargets{replies: map[entity.TargetID][]reply{"e1": append(tt.engine, whole)}}
+				f := &fakeTargets{replies: map[entity.TargetID][]reply{cmp.Or(tt.req.Pinned, "e1"): append(tt.engine, whole)}}
 				for id, replies := range tt.others {
 					f.replies[id] = replies
 				}
 
-				ans := answers.New()
+				ans := answers.NewFrom(tt.from)
 
 				if tt.seen {
 					go func() { _ = ans.Read(t.Context(), 0, func(uint64, []byte) error { return nil }) }()
 				}
 
-				r := dispatch.New(dispatch.Options{Home: "a", Engines: f, Services: f, Peers: f, Router: f, Retries: tt.retries, MaxStreams: 2})
+				far := dispatch.New(dispatch.Options{Home: "b", Engines: f, Services: f, Router: f, MaxStreams: 2})
+				r := dispatch.New(dispatch.Options{Home: "a", Engines: f, Services: f, Peers: farHost{far}, Router: f, Retries: tt.retries, MaxStreams: 2})
 				tt.req.ID, tt.req.Kind, tt.req.Deadline = "r", tt.kind, time.Now().Add(longDeadline)
 				r.Run(t.Context(), tt.req, ans)
 
 				_, problem := ans.Ended()
 				require.Nil(t, problem)
-				require.Len(t, ans.Events(), 3)
+				require.Equal(t, whole.to, ans.NextSeq())
 				require.Zero(t, f.running)
 			})
 		})
@@ -99,26 +110,27 @@
 		req     entity.Request
 		replies map[entity.TargetID][]reply
 		targets []entity.TargetID
+		cancels []entity.TargetID
 		retries int
 		code    verdict.Code // empty for a whole answer
 	}{
-		"silent": {replies: map[entity.TargetID][]reply{"e1": silent(20, 2), "e2": {{to: 3}}}, targets: []entity.TargetID{"e1", "e2"}, retries: 1},
+		"silent": {replies: map[entity.TargetID][]reply{"e1": silent(20, 2), "e2": {{to: 3}}}, targets: []entity.TargetID{"e1", "e2"}, cancels: []entity.TargetID{"e1"}, retries: 1},
 		"both silent": {
 			replies: map[entity.TargetID][]reply{"e1": silent(20, 2), "e2": silent(20, 2), "e3": {{to: 3}}},
-			targets: []entity.TargetID{"e1", "e2", "e3"}, retries: 2,
+			targets: []entity.TargetID{"e1", "e2", "e3"}, cancels: []entity.TargetID{"e1", "e2"}, retries: 2,
 		},
 		"silent in the prefill": {
 			phases: splitPhases{}, replies: map[entity.TargetID][]reply{"e1": silent(20, 0), "e2": {{}}, "d1": {{to: 3}}},
-			targets: []entity.TargetID{"e1", "e2", "d1"}, retries: 1,
+			targets: []entity.TargetID{"e1", "e2", "d1"}, cancels: []entity.TargetID{"e1"}, retries: 1,
 		},
 		"silent in the decode": {
 			phases: splitPhases{}, replies: map[entity.TargetID][]reply{"e1": {{}}, "e2": {{}}, "d1": append(silent(2, 2), reply{to: 3})},
-			targets: []entity.TargetID{"e1", "d1", "e2", "d1"}, retries: 1,
+			targets: []entity.TargetID{"e1", "d1", "e2", "d1"}, cancels: []entity.TargetID{"d1", "e1"}, retries: 1,
 		},
 		"silent in another data centre": {
 			req:     entity.Request{Preferred: "far"},
 			replies: map[entity.TargetID][]reply{"far": slices.Repeat([]reply{{err: errSilent}}, 20), "e1": {{to: 3}}},
-			targets: []entity.TargetID{"far", "e1"}, retries: 1,
+			targets: []entity.TargetID{"far", "e1"}, cancels: []entity.TargetID{"far"}, retries: 1,
 		},
 		"forwarded": {
 			req: entity.Request{Forwarded: true}, replies: map[entity.TargetID][]reply{"e1": silent(20, 0)}, targets: []entity.TargetID{"e1"},
@@ -139,6 +151,7 @@
 				r.Run(t.Context(), tt.req, ans)
 
 				require.Equal(t, tt.targets, targetsOf(f.calls))
+				require.Equal(t, tt.cancels, f.cancels)
 
 				if _, problem := ans.Ended(); tt.code != "" {
 					require.Equal(t, tt.code, problem.Code)
@@ -188,20 +201,59 @@
 	}
 }
 
+// farHost is the entry host of data centre b that runs forwarded requests. It sends each event on as it arrives.
+type farHost struct{ runner *dispatch.Runner }
+
+func (h farHost) Forward(ctx context.Context, _ entity.DataCentre, t entity.TargetID, req entity.Request, ans *answers.Answer) error {
+	req.Forwarded, req.Pinned = true, t
+	own := answers.NewFrom(ans.NextSeq())
+
+	go h.runner.Run(ctx, req, own)
+
+	return own.Read(ctx, ans.NextSeq(), func(_ uint64, data []byte) error {
+		ans.Append(data)
+
+		return nil
+	})
+}
+
+// forwardingRunner returns the Runner of a host in data centre a that forwards requests for far to a farHost.
+func (f *fakeTargets) forwardingRunner() *dispatch.Runner {
+	far := dispatch.New(dispatch.Options{Home: "b", Engines: f, Services: f, Router: f, MaxStreams: 2})
+
+	return dispatch.New(dispatch.Options{Home: "a", Engines: f, Services: f, Peers: farHost{far}, Router: f, MaxStreams: 2})
+}
+
 func TestEngineThatHasEndedIsWaitedFor(t *testing.T) {
+	refused := slices.Repeat([]reply{{err: errRefused}}, 100)
+	once, plain := entity.Kind{Model: "m", AtMostOnce: true}, entity.Kind{Model: "m"}
+
 	for name, tt := range map[string]struct {
+		kind    entity.Kind
 		replies []reply
+		forward bool
 		bound   time.Duration
 	}{
-		"nothing listens":     {replies: append([]reply{{to: 1, err: errBroken}}, slices.Repeat([]reply{{err: errRefused}}, 20)...), bound: refusedTime + 2*maxResumeDelay},
-		"started again":       {replies: []reply{{to: 1, err: errBroken}, {err: errUnsent}, {err: errUnknown}}, bound: maxResumeDelay},
-		"cannot resume there": {replies: []reply{{to: 1, err: errBroken}, {err: errMalformed}}, bound: maxResumeDelay},
+		"nothing listens":                     {kind: once, replies: append([]reply{{to: 1, err: errBroken}}, refused...), bound: refusedTime + 2*maxResumeDelay},
+		"started again":                       {kind: once, replies: []reply{{to: 1, err: errBroken}, {err: errUnsent}, {err: errUnknown}}, bound: maxResumeDelay},
+		"cannot resume there":                 {kind: once, replies: []reply{{to: 1, err: errBroken}, {err: errMalformed}}, bound: maxResumeDelay},
+		"nothing listens, forwarded once":     {kind: once, forward: true, replies: append([]reply{{to: 1, err: errBroken}}, refused...), bound: refusedTime + 2*maxResumeDelay},
+		"nothing listens, forwarded":          {kind: plain, forward: true, replies: append([]reply{{err: errBroken}}, refused...), bound: refusedTime + 2*maxResumeDelay},
+		"nothing listens, forwarded again":    {kind: plain, forward: true, replies: append(slices.Repeat([]reply{{err: errBroken}}, 2), refused...), bound: refusedTime + 2*maxResumeDelay},
+		"started again, forwarded again":      {kind: plain, forward: true, replies: append(slices.Repeat([]reply{{err: errBroken}}, 2), reply{err: errUnknown}), bound: maxResumeDelay},
+		"refuses between silences, forwarded": {kind: plain, forward: true, replies: append([]reply{{err: errBroken}, {err: errRefused}, {err: errBroken}}, refused...), bound: refusedTime + 2*maxResumeDelay},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f, ans, start := &fakeTargets{replies: map[entity.TargetID][]reply{"e1": tt.replies}}, answers.New(), time.Now()
+				f, ans, start := &fakeTargets{replies: map[entity.TargetID][]reply{}}, answers.New(), time.Now()
+				r, engine := f.runner(nil), entity.TargetID("e1")
+
+				if tt.forward {
+					r, engine = f.forwardingRunner(), "far"
+				}
 
-				f.runner(nil).Run(t.Context(), entity.Request{ID: "r", Kind: entity.Kind{Model: "m", AtMostOnce: true}, Deadline: start.Add(longDeadline)}, ans)
+				f.replies[engine] = tt.replies
+				r.Run(t.Context(), entity.Request{ID: "r", Kind: tt.kind, Preferred: engine, Deadline: start.Add(longDeadline)}, ans)
 
 				_, problem := ans.Ended()
 				require.Equal(t, verdict.CodeTargetLost, problem.Code)
@@ -213,17 +265,109 @@
 }
 
 func TestResumesWithoutEndAreRare(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f, ans := &fakeTargets{replies: map[entity.TargetID][]reply{"e1": {{to: 1, err: errBroken}}}}, answers.New()
+	const firstDelays = 6 // 100 ms, doubled up to maxResumeDelay
 
-		f.runner(nil).Run(t.Context(), entity.Request{ID: "r", Kind: entity.Kind{Model: "m", AtMostOnce: true}, Deadline: time.Now().Add(longDeadline)}, ans)
+	for name, tt := range map[string]struct {
+		kind   entity.Kind
+		engine entity.TargetID
+		first  reply
+		hosts  int // that have first delays
+	}{
+		"direct":                  {kind: entity.Kind{Model: "m", AtMostOnce: true}, engine: "e1", first: reply{to: 1, err: errBroken}, hosts: 1},
+		"forwarded":               {kind: entity.Kind{Model: "m"}, engine: "far", first: reply{err: errBroken}, hosts: 2},
+		"forwarded, at most once": {kind: entity.Kind{Model: "m", AtMostOnce: true}, engine: "far", first: reply{err: errBroken}, hosts: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, ans := &fakeTargets{replies: map[entity.TargetID][]reply{tt.engine: {tt.first}}}, answers.New()
 
-		_, problem := ans.Ended()
-		require.Equal(t, verdict.CodeDeadline, problem.Code)
-		require.Equal(t, verdict.MayHaveRun, problem.Verdict)
+				f.forwardingRunner().Run(t.Context(), entity.Request{ID: "r", Kind: tt.kind, Preferred: tt.engine, Deadline: time.Now().Add(longDeadline)}, ans)
 
-		const firstDelays = 6 // 100 ms, doubled up to maxResumeDelay
+				_, problem := ans.Ended()
+				require.Equal(t, verdict.CodeDeadline, problem.Code)
+				require.Equal(t, verdict.MayHaveRun, problem.Verdict)
+				require.LessOrEqual(t, len(f.calls), int(longDeadline/maxResumeDelay)+tt.hosts*firstDelays)
+			})
+		})
+	}
+}
 
-		require.LessOrEqual(t, len(f.calls), int(longDeadline/maxResumeDelay)+firstDelays)
-	})
+func TestCallStaysAtASilentServiceAlthoughAnotherIsAtHand(t *testing.T) {
+	type replies = map[entity.TargetID][]reply
+
+	hang := reply{hang: true, err: errLost}
+
+	for name, tt := range map[string]struct {
+		req     entity.Request
+		replies replies
+		targets []entity.TargetID
+	}{
+		"silent":      {replies: replies{"e1": {hang}, "e2": {{}}}, targets: []entity.TargetID{"e1", "e2"}},
+		"both silent": {replies: replies{"e1": {hang}, "e2": {hang}, "e3": {{}}}, targets: []entity.TargetID{"e1", "e2", "e3"}},
+		"silent in another data centre": {
+			req: entity.Request{Preferred: "far"}, replies: replies{"far": {hang}, "e1": {{}}}, targets: []entity.TargetID{"far", "e1"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, budget, ans, start := &fakeTargets{replies: tt.replies}, &countingRetries{}, answers.New(), time.Now()
+				r := dispatch.New(dispatch.Options{Home: "a", Engines: f, Services: f, Peers: f, Router: f, Retries: budget})
+
+				tt.req.ID, tt.req.Kind, tt.req.Deadline = "r", entity.Kind{Service: "s"}, start.Add(longDeadline)
+				r.Run(t.Context(), tt.req, ans)
+
+				_, problem := ans.Ended()
+				require.Nil(t, problem)
+				require.Len(t, ans.Events(), 1)
+				require.Equal(t, tt.targets, targetsOf(f.calls))
+
+				moves := len(tt.targets) - 1
+				require.Equal(t, moves, budget.n)
+				require.Equal(t, time.Duration(moves)*serviceSilence, time.Since(start))
+				require.Zero(t, f.running)
+			})
+		})
+	}
+}
+
+func TestCallOfASilentServiceIsGivenUp(t *testing.T) {
+	const answerTime = 4 * serviceSilence
+
+	once, plain := entity.Kind{Service: "s", AtMostOnce: true}, entity.Kind{Service: "s"}
+
+	for name, tt := range map[string]struct {
+		req     entity.Request
+		retries dispatch.Retries
+		others  []entity.TargetID
+	}{
+		"runs at most once":                        {req: entity.Request{Kind: once}, others: []entity.TargetID{"e2"}},
+		"runs at most once, another data centre":   {req: entity.Request{Kind: once, Preferred: "far"}, others: []entity.TargetID{"e2"}},
+		"no other service":                         {req: entity.Request{Kind: plain}},
+		"no other service, another data centre":    {req: entity.Request{Kind: plain, Preferred: "far"}},
+		"no retry budget":                          {req: entity.Request{Kind: plain}, retries: refusingRetries{}, others: []entity.TargetID{"e2"}},
+		"forwarded, decided by the other host":     {req: entity.Request{Kind: plain, Forwarded: true}, others: []entity.TargetID{"e2"}},
+		"forwarded, runs at most once, on its own": {req: entity.Request{Kind: once, Forwarded: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, ans, start := &fakeTargets{replies: map[entity.TargetID][]reply{}}, answers.New(), time.Now()
+
+				first := cmp.Or(tt.req.Preferred, "e1")
+				f.replies[first] = []reply{{quiet: answerTime}}
+
+				for _, id := range tt.others {
+					f.replies[id] = []reply{{}}
+				}
+
+				r := dispatch.New(dispatch.Options{Home: "a", Engines: f, Services: f, Peers: f, Router: f, Retries: tt.retries})
+				tt.req.ID, tt.req.Deadline = "r", start.Add(longDeadline)
+				r.Run(t.Context(), tt.req, ans)
+
+				_, problem := ans.Ended()
+				require.Nil(t, problem)
+				require.Equal(t, []call{{target: first}}, f.calls)
+				require.Equal(t, answerTime, time.Since(start))
+			})
+		})
+	}
 }
