--- a/cmd/dotterelflow-front/signals_test.go
+++ b/cmd/dotterelflow-front/signals_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/standin/procfs"
 )
 
 const (
@@ -250,3 +252,29 @@
 	require.GreaterOrEqual(t, signals, 0, string(trace))
 	require.Equal(t, "github.com/dotterelflow/dotterelflow/internal/site/reloads", packages[signals+1], string(trace))
 }
+
+// TestReloadEndsAHostWhoseRuntimeStarts sends SIGHUP as soon as the kernel's default action no longer applies.
+func TestReloadEndsAHostWhoseRuntimeStarts(t *testing.T) {
+	t.Parallel()
+
+	path, settings := buildProgram(t), filepath.Join(t.TempDir(), "local.toml")
+	replace(t, settings, firstStore)
+
+	for range startCount {
+		p := runProgram(t, path, settings)
+
+		for end := time.Now().Add(waitLimit); ; {
+			handled, err := procfs.Handles(p.cmd.Process.Pid, syscall.SIGHUP)
+			require.NoError(t, err)
+
+			if handled {
+				break
+			}
+
+			require.Less(t, time.Now(), end, "SIGHUP keeps its default action")
+		}
+
+		p.signal(syscall.SIGHUP)
+		p.waitFor(startedLine)
+	}
+}
