Notice settings that change while a host starts

The host would serve with bounds, seeds or an address of the store that are no longer in force.

Cause: the modification time that later ones are compared with was taken after the first reading, at the start of supervise. Now it is taken before that reading, so the first poll sees the change; a reading too many does no harm.

TestSettingsThatChangeDuringTheStartStayUnread replaces the file while the program reads it.

--- a/cmd/dotterelflow-front/main.go
+++ b/cmd/dotterelflow-front/main.go
@@ -45,7 +45,10 @@
 }
 
 func run(_ context.Context, c *cli.Command) error {
-	cfg, err := settings.Read(c.String("settings"))
+	path := c.String("settings")
+	loaded := modTime(path)
+
+	cfg, err := settings.Read(path)
 	if err != nil || c.Bool("check") {
 		return err
 	}
@@ -69,17 +72,15 @@
 
 	logger.Info().Str("data-centre", string(cfg.DataCentre)).Str("callers", cfg.CallerAddress).Msg("started")
 
-	return supervise(h, c.String("settings"), reloads.Signals(), stops, logger)
+	return supervise(h, path, loaded, reloads.Signals(), stops, logger)
 }
 
-// supervise reloads the settings when a signal arrives at hangups or the file at path changes. A signal at stops stops h, and
-// supervise returns. It also returns the error of a listener that fails.
-func supervise(h *host.Host, path string, hangups, stops <-chan os.Signal, logger *log.Logger) error {
+// supervise reloads the settings when a signal arrives at hangups or the file at path has another modification time than loaded, which
+// it had before h was started. A signal at stops stops h, and supervise returns. It also returns the error of a listener that fails.
+func supervise(h *host.Host, path string, loaded time.Time, hangups, stops <-chan os.Signal, logger *log.Logger) error {
 	poll := time.NewTicker(settingsPollInterval)
 	defer poll.Stop()
 
-	loaded := modTime(path)
-
 	for {
 		select {
 		case err := <-h.Failed():
--- a/cmd/dotterelflow-front/signals_test.go
+++ b/cmd/dotterelflow-front/signals_test.go
@@ -278,3 +278,23 @@
 		p.waitFor(startedLine)
 	}
 }
+
+// TestSettingsThatChangeDuringTheStartStayUnread changes the settings while the program reads them for the first time, without a signal.
+func TestSettingsThatChangeDuringTheStartStayUnread(t *testing.T) {
+	t.Parallel()
+
+	settings := filepath.Join(t.TempDir(), "local.toml")
+	replaceWithFIFO(t, settings)
+
+	p := runProgram(t, buildProgram(t), settings)
+	fifo := p.openForWriting()
+
+	replace(t, settings, secondStore)
+
+	_, err := fifo.WriteString(settingsWith(firstStore))
+	require.NoError(t, err)
+	require.NoError(t, fifo.Close())
+
+	p.waitFor(startedLine)
+	p.waitFor(changedLine)
+}
