Hold back a version that came after the last tick

Callers saw: right after a second version had started, a stream began at it at the host that learned of it first, and went on at the first version through a host that had not learned of it yet (ORDER).

Cause: new streams avoid versions that a host has seen for less than 2 s, since other hosts may not know them. What a host has seen was noted by the tick, and when a stream was recorded or taken up, but not when the version of a new stream is chosen. The list of targets could therefore hold a version that the history did not, and the first streams after it, as many as were choosing at that time, could get it. Now the question which versions are new notes the present ones first, after the targets were read.

Ruled out: a store that is slower than the 2 s. The streams in question began at the start of the 2 s that the test plays, not at their end, and the host that took them up answered "only-version", with a list of targets that the delay still held back.

TestVersionThatComesBetweenTwoTicksIsTakenForKnown, before: expected []entity.SoftwareVersion{"v2"}, actual nil.

--- a/internal/entry/originsync/syncer.go
+++ b/internal/entry/originsync/syncer.go
@@ -187,9 +187,12 @@
 	return age >= 0 && age < maxTargetsAge && !s.paused()
 }
 
-// New implements relay.Origins.
+// New implements relay.Origins. It knows the versions of all targets that Fleet has returned before.
 func (s *Syncer) New(service entity.ServiceName) []entity.SoftwareVersion {
-	return s.opts.History.New(s.opts.Clock.Now(), service)
+	now := s.opts.Clock.Now()
+	s.observe(now)
+
+	return s.opts.History.New(now, service)
 }
 
 // Record implements relay.Origins.
--- a/internal/entry/originsync/syncer_test.go
+++ b/internal/entry/originsync/syncer_test.go
@@ -352,3 +352,18 @@
 		time.Sleep(drainTime)
 	})
 }
+
+// TestVersionThatComesBetweenTwoTicksIsTakenForKnown asks which versions are new right after a host has learned of one.
+func TestVersionThatComesBetweenTwoTicksIsTakenForKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		n := newNetwork(ctx, 8, 4, 9, "v1")
+		time.Sleep(streamLife + tickInterval/2)
+
+		n.fleet.Store(snapshotOf("v1", "v2"))
+		require.Equal(t, []entity.SoftwareVersion{"v2"}, n.nodes[0].current().New("s"))
+
+		cancel()
+		time.Sleep(drainTime)
+	})
+}
