Return a stream to its silent replica until it accepts a connection

Callers saw: a stream was cut off 0.8 s after its silent replica had been left, although a caller waits 2 s or longer for the next event. The replica accepted no connection for that time, and its successor had refused the stream.

Cause: a return to the silent replica was repeated twice at most, each after 100 ms, whether it had refused the stream or had not got it. A dial fails after 200 ms. Each attempt also cost a repeat of the retry budget, although none reached a replica.

TestStreamIsCutOffWhileItsSilentReplicaAcceptsNoConnection. Before: in 3 of 4 cases "the stream was cut off", in one of them 1.6 s after its begin; the fourth had used one repeat too many.

Now a stream that has begun is returned until it reaches the replica, or its caller is expected to have left. These attempts do not count towards maxNotReturned, and their repeats are given back. A target that was left has got the request before, so each attempt to return has a repeat to give back.

--- a/internal/entry/relay/successor.go
+++ b/internal/entry/relay/successor.go
@@ -294,14 +294,24 @@
 
 // noteNotRun records that the target of s, which the request reached, has not run it, or that the request did not reach it.
 // If the request was returned to the target, it may be again after a while, since the place of the run that was ended may
-// not be free yet. The attempt does not count towards maxSends then.
+// not be free yet. A stream that has begun could otherwise only be cut off, so it is returned until it reaches the target.
+// The attempt does not count towards maxSends then, nor towards the retry budget if it has not reached the target.
 func (j *job) noteNotRun(s *successor, reached bool) {
-	mayReturn := s.returned && j.notReturned < maxNotReturned
+	cutOtherwise := !reached && !j.lastHeard.IsZero() && j.callerWaits()
+
+	mayReturn := s.returned && (j.notReturned < maxNotReturned || cutOtherwise)
 	if mayReturn {
-		j.notReturned++
 		j.left = append(j.left, s.placement.Target.ID)
 	}
 
+	if mayReturn && !cutOtherwise {
+		j.notReturned++
+	}
+
+	if mayReturn && !reached {
+		j.opts.Retries.Return(j.now(), s.paidAt, j.service.Name, 1)
+	}
+
 	if mayReturn || !reached {
 		j.sends--
 	}
@@ -320,10 +330,15 @@
 	return j.opts.Board.PlaceDecode(now, candidates, placingJob, j.kvCapacity())
 }
 
+// callerWaits reports whether the caller is not expected to have left.
+func (j *job) callerWaits() bool {
+	return !j.route.Streaming || j.sinceLastHeard() < j.pacing().AbandonAfter()
+}
+
 // waitForPlace waits for a while before the next attempt to place a request that was taken over from a silent target
 // which may be sound. It returns false if the caller is expected to have left, or ctx ends.
 func (j *job) waitForPlace(ctx context.Context) bool {
-	if len(j.left) == 0 || j.route.Streaming && j.sinceLastHeard() >= j.pacing().AbandonAfter() {
+	if len(j.left) == 0 || !j.callerWaits() {
 		return false
 	}
 
