End the place of a prompt whose request panics

Seen: a request that panics while its prompt is prefilled gets 502 since, and its prompt stays counted at the replica for as long as the host runs, or for the expected wait and some time if another host has placed it.

Cause: the place was ended by a plain statement behind the send. Runs and calls release theirs by defer already.

Now prefillOnce ends the place by defer.

Not mended: a successor that was found when its request panics keeps its place.

--- a/internal/entry/relay/prefill.go
+++ b/internal/entry/relay/prefill.go
@@ -26,8 +26,7 @@
 		prompt := next.prompt
 		j.noteReplacement(prompt.Placement().Target)
 
-		handle, result, replacement := j.prefillOnce(ctx, prompt.Placement(), p, true)
-		prompt.End(result)
+		handle, result, replacement := j.prefillOnce(ctx, prompt, p, true)
 		j.notePrefilled(handle)
 
 		if handle != nil || !result.Sent {
@@ -85,17 +84,20 @@
 	return j.pacing().Worthwhile(wait, j.now().Sub(j.r.Arrived))
 }
 
-// prefillOnce sends the prompt to one replica. If the replica is silent for too long, the send is ended; if replaceable,
+// prefillOnce sends the prompt to the replica at which it is placed, and ends its place. If the replica is silent for too long, the send is ended; if replaceable,
 // only once there is a successor, which is returned. If the caller disconnects or the deadline passes meanwhile, the
 // result is that of a prompt that was not sent, since the failure is not the replica's.
 func (j *job) prefillOnce(
-	ctx context.Context, placement placing.Placement, p *progress, replaceable bool,
-) (*KVHandle, placing.PromptResult, *successor) {
+	ctx context.Context, prompt PlacedPrompt, p *progress, replaceable bool,
+) (handle *KVHandle, result placing.PromptResult, next *successor) {
+	defer func() { prompt.End(result) }() // also after a panic
+
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
 	var silence *watch
 
+	placement := prompt.Placement()
 	target := placement.Target
 	patience := placement.Wait + j.pacing().ReplaceAfter()
 
--- a/internal/entry/relay/successor.go
+++ b/internal/entry/relay/successor.go
@@ -179,8 +179,7 @@
 		return nil, false
 	}
 
-	handle, result, _ := j.prefillOnce(ctx, prompt.Placement(), p, false)
-	prompt.End(result)
+	handle, _, _ := j.prefillOnce(ctx, prompt, p, false)
 	j.notePrefilled(handle)
 
 	if handle == nil {
