Keep the target of a request whose search for another one panics

TestPanicInASearchForASuccessorEndsTheProcess panics in the prefill for a successor. Before: the test program ended with "panic: fault ... relay.(*watch).onTimer". Now the panic is logged with its stack, the silent target is kept until the deadline and no further search begins.

Passing the panic on to the goroutine that serves the request was not done: it would end an answer that its target can complete.

--- a/internal/entry/relay/panic_test.go
+++ b/internal/entry/relay/panic_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
 	"github.com/dotterelflow/dotterelflow/internal/entry/relay"
 )
 
@@ -26,3 +28,20 @@
 		})
 	}
 }
+
+func TestPanicInASearchForASuccessorEndsTheProcess(t *testing.T) {
+	forPaces(t, []time.Duration{3 * time.Second}, func(t *testing.T, route catalog.Route, silence time.Duration) {
+		fx := newFixture(t, route, 100)
+		prefills := 0
+		fx.targets.pausePrefill = func(context.Context) error {
+			if prefills++; prefills > 1 {
+				panic("fault")
+			}
+
+			return nil
+		}
+		requireWhole(t, fx.serveSilence(t, silence, nil))
+		require.Len(t, fx.targets.runs, 1)
+		require.Len(t, fx.log.lines("search for another target panicked", "fault"), 1)
+	})
+}
--- a/internal/entry/relay/successor.go
+++ b/internal/entry/relay/successor.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -246,6 +248,10 @@
 			j.noteSilence(t, patience)
 		},
 		onKept: func() { j.noteKept(t) },
+		onPanic: func(v any) {
+			j.opts.Log.Error().Str("request", string(j.r.ID)).Str("panic", fmt.Sprint(v)).Bytes("stack", debug.Stack()).
+				Msg("search for another target panicked")
+		},
 	})
 }
 
--- a/internal/entry/relay/watch.go
+++ b/internal/entry/relay/watch.go
@@ -33,7 +33,7 @@
 	due        time.Time // when the target has been silent for too long, or the next search begins
 	silent     bool      // onSilence was called for the present silence
 	paused     bool
-	stopped    bool
+	stopped    bool               // stop was called, or a search has panicked
 	stopSearch context.CancelFunc // nil while no search is under way
 	searchDone chan struct{}      // closed at the end of the search under way
 	found      *successor
@@ -44,6 +44,7 @@
 	onSilence func()                               // called once per silence, before the first search
 	onKept    func()                               // called once per silence, if the first search finds no successor
 	search    func(ctx context.Context) *successor // returns nil if there is no successor now
+	onPanic   func(v any)                          // called with the value of a panic of one of the functions above
 	endRun    context.CancelFunc
 }
 
@@ -136,21 +137,12 @@
 		return
 	}
 
-	first := !w.silent
-	if first {
-		w.silent = true // not used by other goroutines during a search
-		w.onSilence()
-	}
-
-	found := w.search(search)
-	if first && found == nil && search.Err() == nil {
-		w.onKept()
-	}
+	found, ok := w.findSuccessor(search)
 
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	w.found = found
+	w.found, w.stopped = found, w.stopped || !ok
 	if found != nil {
 		w.endRun()
 	} else if !w.stopped {
@@ -164,6 +156,28 @@
 	close(w.searchDone)
 }
 
+// findSuccessor searches once. It reports false if that panics. The target may go on then, but is not replaced any more.
+func (w *watch) findSuccessor(ctx context.Context) (found *successor, ok bool) {
+	defer func() {
+		if v := recover(); v != nil {
+			w.onPanic(v)
+		}
+	}()
+
+	first := !w.silent
+	if first {
+		w.silent = true // not used by other goroutines during a search
+		w.onSilence()
+	}
+
+	found = w.search(ctx)
+	if first && found == nil && ctx.Err() == nil {
+		w.onKept()
+	}
+
+	return found, true
+}
+
 // beginSearch returns the context of a search that begins now, or nil if none is due.
 func (w *watch) beginSearch() context.Context {
 	w.mu.Lock()
