Let a replica read a long request late

Callers saw: a request with a body of 256 KiB or more ended 3.5 s after its replica had stopped reading, as target-lost or with a stream that was cut, whatever its deadline. A replica may read a long body late, also after its answer has begun, and a silent one reads nothing.

Cause: connections to replicas have TCP_USER_TIMEOUT, 3 s, so that one that has become unreachable fails soon. The kernel counts that time also while the other end answers the probes of a closed window. A constant ended an answer that somebody could complete.

TestTargetThatReadsALongBodyLateIsLost leaves the body unread for 5 s.

The option can't tell a closed window from a lost connection. So it holds for requests that the buffers of the other end take in anyway, up to 32 KiB, and is off while a longer one is in progress on the connection. TestUserTimeoutHoldsAgainAfterALongRequest reads it between requests of several lengths.

Not covered: a long request to a replica that has become unreachable while its bytes are unacknowledged is now given up by the silence of its target or at its deadline, not after 3 s. Removing the option for all requests was ruled out for that reason. The calls of the store are short.

--- a/internal/wire/once/transport.go
+++ b/internal/wire/once/transport.go
@@ -92,7 +92,7 @@
 
 // RoundTrip sends r at most once. It never calls r.GetBody.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	a := new(attempt)
+	a := &attempt{bodyBytes: r.ContentLength}
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: a.gotConn})
 
 	resp, err := t.base.RoundTrip(disableReplay(r.WithContext(ctx)))
@@ -133,6 +133,8 @@
 
 // attempt records the connection on which one request is sent.
 type attempt struct {
+	bodyBytes int64 // length of the body, negative if it is unknown
+
 	mu           sync.Mutex
 	conn         *conn
 	writesBefore uint64 // writes on conn before this request
@@ -153,6 +155,10 @@
 
 	a.conn = c
 	a.writesBefore = c.writes()
+
+	if p, ok := c.Conn.(*probingConn); ok {
+		_ = p.expect(a.bodyBytes) // fails only on a connection that is closed, on which the request fails too
+	}
 }
 
 // seal reports whether certainly nothing of the request was written. If so, nothing of it can be written later.
