--- /dev/null
+++ b/internal/entry/relay/panic_test.go
@@ -0,0 +1,47 @@
+package relay_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
+	"github.com/dotterelflow/dotterelflow/internal/entry/relay"
+)
+
+func TestRequestThatPanicsKeepsItsPlace(t *testing.T) {
+	for name, prepare := range map[string]func(f *fakeTargets){
+		"prefill": func(f *fakeTargets) {
+			f.pausePrefill = func(context.Context) error { panic("fault") }
+		},
+		"run": func(f *fakeTargets) {
+			f.run = func(int, context.Context, relay.Send) (*relay.Answer, error) { panic("fault") }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fx := newFixture(t, resumable, 100)
+			prepare(fx.targets)
+			require.Panics(t, func() { fx.relay.Serve(t.Context(), request(), &replyRecorder{}) })
+			require.Empty(t, fx.board.Export(), "work of an ended request must not stay counted")
+		})
+	}
+}
+
+func TestPanicInASearchForASuccessorEndsTheProcess(t *testing.T) {
+	forPaces(t, []time.Duration{3 * time.Second}, func(t *testing.T, route catalog.Route, silence time.Duration) {
+		fx := newFixture(t, route, 100)
+		prefills := 0
+		fx.targets.pausePrefill = func(context.Context) error {
+			if prefills++; prefills > 1 {
+				panic("fault")
+			}
+
+			return nil
+		}
+		requireWhole(t, fx.serveSilence(t, silence, nil))
+		require.Len(t, fx.targets.runs, 1)
+		require.Len(t, fx.log.lines("search for another target panicked", "fault"), 1)
+	})
+}
