Test by bytes, not by time, how far peers send ahead

TestLargeCallsFillALongLink wanted 8 MiB over a delayed link within 2 s.

TestPeersSendLittleAhead, which replaces it, holds back all that the receiver of a request returns, and reads nothing of an answer. 1 MiB has to be sent in each direction all the same.

--- a/internal/wire/peer/conns_test.go
+++ b/internal/wire/peer/conns_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,11 +14,11 @@
 )
 
 const (
-	linkDelay    = 20 * time.Millisecond // in each direction
-	largeBytes   = 8 << 20
-	chunkBytes   = 32 << 10
+	// aheadBytes are sent to a receiver that grants no further bytes. At a round trip of 40 ms, that is 25 MB/s for each call.
+	aheadBytes   = 1 << 20
+	requestBytes = 8 << 20
 	eventBytes   = 1 << 10
-	maxLargeTime = 2 * time.Second // for a call that carries largeBytes over the long link
+	transferTime = 30 * time.Second // bounds the wait for bytes, far beyond what they take
 )
 
 // largeServer takes large requests and sends long answers.
@@ -28,8 +29,8 @@
 }
 
 func (largeServer) Join(_ *peer.JoinRequest, stream grpc.ServerStreamingServer[peer.AnswerEvent]) error {
-	for i := range largeBytes / eventBytes {
-		if err := stream.Send(&peer.AnswerEvent{Sequence: uint64(i), Data: make([]byte, eventBytes)}); err != nil {
+	for i := range uint64(requestBytes / eventBytes) {
+		if err := stream.Send(&peer.AnswerEvent{Sequence: i, Data: make([]byte, eventBytes)}); err != nil {
 			return err
 		}
 	}
@@ -37,8 +38,16 @@
 	return nil
 }
 
-// longLink returns an address at which connections reach target with a delay, at the full rate.
-func longLink(t *testing.T, target string) string {
+// link carries one connection and counts its bytes.
+type link struct {
+	held        atomic.Bool // bytes to the client stay on the way
+	toServer    atomic.Int64
+	toClient    atomic.Int64
+	connections atomic.Int64
+}
+
+// listen returns an address at which connections reach target over l.
+func (l *link) listen(t *testing.T, target string) string {
 	t.Helper()
 
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -47,68 +56,54 @@
 
 	go func() {
 		for {
-			near, err := listener.Accept()
+			client, err := listener.Accept()
 			if err != nil {
 				return
 			}
 
-			far, err := net.Dial("tcp", target)
+			server, err := net.Dial("tcp", target)
 			if err != nil {
-				_ = near.Close()
+				_ = client.Close()
 
 				return
 			}
 
-			go carry(near, far)
-			go carry(far, near)
+			l.connections.Add(1)
+
+			go l.carry(client, server, &l.toServer, nil)
+			go l.carry(server, client, &l.toClient, &l.held)
 		}
 	}()
 
 	return listener.Addr().String()
 }
 
-// chunk is a piece of what a connection carries, which arrives at due.
-type chunk struct {
-	data []byte
-	due  time.Time
-}
-
-// carry sends what from sends to to, delayed, until one of them ends.
-func carry(from, to net.Conn) {
-	underWay := make(chan chunk, 2*largeBytes/chunkBytes)
-
-	go func() {
-		defer close(underWay)
-
-		for {
-			data := make([]byte, chunkBytes)
-
-			n, err := from.Read(data)
-			if err != nil {
-				return
-			}
-
-			underWay <- chunk{data[:n], time.Now().Add(linkDelay)}
-		}
+// carry sends what from sends to to, unless it is held, until one of them ends.
+func (l *link) carry(from, to net.Conn, n *atomic.Int64, held *atomic.Bool) {
+	defer func() {
+		_ = from.Close()
+		_ = to.Close()
 	}()
 
-	for c := range underWay {
-		time.Sleep(time.Until(c.due))
+	for data := make([]byte, 32<<10); ; {
+		read, err := from.Read(data)
+		if err != nil {
+			return
+		}
 
-		if _, err := to.Write(c.data); err != nil {
-			break
+		for held != nil && held.Load() {
+			time.Sleep(time.Millisecond)
 		}
-	}
 
-	_ = from.Close()
-	_ = to.Close()
+		if _, err := to.Write(data[:read]); err != nil {
+			return
+		}
 
-	for range underWay {
-		// The reader ends once it has handed over its last chunk.
+		n.Add(int64(read))
 	}
 }
 
-func TestLargeCallsFillALongLink(t *testing.T) {
+func TestPeersSendLittleAhead(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 
@@ -116,33 +111,52 @@
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(server.Stop)
 
-	var links peer.Conns
+	var (
+		l     link
+		links peer.Conns
+	)
 
-	client, err := links.Client(longLink(t, listener.Addr().String()))
+	client, err := links.Client(l.listen(t, listener.Addr().String()))
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = links.Close() })
 
-	ctx, cancel := context.WithTimeout(t.Context(), 5*maxLargeTime)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*transferTime)
 	defer cancel()
 
-	began := time.Now()
-	request, err := client.Forward(ctx, &peer.ForwardRequest{Body: make([]byte, largeBytes)})
+	request, err := client.Forward(ctx, &peer.ForwardRequest{}) // after it, both ends know the windows of the connection
 	require.NoError(t, err)
-	reply, err := request.Recv()
+	_, err = request.Recv()
 	require.NoError(t, err)
-	require.EqualValues(t, largeBytes, reply.GetSequence())
-	t.Logf("a request of 8 MiB: %v", time.Since(began))
-	require.Less(t, time.Since(began), maxLargeTime)
 
-	began = time.Now()
-	answer, err := client.Join(ctx, &peer.JoinRequest{})
-	require.NoError(t, err)
+	l.held.Store(true)
+
+	before := l.toServer.Load()
+	replied := make(chan uint64, 1)
+
+	go func() {
+		request, err := client.Forward(ctx, &peer.ForwardRequest{Body: make([]byte, requestBytes)})
+		if err != nil {
+			return
+		}
 
-	for range largeBytes / eventBytes {
-		_, err := answer.Recv()
-		require.NoError(t, err)
+		if reply, err := request.Recv(); err == nil {
+			replied <- reply.GetSequence()
+		}
+	}()
+
+	require.Eventually(t, func() bool { return l.toServer.Load()-before >= aheadBytes }, transferTime, time.Millisecond, "a request waits for its receiver")
+	l.held.Store(false)
+
+	select {
+	case n := <-replied:
+		require.EqualValues(t, requestBytes, n)
+	case <-ctx.Done():
+		require.NoError(t, ctx.Err())
 	}
 
-	t.Logf("an answer of 8 MiB: %v", time.Since(began))
-	require.Less(t, time.Since(began), maxLargeTime)
+	before = l.toClient.Load()
+	_, err = client.Join(ctx, &peer.JoinRequest{})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return l.toClient.Load()-before >= aheadBytes }, transferTime, time.Millisecond, "an answer waits for its receiver")
+	require.EqualValues(t, 1, l.connections.Load())
 }
