Answer a request of the own interface that panics

A panic in the handler of a caller's request closed its connection: iris recovers nothing, net/http does, and its text has no request id. A panic while the request runs was worse: the run has a goroutine of its own (requests.Submit), in which nothing recovers, so the process ended and with it all requests in flight. So did one in the goroutines of a call of a service, of the pings of a stream and of the update of a claim.

Class: an exit that ends requests without an answer while their callers wait. A begun answer is reset, since what the writer did last is not known. The failed request is counted as others are.

State that a panic would have left: a run in two phases or one was not taken off the router and the guard, which would keep its target from draining. They are now told by defer, with an error that shows nothing about the target. No mutex of the answers, the stream or the table of answers stays locked; those of other packages were not looked through, and what panicking code of theirs holds without defer stays held. A panic in the code of claims leaves the claim: a repeat is resumed or answered may-have-run and never run twice. Not repeated and not cancelled on its engine: the run that panicked. Of a request whose outcome was counted before its handler panicked, a second one is counted.

Ruled out: a recover in dispatch.Run alone, which would miss the code of claims and admission; ending the process.

--- a/internal/entry/dispatch/direct.go
+++ b/internal/entry/dispatch/direct.go
@@ -47,7 +47,11 @@
 	own := answers.New() // a handover must not find a part of the answer in ans
 	done := make(chan error, 1)
 
-	go func() { done <- call(ctx, own) }()
+	go func() {
+		defer r.opts.Panics.Recover(next.req.ID, func(problem *verdict.Error) { done <- problem })
+
+		done <- call(ctx, own)
+	}()
 
 	err := r.awaitService(t, next, cancel, done)
 	if ended, problem := own.Ended(); ended {
--- a/internal/entry/dispatch/phases.go
+++ b/internal/entry/dispatch/phases.go
@@ -141,16 +141,17 @@
 		return leavingError(t)
 	}
 
+	err := errPanicked
+	defer func() { r.opts.Router.End(t.ID, req, err) }()
+
 	call := engineRequest(req)
 	call.Phase = entity.Prefill
 
-	err := r.streamWithResume(ctx, call, t, output, next)
+	err = r.streamWithResume(ctx, call, t, output, next)
 	if err == nil && output.NextSeq() > 0 {
 		err = verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "%s generated tokens although only the prompt was to run", t.ID)
 	}
 
-	r.opts.Router.End(t.ID, req, err)
-
 	return err
 }
 
@@ -164,13 +165,14 @@
 			return leavingError(d)
 		}
 
+		err := errPanicked
+		defer func() { r.opts.Router.End(d.ID, req, err) }()
+
 		setTarget(ans, d.ID)
 
 		call := engineRequest(req)
 		call.Phase, call.KVSource = entity.Decode, source
-		err := r.streamWithResume(ctx, call, d, ans, next)
-
-		r.opts.Router.End(d.ID, req, err)
+		err = r.streamWithResume(ctx, call, d, ans, next)
 
 		return err
 	})
--- a/internal/entry/dispatch/runner.go
+++ b/internal/entry/dispatch/runner.go
@@ -12,6 +12,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
 	"github.com/dotterelflow/dotterelflow/internal/wire/engine"
+	"github.com/dotterelflow/dotterelflow/internal/wire/panics"
 	"github.com/dotterelflow/dotterelflow/internal/wire/service"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
@@ -85,7 +86,8 @@
 	Phases   PhaseRouter // nil runs each request on one engine
 	Versions Versions    // nil records no versions
 	Router   Router
-	Log      *log.Logger // nil means the default logger
+	Log      *log.Logger     // nil means the default logger
+	Panics   panics.Recorder // records panics of calls of services
 	// MaxStreams is the number of successive streams without a new event after which a call may move to another target;
 	// zero means 4.
 	MaxStreams int
@@ -121,7 +123,14 @@
 	return &Runner{opts: opts}
 }
 
-// Run runs req, collects its answer in ans and finishes ans before it returns.
+// Errors with which a run that panics is counted as ended. They show nothing about its target.
+var (
+	errPanicked           = errors.New("the run panicked")
+	errNothingShown error = verdict.New(verdict.NotRun, verdict.CodeTargetLost, "the run panicked")
+)
+
+// Run runs req, collects its answer in ans and finishes ans before it returns. If it panics, req counts as ended on its
+// target, and ans may not be finished.
 //
 // The problem of ans has the verdict NotRun only if no attempt can have run. When ctx ends or the
 // deadline of req passes, Run cancels the work on the engine and ends.
@@ -255,8 +264,10 @@
 		}
 	}
 
+	err = errNothingShown // in case of a panic
+	defer func() { r.opts.Guard.Ended(ctx, req, t.ID, err) }()
+
 	err = run(t)
-	r.opts.Guard.Ended(ctx, req, t.ID, err)
 
 	return err
 }
@@ -267,9 +278,10 @@
 		return leavingError(t)
 	}
 
-	err := r.runOrForward(ctx, req, t, ans, next)
+	err := errPanicked
+	defer func() { r.opts.Router.End(t.ID, req, err) }()
 
-	r.opts.Router.End(t.ID, req, err)
+	err = r.runOrForward(ctx, req, t, ans, next)
 
 	return err
 }
--- a/internal/entry/host/build.go
+++ b/internal/entry/host/build.go
@@ -62,6 +62,7 @@
 	h.runner = dispatch.New(dispatch.Options{
 		Clock: clock, Home: h.opts.DataCentre, Engines: h.engines, Services: service.NewClient(service.Options{Clock: clock}),
 		Peers: h.network, Router: h.router, Phases: h.router, Versions: h.router, Retries: h.budget, Guard: h.guard, Log: h.opts.Log,
+		Panics: h.panics,
 	})
 	h.fleetControl = fleetcontrol.Start(ctx, fleetcontrol.Options{
 		Clock: clock, Log: h.opts.Log, Host: h.opts.ID, Address: h.PeerAddress(), DataCentre: h.opts.DataCentre,
@@ -77,7 +78,7 @@
 	requestService := requests.New(requests.Options{
 		Clock: clock, Host: h.opts.ID, Home: h.opts.DataCentre, Runner: h.runner, Router: h.router, Phases: h.router,
 		Claims: sharedClaims{h.claims, h}, Answers: heldAnswers, Peers: h.network, Admission: h.meter, Quarantine: h.guard,
-		Log: h.opts.Log,
+		Log: h.opts.Log, Panics: h.panics,
 	})
 
 	h.peers = peers.NewGRPCServer(h.network, peers.Services{
@@ -113,6 +114,7 @@
 
 	api, err := caller.NewServer(caller.Options{
 		Clock: h.opts.Clock, Requests: requestService, Configuration: h.config, Ready: h.Ready, Log: h.opts.Log,
+		Panics: h.panics,
 		Observe: func(o caller.Outcome) {
 			calls.RequestEnded(o.Request.Kind.Urgency, o.Problem, o.FirstToken, o.Total)
 			h.burn.observe(o)
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -26,6 +26,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/entry/rolebalance"
 	"github.com/dotterelflow/dotterelflow/internal/entry/router"
 	"github.com/dotterelflow/dotterelflow/internal/wire/engine"
+	"github.com/dotterelflow/dotterelflow/internal/wire/panics"
 	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
 )
 
@@ -80,6 +81,7 @@
 type Host struct {
 	opts     Options
 	registry metrics.Registry
+	panics   panics.Recorder
 
 	engines       *engine.Client
 	router        *router.Router
@@ -137,6 +139,7 @@
 	h := &Host{opts: opts, registry: metrics.NewRegistry(), stopRequested: make(chan struct{}), done: make(chan struct{}),
 		roleState: newRoleState(),
 	}
+	h.panics = panics.New(opts.Log, h.registry)
 
 	if err := h.listen(); err != nil {
 		h.closeSockets()
--- a/internal/entry/requests/keyed.go
+++ b/internal/entry/requests/keyed.go
@@ -127,6 +127,7 @@
 
 	go func() {
 		defer cancel()
+		defer s.opts.Panics.Recover(req.ID, func(problem *verdict.Error) { s.logFailure(req, action, problem) })
 
 		s.logFailure(req, action, update(ctx))
 	}()
--- a/internal/entry/requests/service.go
+++ b/internal/entry/requests/service.go
@@ -10,6 +10,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/ledger"
 	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
+	"github.com/dotterelflow/dotterelflow/internal/wire/panics"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
@@ -69,11 +70,12 @@
 	Router     Router
 	Claims     Claims
 	Answers    *answers.Table
-	Phases     PhaseRouter // nil means that each target runs both phases
-	Peers      Peers       // nil means that there are no other hosts
-	Admission  Admission   // nil admits every request
-	Quarantine Quarantine  // nil refuses no request
-	Log        *log.Logger // nil means the default logger
+	Phases     PhaseRouter     // nil means that each target runs both phases
+	Peers      Peers           // nil means that there are no other hosts
+	Admission  Admission       // nil admits every request
+	Quarantine Quarantine      // nil refuses no request
+	Log        *log.Logger     // nil means the default logger
+	Panics     panics.Recorder // records panics of requests
 }
 
 // Service accepts requests. It is safe for concurrent use.
@@ -123,6 +125,12 @@
 	ans.WithholdEnd()
 
 	go func() {
+		defer ans.ReleaseEnd()
+		defer s.opts.Panics.Recover(req.ID, func(problem *verdict.Error) {
+			ans.Finish(problem)
+			s.opts.Answers.Forget(id)
+		})
+
 		giveUp := func() {}
 
 		// A key without a time cannot be claimed, so only this host recognises repeats of it.
@@ -133,7 +141,6 @@
 		}
 
 		s.holdOrForget(id, ans, giveUp)
-		ans.ReleaseEnd()
 	}()
 
 	return ans, nil
@@ -166,8 +173,11 @@
 }
 
 // admitAndRun admits and runs req, and finishes ans. It refuses a quarantined request. It also refuses a caller that
-// has already received a part of an earlier run's answer, because the rest of a new answer would not match that part.
+// has already received a part of an earlier run's answer, because the rest of a new answer would not match that part. A
+// panic finishes ans with the verdict MayHaveRun.
 func (s *Service) admitAndRun(ctx context.Context, req entity.Request, ans *answers.Answer) {
+	defer s.opts.Panics.Recover(req.ID, ans.Finish)
+
 	if req.EventsSeen > 0 {
 		ans.Finish(verdict.New(verdict.MayHaveRun, verdict.CodeTruncated,
 			"the answer of which the caller has a part is not held any more; send the request without the last event's id").WithRetryAfter(joinRetryAfter))
--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -11,10 +12,12 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/kataras/iris/v12"
+	irisctx "github.com/kataras/iris/v12/context"
 	"github.com/phuslu/log"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
+	"github.com/dotterelflow/dotterelflow/internal/wire/panics"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
@@ -53,14 +56,15 @@
 	Clock           clockwork.Clock // nil means the real clock
 	Requests        Requests
 	Configuration   Configuration
-	Ready           func() error  // returns why the host is not ready, nil if it is; a nil Ready means always ready
-	Observe         func(Outcome) // called at the end of each call that reached Requests; may be nil
-	Metrics         http.Handler  // nil means that /metrics is not served
-	Log             *log.Logger   // nil means the default logger
-	MaxBodyBytes    int64         // limit on the size of a request body, in bytes; zero means 4 MiB
-	MaxOpenRequests int64         // limit on the number of open requests; zero means 4,096
-	PingInterval    time.Duration // time between two checks whether a stream is idle; zero means DefaultPingInterval
-	WriteTimeout    time.Duration // time for writes that begin near or after the deadline of their request; zero means 15 s
+	Ready           func() error    // returns why the host is not ready, nil if it is; a nil Ready means always ready
+	Observe         func(Outcome)   // called at the end of each call that reached Requests; may be nil
+	Metrics         http.Handler    // nil means that /metrics is not served
+	Log             *log.Logger     // nil means the default logger
+	Panics          panics.Recorder // records panics of requests
+	MaxBodyBytes    int64           // limit on the size of a request body, in bytes; zero means 4 MiB
+	MaxOpenRequests int64           // limit on the number of open requests; zero means 4,096
+	PingInterval    time.Duration   // time between two checks whether a stream is idle; zero means DefaultPingInterval
+	WriteTimeout    time.Duration   // time for writes that begin near or after the deadline of their request; zero means 15 s
 }
 
 // Server is the http.Handler of the callers' API. It is safe for concurrent use.
@@ -106,6 +110,7 @@
 }
 
 func (s *Server) routes() {
+	s.app.UseRouter(s.recoverPanics)
 	s.app.Post("/v1/chat/completions", s.authenticated(s.complete))
 	s.app.Post("/v1/completions", s.authenticated(s.complete))
 	s.app.Get("/v1/models", s.authenticated(s.models))
@@ -137,6 +142,39 @@
 	return s.open.Load()
 }
 
+// recoverPanics answers a call whose handler panics with an error of the verdict MayHaveRun. If the answer has begun, it
+// closes the connection before the end of the answer, so that the caller cannot take it for complete.
+func (s *Server) recoverPanics(ctx iris.Context) {
+	defer func() {
+		v := recover()
+		if v == nil {
+			return
+		}
+
+		w := ctx.ResponseWriter()
+		id := w.Header().Get(HeaderID)
+
+		if err, ok := v.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+			problem := s.opts.Panics.Record(v, entity.RequestID(id))
+
+			if !hasBegun(ctx) {
+				writeProblem(w, problem, id)
+
+				return
+			}
+		}
+
+		panic(http.ErrAbortHandler)
+	}()
+
+	ctx.Next()
+}
+
+// hasBegun reports whether a part of the answer to ctx was written.
+func hasBegun(ctx iris.Context) bool {
+	return ctx.ResponseWriter().Written() != irisctx.NoWritten
+}
+
 // readyz answers with status 503 and the error while the host is not ready.
 func (s *Server) readyz(ctx iris.Context) {
 	if s.opts.Ready == nil {
@@ -238,18 +276,13 @@
 		return
 	}
 
-	ans, ok := s.submit(ctx, req)
-	if !ok {
-		return
-	}
-
 	if stream {
-		s.writeStream(ctx, req, ans)
+		s.answer(ctx, req, s.writeStream)
 
 		return
 	}
 
-	s.writeWhole(ctx, req, ans)
+	s.answer(ctx, req, s.writeWhole)
 }
 
 // serve serves a call to a plain service.
@@ -280,12 +313,23 @@
 		return
 	}
 
-	ans, ok := s.submit(ctx, req)
-	if !ok {
-		return
-	}
+	s.answer(ctx, req, s.writeServiceAnswer)
+}
+
+// answer submits req and calls write with its answer. If one of them panics, req fails with the verdict MayHaveRun.
+func (s *Server) answer(ctx iris.Context, req entity.Request, write func(iris.Context, entity.Request, *answers.Answer)) {
+	defer s.opts.Panics.Recover(req.ID, func(problem *verdict.Error) {
+		if hasBegun(ctx) {
+			s.observe(req, problem, 0, 0)
+			panic(http.ErrAbortHandler)
+		}
 
-	s.writeServiceAnswer(ctx, req, ans)
+		s.fail(ctx, req, problem)
+	})
+
+	if ans, ok := s.submit(ctx, req); ok {
+		write(ctx, req, ans)
+	}
 }
 
 // submit submits req. If req is refused, it writes the error response and returns false.
--- a/internal/wire/caller/stream.go
+++ b/internal/wire/caller/stream.go
@@ -24,16 +24,21 @@
 	defer out.clearWriteDeadline()
 
 	readCtx, cancel := context.WithCancel(ctx.Request().Context())
-	defer cancel()
-
 	pingDone := make(chan struct{})
 
 	go func() {
 		defer close(pingDone)
+		defer s.opts.Panics.Recover(req.ID, func(*verdict.Error) { cancel() })
 
 		out.pingWhileIdle(readCtx, cancel)
 	}()
 
+	stopPings := func() {
+		cancel()
+		<-pingDone
+	}
+	defer stopPings()
+
 	err := ans.Read(readCtx, req.EventsSeen, func(seq uint64, data []byte) error {
 		if seq == req.EventsSeen {
 			if problem := s.checkVersion(req, ans); problem != nil {
@@ -44,8 +49,7 @@
 		return out.writeEvent(eventID(seq, ans.Meta().Version), data)
 	})
 
-	cancel()
-	<-pingDone
+	stopPings()
 
 	problem := s.orCallerGone(ctx, verdict.From(err))
 	if out.writeErr != nil {
