Answer an operator's request that panics

An operator could not tell an edit that had come into force from one that had not; the host's log had no line of its own.

The handler now recovers before all others and answers status 500 with the code internal; the detail says that a change may come into force, except for reads. operatorcli and item already take internal for an unknown outcome and send the same edit again. The panic is logged and counted by wire/panics as for callers; requests of operators have no id. A begun answer is reset. Ruled out: the code unsettled, whose text in operatorcli blames the platform's answer; status 504, which would hide a panic from FuzzEdit.

What the panicking code of an edit or a plan holds without defer stays held; the store decides on an edit, by its version.

An answer whose encoding panics had set its Content-Type before; iris adds a second one, so it is set in place of added.

--- a/internal/entry/host/build.go
+++ b/internal/entry/host/build.go
@@ -97,7 +97,7 @@
 func (h *Host) buildOperator() error {
 	handler, err := operator.Handler(
 		backend{host: h, editor: configuration.NewEditor(h.opts.Platform, h.opts.Clock, h.config.Contents)},
-		operator.Options{KeyHash: h.opts.OperatorKeyHash, Clock: h.opts.Clock})
+		operator.Options{KeyHash: h.opts.OperatorKeyHash, Clock: h.opts.Clock, Panics: h.panics})
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -145,27 +144,12 @@
 // recoverPanics answers a call whose handler panics with an error of the verdict MayHaveRun. If the answer has begun, it
 // closes the connection before the end of the answer, so that the caller cannot take it for complete.
 func (s *Server) recoverPanics(ctx iris.Context) {
-	defer func() {
-		v := recover()
-		if v == nil {
-			return
-		}
-
-		w := ctx.ResponseWriter()
-		id := w.Header().Get(HeaderID)
-
-		if err, ok := v.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
-			problem := s.opts.Panics.Record(v, entity.RequestID(id))
-
-			if !hasBegun(ctx) {
-				writeProblem(w, problem, id)
-
-				return
-			}
-		}
+	w := ctx.ResponseWriter()
+	id := func() entity.RequestID { return entity.RequestID(w.Header().Get(HeaderID)) }
 
-		panic(http.ErrAbortHandler)
-	}()
+	defer s.opts.Panics.RecoverHandler(id, func() bool { return hasBegun(ctx) }, func(problem *verdict.Error) {
+		writeProblem(w, problem, string(id()))
+	})
 
 	ctx.Next()
 }
--- a/internal/wire/operator/problem.go
+++ b/internal/wire/operator/problem.go
@@ -31,7 +31,7 @@
 	CodeConflict     Code = "conflict"     // nothing changed; Conflicts lists the differences
 	CodeNotAccepted  Code = "not-accepted" // nothing changed; time or attempts ran out, as when the platform is down
 	CodeUnsettled    Code = "unsettled"    // the edit may come into force; send the same request again
-	CodeInternal     Code = "internal"
+	CodeInternal     Code = "internal"     // a fault of the host; a change may come into force
 )
 
 // ProblemError is the body of an error response.
--- a/internal/wire/operator/server.go
+++ b/internal/wire/operator/server.go
@@ -10,9 +10,12 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/kataras/iris/v12"
+	irisctx "github.com/kataras/iris/v12/context"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/configuration"
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/wire/panics"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
 const (
@@ -45,6 +48,7 @@
 type Options struct {
 	KeyHash string          // hex SHA-256 of the operators' bearer key
 	Clock   clockwork.Clock // nil means the real clock
+	Panics  panics.Recorder // records panics of requests
 
 	ApplyTimeout time.Duration // limit on applying one edit, with its retries; zero means 15 s
 }
@@ -68,7 +72,7 @@
 	app := iris.New()
 	app.Logger().SetLevel("disable")
 	app.Configure(iris.WithoutServerError(iris.ErrServerClosed), iris.WithoutPathCorrectionRedirection)
-	app.UseRouter(h.authenticate)
+	app.UseRouter(h.recoverPanics, h.authenticate)
 	app.OnErrorCode(iris.StatusNotFound, func(c iris.Context) {
 		h.fail(c, newProblem(iris.StatusNotFound, CodeNotFound, "there is no %s", c.Path()))
 	})
@@ -95,6 +99,23 @@
 	opts    Options
 }
 
+// recoverPanics answers a request whose handler panics with CodeInternal. If the answer has begun, it closes the connection
+// before the end of the answer.
+func (h *handlers) recoverPanics(c iris.Context) {
+	begun := func() bool { return c.ResponseWriter().Written() != irisctx.NoWritten }
+
+	defer h.opts.Panics.RecoverHandler(func() entity.RequestID { return "" }, begun, func(problem *verdict.Error) {
+		detail := problem.Message
+		if c.Method() != http.MethodGet {
+			detail += "; a change may come into force"
+		}
+
+		h.fail(c, newProblem(http.StatusInternalServerError, CodeInternal, "%s", detail))
+	})
+
+	c.Next()
+}
+
 // authenticate rejects requests without the operator key. It runs before any handler and compares the hashes in
 // constant time.
 func (h *handlers) authenticate(c iris.Context) {
@@ -130,7 +151,7 @@
 }
 
 func (h *handlers) write(c iris.Context, contentType string, v any) {
-	c.Header("Content-Type", contentType)
+	c.ResponseWriter().Header().Set("Content-Type", contentType)
 
 	// An error here means that the client has gone, and the status may have been sent already.
 	_ = json.NewEncoder(c.ResponseWriter()).Encode(v)
--- a/internal/wire/panics/recorder.go
+++ b/internal/wire/panics/recorder.go
@@ -1,7 +1,9 @@
 package panics
 
 import (
+	"errors"
 	"fmt"
+	"net/http"
 	"runtime"
 
 	"github.com/phuslu/log"
@@ -40,6 +42,28 @@
 	}
 }
 
+// RecoverHandler is Recover for the handler of an HTTP call whose request has the id that id returns. It calls answer with
+// the error, or closes the connection before the end of the answer if begun reports that a part of it was written. It
+// passes on http.ErrAbortHandler without a record.
+func (r Recorder) RecoverHandler(id func() entity.RequestID, begun func() bool, answer func(*verdict.Error)) {
+	v := recover()
+	if v == nil {
+		return
+	}
+
+	if err, ok := v.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(http.ErrAbortHandler)
+	}
+
+	problem := r.Record(v, id())
+
+	if begun() {
+		panic(http.ErrAbortHandler)
+	}
+
+	answer(problem)
+}
+
 // Record logs and counts a panic with the value v that was recovered by its caller while the request id was served. It
 // returns the error of that request, which has the verdict MayHaveRun. An empty id is not logged.
 func (r Recorder) Record(v any, id entity.RequestID) *verdict.Error {
