Fail a call between hosts that panics, not the host

A forwarded request that panics was passed on after the loss of its host, to up to two more, which could end as well. A reply to a heartbeat that panics while it is read ended the host too.

Cause: no recover where the server of peers is made, in the goroutine of a forwarded run and in that of a heartbeat.

An interceptor for calls and one for streams, where both interfaces make their server (peer.NewGRPCServer), end the call with codes.Internal; wire/panics logs the request's id, if it has one, and the stack, and counts. Callers of peers take the code as any failed call: a forwarded request is peer-lost with may-have-run and is resumed through the next host, a claim is made by the host itself, a prompt is placed without the peer. A forwarded run that panics ends its answer with internal and may-have-run, and goes to no other host. There are no datagrams between hosts; the other own loop that handles messages, that of admission, is not covered: what its state would be is not known.

Locks: receive and digest of peers.Network held the lock of the members without defer. With the interceptor alone, a panic there left the host locked for ever, which is worse than its end: it can serve no forward, and its peers count it as lost. Both release by defer now. The other locks that calls of peers take were read: those without defer only copy or append under them. State that a panicking call has changed by half stays so; each of them is merged again from the next heartbeat or exchange.

Ruled out: the verdict not-run for calls that panic before the run, as the interceptor cannot tell. The one change to an existing test passes the new argument of NewGRPCServer.

--- a/internal/entry/host/build.go
+++ b/internal/entry/host/build.go
@@ -42,7 +42,7 @@
 		Clock: clock, Self: h.opts.ID, Crashers: h.crashers, OnLoss: func(entity.TargetID) { h.network.HeartbeatNow() },
 	})
 	h.network = peers.New(peers.Options{
-		Clock: clock, Log: h.opts.Log, Host: h.opts.ID, DataCentre: h.opts.DataCentre,
+		Clock: clock, Log: h.opts.Log, Panics: h.panics, Host: h.opts.ID, DataCentre: h.opts.DataCentre,
 		Address: h.PeerAddress(), Seeds: h.opts.Seeds, Digests: h,
 	})
 	h.crashSyncer = crashsync.New(crashsync.Options{
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -12,7 +12,9 @@
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/members"
+	"github.com/dotterelflow/dotterelflow/internal/wire/panics"
 	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
 const (
@@ -41,6 +43,7 @@
 type Options struct {
 	Clock      clockwork.Clock // nil means the real clock
 	Log        *log.Logger     // nil means the default logger
+	Panics     panics.Recorder // records panics of heartbeats and of calls of other hosts
 	Host       entity.HostID
 	DataCentre entity.DataCentre
 	Address    string   // ip:port of this host's peer API
@@ -185,6 +188,7 @@
 
 		delete(n.inFlight, address)
 	}()
+	defer n.opts.Panics.Recover("", func(*verdict.Error) {})
 
 	err := n.call(ctx, address, func(ctx context.Context, client peer.PeerClient) error {
 		reply, err := client.Heartbeat(ctx, n.digest(n.hostAt(address)))
@@ -298,18 +302,23 @@
 // digest returns a digest of this host, with a new sequence number, for the receiver to, which is empty if the receiver
 // is not known.
 func (n *Network) digest(to entity.HostID) *peer.Digest {
+	d := n.ownDigest()
+	n.opts.Digests.Fill(to, d)
+
+	return d
+}
+
+// ownDigest returns a digest, with a new sequence number, of what the network knows.
+func (n *Network) ownDigest() *peer.Digest {
 	n.mu.Lock()
+	defer n.mu.Unlock()
+
 	n.sequence++
-	d := &peer.Digest{
+
+	return &peer.Digest{
 		Host: string(n.opts.Host), Address: n.opts.Address, DataCentre: string(n.opts.DataCentre), Sequence: n.sequence,
+		Known: n.memberAddresses(), LocalHosts: uint32(n.members.HostCounts(n.opts.Clock.Now())[n.opts.DataCentre]),
 	}
-	d.Known = n.memberAddresses()
-	d.LocalHosts = uint32(n.members.HostCounts(n.opts.Clock.Now())[n.opts.DataCentre])
-	n.mu.Unlock()
-
-	n.opts.Digests.Fill(to, d)
-
-	return d
 }
 
 // memberAddresses returns the addresses of up to maxIntroduced live members. The caller holds mu.
@@ -341,16 +350,21 @@
 
 // receive updates the members and the local state from a digest of another host.
 func (n *Network) receive(d *peer.Digest) {
+	n.updateMember(d)
+	n.opts.Digests.Receive(d)
+}
+
+// updateMember updates the members from a digest of another host.
+func (n *Network) updateMember(d *peer.Digest) {
 	n.mu.Lock()
+	defer n.mu.Unlock()
+
 	n.addCandidates(d.GetKnown())
 	n.members.Update(members.Member{
 		Host: entity.HostID(d.GetHost()), Address: d.GetAddress(), DataCentre: entity.DataCentre(d.GetDataCentre()),
 		Generation: entity.Generation(d.GetGeneration()), Ready: d.GetReady(), Stopping: d.GetStopping(),
 		LocalHosts: int(d.GetLocalHosts()), Sequence: d.GetSequence(), ReceivedAt: n.opts.Clock.Now(),
 	})
-	n.mu.Unlock()
-
-	n.opts.Digests.Receive(d)
 }
 
 // receiveExchange handles the digest in another host's heartbeat. The reply to a heartbeat carries this host's digest,
--- a/internal/entry/peers/server.go
+++ b/internal/entry/peers/server.go
@@ -91,7 +91,7 @@
 
 // NewGRPCServer returns a gRPC server that serves the Peer protocol.
 func NewGRPCServer(network *Network, services Services) *grpc.Server {
-	return peer.NewGRPCServer(NewServer(network, services))
+	return peer.NewGRPCServer(NewServer(network, services), network.opts.Panics)
 }
 
 // Heartbeat implements peer.PeerServer.
@@ -213,7 +213,11 @@
 	req.SeenVersion = versionFrom(stream.Context())
 	ans.SetMeta(answers.Meta{Version: req.SeenVersion})
 
-	go s.services.Runner.Run(stream.Context(), req, ans)
+	go func() {
+		defer s.network.opts.Panics.Recover(req.ID, ans.Finish)
+
+		s.services.Runner.Run(stream.Context(), req, ans)
+	}()
 
 	return sendAnswer(stream, ans, r.GetFrom())
 }
--- a/internal/entry/peers/server_test.go
+++ b/internal/entry/peers/server_test.go
@@ -18,6 +18,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
 	"github.com/dotterelflow/dotterelflow/internal/entry/peers"
+	"github.com/dotterelflow/dotterelflow/internal/wire/panics"
 	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
@@ -366,7 +367,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 
-	server := peer.NewGRPCServer(s)
+	server := peer.NewGRPCServer(s, panics.Recorder{})
 	done := make(chan struct{})
 
 	go func() {
--- a/internal/wire/peer/conns.go
+++ b/internal/wire/peer/conns.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"github.com/dotterelflow/dotterelflow/internal/wire/once"
+	"github.com/dotterelflow/dotterelflow/internal/wire/panics"
 )
 
 // Error is the class of this package's errors.
@@ -83,11 +84,14 @@
 	return group.Err()
 }
 
-// NewGRPCServer returns a gRPC server for service, with the message and keepalive limits of this protocol.
-func NewGRPCServer(service PeerServer) *grpc.Server {
+// NewGRPCServer returns a gRPC server for service, with the message and keepalive limits of this protocol. A call that
+// panics is recorded by recorder and fails with codes.Internal.
+func NewGRPCServer(service PeerServer, recorder panics.Recorder) *grpc.Server {
 	server := grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
+		grpc.UnaryInterceptor(recoverUnary(recorder)),
+		grpc.StreamInterceptor(recoverStream(recorder)),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 	)
 	RegisterPeerServer(server, service)
