Survive a panic in the search for a successor

A panic there is not in the handler that recovers, so it ended the process and all requests in flight.

The search recovers by wire/panics, which logs the id and the stack and counts. No search follows, since the next would most likely panic each 100 ms; the silent target keeps the request, up to its deadline, as one without a successor does. The recover is in the watch, so it holds for prompts, runs and calls.

State: the reserve of the retry budget is returned by defer already. A prompt that the search had placed stayed counted at its replica; it is ended by defer now. A panic after the run has its place, in the retry budget or the clock, would leave that place counted, as before.

The fixture of the tests counts panics.

--- a/internal/entry/relay/fakes_test.go
+++ b/internal/entry/relay/fakes_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
@@ -24,6 +25,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
 	"github.com/dotterelflow/dotterelflow/internal/control/retries"
 	"github.com/dotterelflow/dotterelflow/internal/entry/relay"
+	"github.com/dotterelflow/dotterelflow/internal/wire/panics"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
@@ -233,6 +235,7 @@
 	outcome  relay.Outcome // of the last request
 	retries  *retries.Limiter
 	log      lockedBuffer
+	panics   metrics.Counter
 	relay    *relay.Relay
 }
 
@@ -277,7 +280,7 @@
 	c := catalog.Build(1, catalog.Limits{}, []catalog.Route{route}, []catalog.Service{
 		{Name: "plain"}, {Name: "model", Engine: &catalog.Engine{KVCapacity: 100_000}},
 	})
-	fx := &fixture{targets: &fakeTargets{}, board: placing.New(), crashers: crashtracker.New()}
+	fx := &fixture{targets: &fakeTargets{}, board: placing.New(), crashers: crashtracker.New(), panics: metrics.NewCounter()}
 	fx.fleet = []fleet.Target{
 		{ID: "d1", Service: "model", Role: entity.Decode, Slots: 4}, {ID: "d2", Service: "model", Role: entity.Decode, Slots: 4},
 		{ID: "d3", Service: "model", Role: entity.Decode, Slots: 4}, {ID: "d4", Service: "model", Role: entity.Decode, Slots: 4},
@@ -286,8 +289,9 @@
 	}
 
 	fx.retries = retries.NewLimiter(retries.LimiterOptions{Ratio: 0, Slack: slack, Span: 10 * time.Second, Margin: 1})
+	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &fx.log}}
 	fx.relay = relay.New(relay.Options{
-		Clock: slowClock{clockwork.NewRealClock(), &fx.clockLag}, Log: &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &fx.log}}, Catalog: func() *catalog.Catalog { return c },
+		Clock: slowClock{clockwork.NewRealClock(), &fx.clockLag}, Log: logger, Panics: panics.Recorder{Log: logger, Count: fx.panics}, Catalog: func() *catalog.Catalog { return c },
 		Fleet: func() *fleet.Snapshot { return fleet.NewSnapshot(fx.fleet) }, Board: fx.board, Targets: fx.targets, Crashers: fx.crashers,
 		Observe:     fx.observe,
 		BufferBytes: fixtureBufferBytes,
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
 	"github.com/dotterelflow/dotterelflow/internal/control/retries"
 	"github.com/dotterelflow/dotterelflow/internal/wire/buffers"
+	"github.com/dotterelflow/dotterelflow/internal/wire/panics"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
@@ -42,6 +43,7 @@
 type Options struct {
 	Clock        clockwork.Clock         // nil means the real clock
 	Log          *log.Logger             // nil means the default logger
+	Panics       panics.Recorder         // records panics of searches for another target; its zero value counts none
 	Home         entity.DataCentre       // data centre of this host, whose replicas are preferred
 	Catalog      func() *catalog.Catalog // returns the configuration in force, nil before the first one
 	Fleet        func() *fleet.Snapshot
--- a/internal/entry/relay/successor.go
+++ b/internal/entry/relay/successor.go
@@ -173,14 +173,16 @@
 		return nil, true
 	}
 
-	if ctx.Err() != nil || !j.maySend() {
-		prompt.End(placing.PromptResult{})
+	result := placing.PromptResult{} // also in case of a panic
+	defer func() { prompt.End(result) }()
 
+	if ctx.Err() != nil || !j.maySend() {
 		return nil, false
 	}
 
-	handle, result, _ := j.prefillOnce(ctx, prompt.Placement(), p, false)
-	prompt.End(result)
+	var handle *KVHandle
+
+	handle, result, _ = j.prefillOnce(ctx, prompt.Placement(), p, false)
 	j.notePrefilled(handle)
 
 	if handle == nil {
@@ -241,7 +243,7 @@
 	ctx context.Context, t fleet.Target, patience time.Duration, endRun context.CancelFunc, search func(context.Context) *successor,
 ) *watch {
 	return startWatch(ctx, patience, watchOptions{
-		clock: j.opts.Clock, endRun: endRun, search: search,
+		clock: j.opts.Clock, panics: j.opts.Panics, request: j.r.ID, endRun: endRun, search: search,
 		onSilence: func() {
 			j.silent = t.ID
 			j.noteSilence(t, patience)
--- a/internal/entry/relay/watch.go
+++ b/internal/entry/relay/watch.go
@@ -6,6 +6,10 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/wire/panics"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
 const (
@@ -41,6 +45,8 @@
 
 type watchOptions struct {
 	clock     clockwork.Clock
+	panics    panics.Recorder
+	request   entity.RequestID                     // for the record of a panic
 	onSilence func()                               // called once per silence, before the first search
 	onKept    func()                               // called once per silence, if the first search finds no successor
 	search    func(ctx context.Context) *successor // returns nil if there is no successor now
@@ -136,16 +142,7 @@
 		return
 	}
 
-	first := !w.silent
-	if first {
-		w.silent = true // not used by other goroutines during a search
-		w.onSilence()
-	}
-
-	found := w.search(search)
-	if first && found == nil && search.Err() == nil {
-		w.onKept()
-	}
+	found := w.runSearch(search)
 
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -164,6 +161,25 @@
 	close(w.searchDone)
 }
 
+// runSearch returns the successor that a search finds. If the search panics, it returns nil and no search follows, so that the
+// target may go on.
+func (w *watch) runSearch(ctx context.Context) (found *successor) {
+	defer w.panics.Recover(w.request, func(*verdict.Error) { w.cancel() })
+
+	first := !w.silent
+	if first {
+		w.silent = true // not used by other goroutines during a search
+		w.onSilence()
+	}
+
+	found = w.search(ctx)
+	if first && found == nil && ctx.Err() == nil {
+		w.onKept()
+	}
+
+	return found
+}
+
 // beginSearch returns the context of a search that begins now, or nil if none is due.
 func (w *watch) beginSearch() context.Context {
 	w.mu.Lock()
