--- a/internal/entry/relay/panic_test.go
+++ b/internal/entry/relay/panic_test.go
@@ -29,19 +29,22 @@
 	}
 }
 
-func TestPanicInASearchForASuccessorEndsTheProcess(t *testing.T) {
-	forPaces(t, []time.Duration{3 * time.Second}, func(t *testing.T, route catalog.Route, silence time.Duration) {
+func TestSearchForASuccessorThatPanicsEndsTheProcess(t *testing.T) {
+	const silence = 1500 * time.Millisecond // longer than the patience of each pace
+
+	forPaces(t, []time.Duration{silence}, func(t *testing.T, route catalog.Route, silence time.Duration) {
 		fx := newFixture(t, route, 100)
-		prefills := 0
-		fx.targets.pausePrefill = func(context.Context) error {
-			if prefills++; prefills > 1 {
+		fx.targets.prefill = func(n int, s relay.Send) (*relay.KVHandle, *relay.Answer, error) {
+			if n > 1 {
 				panic("fault")
 			}
 
-			return nil
+			return &relay.KVHandle{Target: s.Target, Name: "kv"}, nil, nil
 		}
+
 		requireWhole(t, fx.serveSilence(t, silence, nil))
 		require.Len(t, fx.targets.runs, 1)
-		require.Len(t, fx.log.lines("search for another target panicked", "fault"), 1)
+		require.Len(t, fx.log.lines("request panicked", `"request":"q"`, "panic_test.go"), 1)
+		require.Equal(t, int64(1), fx.panics.Count())
 	})
 }
--- a/internal/entry/relay/successor.go
+++ b/internal/entry/relay/successor.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"runtime/debug"
 	"slices"
 	"time"
 
@@ -242,16 +240,12 @@
 	ctx context.Context, t fleet.Target, patience time.Duration, endRun context.CancelFunc, search func(context.Context) *successor,
 ) *watch {
 	return startWatch(ctx, patience, watchOptions{
-		clock: j.opts.Clock, endRun: endRun, search: search,
+		clock: j.opts.Clock, panics: j.opts.Panics, request: j.r.ID, endRun: endRun, search: search,
 		onSilence: func() {
 			j.silent = t.ID
 			j.noteSilence(t, patience)
 		},
 		onKept: func() { j.noteKept(t) },
-		onPanic: func(v any) {
-			j.opts.Log.Error().Str("request", string(j.r.ID)).Str("panic", fmt.Sprint(v)).Bytes("stack", debug.Stack()).
-				Msg("search for another target panicked")
-		},
 	})
 }
 
--- a/internal/entry/relay/watch.go
+++ b/internal/entry/relay/watch.go
@@ -6,6 +6,10 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/wire/panics"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
 const (
@@ -33,7 +37,7 @@
 	due        time.Time // when the target has been silent for too long, or the next search begins
 	silent     bool      // onSilence was called for the present silence
 	paused     bool
-	stopped    bool               // stop was called, or a search has panicked
+	stopped    bool
 	stopSearch context.CancelFunc // nil while no search is under way
 	searchDone chan struct{}      // closed at the end of the search under way
 	found      *successor
@@ -41,10 +45,11 @@
 
 type watchOptions struct {
 	clock     clockwork.Clock
+	panics    panics.Recorder
+	request   entity.RequestID                     // for the record of a panic
 	onSilence func()                               // called once per silence, before the first search
 	onKept    func()                               // called once per silence, if the first search finds no successor
 	search    func(ctx context.Context) *successor // returns nil if there is no successor now
-	onPanic   func(v any)                          // called with the value of a panic of one of the functions above
 	endRun    context.CancelFunc
 }
 
@@ -137,12 +142,12 @@
 		return
 	}
 
-	found, ok := w.findSuccessor(search)
+	found := w.runSearch(search)
 
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	w.found, w.stopped = found, w.stopped || !ok
+	w.found = found
 	if found != nil {
 		w.endRun()
 	} else if !w.stopped {
@@ -156,13 +161,10 @@
 	close(w.searchDone)
 }
 
-// findSuccessor searches once. It reports false if that panics. The target may go on then, but is not replaced any more.
-func (w *watch) findSuccessor(ctx context.Context) (found *successor, ok bool) {
-	defer func() {
-		if v := recover(); v != nil {
-			w.onPanic(v)
-		}
-	}()
+// runSearch returns the successor that a search finds. If the search panics, it returns nil and no search follows, so that the
+// target may go on.
+func (w *watch) runSearch(ctx context.Context) (found *successor) {
+	defer w.panics.Recover(w.request, func(*verdict.Error) { w.cancel() })
 
 	first := !w.silent
 	if first {
@@ -175,7 +177,7 @@
 		w.onKept()
 	}
 
-	return found, true
+	return found
 }
 
 // beginSearch returns the context of a search that begins now, or nil if none is due.
--- a/internal/wire/peer/conns_test.go
+++ b/internal/wire/peer/conns_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
 
+	"github.com/dotterelflow/dotterelflow/internal/wire/panics"
 	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
 )
 
@@ -107,7 +108,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 
-	server := peer.NewGRPCServer(largeServer{})
+	server := peer.NewGRPCServer(largeServer{}, panics.Recorder{})
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(server.Stop)
 
