--- a/internal/entry/crashsync/syncer_test.go
+++ b/internal/entry/crashsync/syncer_test.go
@@ -29,7 +29,7 @@
 	window         time.Duration
 }
 
-var sizes = []size{{8, 4, smallWindow}, {30, 3, largeWindow}, {89, 4, largeWindow}, {330, 5, largeWindow}}
+var sizes = []size{{8, 4, smallWindow}, {24, 4, smallWindow}, {30, 3, largeWindow}, {89, 4, largeWindow}, {330, 5, largeWindow}}
 
 // late returns the number of crashes later than window after the third, without those by hosts that had just started.
 func late(crashes []crash, window time.Duration) int {
@@ -88,6 +88,36 @@
 	}
 }
 
+func TestRequestThatCrashedThreeTargetsIsRefusedByAllHostsAfterTheWindow(t *testing.T) {
+	const request = crashtracker.Fingerprint(1)
+
+	for _, s := range sizes {
+		t.Run(fmt.Sprintf("%d hosts", s.hosts), func(t *testing.T) {
+			play(t, s, 1, func(_ context.Context, f *fleet) {
+				time.Sleep(s.window)
+
+				for i := range 3 {
+					f.random().table.RecordLoss(time.Now(), crashtracker.Loss{Request: request, Target: entity.TargetID(fmt.Sprint("first-", i))})
+				}
+
+				time.Sleep(s.window)
+
+				sends := 0
+
+				for i, n := range f.nodes {
+					if _, refused := n.table.Refuses(time.Now(), request); !refused {
+						n.table.RecordLoss(time.Now(), crashtracker.Loss{Request: request, Target: entity.TargetID(fmt.Sprint("later-", i))})
+
+						sends++
+					}
+				}
+
+				require.LessOrEqual(t, sends, allowedRetries)
+			})
+		})
+	}
+}
+
 // restartHosts starts a random host again twice a second, until ctx ends.
 func restartHosts(ctx context.Context, f *fleet) {
 	go func() {
