Give the commands under test the default time for an edit

Cause: the stand-in operator API of these tests allowed an edit 200 ms of real time, so that TestFailures need not wait for the default of 15 s while the platform is down. An edit that takes longer, with its reads and writes, ends as not accepted, which is this message. All tests of the file shared the limit. Shown: with 2 ms in its place TestPlanAndStatus fails each time with the same message at the same line.

Change: the default limit holds, and TestFailures alone sets 200 ms, after it has loaded the configuration and before the platform goes down.

--- a/internal/command/item/command_test.go
+++ b/internal/command/item/command_test.go
@@ -50,21 +50,27 @@
 	view := platform.NewStore(clockwork.NewRealClock()).View()
 	backend := standin.NewBackend(view, clockwork.NewRealClock())
 
-	handler, err := operator.Handler(backend, operator.Options{
-		KeyHash: entity.HashKey(operatorKey), ApplyTimeout: 200 * time.Millisecond,
-	})
-	require.NoError(t, err)
-
-	server := httptest.NewServer(handler)
-	t.Cleanup(server.Close)
-
 	c := &terminal{t: t, view: view, backend: backend, dir: t.TempDir()}
-	file := c.write("operator.key", operatorKey+"\n")
-	c.flags = []string{"--address", strings.TrimPrefix(server.URL, "http://"), "--key-file", file}
+	c.flags = []string{"--address", "", "--key-file", c.write("operator.key", operatorKey+"\n")}
+	c.serve(operator.Options{})
 
 	return c
 }
 
+// serve starts another operator API with opts before the same backend. The commands that follow call it.
+func (c *terminal) serve(opts operator.Options) {
+	c.t.Helper()
+
+	opts.KeyHash = entity.HashKey(operatorKey)
+	handler, err := operator.Handler(c.backend, opts)
+	require.NoError(c.t, err)
+
+	server := httptest.NewServer(handler)
+	c.t.Cleanup(server.Close)
+
+	c.flags[1] = strings.TrimPrefix(server.URL, "http://")
+}
+
 func (c *terminal) write(name, text string) string {
 	path := filepath.Join(c.dir, name)
 	require.NoError(c.t, os.WriteFile(path, []byte(text), 0o600))
@@ -230,6 +236,7 @@
 func TestFailures(t *testing.T) {
 	c := newTerminal(t)
 	c.load()
+	c.serve(operator.Options{ApplyTimeout: 200 * time.Millisecond})
 
 	c.view.SetFaults(platform.Faults{Down: true})
 
