Log the size and the cost of a copy of the configuration

Now each copy that is made, each configuration that comes into force and each failed fetch says so. No logic changed.

--- a/internal/entry/deployment/copy.go
+++ b/internal/entry/deployment/copy.go
@@ -202,6 +202,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	began := s.opts.Clock.Now()
 	c := Copy{Since: revision, Revision: s.confirmedRevision, Targets: map[string][]byte{}}
 	if uint64(s.Version()) > version {
 		c.Configuration = s.configuration
@@ -232,6 +233,9 @@
 
 	encoded, err := json.Marshal(c)
 
+	s.opts.Log.Debug().Int("bytes", len(encoded)).Bool("configuration", len(c.Configuration) > 0).Dur("encoding", s.opts.Clock.Since(began)).
+		Msg("copy made for a peer")
+
 	return encoded, Error.Wrap(err)
 }
 
--- a/internal/entry/deployment/state.go
+++ b/internal/entry/deployment/state.go
@@ -102,6 +102,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	began := s.opts.Clock.Now()
+
 	c, err := s.opts.DecodeCatalog(value)
 	if err != nil {
 		s.opts.Log.Error().Str("from", from).Err(err).Msg("cannot decode the configuration; the one in force stays")
@@ -116,7 +118,8 @@
 
 	s.catalog.Store(c)
 	s.configuration = value
-	s.opts.Log.Info().Uint64("configuration", uint64(c.Version)).Str("from", from).Msg("configuration in force")
+	s.opts.Log.Info().Uint64("configuration", uint64(c.Version)).Str("from", from).Int("bytes", len(value)).
+		Dur("decoding", s.opts.Clock.Since(began)).Msg("configuration in force")
 
 	return true
 }
--- a/internal/entry/peersync/syncer.go
+++ b/internal/entry/peersync/syncer.go
@@ -154,8 +154,11 @@
 	go func() {
 		defer s.fetching.Store(false)
 
+		began := s.opts.Clock.Now()
+
 		if err := s.fetch(c); err != nil {
-			s.opts.Log.Info().Str("peer", string(c.From)).Err(err).Msg("could not update state from a peer")
+			s.opts.Log.Info().Str("peer", string(c.From)).Bool("configuration", c.Lag.Configuration).Bool("targets", c.Lag.Targets).
+				Dur("took", s.opts.Clock.Since(began)).Err(err).Msg("could not update state from a peer")
 		}
 	}()
 }
