Reproduce hosts that get a large configuration late

A simulation of 89 and 330 hosts whose links have 10 Mbit/s, two in each data centre 200: 1,400 or 5,600 routes are added twice, 0, 0.1 or 1 s apart, while a target leaves.

Fails in 12 of 12 cases: 3 to 84 of 89 and 158 to 322 of 330 hosts have an older configuration 3 s after the second change.

--- /dev/null
+++ b/internal/entry/freshness/configuration_test.go
@@ -0,0 +1,98 @@
+package freshness_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+)
+
+const (
+	configurationBound = 3 * time.Second // from the acknowledgement of a change until it is in force everywhere
+	drainBound         = 3 * time.Second // from the acknowledgement that a target leaves until nothing is sent there
+
+	slowLink, fastLink bitrate = 10e6, 200e6
+	fastPerCentre              = 2 // hosts of each data centre that have fast links
+)
+
+// configurationOf returns a configuration of the version that has a number of routes with random names.
+func configurationOf(r *rand.Rand, version, routes int) string {
+	var b strings.Builder
+
+	fmt.Fprintln(&b, version)
+
+	for range routes {
+		name := r.Uint32()
+		fmt.Fprintf(&b, `{"name":"r-%08x","host":"h%07x.example","path_prefix":"/%08x/","kind":"safe","timeout_ms":1000,"target_latency_ms":120,`+
+			`"priority":2,"service":"app","traffic_split":[],"max_attempts":2,"resumable":false,"gap_target_ms":0},`, name, r.Uint32()>>4, r.Uint32())
+	}
+
+	return b.String()
+}
+
+// behind returns the number of hosts that have an older configuration than version.
+func (s *simulation) behind(version int) int {
+	n := 0
+
+	for _, h := range s.order {
+		if int(h.state.Version()) < version {
+			n++
+		}
+	}
+
+	return n
+}
+
+// TestLargeConfigurationIsInForceEverywhereInTime adds many routes in two changes that follow each other, while a target leaves.
+func TestLargeConfigurationIsInForceEverywhereInTime(t *testing.T) {
+	for _, size := range sizes() {
+		if size.hosts < 89 {
+			continue
+		}
+
+		for _, routes := range []int{1400, 5600} {
+			for _, gap := range []time.Duration{0, 100 * time.Millisecond, time.Second} {
+				t.Run(fmt.Sprintf("%d hosts/%d routes/%v", size.hosts, routes, gap), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						ctx, cancel := context.WithCancel(t.Context())
+						defer cancel()
+
+						r := rand.New(rand.NewPCG(5, uint64(size.hosts)))
+						s := newLinkedSimulation(ctx, size.hosts, size.centres, r, size.bound/5, func(i int) bitrate {
+							if i < fastPerCentre*size.centres {
+								return fastLink
+							}
+
+							return slowLink
+						})
+
+						time.Sleep(20 * time.Second)
+
+						s.store.put("config", "main", configurationOf(r, 2, routes))
+						time.Sleep(gap)
+						s.store.put("config", "main", configurationOf(r, 3, routes))
+
+						changed := time.Now()
+
+						s.store.remove("servers", "t0")
+						time.Sleep(time.Until(changed.Add(min(configurationBound, drainBound))))
+						behind, believing := s.behind(3), s.believing(entity.TargetID("t0"))
+
+						cancel()
+						synctest.Wait()
+						time.Sleep(time.Minute)
+						require.Zero(t, behind, "hosts with an older configuration")
+						require.Zero(t, believing, "hosts that still send to a target that has left")
+					})
+				})
+			}
+		}
+	}
+}
--- a/internal/entry/freshness/fleet_test.go
+++ b/internal/entry/freshness/fleet_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -114,6 +115,8 @@
 type connections struct {
 	*store
 
+	in *link // of the host
+
 	open map[string]chan struct{} // closed when the connection falls silent; guarded by mu
 }
 
@@ -180,6 +183,16 @@
 	return entries, c.revision, nil
 }
 
+// receive waits until changes have come over the link of the host.
+func (c *connections) receive(ctx context.Context, changes []storewatch.Change) error {
+	n := 0
+	for _, ch := range changes {
+		n += len(ch.Value)
+	}
+
+	return c.in.pass(ctx, n)
+}
+
 func (c *connections) Watch(ctx context.Context, kind string, revision uint64, wait time.Duration) ([]storewatch.Change, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+500*time.Millisecond)
 	defer cancel()
@@ -212,7 +225,7 @@
 		if len(missed) > 0 {
 			time.Sleep(delay)
 
-			return missed, now, nil
+			return missed, now, c.receive(ctx, missed)
 		}
 
 		first = false
@@ -234,6 +247,7 @@
 	home    entity.DataCentre
 	fleet   *simulation
 	link    *connections
+	out, in *link // to and from all other machines
 	state   *deployment.State
 	readers *peersync.Readers
 	syncer  *peersync.Syncer
@@ -243,7 +257,7 @@
 	table    *members.Table
 	sequence uint64
 	announce chan struct{}
-	told     uint64 // targets revision that was last announced
+	told     [2]uint64 // configuration version and targets revision that were last announced
 }
 
 func (h *host) Hosts() int {
@@ -373,7 +387,7 @@
 	h.syncer.Tick(now)
 	h.guard.Tick(now)
 
-	if r := h.state.ConfirmedRevision(); r != h.told {
+	if r := [...]uint64{uint64(h.state.Version()), h.state.ConfirmedRevision()}; r != h.told {
 		h.told = r
 
 		if h.Hosts() > peersync.SmallFleetHosts && h.state.StoreReachable() && !h.leavesStore() {
@@ -398,6 +412,11 @@
 
 // newSimulation starts n hosts, spread over data centres, that know of each other. It must be called in a synctest bubble.
 func newSimulation(ctx context.Context, n, centres int, r *rand.Rand, batch time.Duration) *simulation {
+	return newLinkedSimulation(ctx, n, centres, r, batch, func(int) bitrate { return 0 })
+}
+
+// newLinkedSimulation is like newSimulation for hosts whose links have the rates that rate returns.
+func newLinkedSimulation(ctx context.Context, n, centres int, r *rand.Rand, batch time.Duration, rate func(host int) bitrate) *simulation {
 	s := &simulation{store: newStore(), hosts: map[entity.HostID]*host{}}
 	s.store.put("config", "main", "1")
 
@@ -408,7 +427,7 @@
 	go s.store.writeElsewhere(ctx)
 
 	for i := range n {
-		h := newHost(s, i, centres)
+		h := newHost(s, i, centres, rate(i))
 		s.hosts[h.id] = h
 		s.order = append(s.order, h)
 	}
@@ -438,17 +457,19 @@
 	return s
 }
 
-func newHost(s *simulation, i, centres int) *host {
+func newHost(s *simulation, i, centres int, rate bitrate) *host {
 	h := &host{
 		id: entity.HostID(fmt.Sprint("h", i)), home: entity.DataCentre(fmt.Sprint("z", i%centres)), fleet: s,
-		link: &connections{store: s.store, open: map[string]chan struct{}{}}, announce: make(chan struct{}, 1),
+		out: newLink(rate), in: newLink(rate), announce: make(chan struct{}, 1),
 	}
+	h.link = &connections{store: s.store, in: h.in, open: map[string]chan struct{}{}}
 	h.table = members.NewWithMinPeriod(h.id, h.home, minPeriod)
 	h.readers = peersync.NewReaders(h.home)
 	h.state = deployment.New(deployment.Options{
 		Log: quiet, ConfigName: "main", RenewalInterval: time.Second,
 		DecodeCatalog: func(value []byte) (*catalog.Catalog, error) {
-			n, err := strconv.ParseUint(string(value), 10, 64)
+			version, _, _ := strings.Cut(string(value), "\n")
+			n, err := strconv.ParseUint(version, 10, 64)
 
 			return catalog.Build(catalog.Version(n), catalog.Limits{}, nil, nil), err
 		},
@@ -464,7 +485,7 @@
 	h.syncer = peersync.New(peersync.Options{
 		Log: quiet, State: h.state, Accept: h.guard.Accept,
 		OnImport: func(c peersync.Claim, changed peersync.Lag) { h.guard.OnImport(time.Now(), c, changed) },
-		Fetch: func(_ context.Context, from entity.HostID, version, revision uint64) ([]byte, error) {
+		Fetch: func(ctx context.Context, from entity.HostID, version, revision uint64) ([]byte, error) {
 			time.Sleep(2 * delay)
 
 			peer, ok := s.hosts[from]
@@ -472,7 +493,12 @@
 				return nil, errors.New("no such host")
 			}
 
-			return peer.state.Export(version, revision)
+			encoded, err := peer.state.Export(version, revision)
+			if err != nil {
+				return nil, err
+			}
+
+			return encoded, transfer(ctx, len(encoded), peer.out, h.in)
 		},
 	})
 
