Send large state to other hosts in parts

Cause: a fetch had one second for all of its bytes, whatever their number. All hosts of a data centre fetch from the first reader that announces a change; a link of 10 Mbit/s cannot carry twenty copies of 455 kB in a second, so none arrived, and each was sent anew from its first byte. Configuration and targets shared the fetch, so targets that left waited too.

Ruled out: the store (readers have the version before the acknowledgement); decoding, 38 ms in the mean, is no cause but held the lock that heartbeats need.

Change: state is copied in parts of 16 KiB, each with a time limit of its own, compressed once for each version. What has arrived is kept and continued at another peer if the sender fails, or at the same one after the state has changed, so that a series of changes does not put a copy off. A host sends four large copies at a time and tells others who has the copy, so that senders multiply. The configuration and the targets are fetched independently. Configurations are decoded before the lock is taken. The own interface fetches in the same way. Hosts of older builds are served, and asked, by the call that they know.

--- a/internal/control/configuration/runner.go
+++ b/internal/control/configuration/runner.go
@@ -15,7 +15,7 @@
 
 const (
 	tickInterval = 100 * time.Millisecond
-	callTimeout  = 3 * time.Second // timeout of one platform read or peer fetch
+	callTimeout  = 3 * time.Second // timeout of one platform read
 	eventBuffer  = 64
 )
 
@@ -27,7 +27,7 @@
 
 // Peers fetches the configuration from other entry hosts.
 type Peers interface {
-	// Fetch returns the result of Runner.Export on host.
+	// Fetch returns the result of Runner.Export on host. It must end if no more of it arrives.
 	Fetch(ctx context.Context, host entity.HostID) ([]byte, error)
 }
 
@@ -198,9 +198,6 @@
 }
 
 func (r *Runner) fetchPeer(ctx context.Context, host entity.HostID) *Contents {
-	ctx, cancel := r.withCallTimeout(ctx)
-	defer cancel()
-
 	data, err := r.peers.Fetch(ctx, host)
 	if err != nil {
 		return nil
--- a/internal/entry/deployment/copy.go
+++ b/internal/entry/deployment/copy.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -199,10 +200,33 @@
 // Export returns the encoded copy for a peer that has the configuration version and the store revision. A zero version
 // stands for no configuration; a zero revision requests a full copy.
 func (s *State) Export(version, revision uint64) ([]byte, error) {
+	encoded, err := json.Marshal(s.copySince(version, revision))
+
+	return encoded, Error.Wrap(err)
+}
+
+// Source is a copies.Source: it returns what copies of the targets or of the configuration are made of.
+func (s *State) Source(targets bool, known uint64) (number uint64, encode func() ([]byte, error)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	version, configuration := uint64(s.Version()), s.configuration
+
+	switch {
+	case targets && s.confirmedRevision > known:
+		return s.confirmedRevision, func() ([]byte, error) { return s.Export(math.MaxUint64, known) }
+	case !targets && version > known:
+		return version, func() ([]byte, error) { return configuration, nil }
+	}
+
+	return 0, nil
+}
+
+// copySince returns the copy that Export encodes.
+func (s *State) copySince(version, revision uint64) Copy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	began := s.opts.Clock.Now()
 	c := Copy{Since: revision, Revision: s.confirmedRevision, Targets: map[string][]byte{}}
 	if uint64(s.Version()) > version {
 		c.Configuration = s.configuration
@@ -231,12 +255,16 @@
 		}
 	}
 
-	encoded, err := json.Marshal(c)
+	return c
+}
+
+// ConfigurationIn returns the encoded configuration in an encoded copy, or nil if it has none.
+func ConfigurationIn(encoded []byte) ([]byte, error) {
+	var c Copy
 
-	s.opts.Log.Debug().Int("bytes", len(encoded)).Bool("configuration", len(c.Configuration) > 0).Dur("encoding", s.opts.Clock.Since(began)).
-		Msg("copy made for a peer")
+	err := json.Unmarshal(encoded, &c)
 
-	return encoded, Error.Wrap(err)
+	return c.Configuration, Error.Wrap(err)
 }
 
 // Import applies an encoded copy from the peer named from. The configuration and the targets are each ignored unless newer
--- a/internal/entry/deployment/state.go
+++ b/internal/entry/deployment/state.go
@@ -3,6 +3,7 @@
 package deployment
 
 import (
+	"bytes"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -99,18 +100,24 @@
 // logged and ignored. The source from, "store" or a peer's id, is logged. Adopt reports whether the configuration is now in
 // force and was not before.
 func (s *State) Adopt(value []byte, from string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	if s.isInForce(value) {
+		return false
+	}
 
+	// Decoding takes long for many routes, and all other calls of s need the lock.
 	began := s.opts.Clock.Now()
-
 	c, err := s.opts.DecodeCatalog(value)
+	decoding := s.opts.Clock.Since(began)
+
 	if err != nil {
 		s.opts.Log.Error().Str("from", from).Err(err).Msg("cannot decode the configuration; the one in force stays")
 
 		return false
 	}
 
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
 	old := s.catalog.Load()
 	if old != nil && c.Version <= old.Version {
 		return false
@@ -119,11 +126,20 @@
 	s.catalog.Store(c)
 	s.configuration = value
 	s.opts.Log.Info().Uint64("configuration", uint64(c.Version)).Str("from", from).Int("bytes", len(value)).
-		Dur("decoding", s.opts.Clock.Since(began)).Msg("configuration in force")
+		Dur("decoding", decoding).Msg("configuration in force")
 
 	return true
 }
 
+// isInForce reports whether value is the encoded configuration in force.
+func (s *State) isInForce(value []byte) bool {
+	s.mu.Lock()
+	inForce := s.configuration
+	s.mu.Unlock()
+
+	return inForce != nil && bytes.Equal(value, inForce)
+}
+
 // Tick publishes changes that depend on time alone, such as the removal of targets whose grace period has ended.
 func (s *State) Tick(now time.Time) {
 	s.mu.Lock()
--- a/internal/entry/host/build.go
+++ b/internal/entry/host/build.go
@@ -10,6 +10,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/ledger"
 	"github.com/dotterelflow/dotterelflow/internal/entry/admissionloop"
 	"github.com/dotterelflow/dotterelflow/internal/entry/answers"
+	"github.com/dotterelflow/dotterelflow/internal/entry/copies"
 	"github.com/dotterelflow/dotterelflow/internal/entry/crashguard"
 	"github.com/dotterelflow/dotterelflow/internal/entry/crashsync"
 	"github.com/dotterelflow/dotterelflow/internal/entry/dispatch"
@@ -81,7 +82,10 @@
 		Log: h.opts.Log, Panics: h.panics,
 	})
 
+	sender := copies.NewServer(copies.ServerOptions{Clock: clock, Log: h.opts.Log, Source: h.copySource})
+
 	h.peers = peers.NewGRPCServer(h.network, peers.Services{
+		Copies:   sender.Handle,
 		Snapshot: h.config.Current, Runner: h.runner, Answers: heldAnswers, Configuration: h.newerConfiguration,
 		Claim: h.claimForPeer, Crashes: h.crashSyncer.Handle, Burn: h.burn.encodePending,
 	})
--- a/internal/entry/host/digest.go
+++ b/internal/entry/host/digest.go
@@ -46,6 +46,16 @@
 	return g, h.config.Export()
 }
 
+// copySource is a copies.Source of the configuration.
+func (h *Host) copySource(targets bool, known uint64) (number uint64, encode func() ([]byte, error)) {
+	g := h.config.Generation()
+	if targets || uint64(g) <= known {
+		return 0, nil
+	}
+
+	return uint64(g), func() ([]byte, error) { return h.config.Export(), nil }
+}
+
 // Fill implements peers.DigestHandler.
 func (h *Host) Fill(to entity.HostID, d *peer.Digest) {
 	d.Generation = uint64(h.config.Generation())
--- a/internal/entry/peers/forward.go
+++ b/internal/entry/peers/forward.go
@@ -240,25 +240,6 @@
 	return n.links.Client(m.Address)
 }
 
-// Fetch returns the encoded configuration that host has in force.
-func (n *Network) Fetch(ctx context.Context, host entity.HostID) ([]byte, error) {
-	return n.FetchSince(ctx, host, KnownVersions{})
-}
-
-// FetchSince returns the encoded configuration of host if it is newer than known, and otherwise an empty encoding.
-func (n *Network) FetchSince(ctx context.Context, host entity.HostID, known KnownVersions) ([]byte, error) {
-	client, err := n.clientOfLive(host)
-	if err != nil {
-		return nil, err
-	}
-
-	reply, err := client.FetchConfiguration(ctx, &peer.FetchConfigurationRequest{
-		NewerThan: uint64(known.Generation), TargetsSince: known.TargetsRevision,
-	})
-
-	return reply.GetEncoded(), peer.Error.Wrap(err)
-}
-
 // FetchBurn returns the encoded service-level counts that m has not saved to the platform yet.
 func (n *Network) FetchBurn(ctx context.Context, m members.Member) ([]byte, error) {
 	client, err := n.links.Client(m.Address)
--- a/internal/entry/peers/server.go
+++ b/internal/entry/peers/server.go
@@ -57,6 +57,8 @@
 	// Configuration returns the generation in force and, if it is newer than known, the encoded configuration. An
 	// empty encoding means that there is nothing newer. Nil serves no configuration.
 	Configuration func(known KnownVersions) (entity.Generation, []byte)
+	// Copies returns a part of a copy of this host's state; nil serves no parts.
+	Copies func(r *peer.FetchPartRequest) *peer.Part
 	// Claim handles an encoded claim request of another host; nil serves no claims.
 	Claim func(ctx context.Context, encoded []byte) ([]byte, error)
 	// Placer places prompts for other hosts; nil places no prompts.
@@ -117,6 +119,15 @@
 	return &peer.Configuration{Generation: uint64(generation), Encoded: encoded}, nil
 }
 
+// FetchPart implements peer.PeerServer.
+func (s *Server) FetchPart(ctx context.Context, r *peer.FetchPartRequest) (*peer.Part, error) {
+	if s.services.Copies == nil {
+		return s.UnimplementedPeerServer.FetchPart(ctx, r)
+	}
+
+	return s.services.Copies(r), nil
+}
+
 // Claim implements peer.PeerServer.
 func (s *Server) Claim(ctx context.Context, r *peer.ClaimRequest) (*peer.ClaimReply, error) {
 	if s.services.Claim == nil {
--- a/internal/entry/peersync/syncer.go
+++ b/internal/entry/peersync/syncer.go
@@ -14,13 +14,15 @@
 	"github.com/phuslu/log"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/entry/copies"
+	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
 )
 
 const (
-	// fetchTimeout bounds one fetch. After a failure, the next heartbeat of a peer that is ahead starts another.
-	fetchTimeout = time.Second
 	// claimRetention is how long after its last heartbeat a peer counts as ahead.
 	claimRetention = 5 * time.Second
+	// failureRetention is how long other peers are preferred to one from which a fetch failed.
+	failureRetention = 3 * time.Second
 	// maxClaims bounds the peers that count as ahead. Any of them can bring this host up to date.
 	maxClaims = 64
 )
@@ -51,7 +53,9 @@
 	Position() (version, revision uint64)
 	// Behind reports in what version or revision is newer than this host's own.
 	Behind(version, revision uint64) Lag
-	// Import applies the encoded state that was fetched from the peer from, and returns what it changed.
+	// Adopt puts the encoded configuration that was fetched from the peer from in force, and reports whether it was newer.
+	Adopt(value []byte, from string) bool
+	// Import applies the encoded targets that were fetched from the peer from, and returns what it changed.
 	Import(now time.Time, encoded []byte, from string) (Lag, error)
 }
 
@@ -59,24 +63,36 @@
 type Options struct {
 	Clock clockwork.Clock // nil means the real clock
 	Log   *log.Logger     // nil means the default logger
+	Host  entity.HostID   // this host
 	State State
-	// Fetch returns the encoded changes since version and revision from the host from; empty means none.
-	Fetch func(ctx context.Context, from entity.HostID, version, revision uint64) ([]byte, error)
+	// FetchPart asks the host from for a part of its state.
+	FetchPart func(ctx context.Context, from entity.HostID, r *peer.FetchPartRequest) (*peer.Part, error)
 	// Accept reports whether this host fetches now because of a claim. It is asked again while the claim holds.
 	Accept func(now time.Time, c Claim) bool
 	// OnImport is called after a fetch that changed this host's state, with what it changed; nil means no call.
 	OnImport func(c Claim, changed Lag)
 }
 
-// Syncer fetches state from peers that are ahead of this host. It is safe for concurrent use. Make it with New.
+// Syncer fetches state from peers that are ahead of this host. The configuration and the targets are fetched independently
+// of each other, so that a change of one does not wait for the other. It is safe for concurrent use. Make it with New.
 type Syncer struct {
-	opts     Options
-	fetching atomic.Bool
+	opts  Options
+	lanes [2]*lane // of the configuration and of the targets
 
 	mu     sync.Mutex
 	claims map[entity.HostID]heldClaim
 }
 
+// lane fetches the configuration or the targets, from one peer at a time.
+type lane struct {
+	lag      Lag // what it fetches
+	fetching atomic.Bool
+	receiver *copies.Receiver // only used by the goroutine that has set fetching
+
+	mu     sync.Mutex
+	failed map[entity.HostID]time.Time // peers from which a fetch failed, and when
+}
+
 // heldClaim is a claim as the peer last reported it.
 type heldClaim struct {
 	Claim
@@ -98,12 +114,20 @@
 		opts.OnImport = func(Claim, Lag) {}
 	}
 
-	return &Syncer{opts: opts, claims: map[entity.HostID]heldClaim{}}
+	s := &Syncer{opts: opts, claims: map[entity.HostID]heldClaim{}}
+
+	for i, lag := range []Lag{{Configuration: true}, {Targets: true}} {
+		s.lanes[i] = &lane{lag: lag, failed: map[entity.HostID]time.Time{}, receiver: copies.NewReceiver(copies.ReceiverOptions{
+			Clock: opts.Clock, Host: opts.Host, Targets: lag.Targets, FetchPart: opts.FetchPart,
+		})}
+	}
+
+	return s
 }
 
 // OnHeartbeat handles the configuration version, the store revision and the age of its targets that the peer from, in the data
-// centre dc, advertises. If this host is behind and accepts the claim, it starts a fetch in the background. While a fetch is
-// running, no other is started.
+// centre dc, advertises. For what this host is behind in, and if it accepts the claim, it starts a fetch in the background. While
+// a fetch is running, no other of the same state is started.
 func (s *Syncer) OnHeartbeat(from entity.HostID, dc entity.DataCentre, version, revision uint64, targetsAge time.Duration) {
 	now := s.opts.Clock.Now()
 	lag := s.opts.State.Behind(version, revision)
@@ -126,12 +150,14 @@
 	}
 	s.mu.Unlock()
 
-	if lag.Any() {
-		s.consider(now, c.Claim)
+	for _, l := range s.lanes {
+		if !l.hasFailed(now, from) {
+			s.consider(now, l, c)
+		}
 	}
 }
 
-// Tick considers the claims again that were not accepted when they were heard.
+// Tick considers the claims again that were not accepted when they were heard, and those whose fetch has failed.
 func (s *Syncer) Tick(now time.Time) {
 	s.mu.Lock()
 	maps.DeleteFunc(s.claims, func(_ entity.HostID, c heldClaim) bool {
@@ -140,45 +166,98 @@
 	claims := slices.Collect(maps.Values(s.claims))
 	s.mu.Unlock()
 
-	for _, c := range claims {
-		s.consider(now, c.Claim)
+	for _, l := range s.lanes {
+		for _, failed := range []bool{false, true} {
+			for _, c := range claims {
+				if l.hasFailed(now, c.From) == failed {
+					s.consider(now, l, c)
+				}
+			}
+		}
 	}
 }
 
-// consider starts a fetch because of c if this host accepts c and no fetch is running.
-func (s *Syncer) consider(now time.Time, c Claim) {
-	if !s.opts.Accept(now, c) || !s.fetching.CompareAndSwap(false, true) {
+// consider starts a fetch by l because of c if the peer is ahead in what l fetches, this host accepts the claim to that, and
+// no fetch is running.
+func (s *Syncer) consider(now time.Time, l *lane, c heldClaim) {
+	c.Lag = l.lagIn(s.opts.State.Behind(c.version, c.revision))
+
+	if !c.Lag.Any() || l.fetching.Load() || !s.opts.Accept(now, c.Claim) || !l.fetching.CompareAndSwap(false, true) {
 		return
 	}
 
 	go func() {
-		defer s.fetching.Store(false)
+		defer l.fetching.Store(false)
 
 		began := s.opts.Clock.Now()
+		err := s.fetch(l, c)
+		l.note(s.opts.Clock.Now(), c.From, err)
 
-		if err := s.fetch(c); err != nil {
-			s.opts.Log.Info().Str("peer", string(c.From)).Bool("configuration", c.Lag.Configuration).Bool("targets", c.Lag.Targets).
+		if err != nil {
+			s.opts.Log.Info().Str("peer", string(c.From)).Bool("targets", l.lag.Targets).Int("arrived", l.receiver.Arrived()).
 				Dur("took", s.opts.Clock.Since(began)).Err(err).Msg("could not update state from a peer")
 		}
 	}()
 }
 
 // fetch fetches from a peer once and imports the result.
-func (s *Syncer) fetch(c Claim) error {
-	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
-	defer cancel()
+func (s *Syncer) fetch(l *lane, c heldClaim) error {
+	known, revision := s.opts.State.Position()
+	if l.lag.Targets {
+		known = revision
+	}
 
-	version, revision := s.opts.State.Position()
+	received, err := l.receiver.Fetch(context.Background(), c.From, known, func() bool {
+		return l.lagIn(s.opts.State.Behind(c.version, c.revision)).Any()
+	})
+	if err != nil || received == nil {
+		return err
+	}
 
-	encoded, err := s.opts.Fetch(ctx, c.From, version, revision)
-	if err != nil || len(encoded) == 0 {
+	state, err := received.State()
+	if err != nil {
 		return err
 	}
 
-	changed, err := s.opts.State.Import(s.opts.Clock.Now(), encoded, string(c.From))
+	var changed Lag
+
+	if l.lag.Targets {
+		changed, err = s.opts.State.Import(s.opts.Clock.Now(), state, string(c.From))
+	} else {
+		changed.Configuration = s.opts.State.Adopt(state, string(c.From))
+	}
+
 	if changed.Any() {
-		s.opts.OnImport(c, changed)
+		s.opts.OnImport(c.Claim, changed)
 	}
 
 	return err
 }
+
+// lagIn returns that part of lag which l fetches.
+func (l *lane) lagIn(lag Lag) Lag {
+	return Lag{Configuration: lag.Configuration && l.lag.Configuration, Targets: lag.Targets && l.lag.Targets}
+}
+
+// note records whether a fetch from the peer from failed.
+func (l *lane) note(now time.Time, from entity.HostID, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	maps.DeleteFunc(l.failed, func(_ entity.HostID, at time.Time) bool { return now.Sub(at) >= failureRetention })
+	delete(l.failed, from)
+
+	if err != nil {
+		l.failed[from] = now
+	}
+}
+
+// hasFailed reports whether a fetch from the peer from has lately failed.
+func (l *lane) hasFailed(now time.Time, from entity.HostID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	at, ok := l.failed[from]
+
+	return ok && now.Sub(at) < failureRetention
+}
