Refuse requests with a part of the prompt that crashes targets

Cause: what crashes targets was identified by a hash of host, URI and body. Requests whose last part is their own never have the same one, so each of them was a first loss at every host.

Change: a run that breaks off before its answer begins makes the parts of its prompt, but the last, suspects. They get a loss if the target has crashed, which its port shows by refusing a connection, or the platform's list later, and if no answer has begun on them meanwhile. An answer that begins clears its parts on all hosts. Prefills, replicas that leave, broken answers of replicas that live, and runs that were ended here are no evidence. Four crashed targets refuse a part, of five that are allowed; losses that a part with more of them explains do not count for others, so sound parts that are often beside it stay served. Where parts cannot be told apart, or after a minute without a loss, one host of the fleet at a time lets one request run; an answer that begins ends the verdict, a crash doubles the time to the next trial. Records are those of requests, so all hosts get them as fast, after restarts and cuts too. Refused requests are told at once that they have not run and for how long the refusal lasts, before the prompt is read and before each send.

A part that is sound has to be in runs that had not begun on four targets that crash for other reasons, with no answer begun on it anywhere in between, to be refused.

The fallback error of calls and of streams is one now, so its text names replicas; codes are as before.

--- a/internal/control/crashtracker/record.go
+++ b/internal/control/crashtracker/record.go
@@ -10,9 +10,16 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 )
 
-// refuseAfter is the number of lost targets after which a request is refused. The platform allows a request to
-// lose three targets.
-const refuseAfter = 3
+const (
+	// refuseAfter is the number of lost targets after which a request is refused. The platform allows a request to
+	// lose three targets.
+	refuseAfter = 3
+	// refusePartAfter is the same for requests with a part. The platform allows a part to crash five targets.
+	refusePartAfter = 4
+	// maxPartTargets is the most targets that the record of a part names. Those beyond refusePartAfter tell parts apart that are
+	// often in the same prompts.
+	maxPartTargets = 16
+)
 
 // Fingerprint identifies a request by a hash of its host, URI and body, independent of its request ID.
 type Fingerprint uint64
@@ -36,30 +43,70 @@
 	return Fingerprint(d.Sum64())
 }
 
+// FingerprintOfPart returns the fingerprint of the part id of the prompts of service.
+func FingerprintOfPart(service entity.ServiceName, id uint64) Fingerprint {
+	var d xxhash.Digest
+
+	d.ResetWithSeed(id)
+
+	_, _ = d.WriteString("part ") // writing to a digest never fails
+	_, _ = d.WriteString(string(service))
+
+	return Fingerprint(d.Sum64())
+}
+
 // Loss records that a target was lost while it ran a request.
 type Loss struct {
 	Request Fingerprint
 	Target  entity.TargetID
 }
 
-// Record is what a host knows of one request under which targets were lost. Records of one request that come from several
-// hosts are joined: the one with more clearances replaces the other, and with equal clearances their targets are united.
-// The result does not depend on the order in which they are joined.
+// Record is what a host knows of one request, or of one part of prompts, under which targets were lost. Records of one request
+// that come from several hosts are joined: the one with more clearances replaces the other, and with equal clearances their
+// targets are united. The result does not depend on the order in which they are joined.
 type Record struct {
 	Request Fingerprint
-	// Clearances is the number of times that a complete answer has shown the losses until then to have other causes.
+	Part    bool // Request is the fingerprint of a part
+	// Clearances is the number of times that a complete answer, or for a part the begin of one, has shown the losses until then to
+	// have other causes.
 	Clearances uint64
-	// Targets are the distinct targets lost since the last clearance, at most the number at which the request is refused.
+	// Targets are the distinct targets lost since the last clearance, at most the number at which the request is refused, or
+	// maxPartTargets for a part.
 	Targets []entity.TargetID
 	// Left is the time until the record expires.
 	Left time.Duration
 }
 
-// Refused reports whether the request of r is refused.
-func (r Record) Refused() bool { return len(r.Targets) >= refuseAfter }
+// Refused reports whether the request of r is refused. A part of which that holds may have been refused for another one; see
+// Table.RefusesParts.
+func (r Record) Refused() bool {
+	if r.Part {
+		return len(r.Targets) >= refusePartAfter
+	}
+
+	return len(r.Targets) >= refuseAfter
+}
+
+// isFull reports whether r names as many targets as it can.
+func (r Record) isFull() bool {
+	if r.Part {
+		return len(r.Targets) >= maxPartTargets
+	}
+
+	return r.Refused()
+}
+
+// lifetime returns how long r counts after its last change.
+func (r Record) lifetime() time.Duration {
+	if r.Part && r.Refused() {
+		return partLifetime
+	}
+
+	return lifetime
+}
 
-// join adds the knowledge in other, a record of the same request, to r and reports whether that changed r. The losses of
-// a refused request are not extended, so that hosts which learn of different losses still end with equal records.
+// join adds the knowledge in other, a record of the same request, to r and reports whether that changed r. A full record
+// is not extended, so that hosts which learn of different losses still end with equal records.
 func (r *Record) join(other Record) bool {
 	if other.Clearances < r.Clearances {
 		return false
@@ -71,7 +118,7 @@
 	}
 
 	for _, target := range other.Targets {
-		if r.Refused() {
+		if r.isFull() {
 			break
 		}
 
@@ -84,12 +131,12 @@
 	return changed
 }
 
-// checksum returns a hash of r that is equal on all hosts with the same knowledge. All records of a refused request with
+// checksum returns a hash of r that is equal on all hosts with the same knowledge. All full records of a request with
 // equal clearances have the same one, whichever targets they name.
 func (r Record) checksum() uint64 {
 	var targets uint64
 
-	if r.Refused() {
+	if r.isFull() {
 		targets = 1
 	} else {
 		for _, target := range r.Targets {
--- a/internal/control/crashtracker/table.go
+++ b/internal/control/crashtracker/table.go
@@ -1,4 +1,5 @@
-// Package crashtracker detects requests that crash the targets that run them. Callers may retry such a request through
+// Package crashtracker detects requests that crash the targets that run them, and parts of prompts that do so whatever else
+// the request holds. Callers may retry such a request through
 // any entry host, so each host keeps a table of all such requests. Package crashsync keeps the tables of all hosts equal.
 //
 // It is a simpler form of package quarantine for requests without a client account. It does not test a suspected request
@@ -20,6 +21,8 @@
 const (
 	// lifetime is how long a record counts after its last change, and how long a complete answer protects a request.
 	lifetime = 5 * time.Minute
+	// partLifetime is the same for a part whose requests are refused, which trials can end before.
+	partLifetime = time.Hour
 	// minLeft is the least time that an unknown record from a peer must have left. It is longer than messages take, so
 	// that hosts do not return to each other a record that is about to expire.
 	minLeft = 15 * time.Second
@@ -37,7 +40,9 @@
 type entry struct {
 	Record
 
-	until time.Time
+	until   time.Time
+	changed time.Time // when the record last changed
+	tried   int64     // number of the last trial turn that this host has used; only for a part
 }
 
 // scope says which hosts have to be told of a changed record.
@@ -60,8 +65,10 @@
 
 // Stats are the sizes of a Table.
 type Stats struct {
-	Suspects int64 // requests that have lost a target
-	Refused  int64 // those among them that are refused
+	Suspects     int64 // requests that have lost a target
+	Refused      int64 // those among them that are refused
+	SuspectParts int64 // parts that have lost a target
+	RefusedParts int64 // those of which requests are refused
 }
 
 // Table holds the records of requests that have lost targets. It keeps a bounded number of them; if it is full, records
@@ -74,6 +81,7 @@
 	completed  *lru.Cache[Fingerprint, time.Time] // time of the last complete answer
 	silent     map[Loss]time.Time                 // runs that ended in silence, and when
 	leaving    map[entity.TargetID]time.Time      // targets that were leaving, and when they last were
+	parts      *parts                             // what this host has seen of parts
 	pending    map[Fingerprint]scope              // changed records that peers have to be told
 	sum        uint64
 	lastChange time.Time
@@ -88,7 +96,7 @@
 
 	return &Table{
 		changed: make(chan struct{}, 1), entries: map[Fingerprint]*entry{}, completed: completed,
-		silent: map[Loss]time.Time{}, leaving: map[entity.TargetID]time.Time{}, pending: map[Fingerprint]scope{},
+		silent: map[Loss]time.Time{}, leaving: map[entity.TargetID]time.Time{}, pending: map[Fingerprint]scope{}, parts: newParts(),
 	}
 }
 
@@ -153,13 +161,13 @@
 		}
 
 		wasRefused := known && e.Refused()
-		r.Left = min(r.Left, lifetime)
+		r.Left = min(r.Left, r.lifetime())
 
 		if !t.join(now, r, tell) {
 			continue
 		}
 
-		if t.hasCompleted(now, r.Request) {
+		if r.Part && t.parts.hasBegun(now, r.Request) || !r.Part && t.hasCompleted(now, r.Request) {
 			t.clear(now, r.Request)
 		} else if e, ok := t.entries[r.Request]; ok && e.Refused() && !wasRefused {
 			refused = append(refused, e.Record)
@@ -262,7 +270,19 @@
 
 	var stats Stats
 
+	for _, group := range t.refusedGroups() {
+		stats.RefusedParts += int64(len(group))
+	}
+
 	for _, e := range t.entries {
+		if e.Part {
+			if len(e.Targets) > 0 {
+				stats.SuspectParts++
+			}
+
+			continue
+		}
+
 		if len(e.Targets) > 0 {
 			stats.Suspects++
 		}
@@ -285,6 +305,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
+	t.confirmParts(now, ended)
+
 	for f, e := range t.entries {
 		if !now.Before(e.until) {
 			t.drop(f)
@@ -343,7 +365,7 @@
 // clear drops the losses of f, if it has any. The caller holds mu.
 func (t *Table) clear(now time.Time, f Fingerprint) {
 	if e, ok := t.entries[f]; ok && len(e.Targets) > 0 {
-		t.join(now, Record{Request: f, Clearances: e.Clearances + 1, Left: lifetime}, everywhere)
+		t.join(now, Record{Request: f, Part: e.Part, Clearances: e.Clearances + 1, Left: lifetime}, everywhere)
 	}
 }
 
@@ -363,7 +385,8 @@
 	}
 
 	t.sum ^= before ^ e.checksum()
-	t.lastChange = now
+	t.lastChange, e.changed = now, now
+	t.parts.groups = nil
 
 	if until := now.Add(r.Left); until.After(e.until) {
 		e.until = until
@@ -406,7 +429,7 @@
 		t.drop(least)
 	}
 
-	e := &entry{Record: Record{Request: r.Request}, until: until}
+	e := &entry{Record: Record{Request: r.Request, Part: r.Part}, until: until, tried: -1}
 	t.entries[r.Request] = e
 	t.sum ^= e.checksum()
 
@@ -416,6 +439,7 @@
 // drop removes the entry of f. The caller holds mu.
 func (t *Table) drop(f Fingerprint) {
 	t.sum ^= t.entries[f].checksum()
+	t.parts.groups = nil
 	delete(t.entries, f)
 	delete(t.pending, f)
 }
--- a/internal/entry/crashsync/encode.go
+++ b/internal/entry/crashsync/encode.go
@@ -14,7 +14,7 @@
 
 func encode(r crashtracker.Record) *peer.CrashRecord {
 	encoded := &peer.CrashRecord{
-		Request: uint64(r.Request), Clearances: r.Clearances, LeftMs: uint32(min(max(r.Left.Milliseconds(), 0), math.MaxUint32)),
+		Request: uint64(r.Request), Part: r.Part, Clearances: r.Clearances, LeftMs: uint32(min(max(r.Left.Milliseconds(), 0), math.MaxUint32)),
 	}
 	for _, target := range r.Targets {
 		encoded.Targets = append(encoded.Targets, string(target))
@@ -29,7 +29,7 @@
 
 	for _, e := range encoded {
 		r := crashtracker.Record{
-			Request: crashtracker.Fingerprint(e.GetRequest()), Clearances: e.GetClearances(),
+			Request: crashtracker.Fingerprint(e.GetRequest()), Part: e.GetPart(), Clearances: e.GetClearances(),
 			Left: time.Duration(e.GetLeftMs()) * time.Millisecond,
 		}
 
--- a/internal/entry/crashsync/syncer.go
+++ b/internal/entry/crashsync/syncer.go
@@ -337,7 +337,7 @@
 	sameCentre := m.GetDataCentre() == string(s.opts.DataCentre)
 
 	for _, r := range s.opts.Table.Merge(s.opts.Clock.Now(), records, sameCentre) {
-		s.opts.Log.Info().Str("fingerprint", r.Request.String()).Interface("targets", r.Targets).
+		s.opts.Log.Info().Str("fingerprint", r.Request.String()).Bool("part", r.Part).Interface("targets", r.Targets).
 			Str("data-centre", m.GetDataCentre()).Msg("a peer reports that a request crashes its targets")
 	}
 }
--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -253,8 +253,7 @@
 	}
 
 	if v == verdict.NotRun {
-		j.refuse(w, verdict.New(v, verdict.CodeNoTarget, "no target accepts the request now").
-			WithRetryAfter(noTargetRetryAfter).WithCause(cause))
+		j.refuse(w, j.noTargetError().WithCause(cause))
 
 		return
 	}
--- a/internal/entry/relay/fakes_test.go
+++ b/internal/entry/relay/fakes_test.go
@@ -51,6 +51,8 @@
 	// pausePrefill is called at the start of each prefill, which fails with the error that it returns. It may be nil.
 	pausePrefill func(ctx context.Context) error
 
+	ended map[entity.TargetID]bool // targets whose processes have ended
+
 	prefillContext func(ctx context.Context, s relay.Send) (*relay.KVHandle, *relay.Answer, error) // replaces prefill unless nil
 }
 
@@ -86,6 +88,13 @@
 	return &relay.KVHandle{Target: s.Target, Name: "kv"}, nil, nil
 }
 
+func (f *fakeTargets) HasEnded(_ context.Context, t fleet.Target) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.ended[t.ID]
+}
+
 func (f *fakeTargets) Release(_ context.Context, h relay.KVHandle) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -62,8 +63,9 @@
 
 // Relay serves requests. It is safe for concurrent use.
 type Relay struct {
-	opts   Options
-	budget *buffers.Budget
+	opts      Options
+	budget    *buffers.Budget
+	endChecks sync.Map // targets of which it is checked whether they have ended
 }
 
 // New returns a Relay with opts, whose zero optional fields are replaced by their defaults.
@@ -131,8 +133,8 @@
 	ctx, cancel := clockwork.WithDeadline(ctx, l.opts.Clock, j.deadline)
 	defer cancel()
 
-	if retryAfter, quarantined := l.opts.Crashers.Refuses(r.Arrived, j.fingerprint); quarantined {
-		j.refuse(w, verdict.New(verdict.NotRun, verdict.CodeQuarantined, "targets crashed on this request").WithRetryAfter(retryAfter))
+	if j.isQuarantined(r.Arrived) {
+		j.refuse(w, j.quarantineError())
 	} else if route.Streaming {
 		j.stream(ctx, w)
 	} else {
@@ -153,6 +155,8 @@
 	version     catalog.Version
 	at          streamVersion
 	fingerprint crashtracker.Fingerprint // identifies the request, whatever its id
+	parts       partsOfJob
+	quarantine  time.Duration // how long the request is refused; set by isQuarantined
 
 	sends       int               // sends so far that count towards maxSends and the retry budget
 	prefilled   bool              // a replica has prefilled the prompt; the first prefill is not counted in sends
@@ -186,7 +190,7 @@
 
 	return &job{
 		Relay: l, r: r, route: route, service: service, deadline: r.Arrived.Add(timeout), version: c.Version,
-		fingerprint: crashtracker.FingerprintOf(r.Host, r.URI, r.Body),
+		fingerprint: crashtracker.FingerprintOf(r.Host, r.URI, r.Body), parts: partsOfJob{shared: sharedParts(service.Name, r.Parts)},
 	}
 }
 
@@ -248,7 +252,7 @@
 		return false
 	}
 
-	if _, quarantined := j.opts.Crashers.Refuses(j.now(), j.fingerprint); quarantined {
+	if j.isQuarantined(j.now()) {
 		j.lack = lackQuarantine
 
 		return false
@@ -363,7 +367,7 @@
 		Str("code", string(j.outcome.Problem.Code)).Str("verdict", j.outcome.Problem.Verdict.String()).
 		Dur("retry-after", j.outcome.Problem.RetryAfter).Dur("total", j.outcome.Total).Int("sends", j.sends).
 		Int("silences", j.outcome.Silences).Int("replaced", j.outcome.Replaced).Dur("last-heard", j.sinceLastHeard()).Str("lack", string(j.lack)).
-		Str("fingerprint", j.fingerprint.String()).Err(j.outcome.Problem.Err).Msg("failed")
+		Str("fingerprint", j.fingerprint.String()).Str("part", j.parts.refused()).Err(j.outcome.Problem.Err).Msg("failed")
 }
 
 // refuseUnrouted refuses a request for which no job exists, as there is no configuration or no route for it.
--- a/internal/entry/relay/request.go
+++ b/internal/entry/relay/request.go
@@ -69,6 +69,8 @@
 	Prefill(ctx context.Context, r *Request, s Send) (*KVHandle, *Answer, error)
 	// Release frees a KV cache that no replica will fetch.
 	Release(ctx context.Context, h KVHandle) error
+	// HasEnded reports whether the process of a target is known to have ended. It sends no request.
+	HasEnded(ctx context.Context, t fleet.Target) bool
 }
 
 // Reply writes the answer to the caller. Exactly one of Reply.Respond, Reply.Begin and Reply.Refuse is called, once.
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -180,7 +180,12 @@
 	j.fail(ctx, w, ran, p.cause)
 }
 
+// noTargetError returns the error for a request for which there is no target, or that may not be sent any more.
 func (j *job) noTargetError() *verdict.Error {
+	if j.lack == lackQuarantine {
+		return j.quarantineError()
+	}
+
 	return verdict.New(verdict.NotRun, verdict.CodeNoTarget, "no replica accepts the request now").WithRetryAfter(noTargetRetryAfter)
 }
 
@@ -204,6 +209,7 @@
 	target := s.placement.Target
 	patience := j.firstEventTimeout(s.handle)
 	j.sentAt = j.now()
+	j.parts.begun = false
 
 	var silence *watch // nil if no other replica may continue the stream
 	if j.route.Repeat == catalog.Resumable {
@@ -273,6 +279,7 @@
 // ended the run in favour of a successor.
 func (j *job) noteFailedRun(t fleet.Target, err error, takenOver bool, p *progress) verdict.Verdict {
 	p.cause = err
+	j.noteBrokenRun(t, err)
 
 	if takenOver {
 		j.noteTakenOver(t)
@@ -346,6 +353,8 @@
 			return false, err
 		}
 
+		j.noteBegun()
+
 		if !p.begun {
 			j.awaitRecord(ctx)
 			j.beginReply(w, answer, p)
--- a/internal/entry/relay/successor.go
+++ b/internal/entry/relay/successor.go
@@ -71,10 +71,10 @@
 
 // mayReplace reports whether n more sends are permitted by all bounds but the retry budget.
 func (j *job) mayReplace(n int) bool {
-	switch _, quarantined := j.opts.Crashers.Refuses(j.now(), j.fingerprint); {
+	switch {
 	case j.sends+n > maxSends:
 		j.lack = lackSends
-	case quarantined:
+	case j.isQuarantined(j.now()):
 		j.lack = lackQuarantine
 	default:
 		return true
