Take a connection that closes before the first event for a broken stream

Callers could get an empty stream with status 200 that looked complete, from a replica that crashed after it had sent the header: an answer may have neither a length nor chunks and end with its connection, and such an answer without any event was passed on as whole. It also counted as a complete answer of the request.

Now such a stream has been broken off, so it is sent to another replica if its route permits, or ends as broken. One that a caller takes up may still have nothing left to send. A service's answer without a length is whole once its connection is closed, as the protocol says, and callers get a length or chunks in each case; a reset was and is an error.

--- a/internal/entry/relay/request.go
+++ b/internal/entry/relay/request.go
@@ -58,6 +58,7 @@
 	Header http.Header // the fields that are forwarded to the caller
 	Body   io.ReadCloser
 	NotRun bool // the target states that it has not run the request
+	Open   bool // the answer has neither a length nor chunks, and ends with its connection
 }
 
 // Targets sends requests to targets. Each call sends at most once. Errors carry a verdict (see verdict.Of).
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -21,7 +21,10 @@
 	extraEvents    = 256
 )
 
-var errTooManyEvents = errors.New("the stream has more events than the request allows tokens")
+var (
+	errTooManyEvents = errors.New("the stream has more events than the request allows tokens")
+	errNoEvent       = errors.New("the connection was closed before the first event")
+)
 
 // progress is how much of a stream has been served.
 type progress struct {
@@ -334,6 +337,12 @@
 		event, id, err := stream.next()
 		silence.pause()
 
+		// A replica that is lost closes its connections too. One that has nothing left to send to a caller who takes a stream up
+		// sends no event.
+		if errors.Is(err, io.EOF) && answer.Open && stream.count == 0 && p.lastEventID == "" {
+			err = errNoEvent
+		}
+
 		if errors.Is(err, io.EOF) {
 			j.noteCompletion(t, answer.Status)
 			j.outcome.Status = answer.Status
