Encode a copy of the targets once for all hosts that wait for it

TestHostsThatWaitForACopyCostNoEncoding failed before with 100 encodings for 100 hosts, and passes with one.

--- a/internal/entry/copies/copies_test.go
+++ b/internal/entry/copies/copies_test.go
@@ -202,6 +202,25 @@
 	})
 }
 
+func TestHostsThatWaitForACopyCostNoEncoding(t *testing.T) {
+	for _, targets := range []bool{false, true} {
+		encoded := 0
+		s := copies.NewServer(copies.ServerOptions{Log: &log.Logger{Level: log.PanicLevel}, Source: func(bool, uint64) (uint64, func() ([]byte, error)) {
+			return 7, func() ([]byte, error) {
+				encoded++
+
+				return random(300_000), nil
+			}
+		}})
+
+		for n := range 100 {
+			s.Handle(&peer.FetchPartRequest{Host: string(rune('A' + n)), Targets: targets})
+		}
+
+		require.Equal(t, 1, encoded)
+	}
+}
+
 func TestReceiversThatEndGiveUpTheirPlaces(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHost(1, random(300_000))
--- a/internal/entry/copies/server.go
+++ b/internal/entry/copies/server.go
@@ -24,6 +24,8 @@
 	// maxRecent bounds the copies that can be continued although the state has changed since, so that a series of changes
 	// does not keep a host from completing any of them.
 	maxRecent = 8
+	// maxEncoded bounds the copies that are kept for further receivers. Those of the targets differ by what a receiver knows.
+	maxEncoded = 4
 	// maxHolders bounds the hosts that are remembered as holding one copy, and maxOthers those that a receiver is told.
 	maxHolders = 32
 	maxOthers  = 3
@@ -44,18 +46,25 @@
 type Server struct {
 	opts ServerOptions
 
-	// encoding is held while a configuration is encoded, so that this happens once for each version. It guards encoded.
-	encoding sync.Mutex
-	encoded  struct {
-		number uint64
-		copy   *Copy
-	}
+	configuration, targets *encoder
 
 	mu        sync.Mutex
 	recent    *lru.Cache[ID, *sent]
 	receivers map[entity.HostID]time.Time // hosts that are being sent a large copy, and when each last got a part
 }
 
+// encoder encodes copies of one state, each of them once.
+type encoder struct {
+	clock clockwork.Clock
+	log   *log.Logger
+
+	mu     sync.Mutex // held while a copy is encoded
+	copies *lru.Cache[encoding, *Copy]
+}
+
+// encoding identifies what a copy holds.
+type encoding struct{ number, known uint64 }
+
 // sent is a large copy that this host has sent parts of.
 type sent struct {
 	*Copy
@@ -73,12 +82,23 @@
 		opts.Log = &log.DefaultLogger
 	}
 
-	recent, err := lru.New[ID, *sent](maxRecent)
+	return &Server{
+		opts: opts, configuration: newEncoder(opts), targets: newEncoder(opts), recent: newCache[ID, *sent](maxRecent),
+		receivers: map[entity.HostID]time.Time{},
+	}
+}
+
+func newEncoder(opts ServerOptions) *encoder {
+	return &encoder{clock: opts.Clock, log: opts.Log, copies: newCache[encoding, *Copy](maxEncoded)}
+}
+
+func newCache[K comparable, V any](size int) *lru.Cache[K, V] {
+	c, err := lru.New[K, V](size)
 	if err != nil {
 		panic(err) // only for a size below 1
 	}
 
-	return &Server{opts: opts, recent: recent, receivers: map[entity.HostID]time.Time{}}
+	return c
 }
 
 // Handle returns the part that r asks for. A copy of a single part is sent at any time. A host that asks for a larger one
@@ -134,36 +154,41 @@
 	}
 
 	if r.GetTargets() {
-		return encodeCopy(encode)
+		return s.targets.encode(encoding{number, r.GetKnown()}, encode)
 	}
 
-	s.encoding.Lock()
-	defer s.encoding.Unlock()
+	return s.configuration.encode(encoding{number: number}, encode)
+}
 
-	if s.encoded.number == number {
-		return s.encoded.copy, nil
+// encode returns the copy that key identifies, which encodeState encodes if there is none yet.
+func (e *encoder) encode(key encoding, encodeState func() ([]byte, error)) (*Copy, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	if c, ok := e.copies.Get(key); ok {
+		return c, nil
 	}
 
-	began := s.opts.Clock.Now()
+	began := e.clock.Now()
 
-	c, err := encodeCopy(encode)
+	state, err := encodeState()
 	if err != nil {
 		return nil, err
 	}
 
-	s.encoded.number, s.encoded.copy = number, c
-	s.opts.Log.Info().Uint64("configuration", number).Int("bytes", c.Size()).Dur("encoding", s.opts.Clock.Since(began)).Msg("copy made for peers")
-
-	return c, nil
-}
-
-func encodeCopy(encode func() ([]byte, error)) (*Copy, error) {
-	state, err := encode()
+	c, err := New(state)
 	if err != nil {
 		return nil, err
 	}
 
-	return New(state)
+	e.copies.Add(key, c)
+
+	if c.Size() > partBytes {
+		e.log.Info().Uint64("number", key.number).Uint64("known", key.known).Int("bytes", c.Size()).Int("state", len(state)).
+			Dur("encoding", e.clock.Since(began)).Msg("copy made for peers")
+	}
+
+	return c, nil
 }
 
 // admit reports whether host gets a part of the large copy c now; last states that it is the last one. Otherwise admit returns
