Give calls between hosts time for the size of their messages

Found by reading, shown by a test.

A call now gets the time that 128 KiB a second needs for its message and a reply of that size, beyond the 700 ms that it had. Heartbeats and short calls are as before.

TestAllRecordsOfAFullTableArriveOverASlowLink failed before: DeadlineExceeded.

--- a/internal/entry/peers/fetch_test.go
+++ b/internal/entry/peers/fetch_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
@@ -12,12 +13,21 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/entry/copies"
 	"github.com/dotterelflow/dotterelflow/internal/entry/peers"
+	"github.com/dotterelflow/dotterelflow/internal/standin/forwarder"
+	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
 )
 
 // startFar starts a host "far" that serves services, and returns a network that knows it.
 func startFar(t *testing.T, services peers.Services) *peers.Network {
 	t.Helper()
 
+	return startNear(t, serveFar(t, services))
+}
+
+// serveFar starts a host "far" that serves services, and returns its address.
+func serveFar(t *testing.T, services peers.Services) string {
+	t.Helper()
+
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 
@@ -34,7 +44,7 @@
 		server.Stop()
 	})
 
-	return startNear(t, l.Addr().String())
+	return l.Addr().String()
 }
 
 func TestConfigurationIsFetchedFromHostsOfBothBuilds(t *testing.T) {
@@ -68,3 +78,33 @@
 		})
 	}
 }
+
+func TestAllRecordsOfAFullTableArriveOverASlowLink(t *testing.T) {
+	t.Parallel()
+
+	const records = 4096 // of a full table, as in package crashtracker
+
+	address := serveFar(t, peers.Services{Crashes: func(m *peer.CrashRecords) *peer.CrashRecords {
+		return &peer.CrashRecords{Records: m.GetRecords()}
+	}})
+
+	slow, err := forwarder.Listen(address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = slow.Close() })
+
+	near := peers.New(peers.Options{Host: "near", DataCentre: "b", Address: "127.0.0.1:1", Digests: stubHandler{}})
+	m := &peer.CrashRecords{Whole: true}
+
+	for n := range records {
+		m.Records = append(m.Records, &peer.CrashRecord{Request: uint64(n), Targets: []string{"i-0123456789@1764800000123"}, LeftMs: 300_000})
+	}
+
+	_, err = near.ShareCrashes(t.Context(), slow.Address(), m)
+	require.NoError(t, err)
+
+	slow.SetDelay(100 * time.Millisecond) // for each piece of 32 KiB
+
+	reply, err := near.ShareCrashes(t.Context(), slow.Address(), m)
+	require.NoError(t, err)
+	require.Len(t, reply.GetRecords(), records)
+}
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/members"
@@ -18,7 +19,10 @@
 )
 
 const (
+	// callTimeout bounds a call with a short message and a short reply. A longer message gets the time that minRate needs for it
+	// and for a reply of its size in addition.
 	callTimeout   = 700 * time.Millisecond
+	minRate       = 128 << 10              // bytes a second that a busy link carries at least
 	roundInterval = 250 * time.Millisecond // between two checks for due heartbeats
 	// roundsPerPeriod shortens the rounds for a short heartbeat period, so that a heartbeat is late by a quarter
 	// of the period at most.
@@ -190,7 +194,7 @@
 	}()
 	defer n.opts.Panics.Recover("", func(*verdict.Error) {})
 
-	err := n.call(ctx, address, func(ctx context.Context, client peer.PeerClient) error {
+	err := n.call(ctx, address, callTimeout, func(ctx context.Context, client peer.PeerClient) error {
 		reply, err := client.Heartbeat(ctx, n.digest(n.hostAt(address)))
 		if err == nil {
 			n.receive(reply)
@@ -205,7 +209,7 @@
 
 // ShareCrashes sends m to the host at address and returns its reply.
 func (n *Network) ShareCrashes(ctx context.Context, address string, m *peer.CrashRecords) (reply *peer.CrashRecords, err error) {
-	err = n.call(ctx, address, func(ctx context.Context, client peer.PeerClient) error {
+	err = n.call(ctx, address, timeoutFor(m), func(ctx context.Context, client peer.PeerClient) error {
 		reply, err = client.ShareCrashes(ctx, m)
 
 		return err
@@ -216,7 +220,7 @@
 
 // ShareOrigins sends m to the host at address.
 func (n *Network) ShareOrigins(ctx context.Context, address string, m *peer.OriginRecords) error {
-	return n.call(ctx, address, func(ctx context.Context, client peer.PeerClient) error {
+	return n.call(ctx, address, timeoutFor(m), func(ctx context.Context, client peer.PeerClient) error {
 		_, err := client.ShareOrigins(ctx, m)
 
 		return err
@@ -225,7 +229,7 @@
 
 // FetchOrigins asks the host at address for all its records of the versions of streams.
 func (n *Network) FetchOrigins(ctx context.Context, address string) (reply *peer.OriginRecords, err error) {
-	err = n.call(ctx, address, func(ctx context.Context, client peer.PeerClient) error {
+	err = n.call(ctx, address, callTimeout, func(ctx context.Context, client peer.PeerClient) error {
 		reply, err = client.FetchOrigins(ctx, &peer.FetchOriginsRequest{})
 
 		return err
@@ -236,7 +240,7 @@
 
 // FindOrigin asks the host at address for the version of a stream.
 func (n *Network) FindOrigin(ctx context.Context, address string, r *peer.FindOriginRequest) (reply *peer.FindOriginReply, err error) {
-	err = n.call(ctx, address, func(ctx context.Context, client peer.PeerClient) error {
+	err = n.call(ctx, address, callTimeout, func(ctx context.Context, client peer.PeerClient) error {
 		reply, err = client.FindOrigin(ctx, r)
 
 		return err
@@ -245,25 +249,30 @@
 	return reply, err
 }
 
-// call makes one call to the host at address. After a failure it retries at once on a new connection, since the old one
+// timeoutFor returns the time limit of a call that sends m.
+func timeoutFor(m proto.Message) time.Duration {
+	return callTimeout + 2*time.Duration(proto.Size(m))*time.Second/minRate
+}
+
+// call makes one call to the host at address, within timeout. After a failure it retries at once on a new connection, since the old one
 // may have stopped responding while the peer is alive.
-func (n *Network) call(ctx context.Context, address string, do func(context.Context, peer.PeerClient) error) error {
-	err := n.callOnce(ctx, address, do)
+func (n *Network) call(ctx context.Context, address string, timeout time.Duration, do func(context.Context, peer.PeerClient) error) error {
+	err := n.callOnce(ctx, address, timeout, do)
 	if err == nil {
 		return nil
 	}
 
 	n.links.Drop(address)
 
-	if err = n.callOnce(ctx, address, do); err != nil {
+	if err = n.callOnce(ctx, address, timeout, do); err != nil {
 		n.links.Drop(address)
 	}
 
 	return err
 }
 
-func (n *Network) callOnce(ctx context.Context, address string, do func(context.Context, peer.PeerClient) error) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+func (n *Network) callOnce(ctx context.Context, address string, timeout time.Duration, do func(context.Context, peer.PeerClient) error) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 
 	client, err := n.links.Client(address)
