--- a/internal/entry/freshness/configuration_test.go
+++ b/internal/entry/freshness/configuration_test.go
@@ -39,7 +39,7 @@
 
 	for range routes {
 		name := r.Uint32()
-		fmt.Fprintf(&b, `{"name":"r-%08x","host":"h%07x.example","path_prefix":"/%08x/","kind":"safe","timeout_ms":1000,"target_latency_ms":120,`+
+		fmt.Fprintf(&b, `{"name":"r-%08x","host":"h%07x.example","path_prefix":"/%08x/","kind":"safe","timeout_ms":1000,"objective_ms":120,`+
 			`"priority":2,"service":"app","traffic_split":[],"max_attempts":2,"resumable":false,"gap_target_ms":0},`, name, r.Uint32()>>4, r.Uint32())
 	}
 
--- a/internal/entry/host/versions_test.go
+++ b/internal/entry/host/versions_test.go
@@ -159,7 +159,10 @@
 
 		moved = d.ranOnBoth()
 		c = call{kind: "report", prompt: fmt.Sprintf("a long report %d", i), tokens: streamTokens, stream: true, key: newKey()}
+		sent := time.Now()
 		before = d.sendUnrecorded(t, 0, c)
+		t.Logf("try %d took %v: whole %v, problem %+v, runs on the engines %d and %d, on both %d", i, time.Since(sent), before.whole,
+			before.problem, total(d.engines[0].Runs()), total(d.engines[1].Runs()), d.ranOnBoth())
 	}
 
 	require.Equal(t, []string{"v2"}, versionsOf(before.text))
