Count further losses of parts before first ones

Cause: where one crash brings more parts than the table holds, each new record pushes out the oldest one with a single loss; the part that crashes targets was such a one until its second loss, which was handled in random order among the new ones. Losses of parts that have one already come first now.

Before: 2 of 30 runs of the test fail, with 7 and 8 crashes. After: 20 of 20 pass; the check and its bound are as they were.

--- a/internal/control/crashtracker/parts.go
+++ b/internal/control/crashtracker/parts.go
@@ -130,6 +130,8 @@
 func (t *Table) confirmParts(now time.Time, ended func(entity.TargetID) bool) {
 	maps.DeleteFunc(t.parts.crashed, func(_ entity.TargetID, at time.Time) bool { return now.Sub(at) >= crashRetention })
 
+	var confirmed []Loss
+
 	for l, s := range t.parts.suspects {
 		_, left := t.leaving[l.Target]
 		begun, _ := t.parts.begun.Peek(l.Request)
@@ -139,17 +141,35 @@
 		case now.Sub(s.at) < partDelay || !s.crashed && !ended(l.Target):
 			continue
 		default:
-			r := Record{Request: l.Request, Part: true, Targets: []entity.TargetID{l.Target}, Left: lifetime}
-			if e, ok := t.entries[l.Request]; ok {
-				r.Clearances = e.Clearances
-			}
-
-			t.join(now, r, everywhere)
-			t.extend(now, l.Request)
+			confirmed = append(confirmed, l)
 		}
 
 		delete(t.parts.suspects, l)
 	}
+
+	// Parts that have a loss already come first, since new records push out those with one loss if there are too many.
+	hasLoss := func(l Loss) bool {
+		e, ok := t.entries[l.Request]
+
+		return ok && len(e.Targets) > 0
+	}
+	further := slices.DeleteFunc(slices.Clone(confirmed), func(l Loss) bool { return !hasLoss(l) })
+	first := slices.DeleteFunc(confirmed, hasLoss)
+
+	for _, l := range append(further, first...) {
+		t.recordPartLoss(now, l)
+	}
+}
+
+// recordPartLoss records a loss of a part. The caller holds mu.
+func (t *Table) recordPartLoss(now time.Time, l Loss) {
+	r := Record{Request: l.Request, Part: true, Targets: []entity.TargetID{l.Target}, Left: lifetime}
+	if e, ok := t.entries[l.Request]; ok {
+		r.Clearances = e.Clearances
+	}
+
+	t.join(now, r, everywhere)
+	t.extend(now, l.Request)
 }
 
 // extend gives the record of f the time that its present state counts. The caller holds mu.
