Run a trial of a suspect on a target that was not lost with it

Callers of the own interface waited until their deadline of a minute: a request whose first engine had fallen silent ran there once more, instead of at the sound engine.

Cause: an engine that is given up as silent counts as one that may be lost, until a load report shows it alive. On a busy machine that report comes late, so the request becomes a suspect and waits for a trial. Each host ran trials on its share of the engines, whatever the suspect had lost: with two hosts and two engines the first host's share is engine-1 alone, the silent one. There the request had tried both engines and no other was left to hand it over to.

Change: a trial runs on another engine than those lost with its suspect, if there is one, from the host's share first. Since shares may now overlap, of two hosts that have reserved one engine the one with the greater id gives its reservation up.

TestTrialAvoidsTargetThatWasLostWithItsSuspect failed before: the trial was on t0, the target that broke the run off.

--- a/internal/control/quarantine/quarantine_test.go
+++ b/internal/control/quarantine/quarantine_test.go
@@ -290,3 +290,30 @@
 		})
 	}
 }
+
+func TestTrialAvoidsTargetThatWasLostWithItsSuspect(t *testing.T) {
+	q := quarantine.New(quarantine.Options{Self: "h0"})
+	view := quarantine.View{Hosts: []entity.HostID{"h0", "h1"}, Candidates: []quarantine.Candidate{{Target: "t0"}, {Target: "t1"}}}
+	peer := quarantine.New(quarantine.Options{Self: "h1"})
+
+	q.Begin(epoch, fingerprint(1), "t0")
+	q.RunEnded(epoch, fingerprint(1), "t0", quarantine.Cut)
+
+	now := epoch
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		q.Tick(now)
+		require.Equal(t, quarantine.Wait, q.Check(now, fingerprint(1)).Action)
+
+		if started := q.StartTrials(now, view); len(started) > 0 {
+			require.Equal(t, []quarantine.Trial{{Fingerprint: fingerprint(1), Target: "t1"}}, started)
+
+			return
+		}
+
+		peer.Merge(now, "h0", q.Export("h1"))
+		q.Merge(now, "h1", peer.Export("h0"))
+	}
+
+	t.Fatal("no trial")
+}
--- a/internal/control/quarantine/trial.go
+++ b/internal/control/quarantine/trial.go
@@ -43,8 +43,6 @@
 func (t *Table) StartTrials(now time.Time, v View) []Trial {
 	var started []Trial
 
-	own := t.ownCandidates(v)
-
 	for _, f := range t.requestedInOrder() {
 		r := t.unexpired(now, f)
 		if r == nil || !r.suspect() || r.Origin != t.opts.Self || t.runs.has(f) {
@@ -53,7 +51,13 @@
 
 		tr := t.trials[f]
 		if tr == nil {
-			tr = t.reserve(now, f, own)
+			tr = t.reserve(now, f, t.candidatesFor(v, &r.Entry))
+		}
+
+		if tr != nil && t.yields(tr.target) {
+			t.dropTrial(f)
+
+			continue
 		}
 
 		if tr == nil || !t.ConfirmedIdle(f, v.Hosts) || !t.confirmed(tr.version, v.Hosts) {
@@ -117,6 +121,37 @@
 	return own
 }
 
+// candidatesFor returns the targets on which this host runs a trial of the suspect e. A target that was lost with e is
+// among them only if there is no other: it may still be silent, or already have been given up by the request.
+func (t *Table) candidatesFor(v View, e *Entry) []Candidate {
+	lost := func(c Candidate) bool {
+		return slices.ContainsFunc(e.Losses, func(l Loss) bool { return l.Target == c.Target })
+	}
+
+	all := t.ownCandidates(v)
+	if own := slices.DeleteFunc(slices.Clone(all), lost); len(own) > 0 {
+		return own
+	}
+
+	v.Candidates = slices.DeleteFunc(slices.Clone(v.Candidates), lost)
+	if own := t.ownCandidates(v); len(own) > 0 {
+		return own
+	}
+
+	return all
+}
+
+// yields reports whether a peer that takes precedence over this host has reserved target too.
+func (t *Table) yields(target entity.TargetID) bool {
+	for id, p := range t.peers {
+		if id < t.opts.Self && slices.Contains(p.reserved, target) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // reserve reserves for f the least busy target of own that is not reserved. It returns nil if there is none or
 // this host already has Options.MaxTrials trials.
 func (t *Table) reserve(now time.Time, f Fingerprint, own []Candidate) *trial {
