Check the version from which a configuration is fetched

When configuration and targets came to be fetched apart, TestOneFetchAtATimeFromAnAcceptedPeer kept the check of the revision that targets are fetched from and lost that of the version. The new test checks it. It passes: the product asked rightly.

--- a/internal/entry/peersync/syncer_test.go
+++ b/internal/entry/peersync/syncer_test.go
@@ -106,6 +106,28 @@
 	})
 }
 
+func TestConfigurationIsFetchedFromTheKnownVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var asked []uint64
+
+		s := &fakeState{}
+		syncer := peersync.New(peersync.Options{
+			Log: &log.Logger{Level: log.PanicLevel}, State: s, Accept: func(time.Time, peersync.Claim) bool { return true },
+			FetchPart: func(_ context.Context, _ entity.HostID, r *peer.FetchPartRequest) (*peer.Part, error) {
+				require.False(t, r.GetTargets())
+
+				asked = append(asked, r.GetKnown())
+
+				return copies.WholePart([]byte("five!")), nil
+			},
+		})
+
+		syncer.OnHeartbeat("a", "x", 5, 4, 0)
+		time.Sleep(time.Second)
+		require.Equal(t, []uint64{3}, asked)
+	})
+}
+
 func TestClaimIsConsideredAgainWhileItHolds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var accepted, imported []peersync.Claim
