Keep the limits that targets state, over all hosts together

Cause: no code read the field. Nothing bounded the rate of sends to one target; retry budgets bound repeats by service alone.

Change: package targetlimits. The client of replicas records what each answer states, whatever the answer is for; hosts tell each other in heartbeats what they have learned themselves. Some hosts, in an order of their own for each target, have equal shares of nine tenths of the limit. Shares start empty and hold one request, so the sum keeps the bound with 1 to 330 hosts, in cuts and restarts (tests on virtual time). A target without a share left is no candidate before a claim is taken; urgent requests get the next share sooner. If all decode targets have limits, the run is counted before the prompt is prefilled, and taken back if it does not follow. What only limits hold back is refused at once, with the time of the next share. A limit ends with a success to a request that was sent after it was last stated. Calls of this host (reports, orders, freed KV caches) are counted, but not held back.

Ways weighed: one host that hands out sends (a call per request, two such hosts for a moment when it moves), shares by demand (late), leases from one host (most exact, more parts). Equal shares waste what a holder does not use; while other targets have room that costs nothing.

--- a/internal/entry/digests/exchange.go
+++ b/internal/entry/digests/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/control/targetlimits"
 	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
 )
 
@@ -44,6 +45,7 @@
 	ReadsStore func() bool // whether this host reads the store itself and the store answers; nil means no
 	// Placer returns the address of the host that places the prompts of this data centre; nil means none.
 	Placer func() string
+	Limits *targetlimits.Table // limits that targets state; nil means that none are exchanged
 	// OnDigest is called with the state in each peer's digest; nil means no call.
 	OnDigest func(PeerState)
 }
@@ -142,6 +144,12 @@
 		d.Loads = append(d.Loads, &peer.Load{Target: string(id), Changing: true})
 	}
 
+	for _, o := range x.opts.Limits.Observations(x.now()) {
+		d.Limits = append(d.Limits, &peer.TargetLimit{
+			Target: string(o.Target), Limited: o.Statement.Limited, PerSecond: o.Statement.PerSecond, AgeMs: uint32(min(o.Age, maxAge).Milliseconds()), Number: o.Number,
+		})
+	}
+
 	for service, tokens := range x.opts.Board.LocalDemands(x.now()) {
 		d.Demand = append(d.Demand, &peer.Demand{Model: string(service), Prefill: tokens})
 	}
@@ -174,6 +182,8 @@
 		}
 	}
 
+	x.opts.Limits.Merge(x.now(), entity.HostID(d.GetHost()), observationsOf(d.GetLimits()))
+
 	demands := make(map[entity.ServiceName]float64, len(d.GetDemand()))
 	for _, demand := range d.GetDemand() {
 		demands[entity.ServiceName(demand.GetModel())] = demand.GetPrefill()
@@ -221,6 +231,21 @@
 	return list
 }
 
+func observationsOf(limits []*peer.TargetLimit) []targetlimits.Observation {
+	list := make([]targetlimits.Observation, 0, len(limits))
+
+	for _, l := range limits {
+		o := targetlimits.Observation{Target: entity.TargetID(l.GetTarget()), Age: time.Duration(l.GetAgeMs()) * time.Millisecond, Number: l.GetNumber()}
+		if l.GetLimited() {
+			o.Statement = targetlimits.Statement{Limited: true, PerSecond: l.GetPerSecond()}
+		}
+
+		list = append(list, o)
+	}
+
+	return list
+}
+
 // encodeAge returns age as in a digest. An age beyond maxAge counts as unknown.
 func encodeAge(age time.Duration) uint32 {
 	if age < 0 || age > maxAge {
--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -111,15 +111,15 @@
 // over from gets it again.
 func (j *job) placeCall(runs int) *successor {
 	if runs < j.route.MaxTargets {
-		placement, ok := j.opts.Board.PlaceCall(j.now(), j.candidates(entity.Mixed), j.placingJob())
+		placement, ok := j.placeCallOn(j.placingJob())
 		if ok && j.sends < maxSends && j.maySend() {
 			return &successor{placement: placement, paidAt: j.now()}
 		}
 
-		placement.Claim.Release()
+		j.unplace(placement)
 
 		if !ok {
-			j.lack = lackTarget
+			j.noteNoTarget(entity.Mixed)
 		}
 	} else {
 		j.lack = lackAttempts
@@ -215,9 +215,9 @@
 		return nil
 	}
 
-	placement, ok := j.opts.Board.PlaceCall(j.now(), j.candidates(entity.Mixed), j.avoiding(t))
+	placement, ok := j.placeCallOn(j.avoiding(t))
 	if !ok || placement.Paused { // a paused target is likelier to be silent too than t is to stay so
-		placement.Claim.Release()
+		j.unplace(placement)
 
 		j.lack = lackTarget
 
@@ -225,7 +225,7 @@
 	}
 
 	if !j.maySend() {
-		placement.Claim.Release()
+		j.unplace(placement)
 
 		return nil
 	}
--- a/internal/entry/relay/fakes_test.go
+++ b/internal/entry/relay/fakes_test.go
@@ -24,6 +24,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
 	"github.com/dotterelflow/dotterelflow/internal/control/retries"
+	"github.com/dotterelflow/dotterelflow/internal/control/targetlimits"
 	"github.com/dotterelflow/dotterelflow/internal/entry/relay"
 	"github.com/dotterelflow/dotterelflow/internal/wire/panics"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
@@ -243,6 +244,7 @@
 	mu       sync.Mutex
 	outcome  relay.Outcome // of the last request
 	retries  *retries.Limiter
+	limits   *targetlimits.Table
 	log      lockedBuffer
 	panics   metrics.Counter
 	relay    *relay.Relay
@@ -289,7 +291,7 @@
 	c := catalog.Build(1, catalog.Limits{}, []catalog.Route{route}, []catalog.Service{
 		{Name: "plain"}, {Name: "model", Engine: &catalog.Engine{KVCapacity: 100_000}},
 	})
-	fx := &fixture{targets: &fakeTargets{}, board: placing.New(), crashers: crashtracker.New(), panics: metrics.NewCounter()}
+	fx := &fixture{targets: &fakeTargets{}, board: placing.New(), crashers: crashtracker.New(), panics: metrics.NewCounter(), limits: targetlimits.New(targetlimits.Options{})}
 	fx.fleet = []fleet.Target{
 		{ID: "d1", Service: "model", Role: entity.Decode, Slots: 4}, {ID: "d2", Service: "model", Role: entity.Decode, Slots: 4},
 		{ID: "d3", Service: "model", Role: entity.Decode, Slots: 4}, {ID: "d4", Service: "model", Role: entity.Decode, Slots: 4},
@@ -305,6 +307,7 @@
 		Observe:     fx.observe,
 		BufferBytes: fixtureBufferBytes,
 		Retries:     fx.retries,
+		Limits:      fx.limits,
 	})
 
 	return fx
--- a/internal/entry/relay/prefill.go
+++ b/internal/entry/relay/prefill.go
@@ -44,7 +44,7 @@
 // placePrompt places the prompt on a prefill replica. All results are nil if no replica accepts it. first states that the
 // prompt has not been placed before. An error means that the request must not be sent any further.
 func (j *job) placePrompt(ctx context.Context, p *progress, first bool) (*successor, *verdict.Error) {
-	prompt, ok := j.opts.PromptPlacer.Place(ctx, j.service.Name, j.candidates(entity.Prefill), j.placingJob(), j.pacing().ReplaceAfter())
+	prompt, ok := j.placePromptOn(ctx, j.placingJob())
 	if !ok {
 		return nil, nil
 	}
@@ -56,7 +56,7 @@
 	}
 
 	if !p.begun && !j.inTime(placement.Wait) {
-		prompt.End(placing.PromptResult{})
+		j.unplacePrompt(prompt)
 
 		if j.passOver() {
 			return j.placePrompt(ctx, p, false)
@@ -65,8 +65,15 @@
 		return nil, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the first event would come too late").WithRetryAfter(placement.Wait)
 	}
 
+	if !j.reserveRun() {
+		j.unplacePrompt(prompt)
+		j.noteNoTarget(entity.Decode)
+
+		return nil, j.noTargetError()
+	}
+
 	if !j.maySend() {
-		prompt.End(placing.PromptResult{})
+		j.unplacePrompt(prompt)
 
 		return nil, j.noTargetError()
 	}
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
 	"github.com/dotterelflow/dotterelflow/internal/control/retries"
+	"github.com/dotterelflow/dotterelflow/internal/control/targetlimits"
 	"github.com/dotterelflow/dotterelflow/internal/wire/buffers"
 	"github.com/dotterelflow/dotterelflow/internal/wire/panics"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
@@ -52,6 +53,7 @@
 	Board        *placing.Board
 	PromptPlacer PromptPlacer        // nil means that this host places all prompts itself, by Board
 	Retries      *retries.Limiter    // bound on repeated sends
+	Limits       *targetlimits.Table // limits that targets state; nil means that they have none
 	Crashers     *crashtracker.Table // requests that crash their targets
 	Origins      Origins             // versions of streams; nil means that streams are taken up only while there is one version
 	Targets      Targets
@@ -158,21 +160,24 @@
 	parts       partsOfJob
 	quarantine  time.Duration // how long the request is refused; set by isQuarantined
 
-	sends       int               // sends so far that count towards maxSends and the retry budget
-	prefilled   bool              // a replica has prefilled the prompt; the first prefill is not counted in sends
-	tried       []entity.TargetID // targets that are not tried again
-	losses      int               // recorded losses of targets
-	reserved    int               // repeats that the retry budget has counted for the next sends
-	reservedAt  time.Time         // when it has counted them
-	left        []entity.TargetID // silent targets from which the request was taken over and that may be sound
-	notReturned int               // repeated attempts to return the request to a target of left
-	lack        lack              // why the last attempt to send to another target failed
-	sentAt      time.Time         // when the request was last sent to a target; zero if it was not
-	lastHeard   time.Time         // when a target last sent something; zero if none has
-	silent      entity.TargetID   // silent target that has not been replaced yet; empty for none
-	held        []*buffers.Buffer // buffers of answers, which the job releases at its end
-	timeToFirst time.Duration     // as Outcome.TimeToFirst
-	outcome     Outcome
+	sends         int               // sends so far that count towards maxSends and the retry budget
+	prefilled     bool              // a replica has prefilled the prompt; the first prefill is not counted in sends
+	tried         []entity.TargetID // targets that are not tried again
+	losses        int               // recorded losses of targets
+	reserved      int               // repeats that the retry budget has counted for the next sends
+	reservedAt    time.Time         // when it has counted them
+	reservedRun   entity.TargetID   // target whose limit has counted a run that is not placed yet; empty for none
+	reservedRunAt time.Time         // when it has counted the run
+	limitWait     time.Duration     // time until a limit admits the request, if lack is lackLimit
+	left          []entity.TargetID // silent targets from which the request was taken over and that may be sound
+	notReturned   int               // repeated attempts to return the request to a target of left
+	lack          lack              // why the last attempt to send to another target failed
+	sentAt        time.Time         // when the request was last sent to a target; zero if it was not
+	lastHeard     time.Time         // when a target last sent something; zero if none has
+	silent        entity.TargetID   // silent target that has not been replaced yet; empty for none
+	held          []*buffers.Buffer // buffers of answers, which the job releases at its end
+	timeToFirst   time.Duration     // as Outcome.TimeToFirst
+	outcome       Outcome
 }
 
 // newJob returns the state of a request that has not been sent to any target.
@@ -349,6 +354,7 @@
 // finish logs the outcome and reports it to Observe.
 func (j *job) finish() {
 	j.returnReserve()
+	j.returnReservedRun()
 
 	j.outcome.Route = j.route
 	j.outcome.TimeToFirst = j.timeToFirst
--- a/internal/entry/relay/silence.go
+++ b/internal/entry/relay/silence.go
@@ -17,6 +17,7 @@
 	lackAttempts   lack = "attempts-used"
 	lackPrefill    lack = "prefill-failed"
 	lackQuarantine lack = "quarantined"
+	lackLimit      lack = "limited" // the limits of targets admit no further request
 )
 
 // noteSilence records that t has sent nothing for the time that it may be silent.
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -139,9 +139,9 @@
 		placingJob.Near = handle.Target.DataCentre
 	}
 
-	placement, ok := j.placeDecode(j.now(), j.candidates(entity.Decode), placingJob)
+	placement, ok := j.placeRun(placingJob)
 	if !ok {
-		j.lack = lackTarget
+		j.noteNoTarget(entity.Decode)
 
 		if next, ok := j.placeWhereLeft(entity.Decode, j.placeDecode); ok {
 			j.releaseKV(handle)
@@ -151,7 +151,7 @@
 	}
 
 	if !ok || !j.maySend() {
-		placement.Claim.Release()
+		j.unplace(placement)
 
 		return nil, handle, j.noTargetError()
 	}
@@ -185,8 +185,12 @@
 
 // noTargetError returns the error for a request for which there is no target, or that may not be sent any more.
 func (j *job) noTargetError() *verdict.Error {
-	if j.lack == lackQuarantine {
+	switch j.lack {
+	case lackQuarantine:
 		return j.quarantineError()
+	case lackLimit:
+		return j.limitError()
+	default:
 	}
 
 	return verdict.New(verdict.NotRun, verdict.CodeNoTarget, "no replica accepts the request now").WithRetryAfter(noTargetRetryAfter)
--- a/internal/entry/relay/successor.go
+++ b/internal/entry/relay/successor.go
@@ -57,11 +57,15 @@
 		return
 	}
 
+	target := s.placement.Target.ID
+
 	if s.prompt != nil {
+		target = s.prompt.Placement().Target.ID
 		s.prompt.End(placing.PromptResult{})
 	}
 
 	s.placement.Claim.Release()
+	j.opts.Limits.Return(j.now(), s.paidAt, target)
 	j.releaseKV(s.handle)
 
 	j.sends--
@@ -99,11 +103,11 @@
 // placeToReplace places the run of the request on a replica other than those that placingJob avoids, unless that replica
 // is full or paused and the caller has still time.
 func (j *job) placeToReplace(placingJob placing.Job) (placing.Placement, bool) {
-	placement, ok := j.placeDecode(j.now(), j.candidates(entity.Decode), placingJob)
+	placement, ok := j.placeRun(placingJob)
 	urgent := time.Duration(fullPlaceFraction * float64(j.pacing().AbandonAfter()))
 
 	if !ok || (placement.Full || placement.Paused) && j.sinceLastHeard() < urgent {
-		placement.Claim.Release()
+		j.unplace(placement)
 
 		j.lack = lackTarget
 
@@ -135,7 +139,7 @@
 
 	// The prompt is not prefilled before there is a replica to run the request.
 	place, ok := j.placeToReplace(placingJob)
-	place.Claim.Release()
+	j.unplace(place)
 
 	if !ok || !j.reserve(sends) {
 		return nil
@@ -156,7 +160,7 @@
 	}
 
 	if place, ok = j.placeToReplace(placingJob); !ok || ctx.Err() != nil || !j.maySend() {
-		place.Claim.Release()
+		j.unplace(place)
 		j.releaseKV(handle)
 
 		return nil
@@ -168,13 +172,13 @@
 // prefillToReplace makes a replica prefill the prompt. It reports false if the replica did not. The handle is nil if no
 // replica accepts the prompt.
 func (j *job) prefillToReplace(ctx context.Context, p *progress, placingJob placing.Job) (*KVHandle, bool) {
-	prompt, ok := j.opts.PromptPlacer.Place(ctx, j.service.Name, j.candidates(entity.Prefill), placingJob, j.pacing().ReplaceAfter())
+	prompt, ok := j.placePromptOn(ctx, placingJob)
 	if !ok {
 		return nil, true
 	}
 
 	if ctx.Err() != nil || !j.maySend() {
-		prompt.End(placing.PromptResult{})
+		j.unplacePrompt(prompt)
 
 		return nil, false
 	}
@@ -201,7 +205,7 @@
 
 		placement, ok := j.placeToReplace(placingJob)
 		if !ok || !j.reserve(1) || !j.maySend() {
-			placement.Claim.Release()
+			j.unplace(placement)
 
 			return nil
 		}
@@ -213,19 +217,19 @@
 		return nil
 	}
 
-	prompt, ok := j.opts.PromptPlacer.Place(ctx, j.service.Name, j.candidates(entity.Prefill), placingJob, j.pacing().ReplaceAfter())
+	prompt, ok := j.placePromptOn(ctx, placingJob)
 
 	switch {
 	case !ok:
 		j.lack = lackTarget
 	case ctx.Err() != nil:
-		prompt.End(placing.PromptResult{})
+		j.unplacePrompt(prompt)
 	case !p.begun && !j.inTime(prompt.Placement().Wait):
-		prompt.End(placing.PromptResult{})
+		j.unplacePrompt(prompt)
 
 		j.lack = lackTarget
 	case !j.maySend():
-		prompt.End(placing.PromptResult{})
+		j.unplacePrompt(prompt)
 	default:
 		return &successor{prompt: prompt, paidAt: j.now()}
 	}
@@ -275,13 +279,15 @@
 	placingJob := j.placingJob()
 	placingJob.Avoid = nil
 
-	placement, ok := place(j.now(), candidates, placingJob)
+	placement, ok := j.place(func() []fleet.Target { return candidates }, func(targets []fleet.Target) (placing.Placement, bool) {
+		return place(j.now(), targets, placingJob)
+	})
 	if !ok {
 		return nil, false
 	}
 
 	if !j.maySend() {
-		placement.Claim.Release()
+		j.unplace(placement)
 
 		return nil, false
 	}
--- a/internal/entry/relay/version.go
+++ b/internal/entry/relay/version.go
@@ -66,6 +66,9 @@
 // passed over are not chosen, and those that other hosts may not know of only if there is no other one.
 func (j *job) chooseVersion() bool {
 	prefill, decode := j.opts.Fleet().InRole(j.service.Name, entity.Prefill), j.opts.Fleet().InRole(j.service.Name, entity.Decode)
+	if admitted := j.admitted(decode); len(admitted) > 0 {
+		prefill, decode = j.admitted(prefill), admitted
+	}
 
 	version, ok := placing.ChooseVersion(j.placingJob(), prefill, decode, append(j.opts.Origins.New(j.service.Name), j.at.passedOver...))
 	if !ok {
