Serve callers of a host that reaches no target through another host

Cause: a host of the platform served its callers by itself alone. Nothing represented that it reaches no target of a service; a request was tried at one target after the other, each refused or silent, and refused.

Change: package reach takes a service for doubtful when two of its targets have failed with no answer between, and for cut off when a probe of up to three, on new connections, reaches none. So one silent target, or a host that was paused, is no cut; open connections that live on do not hide one. Probes each 300 ms show its end. A host that is cut off hands each request of the service to another one (package forwarding), as does one whose request has reached no target yet; requests that may have run, or that targets have refused, stay. Hosts state in heartbeats what they do not reach; those of the same data centre come first unless most are cut off. The other host serves the request as one of its callers: id, fields, body, parts and remaining time as they were, its version of the configuration at least the sender's, targets avoided that the sender knows to be leaving, counted once towards the retry budget, and never handed on. Events are passed on as they come; a call that ends without its last event is broken, and its request may have run. Callers that leave end the call. A host that stops waits for requests of others.

A host that is cut off places no prompts, does not take the lease for orders, reports no replica as lost to the host that placed a prompt, and records no crashes. It stays ready: callers on open connections are served.

Ways weighed: not ready (a balancer takes two misses, keeps all hosts once fewer than half are left, and callers on open connections stay); learning by each request (first attempts pay). peers.Forward of the own interface names an account, a kind and one target, and holds answers for resumption; it stays as it is.

--- a/internal/entry/digests/exchange.go
+++ b/internal/entry/digests/exchange.go
@@ -45,7 +45,9 @@
 	ReadsStore func() bool // whether this host reads the store itself and the store answers; nil means no
 	// Placer returns the address of the host that places the prompts of this data centre; nil means none.
 	Placer func() string
-	Limits *targetlimits.Table // limits that targets state; nil means that none are exchanged
+	// Unreachable returns the services of which this host reaches no target; nil means none.
+	Unreachable func() []entity.ServiceName
+	Limits      *targetlimits.Table // limits that targets state; nil means that none are exchanged
 	// OnDigest is called with the state in each peer's digest; nil means no call.
 	OnDigest func(PeerState)
 }
@@ -59,10 +61,11 @@
 	Revision   uint64 // store revision up to which the peer has the target list
 	// ConfigurationAge and TargetsAge are how long ago the peer last knew them to be current; negative for unknown.
 	ConfigurationAge, TargetsAge time.Duration
-	HeardAge                     time.Duration // how long ago the peer last knew that connections to the store work; negative for unknown
-	ReadsStore                   bool          // the peer reads the store itself, and the store answers
-	Placer                       string        // peer address of the host that places the prompts of DataCentre; "" for none
-	CrashSum                     uint64        // checksum of the peer's records of requests that crash targets
+	HeardAge                     time.Duration        // how long ago the peer last knew that connections to the store work; negative for unknown
+	ReadsStore                   bool                 // the peer reads the store itself, and the store answers
+	Unreachable                  []entity.ServiceName // services of which the peer reaches no target
+	Placer                       string               // peer address of the host that places the prompts of DataCentre; "" for none
+	CrashSum                     uint64               // checksum of the peer's records of requests that crash targets
 }
 
 // Exchange fills the digests of this host and merges those of peers. It implements peers.DigestHandler and is safe for
@@ -106,6 +109,10 @@
 		opts.Placer = func() string { return "" }
 	}
 
+	if opts.Unreachable == nil {
+		opts.Unreachable = func() []entity.ServiceName { return nil }
+	}
+
 	if opts.Changing == nil {
 		opts.Changing = func() []entity.TargetID { return nil }
 	}
@@ -140,6 +147,10 @@
 		d.Work = append(d.Work, work)
 	}
 
+	for _, name := range x.opts.Unreachable() {
+		d.Unreachable = append(d.Unreachable, string(name))
+	}
+
 	for _, id := range x.opts.Changing() {
 		d.Loads = append(d.Loads, &peer.Load{Target: string(id), Changing: true})
 	}
@@ -169,8 +180,14 @@
 
 // Receive implements peers.DigestHandler.
 func (x *Exchange) Receive(d *peer.Digest) {
+	var unreachable []entity.ServiceName
+	for _, name := range d.GetUnreachable() {
+		unreachable = append(unreachable, entity.ServiceName(name))
+	}
+
 	x.opts.OnDigest(PeerState{
-		Host: entity.HostID(d.GetHost()), Address: d.GetAddress(), DataCentre: entity.DataCentre(d.GetDataCentre()), Version: d.GetGeneration(),
+		Unreachable: unreachable,
+		Host:        entity.HostID(d.GetHost()), Address: d.GetAddress(), DataCentre: entity.DataCentre(d.GetDataCentre()), Version: d.GetGeneration(),
 		ConfigurationAge: decodeAge(d.GetConfigurationAge()), TargetsAge: decodeAge(d.GetTargetsAge()), HeardAge: decodeAge(d.GetHeardAge()),
 		Revision: d.GetTargetsRevision(), ReadsStore: d.GetReadsStore(), Placer: d.GetPlacer(), CrashSum: d.GetCrashSum(),
 	})
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"slices"
 	"sync"
@@ -60,7 +61,9 @@
 type Network struct {
 	opts  Options
 	links peer.Conns
-	done  chan struct{}
+	// serving are the connections of Serve.
+	serving peer.Conns
+	done    chan struct{}
 	// wake starts a round of the loop before its next tick.
 	wake chan struct{}
 
@@ -121,7 +124,7 @@
 		case <-ctx.Done():
 			beats.Wait()
 
-			if err := n.links.Close(); err != nil {
+			if err := errors.Join(n.links.Close(), n.serving.Close()); err != nil {
 				n.opts.Log.Debug().Err(err).Msg("could not close peer connections")
 			}
 
--- a/internal/entry/peers/server.go
+++ b/internal/entry/peers/server.go
@@ -42,6 +42,11 @@
 	End(r *peer.EndPlaceRequest)
 }
 
+// RequestServer serves callers' requests for other hosts.
+type RequestServer interface {
+	Serve(ctx context.Context, r *peer.ServeRequest, send func(*peer.ServeEvent) error) error
+}
+
 // StreamOrigins handles what other hosts tell and ask about the software versions of streams.
 type StreamOrigins interface {
 	HandleRecords(m *peer.OriginRecords)
@@ -63,6 +68,8 @@
 	Claim func(ctx context.Context, encoded []byte) ([]byte, error)
 	// Placer places prompts for other hosts; nil places no prompts.
 	Placer PromptPlacer
+	// Requests serves requests of hosts that reach no target of a service; nil serves none.
+	Requests RequestServer
 	// Crashes handles the records of requests that crash their targets and returns the reply; nil keeps no records.
 	Crashes func(m *peer.CrashRecords) *peer.CrashRecords
 	// Origins holds the versions of streams; nil keeps none.
@@ -148,6 +155,15 @@
 	return s.services.Placer.Place(r), nil
 }
 
+// Serve implements peer.PeerServer.
+func (s *Server) Serve(r *peer.ServeRequest, stream grpc.ServerStreamingServer[peer.ServeEvent]) error {
+	if s.services.Requests == nil {
+		return s.UnimplementedPeerServer.Serve(r, stream)
+	}
+
+	return s.services.Requests.Serve(stream.Context(), r, stream.Send)
+}
+
 // EndPlace implements peer.PeerServer.
 func (s *Server) EndPlace(_ context.Context, r *peer.EndPlaceRequest) (*peer.EndPlaceReply, error) {
 	if s.services.Placer != nil {
--- a/internal/entry/placer/placer.go
+++ b/internal/entry/placer/placer.go
@@ -58,6 +58,8 @@
 	Board      *placing.Board // this host's view of the work on replicas
 	Peers      Peers
 	Ready      func() bool // whether this host may place prompts
+	// Excludes reports whether a peer cannot place prompts although it is ready; nil means that none is.
+	Excludes func(entity.HostID) bool
 }
 
 // Placer implements relay.PromptPlacer. It is safe for concurrent use.
@@ -78,6 +80,10 @@
 		opts.Clock = clockwork.NewRealClock()
 	}
 
+	if opts.Excludes == nil {
+		opts.Excludes = func(entity.HostID) bool { return false }
+	}
+
 	if opts.Log == nil {
 		opts.Log = &log.DefaultLogger
 	}
@@ -120,7 +126,7 @@
 	}
 
 	for _, m := range live {
-		if m.Ready && !m.Stopping && (cell == cells.AllReplicas || cell == m.DataCentre) {
+		if m.Ready && !m.Stopping && !p.opts.Excludes(m.Host) && (cell == cells.AllReplicas || cell == m.DataCentre) {
 			addresses[m.Host] = m.Address
 		}
 	}
--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -253,6 +253,10 @@
 	}
 
 	if v == verdict.NotRun {
+		if j.forwardAfterFailure(ctx, w, cause) {
+			return
+		}
+
 		j.refuse(w, j.noTargetError().WithCause(cause))
 
 		return
--- a/internal/entry/relay/fakes_test.go
+++ b/internal/entry/relay/fakes_test.go
@@ -23,6 +23,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/control/reach"
 	"github.com/dotterelflow/dotterelflow/internal/control/retries"
 	"github.com/dotterelflow/dotterelflow/internal/control/targetlimits"
 	"github.com/dotterelflow/dotterelflow/internal/entry/relay"
@@ -236,18 +237,20 @@
 }
 
 type fixture struct {
-	targets  *fakeTargets
-	board    *placing.Board
-	crashers *crashtracker.Table
-	clockLag atomic.Int64 // by how many nanoseconds the relay's clock is slow
-	fleet    []fleet.Target
-	mu       sync.Mutex
-	outcome  relay.Outcome // of the last request
-	retries  *retries.Limiter
-	limits   *targetlimits.Table
-	log      lockedBuffer
-	panics   metrics.Counter
-	relay    *relay.Relay
+	targets   *fakeTargets
+	board     *placing.Board
+	crashers  *crashtracker.Table
+	clockLag  atomic.Int64 // by how many nanoseconds the relay's clock is slow
+	fleet     []fleet.Target
+	mu        sync.Mutex
+	outcome   relay.Outcome // of the last request
+	retries   *retries.Limiter
+	limits    *targetlimits.Table
+	reach     *reach.Tracker
+	forwarder *fakeForwarder
+	log       lockedBuffer
+	panics    metrics.Counter
+	relay     *relay.Relay
 }
 
 func (fx *fixture) observe(o relay.Outcome) {
@@ -291,7 +294,7 @@
 	c := catalog.Build(1, catalog.Limits{}, []catalog.Route{route}, []catalog.Service{
 		{Name: "plain"}, {Name: "model", Engine: &catalog.Engine{KVCapacity: 100_000}},
 	})
-	fx := &fixture{targets: &fakeTargets{}, board: placing.New(), crashers: crashtracker.New(), panics: metrics.NewCounter(), limits: targetlimits.New(targetlimits.Options{})}
+	fx := &fixture{targets: &fakeTargets{}, board: placing.New(), crashers: crashtracker.New(), panics: metrics.NewCounter(), limits: targetlimits.New(targetlimits.Options{}), reach: reach.New(nil), forwarder: &fakeForwarder{}}
 	fx.fleet = []fleet.Target{
 		{ID: "d1", Service: "model", Role: entity.Decode, Slots: 4}, {ID: "d2", Service: "model", Role: entity.Decode, Slots: 4},
 		{ID: "d3", Service: "model", Role: entity.Decode, Slots: 4}, {ID: "d4", Service: "model", Role: entity.Decode, Slots: 4},
@@ -308,6 +311,8 @@
 		BufferBytes: fixtureBufferBytes,
 		Retries:     fx.retries,
 		Limits:      fx.limits,
+		Reach:       fx.reach,
+		Forwarder:   fx.forwarder,
 	})
 
 	return fx
--- a/internal/entry/relay/parts.go
+++ b/internal/entry/relay/parts.go
@@ -84,7 +84,7 @@
 // noteBrokenRun records that the run on t ended with err. If t may have crashed as it began to write the answer, the shared parts
 // of the prompt are suspected, and it is checked whether t has ended.
 func (j *job) noteBrokenRun(t fleet.Target, err error) {
-	if j.parts.begun || len(j.parts.shared) == 0 || verdict.Of(err) != verdict.MayHaveRun {
+	if j.parts.begun || len(j.parts.shared) == 0 || verdict.Of(err) != verdict.MayHaveRun || j.opts.Reach.CutOff(j.service.Name) {
 		return
 	}
 
@@ -110,7 +110,8 @@
 		ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
 		defer cancel()
 
-		if l.opts.Targets.HasEnded(ctx, t) {
+		// Connections are refused as well if this host is cut off.
+		if l.opts.Targets.HasEnded(ctx, t) && l.reaches(ctx, t.Service) {
 			l.opts.Log.Info().Str("target", string(t.ID)).Msg("target has crashed")
 			l.opts.Crashers.RecordCrash(l.opts.Clock.Now(), t.ID)
 		}
--- a/internal/entry/relay/prefill.go
+++ b/internal/entry/relay/prefill.go
@@ -97,7 +97,7 @@
 func (j *job) prefillOnce(
 	ctx context.Context, prompt PlacedPrompt, p *progress, replaceable bool,
 ) (handle *KVHandle, result placing.PromptResult, next *successor) {
-	defer func() { prompt.End(result) }() // also after a panic
+	defer func() { j.endPrompt(prompt, result) }() // also after a panic
 
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -167,6 +167,17 @@
 	return handle, placing.PromptResult{Sent: true, Outcome: placing.Served, PrefillTime: took}, next
 }
 
+// endPrompt ends the place of prompt. While this host may be cut off, it does not report the replica as lost, since the host
+// that has placed the prompt may reach it.
+func (j *job) endPrompt(prompt PlacedPrompt, result placing.PromptResult) {
+	lost := result.Outcome == placing.Lost || result.Outcome == placing.Silent
+	if lost && j.opts.Reach.Doubtful(j.now(), j.service.Name) {
+		result = placing.PromptResult{}
+	}
+
+	prompt.End(result)
+}
+
 // notePrefilled records that a replica has prefilled the prompt, unless handle is nil. The first such send does not count.
 func (j *job) notePrefilled(handle *KVHandle) {
 	if handle != nil && !j.prefilled {
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/control/reach"
 	"github.com/dotterelflow/dotterelflow/internal/control/retries"
 	"github.com/dotterelflow/dotterelflow/internal/control/targetlimits"
 	"github.com/dotterelflow/dotterelflow/internal/wire/buffers"
@@ -55,6 +57,8 @@
 	Retries      *retries.Limiter    // bound on repeated sends
 	Limits       *targetlimits.Table // limits that targets state; nil means that they have none
 	Crashers     *crashtracker.Table // requests that crash their targets
+	Reach        *reach.Tracker      // services that this host reaches; nil means all
+	Forwarder    Forwarder           // serves requests through other hosts; nil means that there are none
 	Origins      Origins             // versions of streams; nil means that streams are taken up only while there is one version
 	Targets      Targets
 	Observe      func(Outcome) // called once a request has ended; nil means no call
@@ -119,6 +123,12 @@
 		return
 	}
 
+	if r.Handover != nil && c.Version < r.Handover.Configuration {
+		l.refuseUnrouted(r, w, verdict.New(verdict.NotRun, verdict.CodeNotReady, "the configuration of the request is not known here yet"))
+
+		return
+	}
+
 	route, ok := c.Match(r.Host, r.Path)
 	if !ok {
 		l.refuseUnrouted(r, w, verdict.New(verdict.NotRun, verdict.CodeNotFound, "no route matches the host and path"))
@@ -129,21 +139,38 @@
 	j := l.newJob(r, route, c)
 	defer j.releaseBuffers()
 
-	l.opts.Retries.CountRequest(r.Arrived, j.service.Name)
-
 	// The deadline is relative to the arrival, on the monotonic clock.
 	ctx, cancel := clockwork.WithDeadline(ctx, l.opts.Clock, j.deadline)
 	defer cancel()
 
+	defer j.finish()
+
 	if j.isQuarantined(r.Arrived) {
+		j.count()
 		j.refuse(w, j.quarantineError())
-	} else if route.Streaming {
+
+		return
+	}
+
+	if l.opts.Reach.CutOff(j.service.Name) {
+		if r.Handover != nil {
+			j.refuse(w, verdict.New(verdict.NotRun, verdict.CodeNotReady, "this host reaches no target of the service either"))
+
+			return
+		}
+
+		if j.forward(ctx, w) {
+			return
+		}
+	}
+
+	j.count()
+
+	if route.Streaming {
 		j.stream(ctx, w)
 	} else {
 		j.call(ctx, w)
 	}
-
-	j.finish()
 }
 
 // job is the state of one request while it is served. Only one goroutine uses it at a time: the one that serves the
@@ -160,6 +187,8 @@
 	parts       partsOfJob
 	quarantine  time.Duration // how long the request is refused; set by isQuarantined
 
+	counted       bool              // the request is counted towards the retry budget
+	forwarded     bool              // another host has served the request
 	sends         int               // sends so far that count towards maxSends and the retry budget
 	prefilled     bool              // a replica has prefilled the prompt; the first prefill is not counted in sends
 	tried         []entity.TargetID // targets that are not tried again
@@ -193,10 +222,16 @@
 		timeout = catalog.DefaultTimeout
 	}
 
-	return &job{
+	j := &job{
 		Relay: l, r: r, route: route, service: service, deadline: r.Arrived.Add(timeout), version: c.Version,
 		fingerprint: crashtracker.FingerprintOf(r.Host, r.URI, r.Body), parts: partsOfJob{shared: sharedParts(service.Name, r.Parts)},
 	}
+
+	if h := r.Handover; h != nil {
+		j.tried, j.counted, j.prefilled = slices.Clone(h.Avoid), h.Counted, h.Prefilled
+	}
+
+	return j
 }
 
 // newBuffer returns a buffer for limit bytes that is released at the end of the job, or before.
@@ -289,6 +324,7 @@
 	case errors.Is(err, context.Canceled):
 	case !endedHere(err) || v == verdict.NotRun:
 		j.opts.Board.RecordOutcome(j.now(), t, placing.Lost)
+		j.noteUnreached(t)
 	case j.silent == "" && j.silentFor() >= j.patience():
 		j.noteSilence(t, j.patience())
 	}
@@ -313,6 +349,11 @@
 		return
 	}
 
+	// While this host is cut off, a failure says nothing about the target.
+	if j.opts.Reach.CutOff(j.service.Name) {
+		return
+	}
+
 	j.losses++
 
 	loss := crashtracker.Loss{Request: j.fingerprint, Target: t.ID}
@@ -325,6 +366,8 @@
 
 // noteCompletion records that t has answered with status and sent its whole answer.
 func (j *job) noteCompletion(t fleet.Target, status int) {
+	j.noteReached()
+
 	outcome := placing.Served
 	if status >= 500 {
 		outcome = placing.Failed
@@ -339,6 +382,8 @@
 
 // noteRefusal records that t answered with status and states that it has not run the request.
 func (j *job) noteRefusal(t fleet.Target, status int) {
+	j.noteReached()
+
 	j.tried = append(j.tried, t.ID)
 	j.opts.Board.RecordOutcome(j.now(), t, placing.Refused)
 	j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Str("target", string(t.ID)).
@@ -363,7 +408,7 @@
 
 	if j.outcome.Problem == nil {
 		j.opts.Log.Debug().Str("request", string(j.r.ID)).Str("route", j.route.Name).Int("status", j.outcome.Status).
-			Dur("first", j.outcome.TimeToFirst).Dur("total", j.outcome.Total).Int("sends", j.sends).
+			Dur("first", j.outcome.TimeToFirst).Dur("total", j.outcome.Total).Int("sends", j.sends).Bool("forwarded", j.forwarded).
 			Dur("targets-age", j.opts.TargetsAge()).Msg("answered")
 
 		return
@@ -372,7 +417,7 @@
 	j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Uint64("configuration", uint64(j.version)).
 		Str("code", string(j.outcome.Problem.Code)).Str("verdict", j.outcome.Problem.Verdict.String()).
 		Dur("retry-after", j.outcome.Problem.RetryAfter).Dur("total", j.outcome.Total).Int("sends", j.sends).
-		Int("silences", j.outcome.Silences).Int("replaced", j.outcome.Replaced).Dur("last-heard", j.sinceLastHeard()).Str("lack", string(j.lack)).
+		Int("silences", j.outcome.Silences).Int("replaced", j.outcome.Replaced).Dur("last-heard", j.sinceLastHeard()).Str("lack", string(j.lack)).Bool("forwarded", j.forwarded).
 		Str("fingerprint", j.fingerprint.String()).Str("part", j.parts.refused()).Err(j.outcome.Problem.Err).Msg("failed")
 }
 
--- a/internal/entry/relay/request.go
+++ b/internal/entry/relay/request.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
@@ -35,6 +36,17 @@
 	// Resumes is the id of the request that brought the first event of the stream that this one takes up; empty if it takes
 	// none up or the caller does not say so.
 	Resumes entity.RequestID
+	// Handover is set if another host has sent the request to this one; nil for a request of a caller of this host.
+	Handover *Handover
+}
+
+// Handover is what a host that reaches no target of a service tells the host that serves a request in its place. That host
+// does not send the request on.
+type Handover struct {
+	Configuration catalog.Version   // by which the other host handles the request; an older one must not be used
+	Avoid         []entity.TargetID // targets that the other host knows to be leaving
+	Counted       bool              // the other host has counted the request towards the retry budget
+	Prefilled     bool              // a replica has prefilled the prompt for the other host
 }
 
 // Send describes one send of a request to a target.
--- a/internal/entry/relay/silence.go
+++ b/internal/entry/relay/silence.go
@@ -23,6 +23,7 @@
 // noteSilence records that t has sent nothing for the time that it may be silent.
 func (j *job) noteSilence(t fleet.Target, patience time.Duration) {
 	j.outcome.Silences++
+	j.noteUnreached(t)
 	j.opts.Board.RecordOutcome(j.now(), t, placing.Silent)
 	j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Str("target", string(t.ID)).
 		Dur("patience", patience).Dur("last-heard", j.sinceLastHeard()).Int("sends", j.sends).Msg("target silent")
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -170,6 +170,10 @@
 	}
 
 	if refusal != nil && len(p.ran) == 0 {
+		if j.forwardAfterFailure(ctx, w, p.cause) {
+			return
+		}
+
 		j.refuse(w, refusal)
 
 		return
@@ -243,6 +247,7 @@
 	defer func() { _ = answer.Body.Close() }() // the answer was read to its end, or is of no use
 
 	silence.pause()
+	j.noteReached()
 
 	if answer.NotRun {
 		j.noteRefusal(target, answer.Status)
