Reproduce a stream that is joined from two versions by a patient caller

A caller may state a longer time limit than its route's timeout and take its stream up when the old version has been gone for longer than that timeout. Hosts then take the version that is left for the only one that there was.

--- a/internal/entry/originsync/syncer_test.go
+++ b/internal/entry/originsync/syncer_test.go
@@ -425,3 +425,41 @@
 		time.Sleep(drainTime)
 	})
 }
+
+func TestCallerThatTriesForLongerThanItsRouteGetsNoOtherVersion(t *testing.T) {
+	for name, event := range map[string]func(context.Context, *network){
+		"all hosts are killed": func(ctx context.Context, n *network) {
+			for _, h := range n.nodes {
+				h.start(ctx)
+			}
+		},
+		"the host is lost": func(_ context.Context, n *network) { n.nodes[0].kill() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				n := newNetwork(ctx, 8, 4, 11, "v1")
+				time.Sleep(2 * time.Minute)
+
+				began := n.nodes[0].begin("q", "v1")
+
+				n.fleet.Store(snapshotOf("v2"))
+				event(ctx, n)
+
+				joined := 0
+
+				for range 50 {
+					time.Sleep(time.Second)
+
+					if o, ok := n.nodes[1].takeUp(ctx, began); ok && o.Version != "v1" {
+						joined++
+					}
+				}
+
+				cancel()
+				time.Sleep(drainTime)
+				require.Zero(t, joined, "tries that were joined from two versions")
+			})
+		})
+	}
+}
