Take a version for the only one once callers cannot have had another

Cause: a host takes the version that it has seen alone for as long as streams live for that of all streams. It took the longest route timeout for that life, but a caller may state a longer time limit and take its stream up until that ends. The class: a bound on what callers do, taken from what the operator sets for hosts.

Change: that time is at least as long as records of streams are kept, a minute. Until then, hosts tell each other the versions of their streams, also right after their start, and a stream without a record is refused.

TestCallerThatTriesForLongerThanItsRouteGetsNoOtherVersion failed before (49 of 49 tries, after a kill of all hosts and without one). Other tests of the package wait for the longer time now, with the same checks. Callers that try for longer than a minute are not covered: the platform's pages state no bound.

--- a/internal/entry/originsync/fleet_test.go
+++ b/internal/entry/originsync/fleet_test.go
@@ -28,6 +28,8 @@
 	// tickInterval is the time between two calls of Tick, as in package host.
 	tickInterval = 100 * time.Millisecond
 	streamLife   = 10 * time.Second
+	// settleTime is the time after which a host takes the only version that it has seen for that of all streams.
+	settleTime = origins.Lifetime
 	// maxWait is the longest time for which the first event of a stream waits, as in package relay.
 	maxWait = 50 * time.Millisecond
 )
--- a/internal/entry/originsync/syncer.go
+++ b/internal/entry/originsync/syncer.go
@@ -169,7 +169,13 @@
 }
 
 func (s *Syncer) observe(now time.Time) {
-	s.opts.History.Observe(now, s.opts.Fleet().Versions(), s.opts.Catalog().StreamLife)
+	s.opts.History.Observe(now, s.opts.Fleet().Versions(), s.streamLife)
+}
+
+// streamLife returns how long callers may take up streams of service. A caller may try for longer than its route's timeout, but
+// not for longer than records are kept.
+func (s *Syncer) streamLife(service entity.ServiceName) time.Duration {
+	return max(s.opts.Catalog().StreamLife(service), origins.Lifetime)
 }
 
 // receipt says that a host other than this one has a record.
--- a/internal/entry/originsync/syncer_test.go
+++ b/internal/entry/originsync/syncer_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/control/origins"
 	"github.com/dotterelflow/dotterelflow/internal/entry/relay"
 	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
 )
@@ -150,7 +151,7 @@
 					}
 
 					// All versions have been there for longer than streams live.
-					time.Sleep(streamLife)
+					time.Sleep(settleTime)
 
 					streams := n.beginMany(count)
 					if tt.between != nil {
@@ -175,7 +176,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			n := newNetwork(ctx, size.hosts, size.centres, 2, "v1", "v2")
-			time.Sleep(streamLife)
+			time.Sleep(settleTime)
 
 			streams := n.beginMany(200)
 			time.Sleep(time.Second)
@@ -201,7 +202,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		n := newNetwork(ctx, 8, 4, 3, "v1")
 
-		time.Sleep(streamLife + tickInterval)
+		time.Sleep(settleTime + tickInterval)
 
 		n.messages.Store(0)
 
@@ -224,7 +225,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		n := newNetwork(ctx, 8, 4, 4, "v1")
 
-		time.Sleep(streamLife + tickInterval)
+		time.Sleep(settleTime + tickInterval)
 		n.nodes[0].start(ctx)
 
 		o, ok := n.nodes[0].takeUp(ctx, begun{id: "unseen"})
@@ -249,7 +250,7 @@
 		n := newNetwork(ctx, 89, 4, 5, "v1", "v2")
 		n.setLoss(1)
 
-		time.Sleep(streamLife)
+		time.Sleep(settleTime)
 
 		asked := time.Now()
 		_, ok := n.nodes[0].takeUp(ctx, begun{id: "unseen"})
@@ -283,7 +284,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		n := newNetwork(ctx, size.hosts, size.centres, 6, "v1", "v2")
-		time.Sleep(streamLife)
+		time.Sleep(settleTime)
 
 		n.messages.Store(0)
 
@@ -314,13 +315,13 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		n := newNetwork(ctx, 8, 4, 7, "v1")
 
-		time.Sleep(streamLife + tickInterval)
+		time.Sleep(settleTime + tickInterval)
 
 		cutOff := n.nodes[0]
 		own := cutOff.begin("own", "v1")
 
 		cutOff.mu.Lock()
-		cutOff.age = streamLife
+		cutOff.age = settleTime
 		cutOff.mu.Unlock()
 
 		_, ok := cutOff.takeUp(ctx, begun{id: "unseen"})
@@ -345,7 +346,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		n := newNetwork(ctx, 8, 4, 8, "v1")
-		time.Sleep(streamLife + tickInterval)
+		time.Sleep(settleTime + tickInterval)
 
 		paused := n.nodes[0]
 		paused.mu.Lock()
@@ -372,7 +373,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		n := newNetwork(ctx, 8, 4, 9, "v1")
-		time.Sleep(streamLife + tickInterval/2)
+		time.Sleep(settleTime + tickInterval/2)
 
 		n.fleet.Store(snapshotOf("v1", "v2"))
 		require.Equal(t, []entity.SoftwareVersion{"v2"}, n.nodes[0].current().New("s"))
@@ -388,7 +389,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		n := newNetwork(ctx, 24, 4, 10, "v1")
-		time.Sleep(streamLife + tickInterval)
+		time.Sleep(settleTime + tickInterval)
 
 		first, late := n.nodes[0], n.nodes[1:]
 		cameAt := time.Now()
@@ -448,7 +449,7 @@
 
 				joined := 0
 
-				for range 50 {
+				for since := time.Now(); time.Since(since) < origins.Lifetime-2*time.Second; {
 					time.Sleep(time.Second)
 
 					if o, ok := n.nodes[1].takeUp(ctx, began); ok && o.Version != "v1" {
