--- a/internal/entry/digests/exchange_test.go
+++ b/internal/entry/digests/exchange_test.go
@@ -1,6 +1,7 @@
 package digests_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/control/targetlimits"
 	"github.com/dotterelflow/dotterelflow/internal/entry/digests"
 	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
 )
@@ -124,3 +126,42 @@
 		require.True(t, ok)
 	})
 }
+
+func TestHostsShareLimitsAndWhatTheyDoNotReach(t *testing.T) {
+	const targets = 100
+
+	clock := clockwork.NewFakeClock()
+	limits := [2]*targetlimits.Table{targetlimits.New(targetlimits.Options{}), targetlimits.New(targetlimits.Options{})}
+
+	var states []digests.PeerState
+
+	hosts := [2]*host{}
+	for i := range hosts {
+		hosts[i] = &host{board: placing.New()}
+		hosts[i].Exchange = digests.New(digests.Options{
+			Clock: clock, Board: hosts[i].board, CrashSum: func() uint64 { return 0 }, Ready: func() bool { return true },
+			Version: func() uint64 { return 1 }, Limits: limits[i], Unreachable: func() []entity.ServiceName { return []entity.ServiceName{"s"} },
+			OnDigest: func(s digests.PeerState) { states = append(states, s) },
+		})
+	}
+
+	sendDigest(t, hosts[0], hosts[1], "a", "b")
+	require.Equal(t, []entity.ServiceName{"s"}, states[0].Unreachable)
+
+	empty := &peer.Digest{}
+	hosts[0].Fill("b", empty)
+
+	for i := range targets {
+		limits[0].Record(clock.Now(), clock.Now(), entity.TargetID(fmt.Sprintf("i-%010x@1764800000123", i)), targetlimits.Statement{Limited: true, PerSecond: 3.3})
+	}
+
+	clock.Advance(time.Second)
+	sendDigest(t, hosts[0], hosts[1], "a", "b")
+	require.EqualValues(t, 64, limits[1].Stats().Limited, "the entries of one digest are bounded")
+
+	full := &peer.Digest{}
+	hosts[0].Fill("b", full)
+	perLimit := float64(proto.Size(full)-proto.Size(empty)) / 64
+	t.Logf("%.1f bytes for each limit", perLimit)
+	require.Less(t, perLimit, 64.0)
+}
