Bound what calls that cannot be held back cost a host's share of a limit

A host that is cut off from a target with a limit counts its probes of the target, ten a second for its service, towards its share. After a cut of 12 s it would have sent no request to the target for minutes.

--- a/internal/control/targetlimits/table.go
+++ b/internal/control/targetlimits/table.go
@@ -27,6 +27,9 @@
 	// bucketSize is the number of requests that a host may send at once after a pause, or those of bucketTime if that is more.
 	bucketSize = 1.0
 	bucketTime = 100 * time.Millisecond
+	// maxDebt bounds the requests beyond the share that are made up for. Calls may be sent without end to a target that this
+	// host does not reach.
+	maxDebt = 2.0
 	// needOfUrgent and needPerRank are the fill of the bucket from which on a request may be sent: more urgent ones may be
 	// sent sooner than others, and leave a debt.
 	needOfUrgent = 0.5
@@ -340,7 +343,7 @@
 	defer t.mu.Unlock()
 
 	if l := t.limitOf(now, target); l != nil {
-		l.tokens--
+		l.tokens = max(l.tokens-1, -maxDebt)
 	}
 }
 
--- a/internal/control/targetlimits/table_test.go
+++ b/internal/control/targetlimits/table_test.go
@@ -219,6 +219,12 @@
 
 	table.Charge(now, "t")
 	require.False(t, table.Admits(now, "t", 1), "a request that cannot be held back counts")
+
+	for range 100 {
+		table.Charge(now, "t")
+	}
+
+	require.Less(t, table.Wait(now, "t", 1), 4*time.Second, "the target may not have been reached")
 }
 
 func TestTargetsThatLeaveAreForgotten(t *testing.T) {
