--- a/internal/entry/originsync/syncer_test.go
+++ b/internal/entry/originsync/syncer_test.go
@@ -464,3 +464,26 @@
 		})
 	}
 }
+
+func TestStreamsOfSeveralVersionsGoOnAfterAllHostsWereKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		n := newNetwork(ctx, 8, 4, 12, "v1", "v2")
+		time.Sleep(settleTime)
+
+		streams := n.beginMany(40)
+
+		for _, h := range n.nodes {
+			h.start(ctx)
+		}
+
+		time.Sleep(time.Second)
+
+		got := n.takeUpAll(ctx, streams, func(begun) *node { return n.live("") })
+
+		cancel()
+		time.Sleep(drainTime)
+		require.Zero(t, got.wrong)
+		require.Positive(t, got.known, "replicas of both versions serve")
+	})
+}
