--- a/internal/entry/peersync/syncer_test.go
+++ b/internal/entry/peersync/syncer_test.go
@@ -124,6 +124,7 @@
 
 		syncer.OnHeartbeat("a", "x", 5, 4, 0)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		require.Equal(t, []uint64{3}, asked)
 	})
 }
