Drop a peer's connection only if it is the one that failed

Cause: a call to a peer that failed dropped whatever connection to the peer was there, also one that another call had opened in place of the failed one. The calls under way on it failed with it, and each of these dropped the next one. Change: Conns.Drop names the client that failed. Conclusion: a connection is replaced once for all calls that wait on it.

--- a/internal/entry/peers/fetch.go
+++ b/internal/entry/peers/fetch.go
@@ -51,7 +51,7 @@
 		return n.fetchWhole(ctx, client, r, extract)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		m, _ := n.Member(host)
-		n.links.Drop(m.Address) // the connection may have fallen silent
+		n.links.Drop(m.Address, client) // the connection may have fallen silent
 	}
 
 	return p, peer.Error.Wrap(err)
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -260,20 +260,14 @@
 // call makes one call to the host at address, within timeout. After a failure it retries at once on a new connection, since the old one
 // may have stopped responding while the peer is alive.
 func (n *Network) call(ctx context.Context, address string, timeout time.Duration, do func(context.Context, peer.PeerClient) error) error {
-	err := n.callOnce(ctx, address, timeout, do)
-	if err == nil {
+	if err := n.callOnce(ctx, address, timeout, do); err == nil {
 		return nil
 	}
 
-	n.links.Drop(address)
-
-	if err = n.callOnce(ctx, address, timeout, do); err != nil {
-		n.links.Drop(address)
-	}
-
-	return err
+	return n.callOnce(ctx, address, timeout, do)
 }
 
+// callOnce makes one call to the host at address, and drops the connection that it used if the call fails.
 func (n *Network) callOnce(ctx context.Context, address string, timeout time.Duration, do func(context.Context, peer.PeerClient) error) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -283,7 +277,11 @@
 		return err
 	}
 
-	return do(ctx, client)
+	if err = do(ctx, client); err != nil {
+		n.links.Drop(address, client)
+	}
+
+	return err
 }
 
 // hostAt returns the live host whose peer API is at address, or "".
--- a/internal/wire/peer/conns.go
+++ b/internal/wire/peer/conns.go
@@ -30,7 +30,13 @@
 // Conns holds one gRPC connection for each peer. It is safe for concurrent use. The zero value is ready to use.
 type Conns struct {
 	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
+	links map[string]link // by address
+}
+
+// link is a connection and its client.
+type link struct {
+	conn   *grpc.ClientConn
+	client PeerClient
 }
 
 // Client returns a client for the peer at address, an ip:port. It does not wait for the connection to be established.
@@ -38,11 +44,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	conn, ok := c.conns[address]
+	l, ok := c.links[address]
 	if !ok {
-		var err error
-
-		conn, err = grpc.NewClient("passthrough:///"+address, append(once.DialOptions(),
+		conn, err := grpc.NewClient("passthrough:///"+address, append(once.DialOptions(),
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
 			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
@@ -52,26 +56,28 @@
 			return nil, Error.Wrap(err)
 		}
 
-		if c.conns == nil {
-			c.conns = map[string]*grpc.ClientConn{}
+		if c.links == nil {
+			c.links = map[string]link{}
 		}
 
-		c.conns[address] = conn
+		l = link{conn: conn, client: NewPeerClient(conn)}
+		c.links[address] = l
 	}
 
-	return NewPeerClient(conn), nil
+	return l.client, nil
 }
 
-// Drop closes the connection to address, if there is one; the next call of Client opens a new one. This helps when the
-// old connection no longer delivers data although the peer works.
-func (c *Conns) Drop(address string) {
+// Drop closes the connection of client, which Client has returned for address; the next call of Client opens a new one. This
+// helps when the old connection no longer delivers data although the peer works. If that connection has been replaced already,
+// Drop does nothing.
+func (c *Conns) Drop(address string, client PeerClient) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	if conn, ok := c.conns[address]; ok {
-		delete(c.conns, address)
+	if l, ok := c.links[address]; ok && l.client == client {
+		delete(c.links, address)
 
-		_ = conn.Close()
+		_ = l.conn.Close()
 	}
 }
 
@@ -82,9 +88,9 @@
 
 	var group errs.Group
 
-	for address, conn := range c.conns {
-		delete(c.conns, address)
-		group.Add(conn.Close())
+	for address, l := range c.links {
+		delete(c.links, address)
+		group.Add(l.conn.Close())
 	}
 
 	return group.Err()
