Leave the connection to a peer open after a call that its caller gave up

Cause: the questions to several hosts for the version of a stream are cancelled once one of them has answered. The cancelled calls counted as failed: each was made a second time at once, and its connection, which heartbeats share, was closed. Ruled out: deadlines of such calls, which go on replacing the connection as it may have fallen silent. Change: a cancelled call is not repeated and closes nothing. Conclusion: giving up a call costs nothing but the call.

--- a/internal/entry/peers/link_replacement_test.go
+++ b/internal/entry/peers/link_replacement_test.go
@@ -1,6 +1,7 @@
 package peers_test
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"time"
@@ -40,3 +41,25 @@
 	under.Wait()
 	require.LessOrEqual(t, via.Opened()-opened, 2, "connections opened in place of a silent one")
 }
+
+// A call that its caller gives up says nothing of the connection, which other calls use.
+func TestCallThatIsGivenUpLeavesTheLink(t *testing.T) {
+	_, via := startNetwork(t, "far", "a", &hangingRunner{})
+	near, _ := startNetwork(t, "near", "b", &hangingRunner{}, via.Address())
+
+	require.Eventually(t, func() bool { _, ok := near.Member("far"); return ok }, testBound, 10*time.Millisecond)
+
+	opened := via.Opened()
+
+	for range 20 {
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Millisecond, cancel)
+		via.SetDelay(5 * time.Millisecond)
+
+		_, err := near.FindOrigin(ctx, via.Address(), &peer.FindOriginRequest{})
+		require.ErrorIs(t, ctx.Err(), context.Canceled)
+		require.Error(t, err)
+	}
+
+	require.Equal(t, opened, via.Opened(), "connections opened after calls that were given up")
+}
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -258,18 +258,19 @@
 }
 
 // call makes one call to the host at address, within timeout. After a failure it retries at once on a new connection, since the old one
-// may have stopped responding while the peer is alive.
+// may have stopped responding while the peer is alive. A call that ends with ctx is not retried.
 func (n *Network) call(ctx context.Context, address string, timeout time.Duration, do func(context.Context, peer.PeerClient) error) error {
-	if err := n.callOnce(ctx, address, timeout, do); err == nil {
-		return nil
+	if err := n.callOnce(ctx, address, timeout, do); err == nil || ctx.Err() != nil {
+		return err
 	}
 
 	return n.callOnce(ctx, address, timeout, do)
 }
 
-// callOnce makes one call to the host at address, and drops the connection that it used if the call fails.
+// callOnce makes one call to the host at address. If the call fails, it drops the connection that it used, unless ctx was
+// cancelled: that says nothing of the connection.
 func (n *Network) callOnce(ctx context.Context, address string, timeout time.Duration, do func(context.Context, peer.PeerClient) error) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 
 	client, err := n.links.Client(address)
@@ -277,7 +278,7 @@
 		return err
 	}
 
-	if err = do(ctx, client); err != nil {
+	if err = do(callCtx, client); err != nil && !errors.Is(ctx.Err(), context.Canceled) {
 		n.links.Drop(address, client)
 	}
 
