Decide with which hosts heartbeats are exchanged in a part without I/O

Change: members.Schedule holds what peers.Network decided beside its calls: seeds, candidates, due heartbeats.

--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -28,11 +26,6 @@
 	// roundsPerPeriod shortens the rounds for a short heartbeat period, so that a heartbeat is late by a quarter
 	// of the period at most.
 	roundsPerPeriod = 4
-	seedInterval    = 5 * time.Second
-	overduePercent  = 150 // percent of a period after which a host sends its own heartbeat instead of waiting for the peer's
-	maxIntroduced   = 3   // most addresses of members sent with, or accepted from, one heartbeat
-	candidateTTL    = time.Minute
-	maxCandidates   = 1024
 )
 
 // DigestHandler fills in the heartbeats of this host and handles those of other hosts. Its methods must be safe for
@@ -67,12 +60,9 @@
 	// wake starts a round of the loop before its next tick.
 	wake chan struct{}
 
-	mu         sync.Mutex
-	members    *members.Table
-	sequence   uint64               // sequence number of the last digest
-	candidates map[string]time.Time // addresses that may be peers, and until when they are tried
-	due        map[string]time.Time // time of the next heartbeat by address
-	inFlight   map[string]bool      // addresses with a heartbeat under way
+	mu       sync.Mutex
+	members  *members.Schedule
+	sequence uint64 // sequence number of the last digest
 }
 
 // New returns a Network without members.
@@ -87,8 +77,7 @@
 
 	return &Network{
 		opts: opts, done: make(chan struct{}), wake: make(chan struct{}, 1),
-		members: members.NewWithMinPeriod(opts.Host, opts.DataCentre, opts.Period),
-		due:     map[string]time.Time{}, inFlight: map[string]bool{}, candidates: map[string]time.Time{},
+		members: members.NewSchedule(members.NewWithMinPeriod(opts.Host, opts.DataCentre, opts.Period), opts.Address, opts.Seeds),
 	}
 }
 
@@ -135,56 +124,12 @@
 	}
 }
 
-// takeDue returns the addresses whose heartbeat is due. It marks them as in flight and schedules their next
-// heartbeat.
+// takeDue returns the addresses whose heartbeat is due, which are under way from now on.
 func (n *Network) takeDue() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
-	now := n.opts.Clock.Now()
-	n.members.Forget(now)
-
-	periods := map[string]time.Duration{}
-	for _, seed := range n.opts.Seeds {
-		periods[seed] = seedInterval
-
-		// A host without live members contacts the seeds more often.
-		if n.members.LiveCount(now) == 0 {
-			periods[seed] = n.members.Period()
-		}
-	}
-
-	for address, until := range n.candidates {
-		if _, known := n.members.ByAddress(address); known || until.Before(now) {
-			delete(n.candidates, address)
-
-			continue
-		}
-
-		periods[address] = seedInterval
-	}
-
-	for _, m := range n.members.HeartbeatPartners(now) {
-		periods[m.Address] = n.members.Period()
-	}
-
-	delete(periods, n.opts.Address)
-
-	var due []string
-
-	for address, period := range periods {
-		// A seed that has become a member does not wait for the rest of the seeds' longer interval.
-		left := n.due[address].Sub(now)
-		if n.inFlight[address] || left > 0 && left <= period*overduePercent/100 {
-			continue
-		}
-
-		n.inFlight[address] = true
-		n.due[address] = now.Add(period)
-		due = append(due, address)
-	}
-
-	return due
+	return n.members.TakeDue(n.opts.Clock.Now())
 }
 
 // heartbeat exchanges one heartbeat with address.
@@ -193,7 +138,7 @@
 		n.mu.Lock()
 		defer n.mu.Unlock()
 
-		delete(n.inFlight, address)
+		n.members.Ended(address)
 	}()
 	defer n.opts.Panics.Recover("", func(*verdict.Error) {})
 
@@ -301,7 +246,7 @@
 // HeartbeatNow makes all heartbeats due at once, so that peers receive urgent changes of this host's digest.
 func (n *Network) HeartbeatNow() {
 	n.mu.Lock()
-	clear(n.due)
+	n.members.AllDue()
 	n.mu.Unlock()
 
 	select {
@@ -328,37 +273,20 @@
 
 	return &peer.Digest{
 		Host: string(n.opts.Host), Address: n.opts.Address, DataCentre: string(n.opts.DataCentre), Sequence: n.sequence,
-		Known: n.memberAddresses(), LocalHosts: uint32(n.members.HostCounts(n.opts.Clock.Now())[n.opts.DataCentre]),
+		Known: n.introductions(), LocalHosts: uint32(n.members.HostCounts(n.opts.Clock.Now())[n.opts.DataCentre]),
 	}
 }
 
-// memberAddresses returns the addresses of up to maxIntroduced live members. The caller holds mu.
-func (n *Network) memberAddresses() []string {
+// introductions returns the addresses of up to members.MaxIntroduced live members. The caller holds mu.
+func (n *Network) introductions() []string {
 	var addresses []string
-	for _, m := range n.members.Sample(n.opts.Clock.Now(), maxIntroduced) {
+	for _, m := range n.members.Introductions(n.opts.Clock.Now(), "", "") {
 		addresses = append(addresses, m.Address)
 	}
 
 	return addresses
 }
 
-// addCandidates adds the first maxIntroduced of addresses as candidates. It skips invalid ones, those of members and
-// of this host, and all new ones beyond maxCandidates. The caller holds mu.
-func (n *Network) addCandidates(addresses []string) {
-	until := n.opts.Clock.Now().Add(candidateTTL)
-
-	for _, address := range addresses[:min(len(addresses), maxIntroduced)] {
-		_, err := netip.ParseAddrPort(address)
-		_, known := n.members.ByAddress(address)
-
-		if err != nil || known || address == n.opts.Address || len(n.candidates) >= maxCandidates {
-			continue
-		}
-
-		n.candidates[address] = until
-	}
-}
-
 // receive updates the members and the local state from a digest of another host.
 func (n *Network) receive(d *peer.Digest) {
 	n.updateMember(d)
@@ -370,7 +298,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
-	n.addCandidates(d.GetKnown())
+	n.members.Introduce(n.opts.Clock.Now(), d.GetKnown()[:min(len(d.GetKnown()), members.MaxIntroduced)])
 	n.members.Update(members.Member{
 		Host: entity.HostID(d.GetHost()), Address: d.GetAddress(), DataCentre: entity.DataCentre(d.GetDataCentre()),
 		Generation: entity.Generation(d.GetGeneration()), Ready: d.GetReady(), Stopping: d.GetStopping(),
@@ -386,7 +314,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
-	n.due[d.GetAddress()] = n.opts.Clock.Now().Add(n.members.Period() * overduePercent / 100)
+	n.members.Postpone(d.GetAddress(), n.opts.Clock.Now())
 }
 
 // Introduce makes the network try addresses that may be peers. An address is dropped after a minute without success.
@@ -394,9 +322,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
-	for part := range slices.Chunk(addresses, maxIntroduced) {
-		n.addCandidates(part)
-	}
+	n.members.Introduce(n.opts.Clock.Now(), addresses)
 }
 
 // Period returns the present time between two heartbeats to one member.
