Contact the hosts alone with which heartbeats are exchanged

Seeds heard each host every 5 s. A lost data centre was found again by seeds alone. Ruled out: heartbeats between partners, 20 a second whatever the number of hosts. Change: members are introduced with their data centre: those of the receiver's own, the two in the sender's that the receiver would choose, and one elsewhere, which counts only where the receiver knows fewer than two. Rounds follow the present period. Hosts of older builds introduce and are introduced as before, without data centres.

--- a/internal/control/members/table.go
+++ b/internal/control/members/table.go
@@ -39,6 +39,10 @@
 	self    entity.HostID
 	home    entity.DataCentre
 	members map[entity.HostID]Member
+	// byAddress are the members that reported last from each address.
+	byAddress map[string]entity.HostID
+	// settled is when the last new member of the home data centre was added.
+	settled time.Time
 	// period is the result of Period. It is cached, as each check of a member's age needs it.
 	period    time.Duration
 	minPeriod time.Duration // lower bound of period
@@ -53,7 +57,7 @@
 func NewWithMinPeriod(self entity.HostID, home entity.DataCentre, minPeriod time.Duration) *Table {
 	minPeriod = cmp.Or(minPeriod, defaultMinPeriod)
 
-	return &Table{self: self, home: home, members: map[entity.HostID]Member{}, period: minPeriod, minPeriod: minPeriod}
+	return &Table{self: self, home: home, members: map[entity.HostID]Member{}, byAddress: map[string]entity.HostID{}, period: minPeriod, minPeriod: minPeriod}
 }
 
 // Update records the report of a member. It ignores reports with an older sequence than the last one, the
@@ -72,13 +76,33 @@
 	defer func() { t.updatePeriod(before) }()
 
 	// A restarted process has a new id at its old address; the old id is dropped.
-	for id, other := range t.members {
-		if other.Address == m.Address && id != m.Host && other.ReceivedAt.Before(m.ReceivedAt) {
-			delete(t.members, id)
-		}
+	if id, ok := t.byAddress[m.Address]; ok && id != m.Host && t.members[id].ReceivedAt.Before(m.ReceivedAt) {
+		t.remove(id)
+	}
+
+	if old.Address != m.Address {
+		t.forgetAddress(old)
+	}
+
+	if !ok && m.DataCentre == t.home {
+		t.settled = m.ReceivedAt
 	}
 
 	t.members[m.Host] = m
+	t.byAddress[m.Address] = m.Host
+}
+
+// remove drops the member with the given id.
+func (t *Table) remove(id entity.HostID) {
+	t.forgetAddress(t.members[id])
+	delete(t.members, id)
+}
+
+// forgetAddress drops the address of m from byAddress, unless another member has reported from it since.
+func (t *Table) forgetAddress(m Member) {
+	if t.byAddress[m.Address] == m.Host {
+		delete(t.byAddress, m.Address)
+	}
 }
 
 // validName reports whether name is present and not too long.
@@ -175,24 +199,6 @@
 	return counts
 }
 
-// Sample returns up to n live members, chosen by the random iteration order of the map. It stops once it has
-// found n, so it is cheap enough for each heartbeat.
-func (t *Table) Sample(now time.Time, n int) []Member {
-	var sample []Member
-
-	for _, m := range t.members {
-		if len(sample) == n {
-			break
-		}
-
-		if t.Alive(m, now) {
-			sample = append(sample, m)
-		}
-	}
-
-	return sample
-}
-
 // Get returns the member with the id host, live or not.
 func (t *Table) Get(host entity.HostID) (Member, bool) {
 	m, ok := t.members[host]
@@ -202,13 +208,9 @@
 
 // ByAddress returns the member, live or not, whose peer API is at address.
 func (t *Table) ByAddress(address string) (Member, bool) {
-	for _, m := range t.members {
-		if m.Address == address {
-			return m, true
-		}
-	}
+	m, ok := t.members[t.byAddress[address]]
 
-	return Member{}, false
+	return m, ok
 }
 
 // Forget drops members that have been silent for more than 10 minutes.
@@ -218,7 +220,7 @@
 
 	for id, m := range t.members {
 		if now.Sub(m.ReceivedAt) > forgetAfter {
-			delete(t.members, id)
+			t.remove(id)
 		}
 	}
 }
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -20,12 +20,8 @@
 const (
 	// callTimeout bounds a call with a short message and a short reply. A longer message gets the time that minRate needs for it
 	// and for a reply of its size in addition.
-	callTimeout   = 700 * time.Millisecond
-	minRate       = 128 << 10              // bytes a second that a busy link carries at least
-	roundInterval = 250 * time.Millisecond // between two checks for due heartbeats
-	// roundsPerPeriod shortens the rounds for a short heartbeat period, so that a heartbeat is late by a quarter
-	// of the period at most.
-	roundsPerPeriod = 4
+	callTimeout = 700 * time.Millisecond
+	minRate     = 128 << 10 // bytes a second that a busy link carries at least
 )
 
 // DigestHandler fills in the heartbeats of this host and handles those of other hosts. Its methods must be safe for
@@ -96,21 +92,17 @@
 
 	var beats sync.WaitGroup
 
-	round := roundInterval
-	if n.opts.Period > 0 {
-		round = min(round, n.opts.Period/roundsPerPeriod)
-	}
-
-	tick := n.opts.Clock.NewTicker(round)
-	defer tick.Stop()
-
 	for {
-		for _, address := range n.takeDue() {
+		due, round := n.takeDue()
+		for _, address := range due {
 			beats.Go(func() { n.heartbeat(ctx, address) })
 		}
 
+		timer := n.opts.Clock.NewTimer(round)
+
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			beats.Wait()
 
 			if err := errors.Join(n.links.Close(), n.serving.Close()); err != nil {
@@ -118,18 +110,19 @@
 			}
 
 			return
-		case <-tick.Chan():
+		case <-timer.Chan():
 		case <-n.wake:
+			timer.Stop()
 		}
 	}
 }
 
-// takeDue returns the addresses whose heartbeat is due, which are under way from now on.
-func (n *Network) takeDue() []string {
+// takeDue returns the addresses whose heartbeat is due, which are under way from now on, and the time until the next round.
+func (n *Network) takeDue() ([]string, time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
-	return n.members.TakeDue(n.opts.Clock.Now())
+	return n.members.TakeDue(n.opts.Clock.Now()), n.members.Round()
 }
 
 // heartbeat exchanges one heartbeat with address.
@@ -258,33 +251,50 @@
 // digest returns a digest of this host, with a new sequence number, for the receiver to, which is empty if the receiver
 // is not known.
 func (n *Network) digest(to entity.HostID) *peer.Digest {
-	d := n.ownDigest()
+	d := n.ownDigest(to)
 	n.opts.Digests.Fill(to, d)
 
 	return d
 }
 
-// ownDigest returns a digest, with a new sequence number, of what the network knows.
-func (n *Network) ownDigest() *peer.Digest {
+// ownDigest returns a digest, with a new sequence number, of what the network knows, for the receiver to.
+func (n *Network) ownDigest(to entity.HostID) *peer.Digest {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
 	n.sequence++
 
-	return &peer.Digest{
+	d := &peer.Digest{
 		Host: string(n.opts.Host), Address: n.opts.Address, DataCentre: string(n.opts.DataCentre), Sequence: n.sequence,
-		Known: n.introductions(), LocalHosts: uint32(n.members.HostCounts(n.opts.Clock.Now())[n.opts.DataCentre]),
+		LocalHosts: uint32(n.members.HostCounts(n.opts.Clock.Now())[n.opts.DataCentre]),
+	}
+	n.introduce(to, d)
+
+	return d
+}
+
+// introduce adds to d the members that this host introduces to the host to. The caller holds mu.
+func (n *Network) introduce(to entity.HostID, d *peer.Digest) {
+	for _, m := range n.members.Introductions(n.opts.Clock.Now(), to) {
+		d.Known = append(d.Known, m.Address)
+		d.KnownDataCentres = append(d.KnownDataCentres, string(m.DataCentre))
 	}
 }
 
-// introductions returns the addresses of up to members.MaxIntroduced live members. The caller holds mu.
-func (n *Network) introductions() []string {
-	var addresses []string
-	for _, m := range n.members.Introductions(n.opts.Clock.Now(), "", "") {
-		addresses = append(addresses, m.Address)
+// introducedIn returns the members that d introduces.
+func introducedIn(d *peer.Digest) []members.Member {
+	introduced := make([]members.Member, 0, members.MaxIntroduced)
+
+	for i, address := range d.GetKnown()[:min(len(d.GetKnown()), members.MaxIntroduced)] {
+		m := members.Member{Address: address}
+		if i < len(d.GetKnownDataCentres()) {
+			m.DataCentre = entity.DataCentre(d.GetKnownDataCentres()[i])
+		}
+
+		introduced = append(introduced, m)
 	}
 
-	return addresses
+	return introduced
 }
 
 // receive updates the members and the local state from a digest of another host.
@@ -298,7 +308,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
-	n.members.Introduce(n.opts.Clock.Now(), d.GetKnown()[:min(len(d.GetKnown()), members.MaxIntroduced)])
+	n.members.Introduce(n.opts.Clock.Now(), entity.DataCentre(d.GetDataCentre()), introducedIn(d))
 	n.members.Update(members.Member{
 		Host: entity.HostID(d.GetHost()), Address: d.GetAddress(), DataCentre: entity.DataCentre(d.GetDataCentre()),
 		Generation: entity.Generation(d.GetGeneration()), Ready: d.GetReady(), Stopping: d.GetStopping(),
@@ -322,7 +332,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
-	n.members.Introduce(n.opts.Clock.Now(), addresses)
+	n.members.AddCandidates(n.opts.Clock.Now(), addresses)
 }
 
 // Period returns the present time between two heartbeats to one member.
