Close connections to peers without calls

Cause: a connection to a host that is contacted once stayed open to the end of the process, with buffers and goroutines at both ends, and the called host probed it every 10 s. Change: a connection without calls closes after 20 s and is opened again by the next call. A heartbeat counts the hosts of its own data centre alone, in place of those of all. Conclusion: what a host keeps open is what its heartbeats need. The cost per host still grows with its partners.

--- a/internal/control/members/table.go
+++ b/internal/control/members/table.go
@@ -199,6 +199,19 @@
 	return counts
 }
 
+// HomeHosts returns the number of live hosts in the home data centre, this one included.
+func (t *Table) HomeHosts(now time.Time) int {
+	n := 1
+
+	for _, m := range t.members {
+		if m.DataCentre == t.home && t.Alive(m, now) {
+			n++
+		}
+	}
+
+	return n
+}
+
 // Get returns the member with the id host, live or not.
 func (t *Table) Get(host entity.HostID) (Member, bool) {
 	m, ok := t.members[host]
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -266,7 +266,7 @@
 
 	d := &peer.Digest{
 		Host: string(n.opts.Host), Address: n.opts.Address, DataCentre: string(n.opts.DataCentre), Sequence: n.sequence,
-		LocalHosts: uint32(n.members.HostCounts(n.opts.Clock.Now())[n.opts.DataCentre]),
+		LocalHosts: uint32(n.members.HomeHosts(n.opts.Clock.Now())),
 	}
 	n.introduce(to, d)
 
--- a/internal/wire/peer/conns.go
+++ b/internal/wire/peer/conns.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 	keepaliveInterval = 10 * time.Second
 	keepaliveTimeout  = 3 * time.Second
 	maxMessageBytes   = 64 << 20
+	// idleTimeout is longer than the time between two heartbeats, so that the connections to hosts with which this host exchanges
+	// none close.
+	idleTimeout = 20 * time.Second
 
 	// streamWindow and connectionWindow are the most bytes of one call and of all calls of a connection that a receiver lets its
 	// peer send ahead. They are fixed, since gRPC otherwise sends pings with each message to estimate them.
@@ -29,6 +33,9 @@
 
 // Conns holds one gRPC connection for each peer. It is safe for concurrent use. The zero value is ready to use.
 type Conns struct {
+	// IdleTimeout is the time without calls after which a connection closes until the next call; zero means 20 s.
+	IdleTimeout time.Duration
+
 	mu    sync.Mutex
 	links map[string]link // by address
 }
@@ -50,6 +57,7 @@
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
 			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+			grpc.WithIdleTimeout(cmp.Or(c.IdleTimeout, idleTimeout)),
 			grpc.WithStaticStreamWindowSize(streamWindow), grpc.WithStaticConnWindowSize(connectionWindow),
 		)...)
 		if err != nil {
--- a/internal/wire/peer/conns_test.go
+++ b/internal/wire/peer/conns_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/dotterelflow/dotterelflow/internal/wire/panics"
 	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
@@ -45,6 +47,7 @@
 	toServer    atomic.Int64
 	toClient    atomic.Int64
 	connections atomic.Int64
+	closed      atomic.Int64 // directions of connections that have ended
 }
 
 // listen returns an address at which connections reach target over l.
@@ -82,6 +85,8 @@
 // carry sends what from sends to to, unless it is held, until one of them ends.
 func (l *link) carry(from, to net.Conn, n *atomic.Int64, held *atomic.Bool) {
 	defer func() {
+		l.closed.Add(1)
+
 		_ = from.Close()
 		_ = to.Close()
 	}()
@@ -161,3 +166,28 @@
 	require.Eventually(t, func() bool { return l.toClient.Load()-before >= aheadBytes }, transferTime, time.Millisecond, "an answer waits for its receiver")
 	require.EqualValues(t, 1, l.connections.Load())
 }
+
+// A host speaks to many hosts once, and each open connection costs both ends memory, descriptors and probes.
+func TestConnectionWithoutCallsCloses(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	server := peer.NewGRPCServer(largeServer{}, panics.Recorder{})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+
+	var l link
+
+	links := peer.Conns{IdleTimeout: 50 * time.Millisecond}
+	t.Cleanup(func() { _ = links.Close() })
+
+	client, err := links.Client(l.listen(t, listener.Addr().String()))
+	require.NoError(t, err)
+
+	for n := range int64(2) {
+		_, err = client.Heartbeat(t.Context(), &peer.Digest{})
+		require.Equal(t, codes.Unimplemented, status.Code(err), "the server has answered")
+		require.Equal(t, n+1, l.connections.Load())
+		require.Eventually(t, func() bool { return l.closed.Load() == 2*(n+1) }, transferTime, time.Millisecond)
+	}
+}
