Send nothing to replicas that say in their answers that they leave or want no requests

Cause: only the platform's list said that a replica leaves. Server-Leaving in an answer, and Retry-After of a 503, were read by nothing. Both are what a replica says of itself to one host, with a time and an end, as a limit is, so they are in the same table and decided in the same place; this commit therefore holds both. Ruled out: telling other hosts. The relay, the placer's candidates and requests that are handed to other hosts leave such targets out.

--- a/internal/control/targetlimits/table.go
+++ b/internal/control/targetlimits/table.go
@@ -1,4 +1,6 @@
-// Package targetlimits keeps the entry hosts together within the rate of requests that a target states in its answers.
+// Package targetlimits holds what targets state about themselves in their answers: the rate of requests that they accept from
+// all entry hosts, that they leave, and for how long they refuse all requests of this host. It says to which targets this host
+// may send.
 //
 // A limit holds from the first answer that states it until one to a request that was sent later states none. Hosts tell each
 // other what they have learned themselves. A few hosts, chosen by their order for the target, have an equal share of the
@@ -91,6 +93,7 @@
 	opts Options
 
 	limited atomic.Int64 // number of targets that have a limit
+	shuns   atomic.Int64 // length of shunned
 
 	mu       sync.Mutex
 	limits   map[entity.TargetID]*limit
@@ -100,6 +103,7 @@
 	hosts    int                               // number of hosts that may have a share
 	hostsAt  time.Time                         // when there were so many
 	heldBack int64
+	shunned  map[entity.TargetID]shun // targets that leave or refuse requests
 }
 
 // limit is the present limit of a target, or the last one if it has ended.
@@ -136,12 +140,12 @@
 		panic(err) // only for a size below 1
 	}
 
-	return &Table{opts: opts, limits: map[entity.TargetID]*limit{}, own: map[entity.TargetID]observation{}, received: received}
+	return &Table{opts: opts, limits: map[entity.TargetID]*limit{}, own: map[entity.TargetID]observation{}, received: received, shunned: map[entity.TargetID]shun{}}
 }
 
 // Record records what an answer of target states. sentAt is when the request was sent to which now the answer has begun.
 func (t *Table) Record(now, sentAt time.Time, target entity.TargetID, s Statement) {
-	if t == nil || !s.Limited && !t.Any() {
+	if t == nil || !s.Limited && t.limited.Load() == 0 {
 		return
 	}
 
@@ -257,10 +261,10 @@
 	return t.Wait(now, target, rank) == 0
 }
 
-// Any reports whether a target has a limit.
-func (t *Table) Any() bool { return t != nil && t.limited.Load() > 0 }
+// Any reports whether there is a target to which this host may not send at all times.
+func (t *Table) Any() bool { return t != nil && (t.limited.Load() > 0 || t.shuns.Load() > 0) }
 
-// Limits reports whether target has a limit.
+// Limits reports whether target has a limit, leaves or refuses requests.
 func (t *Table) Limits(now time.Time, target entity.TargetID) bool {
 	if !t.Any() {
 		return false
@@ -269,11 +273,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	return t.limitOf(now, target) != nil
+	return t.limitOf(now, target) != nil || t.shunnedFor(now, target) != 0
 }
 
 // Wait returns the time until this host may send a request of the given rank to target: zero if it may now, and a negative
-// time if it has no share.
+// time if it has no share or the target leaves.
 func (t *Table) Wait(now time.Time, target entity.TargetID, rank int) time.Duration {
 	if !t.Any() {
 		return 0
@@ -282,16 +286,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
+	refused := t.shunnedFor(now, target)
+
 	l := t.limitOf(now, target)
-	if l == nil || l.tokens >= need(rank) {
-		return 0
+	if refused < 0 || l == nil || l.tokens >= need(rank) {
+		return refused
 	}
 
 	if l.share == 0 {
 		return -1
 	}
 
-	return time.Duration((need(rank)-l.tokens)/l.share*float64(time.Second)) + 1 // rounded up
+	return max(refused, time.Duration((need(rank)-l.tokens)/l.share*float64(time.Second))+1) // rounded up
 }
 
 // Take reports whether this host may send a request of the given rank to target now, and if so counts it.
@@ -306,6 +312,10 @@
 	l := t.limitOf(now, target)
 
 	switch {
+	case t.shunnedFor(now, target) != 0:
+		t.heldBack++
+
+		return false
 	case l == nil:
 		return true
 	case l.tokens < need(rank):
@@ -410,7 +420,7 @@
 	}
 }
 
-// Tick adapts the shares to the number of hosts. It forgets limits that ended a while ago and targets for which keep returns
+// Tick adapts the shares to the number of hosts. It forgets statements that ended a while ago and targets for which keep returns
 // false.
 func (t *Table) Tick(now time.Time, keep func(entity.TargetID) bool) {
 	t.mu.Lock()
@@ -428,12 +438,14 @@
 		t.setShare(now, target, l)
 	}
 
+	t.tickShunned(now, keep)
 	t.count()
 }
 
 // Stats are figures of a Table.
 type Stats struct {
 	Limited  int64 // targets with a limit
+	Shunned  int64 // targets that leave or refuse requests, as they state
 	HeldBack int64 // sends that were held back so far, though a target had been chosen
 }
 
@@ -442,5 +454,5 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	return Stats{Limited: t.limited.Load(), HeldBack: t.heldBack}
+	return Stats{Limited: t.limited.Load(), Shunned: t.shuns.Load(), HeldBack: t.heldBack}
 }
--- a/internal/entry/relay/forward.go
+++ b/internal/entry/relay/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
@@ -39,7 +40,7 @@
 	}
 
 	j.forwarded = j.opts.Forwarder.Forward(ctx, j.service.Name, &r, Handover{
-		Configuration: j.version, Avoid: j.opts.Fleet().Leaving(), Counted: j.counted, Prefilled: j.prefilled,
+		Configuration: j.version, Avoid: append(slices.Clone(j.opts.Fleet().Leaving()), j.opts.Limits.Leaving(j.now())...), Counted: j.counted, Prefilled: j.prefilled,
 	}, &forwardedReply{w, ctx, j})
 
 	return j.forwarded
--- a/internal/entry/relay/limits.go
+++ b/internal/entry/relay/limits.go
@@ -148,7 +148,7 @@
 	j.lack, j.limitWait = lackTarget, 0
 
 	for _, t := range j.candidates(role) {
-		if slices.Contains(j.tried, t.ID) {
+		if slices.Contains(j.tried, t.ID) || j.opts.Limits.Leaves(j.now(), t.ID) {
 			continue
 		}
 
