--- a/internal/entry/deployment/state.go
+++ b/internal/entry/deployment/state.go
@@ -336,7 +336,7 @@
 		return target, true
 	}
 
-	if s.undecodable[e.Name] != e.Revision {
+	if revision, known := s.undecodable[e.Name]; !known || revision != e.Revision {
 		s.undecodable[e.Name] = e.Revision
 		s.opts.Log.Warn().Str("entry", e.Name).Err(err).Msg("entry names no target")
 	}
