Take no stream for one of the version before after being out of step

Cause: a host that was cut off, or stood still, while replicas of a second version joined saw both versions at once afterwards, and took its own list for current. It held all streams without a record for streams of the first version, though streams of the second had begun at other hosts meanwhile. Ruled out: hosts that are still cut off or have just woken; they ask others and do not guess (tested before). Change: the version before counts only at hosts whose list was current right before and when the second version was seen. Others believe all of the hosts that would have the record, if these agree. Conclusion: what a host cannot know it does not infer.

--- a/internal/control/origins/history.go
+++ b/internal/control/origins/history.go
@@ -26,9 +26,11 @@
 	lastSeen map[entity.SoftwareVersion]time.Time // versions of the last life
 	seenAt   map[entity.SoftwareVersion]time.Time // when each of them was first seen
 	// before is the only version that the service had run when a second one was first seen, at mixedAt. It is nil if the
-	// service was not observed for long enough.
+	// service was not observed for long enough, or if the versions were not current right before mixedAt: streams of the second
+	// one may have begun before it was seen.
 	before  *entity.SoftwareVersion
 	mixedAt time.Time
+	current bool // the versions were current at the last observation
 }
 
 // NewHistory returns a History without observations.
@@ -36,10 +38,11 @@
 	return &History{services: map[entity.ServiceName]*serviceHistory{}}
 }
 
-// Observe records the versions that the targets of each service run at now. life returns how long the streams of a service
+// Observe records the versions that the targets of each service run at now. current states that these are all versions that
+// other hosts know of. life returns how long the streams of a service
 // live, all tries of their callers together. A life that has become shorter is not used, as older streams live on.
 func (h *History) Observe(
-	now time.Time, versions map[entity.ServiceName][]entity.SoftwareVersion, life func(entity.ServiceName) time.Duration,
+	now time.Time, versions map[entity.ServiceName][]entity.SoftwareVersion, current bool, life func(entity.ServiceName) time.Duration,
 ) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -52,11 +55,13 @@
 		}
 
 		s.life = max(s.life, life(service))
-		s.observe(now, list)
+		s.observe(now, list, current && s.current)
+		s.current = current
 	}
 }
 
-func (s *serviceHistory) observe(now time.Time, versions []entity.SoftwareVersion) {
+// observe records versions. current states that no version can have come and served between the last observation and this one.
+func (s *serviceHistory) observe(now time.Time, versions []entity.SoftwareVersion, current bool) {
 	for v, at := range s.lastSeen {
 		if now.Sub(at) >= s.life && !slices.Contains(versions, v) {
 			delete(s.lastSeen, v)
@@ -80,7 +85,7 @@
 	}
 
 	s.before, s.mixedAt = nil, now
-	if settled {
+	if settled && current {
 		s.before = &only
 	}
 }
--- a/internal/control/origins/history_test.go
+++ b/internal/control/origins/history_test.go
@@ -24,7 +24,7 @@
 // observe observes versions for d.
 func (o *observer) observe(d time.Duration, versions ...entity.SoftwareVersion) {
 	for end := o.now.Add(d); o.now.Before(end); o.now = o.now.Add(100 * time.Millisecond) {
-		o.Observe(o.now, map[entity.ServiceName][]entity.SoftwareVersion{"s": versions}, func(entity.ServiceName) time.Duration { return life })
+		o.Observe(o.now, map[entity.ServiceName][]entity.SoftwareVersion{"s": versions}, true, func(entity.ServiceName) time.Duration { return life })
 	}
 }
 
@@ -84,7 +84,7 @@
 
 	versions := map[entity.ServiceName][]entity.SoftwareVersion{"s": {"v2"}}
 	for range 50 {
-		o.Observe(o.now, versions, func(entity.ServiceName) time.Duration { return time.Second })
+		o.Observe(o.now, versions, true, func(entity.ServiceName) time.Duration { return time.Second })
 		o.now = o.now.Add(100 * time.Millisecond)
 	}
 
--- a/internal/entry/originsync/find.go
+++ b/internal/entry/originsync/find.go
@@ -63,6 +63,12 @@
 		version, known = own, true
 	}
 
+	// A host that was out of step while a version joined does not know which streams began before that. The others do if all of
+	// those that would have the record say so.
+	if !known {
+		version, known = heard.unanimous(len(first) + len(rest))
+	}
+
 	if known {
 		s.inferred.Add(1)
 
@@ -79,6 +85,8 @@
 	version entity.SoftwareVersion
 	known   bool // a host knows the version
 	differ  bool // a host knows several versions, or another one
+	others  bool // hosts know different versions
+	said    int  // hosts that know the version
 }
 
 func (o *opinion) add(reply *peer.FindOriginReply) {
@@ -89,8 +97,15 @@
 	}
 
 	version := entity.SoftwareVersion(reply.GetVersion())
-	o.differ = o.differ || o.known && version != o.version
+	o.others = o.others || o.known && version != o.version
+	o.differ = o.differ || o.others
 	o.version, o.known = version, true
+	o.said++
+}
+
+// unanimous returns the version that streams without a record have, if all of the given number of hosts know the same one.
+func (o *opinion) unanimous(hosts int) (entity.SoftwareVersion, bool) {
+	return o.version, hosts > 0 && o.said == hosts && !o.others
 }
 
 // agreed reports whether hosts know the version and none knows another one.
--- a/internal/entry/originsync/syncer.go
+++ b/internal/entry/originsync/syncer.go
@@ -169,7 +169,7 @@
 }
 
 func (s *Syncer) observe(now time.Time) {
-	s.opts.History.Observe(now, s.opts.Fleet().Versions(), s.streamLife)
+	s.opts.History.Observe(now, s.opts.Fleet().Versions(), s.upToDate(), s.streamLife)
 }
 
 // streamLife returns how long callers may take up streams of service. A caller may try for longer than its route's timeout, but
--- a/internal/entry/originsync/syncer_test.go
+++ b/internal/entry/originsync/syncer_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
@@ -368,6 +369,74 @@
 	})
 }
 
+// TestHostThatWasOutOfStepWhileAVersionJoinedDoesNotGuess takes up streams through a host that was cut off or stood still while
+// replicas of a second version joined. It took streams that had begun there through other hosts for streams of the version before.
+func TestHostThatWasOutOfStepWhileAVersionJoinedDoesNotGuess(t *testing.T) {
+	const outOfStep = 5 * time.Second
+
+	for _, test := range []struct {
+		name   string
+		paused bool // it stood still, and was not only cut off
+		lossy  bool // the hosts that have the record do not answer right after the healing
+	}{{"cut off", false, false}, {"cut off, others silent", false, true}, {"stood still", true, false}, {"stood still, others silent", true, true}} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				n := newNetwork(ctx, 8, 4, 11, "v1")
+				time.Sleep(settleTime + tickInterval)
+
+				late := n.nodes[0]
+				before := n.nodes[3].begin("before", "v1")
+
+				late.mu.Lock()
+				late.fleet, late.pauseTicks = n.fleet.Load(), test.paused
+				late.mu.Unlock()
+
+				n.fleet.Store(snapshotOf("v1", "v2"))
+
+				for began := time.Now(); time.Since(began) < outOfStep; time.Sleep(tickInterval) {
+					late.mu.Lock()
+					late.age = time.Since(began)
+					late.mu.Unlock()
+				}
+
+				var streams []begun
+				for i := range 20 {
+					streams = append(streams, n.nodes[1+i%7].begin(entity.RequestID(fmt.Sprint("q", i)), "v2"))
+				}
+
+				time.Sleep(tickInterval)
+
+				late.mu.Lock()
+				late.fleet, late.age, late.pauseTicks = nil, 0, false
+				late.mu.Unlock()
+				time.Sleep(2 * tickInterval)
+
+				if test.lossy {
+					n.setLoss(1)
+				}
+
+				for _, began := range streams {
+					if o, ok := late.takeUp(ctx, began); ok {
+						assert.Equal(t, began.version, o.Version)
+					} else {
+						assert.True(t, test.lossy, "other hosts know the version")
+					}
+				}
+
+				n.setLoss(0)
+
+				o, ok := late.takeUp(ctx, before)
+				assert.True(t, ok, "other hosts know which version there was before")
+				assert.Equal(t, before.version, o.Version)
+
+				cancel()
+				time.Sleep(drainTime)
+			})
+		})
+	}
+}
+
 // TestVersionThatComesBetweenTwoTicksIsTakenForKnown asks which versions are new right after a host has learned of one.
 func TestVersionThatComesBetweenTwoTicksIsTakenForKnown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
