Derive the live members and their numbers once for many heartbeats

Cause: each heartbeat, sent or received, counted all members several times and sorted them, so that its cost grew with the hosts. Change: members.Table keeps the live members and the counts for 50 ms, or until a report changes more than its time.

--- a/internal/control/members/size_test.go
+++ b/internal/control/members/size_test.go
@@ -162,3 +162,30 @@
 		})
 	}
 }
+
+// What is derived from all members is computed once for many heartbeats, and follows each change that a heartbeat reports.
+func TestDerivedViewsFollowTheMembers(t *testing.T) {
+	table := tableOf(10)
+	require.Len(t, table.Live(epoch), 10)
+
+	m := member(3)
+	m.Sequence, m.Stopping, m.LocalHosts = 1, true, 40
+	table.Update(m)
+	require.True(t, table.Live(epoch)[3].Stopping)
+	require.Equal(t, 40, table.HostCounts(epoch)[m.DataCentre])
+
+	table.Update(member(10))
+	require.Equal(t, 11, table.LiveCount(epoch))
+
+	table.Live(epoch)[0].Host = "changed"
+	require.NotEqual(t, entity.HostID("changed"), table.Live(epoch)[0].Host, "the result belongs to the caller")
+
+	lost := epoch.Add(members.MissedHeartbeats * table.Period())
+	require.Equal(t, 11, table.LiveCount(lost.Add(-time.Second)))
+	require.Zero(t, table.LiveCount(lost))
+	require.Equal(t, 1, table.HomeHosts(lost))
+
+	m.Sequence, m.ReceivedAt = 2, lost
+	table.Update(m)
+	require.Equal(t, 1, table.LiveCount(lost), "it is back")
+}
--- a/internal/control/members/table.go
+++ b/internal/control/members/table.go
@@ -14,11 +14,13 @@
 	MissedHeartbeats = 3
 
 	defaultMinPeriod = time.Second
-	periodPerPeer    = 50 * time.Millisecond
-	forgetAfter      = 10 * time.Minute
-	maxMembers       = 4096
-	maxNameBytes     = 256 // maximum length of a host id, an address or a data centre
-	remoteFanout     = 2   // number of members of each other data centre with which this host exchanges heartbeats
+	// viewAge is far below the time after which a member counts as lost.
+	viewAge       = 50 * time.Millisecond
+	periodPerPeer = 50 * time.Millisecond
+	forgetAfter   = 10 * time.Minute
+	maxMembers    = 4096
+	maxNameBytes  = 256 // maximum length of a host id, an address or a data centre
+	remoteFanout  = 2   // number of members of each other data centre with which this host exchanges heartbeats
 )
 
 // Member is what one entry host last reported about itself.
@@ -43,6 +45,8 @@
 	byAddress map[string]entity.HostID
 	// settled is when the last new member of the home data centre was added.
 	settled time.Time
+	// view is the last result of currentView; nil if it does not hold any more.
+	view *view
 	// period is the result of Period. It is cached, as each check of a member's age needs it.
 	period    time.Duration
 	minPeriod time.Duration // lower bound of period
@@ -88,6 +92,10 @@
 		t.settled = m.ReceivedAt
 	}
 
+	if !ok || t.changesView(old, m) {
+		t.view = nil
+	}
+
 	t.members[m.Host] = m
 	t.byAddress[m.Address] = m.Host
 }
@@ -96,6 +104,7 @@
 func (t *Table) remove(id entity.HostID) {
 	t.forgetAddress(t.members[id])
 	delete(t.members, id)
+	t.view = nil
 }
 
 // forgetAddress drops the address of m from byAddress, unless another member has reported from it since.
@@ -145,73 +154,66 @@
 	return now.Sub(m.ReceivedAt) < MissedHeartbeats*t.Period()
 }
 
-// Live returns the live members ordered by host id.
-func (t *Table) Live(now time.Time) []Member {
-	var live []Member
-
-	for _, m := range t.members {
-		if t.Alive(m, now) {
-			live = append(live, m)
-		}
-	}
-
-	slices.SortFunc(live, func(a, b Member) int { return cmp.Compare(a.Host, b.Host) })
-
-	return live
+// view is what is derived from the members at one time, for all heartbeats of the next viewAge.
+type view struct {
+	at     time.Time
+	live   []Member // ordered by host id
+	counts map[entity.DataCentre]int
 }
 
-// LiveCount returns the number of live members.
-func (t *Table) LiveCount(now time.Time) int {
-	n := 0
-
-	for _, m := range t.members {
-		if t.Alive(m, now) {
-			n++
-		}
+// currentView returns a view that is not older than viewAge. Its parts must not be modified.
+func (t *Table) currentView(now time.Time) *view {
+	if t.view != nil && !now.Before(t.view.at) && now.Sub(t.view.at) < viewAge {
+		return t.view
 	}
 
-	return n
-}
-
-// HostCounts returns the number of entry hosts in each data centre. A host exchanges heartbeats with few hosts of another
-// data centre, so their number there is the one that was last reported from it, until that report is forgotten. The number in
-// the home data centre is that of its live hosts, this one included.
-func (t *Table) HostCounts(now time.Time) map[entity.DataCentre]int {
-	counts := map[entity.DataCentre]int{t.home: 1}
+	v := &view{at: now, counts: map[entity.DataCentre]int{t.home: 1}}
 	newest := map[entity.DataCentre]Member{}
 
 	for _, m := range t.members {
 		if t.Alive(m, now) {
-			counts[m.DataCentre]++
+			v.live = append(v.live, m)
+			v.counts[m.DataCentre]++
 		}
 
-		if m.ReceivedAt.After(newest[m.DataCentre].ReceivedAt) {
+		if m.DataCentre != t.home && m.ReceivedAt.After(newest[m.DataCentre].ReceivedAt) {
 			newest[m.DataCentre] = m
 		}
 	}
 
 	for dc, m := range newest {
-		if dc != t.home {
-			counts[dc] = max(counts[dc], min(m.LocalHosts, maxMembers))
-		}
+		v.counts[dc] = max(v.counts[dc], min(m.LocalHosts, maxMembers))
 	}
 
-	return counts
-}
+	slices.SortFunc(v.live, func(a, b Member) int { return cmp.Compare(a.Host, b.Host) })
+	t.view = v
 
-// HomeHosts returns the number of live hosts in the home data centre, this one included.
-func (t *Table) HomeHosts(now time.Time) int {
-	n := 1
+	return v
+}
 
-	for _, m := range t.members {
-		if m.DataCentre == t.home && t.Alive(m, now) {
-			n++
-		}
-	}
+// changesView reports whether a view that was made from old differs from one made from m, received at m.ReceivedAt, in more than
+// the times and numbers of reports.
+func (t *Table) changesView(old, m Member) bool {
+	alive := t.Alive(old, m.ReceivedAt)
+	old.Sequence, old.ReceivedAt = m.Sequence, m.ReceivedAt
 
-	return n
+	return !alive || old != m
 }
 
+// Live returns the live members ordered by host id.
+func (t *Table) Live(now time.Time) []Member { return slices.Clone(t.currentView(now).live) }
+
+// LiveCount returns the number of live members.
+func (t *Table) LiveCount(now time.Time) int { return len(t.currentView(now).live) }
+
+// HostCounts returns the number of entry hosts in each data centre. A host exchanges heartbeats with few hosts of another
+// data centre, so their number there is the one that was last reported from it, until that report is forgotten. The number in
+// the home data centre is that of its live hosts, this one included. The result must not be modified.
+func (t *Table) HostCounts(now time.Time) map[entity.DataCentre]int { return t.currentView(now).counts }
+
+// HomeHosts returns the number of live hosts in the home data centre, this one included.
+func (t *Table) HomeHosts(now time.Time) int { return t.currentView(now).counts[t.home] }
+
 // Get returns the member with the id host, live or not.
 func (t *Table) Get(host entity.HostID) (Member, bool) {
 	m, ok := t.members[host]
