--- a/internal/control/members/schedule_test.go
+++ b/internal/control/members/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -35,6 +36,7 @@
 	contacted map[string]time.Time // addresses to which it sent a heartbeat, and when it did so last
 	next      time.Time            // when it looks for due heartbeats again
 	exchanges int                  // heartbeats sent and received
+	old       bool                 // it is of a build that knows no data centres of introduced hosts
 }
 
 // simulatedFleet is hosts on virtual time.
@@ -110,7 +112,26 @@
 func (h *simulatedHost) send(now time.Time, receiver *simulatedHost, to entity.HostID) {
 	h.sequence++
 
-	receiver.Introduce(now, h.dc, h.Introductions(now, to))
+	introduced := h.Introductions(now, to)
+	if h.old {
+		introduced = h.Live(now)
+		rand.Shuffle(len(introduced), func(i, j int) { introduced[i], introduced[j] = introduced[j], introduced[i] })
+		introduced = introduced[:min(len(introduced), 3)]
+
+		for i := range introduced {
+			introduced[i].DataCentre = ""
+		}
+	}
+
+	if receiver.old {
+		introduced = introduced[:min(len(introduced), 3)]
+		for _, m := range introduced {
+			receiver.AddCandidates(now, []string{m.Address})
+		}
+	} else {
+		receiver.Introduce(now, h.dc, introduced)
+	}
+
 	receiver.Update(members.Member{
 		Host: h.id, Address: h.address, DataCentre: h.dc, Ready: true, LocalHosts: h.HostCounts(now)[h.dc], Sequence: h.sequence, ReceivedAt: now,
 	})
@@ -177,6 +198,24 @@
 	}
 }
 
+// While hosts are upgraded one after the other, both builds find all hosts that they need.
+func TestHostsOfTwoBuildsMeet(t *testing.T) {
+	for _, every := range []int{2, 10} {
+		t.Run(fmt.Sprint(every), func(t *testing.T) {
+			f := newSimulatedFleet(85, 4)
+			for i, h := range f.hosts {
+				h.old = i%every == 0
+			}
+
+			f.run(2 * fleetStart)
+
+			for _, h := range f.hosts {
+				f.requireKnown(t, h)
+			}
+		})
+	}
+}
+
 // A data centre that was cut off for so long that its hosts count as lost is known to all again soon after the cut.
 func TestHostsMeetAgainAfterACut(t *testing.T) {
 	for _, size := range []struct{ hosts, dataCentres int }{{18, 6}, {85, 4}} {
