Tell a caller when the only replica that could serve it wants requests again

Cause: a target that had refused the request itself was left out of the reasons, so that its caller was told to come back after the usual second, in which the target refuses it again. Change: a target that was tried counts with the time that it has stated. Conclusion: the time in a refusal is when the caller can be served.

--- a/internal/control/targetlimits/statements.go
+++ b/internal/control/targetlimits/statements.go
@@ -74,6 +74,18 @@
 	return now.Before(t.shunned[target].leaving)
 }
 
+// Refuses reports whether target refuses all requests of this host for a time.
+func (t *Table) Refuses(now time.Time, target entity.TargetID) bool {
+	if t == nil || t.shuns.Load() == 0 {
+		return false
+	}
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	return t.shunnedFor(now, target) > 0
+}
+
 // Leaving returns the targets that have said that they leave.
 func (t *Table) Leaving(now time.Time) []entity.TargetID {
 	if t == nil || t.shuns.Load() == 0 {
--- a/internal/entry/relay/limits.go
+++ b/internal/entry/relay/limits.go
@@ -143,12 +143,14 @@
 	})
 }
 
-// noteNoTarget records that no target in role can be chosen, and for how long if only limits prevent it.
+// noteNoTarget records that no target in role can be chosen, and for how long if only what targets state prevents it. A target
+// that was tried counts if it has stated for how long it refuses requests.
 func (j *job) noteNoTarget(role entity.Role) {
 	j.lack, j.limitWait = lackTarget, 0
 
 	for _, t := range j.candidates(role) {
-		if slices.Contains(j.tried, t.ID) || j.opts.Limits.Leaves(j.now(), t.ID) {
+		tried := slices.Contains(j.tried, t.ID) && !j.opts.Limits.Refuses(j.now(), t.ID)
+		if tried || j.opts.Limits.Leaves(j.now(), t.ID) {
 			continue
 		}
 
@@ -169,7 +171,7 @@
 
 // limitError returns the error for a request that the limits of all its targets hold back.
 func (j *job) limitError() *verdict.Error {
-	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the limits of the targets admit no further request now").
+	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the targets admit no further request now, as they state").
 		WithRetryAfter(max(j.limitWait, minLimitRetryAfter))
 }
 
