--- a/review/_harness/fleet.go
+++ b/review/_harness/fleet.go
@@ -27,9 +27,10 @@
 	memoryMB = 284
 
 	readyTimeout = 20 * time.Second
-	graceTime    = 8 * time.Second // grace_s of the small sites' sheets
 	// startMargin is the time after the hosts are ready in which they find each other.
 	startMargin = 2 * time.Second
+	// restartDelay is the time after which the platform starts a process again.
+	restartDelay = 500 * time.Millisecond
 )
 
 // record is the file record.txt of a case.
@@ -85,6 +86,8 @@
 	name               string
 	front, ready, peer string // addresses
 	settings, log      string // files
+	seed               string // address of the first host for its peers
+	ownPort            int
 
 	mu       sync.Mutex
 	cmd      *exec.Cmd
@@ -142,7 +145,8 @@
 			settings: filepath.Join(dir, fmt.Sprintf("local-%d.toml", i+1)), log: filepath.Join(dir, fmt.Sprintf("log-%d", i+1)),
 		}
 
-		if err := os.WriteFile(h.settings, []byte(h.settingsText(at(ports[2]), p[3])), 0o600); err != nil {
+		h.seed, h.ownPort = at(ports[2]), p[3]
+		if err := h.writeSettings("2000"); err != nil {
 			return f, err
 		}
 
@@ -152,10 +156,10 @@
 	return f, nil
 }
 
-// settingsText returns the settings file of h, with the bounds of the small sites' sheets. The range of free ports has one port, which
-// serves the metrics.
-func (h *host) settingsText(seed string, ownPort int) string {
-	return fmt.Sprintf(`node = %q
+// writeSettings writes the settings file of h, with the bounds of the small sites' sheets but for drain_ms. The range of free ports has
+// one port, which serves the metrics.
+func (h *host) writeSettings(drainMS string) error {
+	content := fmt.Sprintf(`node = %q
 role = "entry"
 machine_class = "front"
 serves = ["front","control"]
@@ -193,7 +197,7 @@
 stability_window_ms = 3000
 ack_ms = 4000
 catch_up_s = 4
-drain_ms = 2000
+drain_ms = %s
 grace_s = 8
 loss_slack_ms = 200
 config_ms = 2000
@@ -216,7 +220,14 @@
 history_s = 20
 value_bytes = 1048576
 ttl_min_ms = 1000
-`, h.name, ownPort, ownPort, seed, h.front, h.ready, h.peer, memoryMB, h.fleet.store.Address())
+`, h.name, h.ownPort, h.ownPort, h.seed, h.front, h.ready, h.peer, memoryMB, drainMS, h.fleet.store.Address())
+
+	// The file is replaced as a whole.
+	if err := os.WriteFile(h.settings+".new", []byte(content), 0o600); err != nil {
+		return err
+	}
+
+	return os.Rename(h.settings+".new", h.settings)
 }
 
 // configure writes the manifest in the file into the store.
@@ -288,7 +299,7 @@
 	h.mu.Lock()
 	if !h.expected {
 		h.exits++
-		h.fleet.record.sayf("%s has ended by itself: %v", h.name, err)
+		h.fleet.record.notef("%s has ended by itself: %v", h.name, err)
 	}
 	h.mu.Unlock()
 
@@ -318,6 +329,29 @@
 	return h.cmd.Process.Pid
 }
 
+// supervise starts the process of h again after it has ended, until ctx ends, as the platform does.
+func (h *host) supervise(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.done():
+		}
+
+		sleep(ctx, restartDelay)
+
+		if ctx.Err() != nil {
+			return
+		}
+
+		if err := h.start(); err != nil {
+			h.fleet.record.sayf("%s was not started again: %v", h.name, err)
+
+			return
+		}
+	}
+}
+
 var errNotReady = errors.New("a host was not ready in time")
 
 func (h *host) waitReady() error {
--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -16,8 +16,9 @@
 // cases returns whether the rule of a case was broken, by the name of the case. Without trouble, a case does the same without the
 // disruption.
 var cases = map[string]func(r *record, dir string, trouble bool) (broken bool, err error){
-	"uploads": uploadCase,
-	"path":    pathCase,
+	"uploads":  uploadCase,
+	"path":     pathCase,
+	"settings": settingsCase,
 }
 
 func main() { os.Exit(runCase()) }
--- a/review/_harness/upload.go
+++ b/review/_harness/upload.go
@@ -17,13 +17,12 @@
 	uploadClients = 45 // at the usual load
 	// uploadRate is the uplink of one client in bytes per second. All clients of the burst together stay below the link of the
 	// machine, 1,000 Mbit/s, so that no packets wait there.
-	uploadRate   = 1_380_000
-	burstFactor  = 2 // largest dose of bursts in the site file
-	usualTime    = 6 * time.Second
-	burstTime    = 5 * time.Second // as long as such bursts last there
-	rampTime     = 2 * time.Second // in which the clients of a group begin
-	memoryPoll   = 5 * time.Millisecond
-	restartDelay = 500 * time.Millisecond
+	uploadRate  = 1_380_000
+	burstFactor = 2 // largest dose of bursts in the site file
+	usualTime   = 6 * time.Second
+	burstTime   = 5 * time.Second // as long as such bursts last there
+	rampTime    = 2 * time.Second // in which the clients of a group begin
+	memoryPoll  = 5 * time.Millisecond
 	// allowedLosses is the number of channels that may be closed without an answer (rule LOST).
 	allowedLosses = 3
 )
