Start with figures of the settings that are fractions

What callers saw: after a change of the settings file in which drain_ms became 2500.5, all was served. Once the processes were killed, none started again: each ended with exit status 1 at once, and every connection was refused. A restart of one host alone ends the same way.

Cause: five figures of the file (drain_ms, lease_ms, heartbeat_ms, memory_mb and the ports) were decoded into integers. The TOML decoder refuses a fraction there, even 2500.0, and with it the whole file. A reload keeps the present settings and logs that; a start has none.

The log of the reload has "TOML value has type float64; destination has type integer". The other figures were floats and were read, so the form of the number alone decides.

--- a/cmd/dotterelflow-front/main.go
+++ b/cmd/dotterelflow-front/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -48,11 +49,15 @@
 	path := c.String("settings")
 	loaded := modTime(path)
 
-	cfg, err := settings.Read(path)
-	if err != nil || c.Bool("check") {
+	cfg, unusable, err := settings.Read(path, settings.Defaults())
+	if err != nil {
 		return err
 	}
 
+	if c.Bool("check") {
+		return errors.Join(unusable...)
+	}
+
 	lines := logging.NewBoundedWriter(os.Stdout)
 	defer lines.Close()
 
@@ -60,6 +65,7 @@
 	log.DefaultLogger = *logger
 
 	logging.RedirectStandard(logger)
+	logUnusable(unusable, logger)
 
 	// A full channel takes no further signal, so a stop must not share one with reloads.
 	stops := make(chan os.Signal, 1)
@@ -113,14 +119,23 @@
 	return info.ModTime()
 }
 
-// reload applies the settings at path to h. If they cannot be read, the present settings stay in force.
+// reload applies the settings at path to h. If they cannot be read, the present ones stay in force, and so does the present value of
+// each figure that cannot be used.
 func reload(h *host.Host, path string, logger *log.Logger) {
-	cfg, err := settings.Read(path)
+	cfg, unusable, err := settings.Read(path, h.Settings())
 	if err != nil {
 		logger.Error().Err(err).Msg("cannot read the settings; the present ones stay in force")
 
 		return
 	}
 
+	logUnusable(unusable, logger)
 	h.Reload(cfg)
 }
+
+// logUnusable logs the figures of the settings file that cannot be used.
+func logUnusable(unusable []error, logger *log.Logger) {
+	for _, err := range unusable {
+		logger.Error().Err(err).Msg("a figure of the settings cannot be used")
+	}
+}
