Answer requests that outlast a planned stop instead of cutting them

What callers saw: in a calm planned stop, requests that were passed on to a replica and that it had not answered by the end of the grace period ended with a closed connection, unsafe ones among them.

Cause: Stop closed the connections of requests in progress at the end of its bound. Requests with a time limit beyond it are refused from 3 s into the stop on, but those that came before were served for as long as they last, since callers may not have noticed the stop yet. And one whose time limit ended just at the cut raced with it.

Change: 250 ms before the cut, the contexts of the requests end with a cause that says so. The relay answers 502 (503 if nothing was sent) with the code stopping, where it would take a cancelled context for a caller that has left, to whom it writes nothing. Time limits are compared with that moment. The cause wraps context.Canceled, so that no replica counts as lost for it. A stream that has begun is cut as before; its caller sees that it is not whole.

--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -114,7 +114,8 @@
 	Replaced    int            // number of times that another target replaced a silent one
 }
 
-// Serve serves r and returns when w has its final answer. ctx must end when the caller disconnects.
+// Serve serves r and returns when w has its final answer. ctx must end when the caller disconnects. If the host ends the request for
+// another reason, the cause of ctx must be a *verdict.Error, whose code the caller then gets.
 func (l *Relay) Serve(ctx context.Context, r *Request, w Reply) {
 	c := l.opts.Catalog()
 	if c == nil {
@@ -429,13 +430,18 @@
 	w.Refuse(err)
 }
 
-// endError returns an error with verdict ran if the deadline has passed or the caller has disconnected, else nil. The
+// endError returns an error with verdict ran if the deadline has passed, the caller has disconnected or the host stops, else nil. The
 // timer of ctx may fire before the clock reads the deadline.
 func (j *job) endError(ctx context.Context, ran verdict.Verdict) *verdict.Error {
 	switch {
 	case ctx.Err() == nil && j.remaining() > 0:
 		return nil
 	case errors.Is(ctx.Err(), context.Canceled) && j.remaining() > 0:
+		// The caller is still there if the cause says why this host ends the request.
+		if cause, ok := errors.AsType[*verdict.Error](context.Cause(ctx)); ok {
+			return verdict.New(ran, cause.Code, "%s", cause.Message)
+		}
+
 		return verdict.New(ran, verdict.CodeCallerGone, "the caller disconnected")
 	default:
 		return verdict.New(ran, verdict.CodeDeadline, "the deadline of the request has passed")
--- a/internal/entry/serving/server.go
+++ b/internal/entry/serving/server.go
@@ -4,6 +4,7 @@
 package serving
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
 // Error is the class of this package's errors.
@@ -29,6 +31,8 @@
 	stopNotice = 3 * time.Second
 	// stopMargin is the time before the bound of Stop at which the requests still in progress are cut.
 	stopMargin = 250 * time.Millisecond
+	// answerMargin is the time before that at which these requests are ended, so that the answers that say so reach their callers.
+	answerMargin = 250 * time.Millisecond
 	// stopPollInterval is the time between two looks of a stopping host for open connections.
 	stopPollInterval = 10 * time.Millisecond
 
@@ -66,6 +70,8 @@
 	stopping        atomic.Bool               // Stop was called
 	times           atomic.Pointer[stopTimes] // nil before Stop was called
 	failures        chan error                // has room for one error of each server
+	requests        context.Context           // parent of the contexts of callers' requests
+	endRequests     context.CancelCauseFunc   // ends them
 }
 
 // Start opens all listeners and serves them in the background. If one cannot be opened, it closes the others and
@@ -84,11 +90,14 @@
 	}
 
 	s := &Server{opts: opts, connections: newConnections(opts), callersDone: make(chan struct{}), failures: make(chan error, 3)}
+	s.requests, s.endRequests = context.WithCancelCause(context.Background())
 
 	s.Tick()
 
 	// The time limits are those of connections: net/http would hold an open connection to the limits that it began with.
-	s.callers = &http.Server{Handler: opts.Handler, MaxHeaderBytes: maxHeaderBytes, ConnState: onState}
+	s.callers = &http.Server{
+		Handler: opts.Handler, MaxHeaderBytes: maxHeaderBytes, ConnState: onState, BaseContext: func(net.Listener) context.Context { return s.requests },
+	}
 
 	if err := s.listenForCallers(); err != nil {
 		return nil, err
@@ -178,8 +187,11 @@
 // Closing reports whether Stop was called. Callers should then be asked to use other connections.
 func (s *Server) Closing() bool { return s.stopping.Load() }
 
-// stopTimes are the times at which a request is late for a host that stops, and at which requests are cut.
-type stopTimes struct{ lateFrom, cutAt time.Time }
+// errStopped is the cause with which the contexts of requests end that outlast a stop.
+var errStopped = verdict.New(verdict.MayHaveRun, verdict.CodeStopping, "the host stops").WithCause(context.Canceled)
+
+// stopTimes are the times at which a request is late for a host that stops, and at which requests are ended.
+type stopTimes struct{ lateFrom, endAt time.Time }
 
 // TimeLeft returns how long a request that has arrived now can be served, and false if it is served whatever its time
 // limit is.
@@ -189,7 +201,7 @@
 		return 0, false
 	}
 
-	return times.cutAt.Sub(now), true
+	return times.endAt.Sub(now), true
 }
 
 // serveReady answers a readiness check of the load balancer: 200 if the host is ready and not stopping, else 503.
@@ -204,12 +216,14 @@
 }
 
 // Stop makes the host not ready, serves callers until the load balancer has noticed that, but not for more than half of
-// bound, then waits for the requests that have begun to arrive and closes all servers. It takes at most bound. If requests
-// are still in progress near its end, it cuts them and returns an error.
+// bound, then waits for the requests that have begun to arrive and closes all servers. It takes at most bound. The contexts of requests
+// that are still in progress near its end are cancelled, with an error of code stopping as their cause, so that their handlers can answer.
+// Stop cuts those that do not end then, and returns an error.
 func (s *Server) Stop(bound time.Duration) error {
 	now := s.opts.Clock.Now()
 	deadline := now.Add(bound - stopMargin)
-	s.times.Store(&stopTimes{lateFrom: now.Add(stopNotice), cutAt: deadline})
+	endAt := deadline.Add(-answerMargin)
+	s.times.Store(&stopTimes{lateFrom: now.Add(stopNotice), endAt: endAt})
 	s.stopping.Store(true)
 
 	s.opts.Clock.Sleep(min(notReadyNotice, bound/2))
@@ -222,9 +236,9 @@
 	<-s.callersDone
 	s.connections.stop()
 
-	for s.connections.stats().Open > 0 && s.opts.Clock.Now().Before(deadline) {
-		s.opts.Clock.Sleep(stopPollInterval)
-	}
+	s.waitForCallers(endAt)
+	s.endRequests(errStopped)
+	s.waitForCallers(deadline)
 
 	cut := s.connections.requests()
 	s.close()
@@ -236,6 +250,13 @@
 	return nil
 }
 
+// waitForCallers waits until no caller has an open connection, but not beyond deadline.
+func (s *Server) waitForCallers(deadline time.Time) {
+	for s.connections.stats().Open > 0 && s.opts.Clock.Now().Before(deadline) {
+		s.opts.Clock.Sleep(stopPollInterval)
+	}
+}
+
 // close closes all servers and their connections at once.
 func (s *Server) close() {
 	for _, server := range append(s.internalServers, s.callers) {
