Answer requests of the own interface that outlast a planned stop

What callers saw: calls and streams that an engine was still answering at the end of the stop timeout ended with a closed connection.

Evidence: the new test stops a host for 2 s while an engine takes 9 s for three requests, one of them at most once. After: a problem document with the code stopping and the verdict may-have-run, for the stream an error event, and Stop returns no error.

--- a/internal/entry/host/stop_test.go
+++ b/internal/entry/host/stop_test.go
@@ -10,7 +10,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelflow/dotterelflow/internal/entry/host"
 	"github.com/dotterelflow/dotterelflow/internal/standin/engine"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
 // exchange writes text to a connection and returns the status of the next answer.
@@ -81,3 +83,44 @@
 
 	require.NoError(t, <-stopped)
 }
+
+// TestStopAnswersRequestsThatOutlastIt guards against requests in progress that are cut at the end of a stop without an answer.
+func TestStopAnswersRequestsThatOutlastIt(t *testing.T) {
+	d := newDeployment(t, 1, engine.Options{TokenTime: 30 * time.Millisecond})
+	d.tune = func(o *host.Options) { o.StopTimeout = 2 * time.Second }
+	h := d.addHost(t, "a")
+
+	type result struct {
+		out outcome
+		err error
+	}
+
+	calls := []call{
+		{kind: "note", prompt: "a crack", tokens: 300}, {kind: "note", prompt: "a damp wall", tokens: 300, stream: true},
+		{kind: "grade", prompt: "a loose tile", tokens: 300, key: newKey()},
+	}
+	results := make([]chan result, len(calls))
+
+	for i, c := range calls {
+		results[i] = make(chan result, 1)
+
+		go func() {
+			out, err := c.do(t.Context(), h)
+			results[i] <- result{out, err}
+		}()
+	}
+
+	require.Eventually(t, func() bool { return d.engines[0].OpenAnswers() == len(calls) }, settleTimeout, pollEvery)
+	require.NoError(t, h.Stop())
+
+	for i, c := range calls {
+		got := <-results[i]
+		require.NoError(t, got.err, "%+v", c)
+		require.False(t, got.out.whole, "%+v", c)
+
+		if !c.stream {
+			require.Equal(t, string(verdict.CodeStopping), string(got.out.problem.Code), "%+v", got.out)
+			require.Equal(t, verdict.MayHaveRun.String(), got.out.problem.Verdict.String(), "%+v", got.out)
+		}
+	}
+}
--- a/internal/entry/serving/http.go
+++ b/internal/entry/serving/http.go
@@ -31,7 +31,8 @@
 	connections *connections
 	server      *http.Server
 	stopping    atomic.Bool
-	done        chan struct{} // closed when Serve has ended
+	done        chan struct{}           // closed when Serve has ended
+	endRequests context.CancelCauseFunc // ends the contexts of requests
 }
 
 // NewHTTPServer returns an HTTPServer that Serve starts.
@@ -52,7 +53,12 @@
 
 	s.connections.limits = limits // they never change, so there is no change to log
 	s.connections.refresh()
-	s.server = &http.Server{Handler: http.HandlerFunc(s.handle), ConnState: onState}
+
+	requests, endRequests := context.WithCancelCause(context.Background())
+	s.endRequests = endRequests
+	s.server = &http.Server{
+		Handler: http.HandlerFunc(s.handle), ConnState: onState, BaseContext: func(net.Listener) context.Context { return requests },
+	}
 
 	return s
 }
@@ -79,7 +85,8 @@
 }
 
 // Stop closes the listener, serves the requests that have arrived or begun to arrive, and closes each connection after its
-// last one. If ctx ends before, it cuts the requests in progress and returns an error. Serve must have been called.
+// last one. Shortly before the deadline of ctx, if it has one, it ends the contexts of the requests in progress, with an error of code
+// stopping as their cause. If ctx ends before all have ended, it cuts the others and returns an error. Serve must have been called.
 func (s *HTTPServer) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
 
@@ -90,6 +97,11 @@
 	<-s.done
 	s.connections.stop()
 
+	if deadline, ok := ctx.Deadline(); ok {
+		ending := time.AfterFunc(time.Until(deadline)-answerMargin, func() { s.endRequests(errStopped) })
+		defer ending.Stop()
+	}
+
 	for s.connections.stats().Open > 0 && ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -343,12 +344,18 @@
 	}
 }
 
-// orCallerGone returns problem, or an Error of CodeCallerGone that wraps it if the caller has ended the call.
+// orCallerGone returns problem, or an Error that wraps it if the call was ended: of CodeCallerGone if the caller has ended it, or with
+// the code of the cause if this host has, and the caller is still there.
 func (s *Server) orCallerGone(ctx iris.Context, problem *verdict.Error) *verdict.Error {
-	if problem == nil || ctx.Request().Context().Err() == nil {
+	call := ctx.Request().Context()
+	if problem == nil || call.Err() == nil {
 		return problem
 	}
 
+	if cause, ok := errors.AsType[*verdict.Error](context.Cause(call)); ok {
+		return verdict.New(problem.Verdict, cause.Code, "%s", cause.Message).WithCause(problem)
+	}
+
 	return verdict.New(problem.Verdict, verdict.CodeCallerGone, "the caller went away").WithCause(problem)
 }
 
