Believe no refusal that may be an earlier one on its connection

What callers could see: "not run, try again" (503) for a request that a replica had run or was running, so that an unsafe request ran twice. Reported by another operator of such a system; it can happen here.

Cause: a replica that sends an earlier refusal once more on a kept connection, without a request id, was believed: its Not-Executed counted for the request that had been sent meanwhile. Answers with the id of another request were recognised before, but their connection stayed in the pool if the answer had no body, and the next request got nothing.

Ruled out as too strict: that replicas send refusals without an id as a rule.

Change: a refusal without an id counts only as the first answer on its connection; with an id, if it is that of the request. The connection is closed whatever the body, and takes no more writes.

Left: an earlier refusal of the same request at the same replica. Only requests that may run more than once return to a replica.

--- a/internal/wire/once/brief.go
+++ b/internal/wire/once/brief.go
@@ -34,7 +34,12 @@
 func (e briefError) Unwrap() error { return e.err }
 
 // briefBody is the body of an answer with brief errors.
-type briefBody struct{ io.ReadCloser }
+type briefBody struct {
+	io.ReadCloser
+
+	conn   *conn // nil if it is not known
+	reused bool  // the connection had carried another request before
+}
 
 func (b briefBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
--- a/internal/wire/once/conn.go
+++ b/internal/wire/once/conn.go
@@ -73,3 +73,12 @@
 
 	return unwritten
 }
+
+// abandon closes c, which then accepts no more writes.
+func (c *conn) abandon() {
+	c.mu.Lock()
+	c.sealed = true
+	c.mu.Unlock()
+
+	_ = c.Close()
+}
--- a/internal/wire/once/transport.go
+++ b/internal/wire/once/transport.go
@@ -103,7 +103,7 @@
 	}
 
 	if err == nil {
-		resp.Body = briefBody{resp.Body}
+		resp.Body = a.body(resp.Body)
 
 		return resp, nil
 	}
@@ -117,6 +117,29 @@
 	return nil, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "no answer").WithCause(Error.Wrap(err))
 }
 
+// IsEarlierAnswer reports whether resp, an answer that a Transport has returned to the request id, is or may be that to an earlier request
+// on the connection, which the target has sent late or once more. echo is the request id in resp, or "". refusal states that resp says that
+// the request has not run: one without an id counts only as the first answer on its connection.
+func IsEarlierAnswer(resp *http.Response, id, echo string, refusal bool) bool {
+	if echo != "" || !refusal {
+		return echo != "" && echo != id
+	}
+
+	b, ok := resp.Body.(briefBody)
+
+	return !ok || b.reused
+}
+
+// CloseConnection closes the connection of resp, an answer that a Transport has returned and that may not be the one to its request, so
+// that no later request gets the answer of another one. Closing the body alone keeps the connection if the body is empty.
+func CloseConnection(resp *http.Response) {
+	_ = resp.Body.Close() // nothing of it is used
+
+	if b, ok := resp.Body.(briefBody); ok && b.conn != nil {
+		b.conn.abandon()
+	}
+}
+
 // disableReplay changes r so that http.Transport cannot send it again on another connection. The transport resends
 // a request whose body it can rewind or that has none, so r gets a body that hides both. The caller must own r.
 func disableReplay(r *http.Request) *http.Request {
@@ -138,6 +161,7 @@
 	mu           sync.Mutex
 	conn         *conn
 	writesBefore uint64 // writes on conn before this request
+	reused       bool   // the request may not be the first one on conn
 	unsealable   bool   // there was more than one connection, or one that is not a *conn
 }
 
@@ -146,6 +170,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
+	a.reused = a.reused || info.Reused
+
 	c, ok := info.Conn.(*conn)
 	if !ok || a.conn != nil {
 		a.unsealable = true
@@ -161,6 +187,14 @@
 	}
 }
 
+// body returns the body of the answer to the request.
+func (a *attempt) body(b io.ReadCloser) briefBody {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return briefBody{b, a.conn, a.reused}
+}
+
 // seal reports whether certainly nothing of the request was written. If so, nothing of it can be written later.
 func (a *attempt) seal() bool {
 	a.mu.Lock()
