Send a request on another connection if the one given was abandoned

What callers could see: 502 or a needless second try for a request that follows an answer which belonged to another one.

A connection whose close takes effect 0.5 s late makes it certain: the new test failed before with the same error.

Change: a Transport sends such a request, of which nothing was written, on another connection, three times at most. After: the new test passes, and the tests of earlier refusals 30 times with the race detector.

--- a/internal/wire/once/conn.go
+++ b/internal/wire/once/conn.go
@@ -14,6 +14,7 @@
 	mu         sync.Mutex
 	writeCount uint64 // writes begun
 	sealed     bool
+	abandoned  bool // abandon was called
 }
 
 // sealableDial returns a dial function that wraps the connections of dial in conns.
@@ -77,8 +78,16 @@
 // abandon closes c, which then accepts no more writes.
 func (c *conn) abandon() {
 	c.mu.Lock()
-	c.sealed = true
+	c.sealed, c.abandoned = true, true
 	c.mu.Unlock()
 
 	_ = c.Close()
 }
+
+// isAbandoned reports whether abandon was called.
+func (c *conn) isAbandoned() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.abandoned
+}
--- a/internal/wire/once/transport.go
+++ b/internal/wire/once/transport.go
@@ -24,6 +24,7 @@
 	defaultIdleConns   = 64
 	keepAlivePeriod    = 15 * time.Second
 	maxHeaderBytes     = 64 << 10
+	maxAbandoned       = 3 // abandoned connections that one request is given before its error is returned
 )
 
 // Options configures a Transport. The zero value selects the defaults.
@@ -90,8 +91,35 @@
 	t.base.CloseIdleConnections()
 }
 
-// RoundTrip sends r at most once. It never calls r.GetBody.
+// RoundTrip sends r at most once. It calls r.GetBody only if nothing of r was sent, because the connection had been closed by
+// CloseConnection: http.Transport may hand it out for a moment after that.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	for range maxAbandoned {
+		resp, unsent, err := t.try(r)
+		if !unsent || r.Context().Err() != nil {
+			return resp, err
+		}
+
+		if r.GetBody != nil {
+			body, bodyErr := r.GetBody()
+			if bodyErr != nil {
+				return nil, err
+			}
+
+			r = r.WithContext(r.Context()) // the caller's request must not change
+			r.Body = body
+		} else if r.Body != nil && r.Body != http.NoBody {
+			return nil, err
+		}
+	}
+
+	resp, _, err := t.try(r)
+
+	return resp, err
+}
+
+// try sends r at most once. unsent reports that nothing of r was sent since its connection was abandoned.
+func (t *Transport) try(r *http.Request) (_ *http.Response, unsent bool, _ error) {
 	a := &attempt{bodyBytes: r.ContentLength}
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: a.gotConn})
 
@@ -99,22 +127,22 @@
 	if err == nil && resp.StatusCode < http.StatusOK {
 		_ = resp.Body.Close() // closes the connection
 
-		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "answer with status %d", resp.StatusCode)
+		return nil, false, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "answer with status %d", resp.StatusCode)
 	}
 
 	if err == nil {
 		resp.Body = a.body(resp.Body)
 
-		return resp, nil
+		return resp, false, nil
 	}
 
 	err = Brief(err)
 
 	if a.seal() {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeTargetLost, "request not sent").WithCause(Error.Wrap(err))
+		return nil, a.isAbandoned(), verdict.New(verdict.NotRun, verdict.CodeTargetLost, "request not sent").WithCause(Error.Wrap(err))
 	}
 
-	return nil, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "no answer").WithCause(Error.Wrap(err))
+	return nil, false, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "no answer").WithCause(Error.Wrap(err))
 }
 
 // IsEarlierAnswer reports whether resp, an answer that a Transport has returned to the request id, is or may be that to an earlier request
@@ -194,6 +222,14 @@
 	return briefBody{b, a.conn, a.reused}
 }
 
+// isAbandoned reports whether the connection of the request was abandoned.
+func (a *attempt) isAbandoned() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.conn != nil && a.conn.isAbandoned()
+}
+
 // seal reports whether certainly nothing of the request was written. If so, nothing of it can be written later.
 func (a *attempt) seal() bool {
 	a.mu.Lock()
