--- a/internal/wire/engine/earlier_test.go
+++ b/internal/wire/engine/earlier_test.go
@@ -1,17 +1,14 @@
 package engine_test
 
 import (
-	"bufio"
 	"context"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/standin/rawserver"
 	"github.com/dotterelflow/dotterelflow/internal/wire/engine"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
@@ -33,40 +30,17 @@
 		"id of the request": {refusal + "X-Request-Id: r-1\r\n\r\n", verdict.NotRun},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			server, err := rawserver.ServeInTurn(refusal+"\r\n", tt.second)
 			require.NoError(t, err)
 
-			defer func() { _ = l.Close() }()
-
-			go func() {
-				conn, err := l.Accept()
-				if err != nil {
-					return
-				}
-
-				defer func() { _ = conn.Close() }()
-
-				r := bufio.NewReader(conn)
-
-				for _, answer := range []string{refusal + "\r\n", tt.second} {
-					q, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-
-					_, _ = io.Copy(io.Discard, q.Body)
-					_, _ = io.WriteString(conn, answer)
-				}
-
-				_, _ = io.Copy(io.Discard, r) // until the client closes the connection
-			}()
+			defer func() { _ = server.Close() }()
 
 			ctx, cancel := context.WithTimeout(t.Context(), timeout)
 			defer cancel()
 
 			c := engine.NewClient(engine.Options{})
 			send := func() error {
-				target := entity.Target{ID: "engine-1", Address: l.Addr().String()}
+				target := entity.Target{ID: "engine-1", Address: server.Address()}
 
 				return c.Stream(ctx, target, engine.Request{ID: "r-1", Path: "/v1/completions", Body: []byte("{}")}, func(engine.Event) error { return nil })
 			}
--- a/internal/wire/service/earlier_test.go
+++ b/internal/wire/service/earlier_test.go
@@ -1,16 +1,13 @@
 package service_test
 
 import (
-	"bufio"
 	"context"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/standin/rawserver"
 	"github.com/dotterelflow/dotterelflow/internal/wire/service"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
@@ -31,40 +28,17 @@
 		"success without an id": {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nheld", verdict.Ran},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			server, err := rawserver.ServeInTurn("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nheld", tt.second)
 			require.NoError(t, err)
 
-			defer func() { _ = l.Close() }()
-
-			go func() {
-				conn, err := l.Accept()
-				if err != nil {
-					return
-				}
-
-				defer func() { _ = conn.Close() }()
-
-				r := bufio.NewReader(conn)
-
-				for _, answer := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nheld", tt.second} {
-					q, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-
-					_, _ = io.Copy(io.Discard, q.Body)
-					_, _ = io.WriteString(conn, answer)
-				}
-
-				_, _ = io.Copy(io.Discard, r) // until the client closes the connection
-			}()
+			defer func() { _ = server.Close() }()
 
 			ctx, cancel := context.WithTimeout(t.Context(), longTimeout)
 			defer cancel()
 
 			c := service.NewClient(service.Options{})
 			send := func() error {
-				_, err := c.Call(ctx, entity.Target{ID: "service-1", Address: l.Addr().String()}, service.Request{ID: "r-1", Path: "/hold"})
+				_, err := c.Call(ctx, entity.Target{ID: "service-1", Address: server.Address()}, service.Request{ID: "r-1", Path: "/hold"})
 
 				return err
 			}
