Agree on the interfaces of the parts for hard load

Two deployments have client accounts, usage reports, replicas ordered by need and targets of unequal speed.

The holder of the lease for orders gets all duties of one holder: Controller.Term and Controller.BeginCall let other parts make calls under it, after the time between two holders, and keep it until they are answered.

--- /dev/null
+++ b/internal/control/duties/duties.go
@@ -0,0 +1,38 @@
+// Package duties describes the calls to the platform that one host makes at a time: usage reports and orders of replicas.
+//
+// The host that holds the lease for orders to replicas has these duties too, so that each has one holder and one fencing number.
+package duties
+
+import "github.com/dotterelflow/dotterelflow/internal/control/entity"
+
+// Term is the time for which a host holds the lease under one fencing number. The zero value is no term.
+type Term struct {
+	Holder entity.HostID
+	Fence  entity.Fence
+}
+
+// Kind is the kind of a duty.
+type Kind uint8
+
+const (
+	// UsageReport is the report of the requests of each account, sent once for each window.
+	UsageReport Kind = iota
+	// ReplicaOrder is the order of a number of replicas of one service in one data centre.
+	ReplicaOrder
+)
+
+// Result is the platform's reply to a call.
+type Result uint8
+
+const (
+	// Accepted means that the call has taken effect.
+	Accepted Result = iota
+	// Fenced means that the call has no effect because a later holder has made calls.
+	Fenced
+	// Unavailable means that there are no replicas of the ordered kind at the moment.
+	Unavailable
+	// Throttled means that the call has no effect because of the rate of all calls.
+	Throttled
+	// Failed means that the call has no effect for another reason.
+	Failed
+)
--- a/internal/control/fleet/view.go
+++ b/internal/control/fleet/view.go
@@ -22,6 +22,8 @@
 	Leaving    bool
 	Role       entity.Role // role of a model replica
 	Version    entity.SoftwareVersion
+	// Reclaimable is set for a replica that the platform may take back at any time, after a notice that it leaves.
+	Reclaimable bool
 }
 
 const (
--- a/internal/entry/rolecontrol/controller.go
+++ b/internal/entry/rolecontrol/controller.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,7 @@
 
 	"github.com/dotterelflow/dotterelflow/internal/control/authority"
 	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
+	"github.com/dotterelflow/dotterelflow/internal/control/duties"
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
@@ -93,12 +95,13 @@
 	opts          Options
 	lease         *authority.Runner
 	stopping      atomic.Bool
-	orderInFlight atomic.Bool // an order may be in flight
+	callsInFlight atomic.Int64                // orders and calls of duties that may be in flight
+	term          atomic.Pointer[duties.Term] // result of Term, while the lease is held
 	done          chan struct{}
 
 	fence     entity.Fence // fencing number of the last lease that this host held
 	heldSince time.Time    // when step first found that lease held
-	fenced    bool         // a later holder has sent orders
+	fenced    bool         // a later holder has sent orders to a replica
 	splits    map[entity.ServiceName]*rolesplit.Controller
 
 	changing  []entity.TargetID                 // replicas that are carrying out orders; collected during a step
@@ -137,7 +140,7 @@
 
 // AuthorityInput implements authority.Environment.
 func (c *Controller) AuthorityInput() authority.Tick {
-	return authority.Tick{Standby: c.opts.Standby(), NoOrdersInFlight: !c.orderInFlight.Load(), Stopping: c.stopping.Load()}
+	return authority.Tick{Standby: c.opts.Standby(), NoOrdersInFlight: c.callsInFlight.Load() == 0, Stopping: c.stopping.Load()}
 }
 
 func (c *Controller) run(ctx context.Context) {
@@ -154,12 +157,14 @@
 	fence, held := c.lease.Held(now)
 	if !held || c.stopping.Load() {
 		c.publish(nil)
+		c.term.Store(nil)
 
 		return
 	}
 
 	if fence != c.fence {
 		c.fence, c.heldSince, c.fenced = fence, now, false
+		c.term.Store(nil)
 		clear(c.splits)
 		c.opts.Log.Info().Uint64("fence", uint64(fence)).Msg("holds the lease for orders")
 	}
@@ -169,6 +174,7 @@
 		return
 	}
 
+	c.term.Store(&duties.Term{Holder: c.opts.Host, Fence: fence})
 	c.changing = nil
 
 	for _, s := range c.opts.Catalog().Services() {
@@ -190,6 +196,38 @@
 	c.published.Store(&changing)
 }
 
+// Term returns the term in which this host has the duties of the holder, as far as it may make calls now. It reports false if this
+// host does not hold the lease, has taken it from another one too recently, or stops.
+func (c *Controller) Term() (duties.Term, bool) {
+	if c == nil || c.stopping.Load() {
+		return duties.Term{}, false
+	}
+
+	t := c.term.Load()
+	if t == nil {
+		return duties.Term{}, false
+	}
+
+	fence, held := c.lease.Held(c.opts.LeaseClock.Now())
+
+	return *t, held && fence == t.Fence
+}
+
+// BeginCall reports whether a call of a duty may be sent now in term t. Call it right before the send, and call end once the call has
+// been answered or given up: the lease is not released before.
+func (c *Controller) BeginCall(t duties.Term) (end func(), ok bool) {
+	c.callsInFlight.Add(1)
+	end = sync.OnceFunc(func() { c.callsInFlight.Add(-1) })
+
+	if now, held := c.Term(); !held || now != t {
+		end()
+
+		return nil, false
+	}
+
+	return end, true
+}
+
 // Changing returns the replicas that are carrying out this host's orders, and none if it does not hold the
 // lease.
 func (c *Controller) Changing() []entity.TargetID {
@@ -272,8 +310,8 @@
 		return
 	}
 
-	c.orderInFlight.Store(true)
-	defer c.orderInFlight.Store(false)
+	c.callsInFlight.Add(1)
+	defer c.callsInFlight.Add(-1)
 
 	if f, held := c.lease.Held(c.opts.LeaseClock.Now()); !held || f != c.fence || c.fenced {
 		split.Withdraw(c.opts.Clock.Now(), o)
