Serve requests for the account of their key

The configuration decodes accounts. relay.Serve finds the account of a request by its key once; targets and hosts that serve for this one get the name and the urgency, never the key. Without a key that is in force the answer is 401. Configurations without accounts are as before.

The tests of catalog, relay, forwarding and platform/host pass; those of accounts fail without the check.

--- a/internal/control/catalog/catalog.go
+++ b/internal/control/catalog/catalog.go
@@ -47,7 +47,8 @@
 	Gap        time.Duration // target for the longest pause between two events of a stream
 	Rank       int           // urgency of the requests; zero is the most urgent
 	Shares     []Share
-	MaxTargets int // maximum number of targets that one request may run on, at least 1
+	MaxTargets int  // maximum number of targets that one request may run on, at least 1
+	Public     bool // requests need no account, also if the configuration has accounts
 }
 
 // Engine describes the model replicas of a service.
@@ -64,8 +65,9 @@
 type Service struct {
 	Name           entity.ServiceName
 	HealthPath     string
-	MaxConnections int     // maximum number of connections to one replica, from all clients together; zero sets no bound
-	Engine         *Engine // nil for a plain service
+	MaxConnections int      // maximum number of connections to one replica, from all clients together; zero sets no bound
+	Engine         *Engine  // nil for a plain service
+	Scaling        *Scaling // nil if the number of replicas is not this system's to order
 }
 
 // Limits bound the requests of callers. A zero field sets no bound.
@@ -83,18 +85,22 @@
 	services map[entity.ServiceName]Service
 	routes   map[string][]Route // routes by host, the longest prefix first
 	lives    map[entity.ServiceName]time.Duration
+	accounts []Account
+	byKey    map[keyHash]int // positions in accounts
 }
 
 // DefaultTimeout is the timeout of a request if neither its caller nor its route sets one.
 const DefaultTimeout = 30 * time.Second
 
-// Build returns a Catalog of routes and services, which must not be modified afterwards.
-func Build(v Version, limits Limits, routes []Route, services []Service) *Catalog {
+// Build returns a Catalog of routes, services and accounts, which must not be modified afterwards.
+func Build(v Version, limits Limits, routes []Route, services []Service, accounts ...Account) *Catalog {
 	c := &Catalog{
 		Version: v, Limits: limits,
 		services: make(map[entity.ServiceName]Service, len(services)),
 		routes:   make(map[string][]Route),
 		lives:    make(map[entity.ServiceName]time.Duration),
+		accounts: accounts,
+		byKey:    indexKeys(accounts),
 	}
 
 	for _, s := range services {
--- a/internal/entry/forwarding/encode.go
+++ b/internal/entry/forwarding/encode.go
@@ -49,6 +49,7 @@
 		RequestId: string(r.ID), Method: r.Method, Uri: r.URI, Host: r.Host, Path: r.Path, Header: fieldsOf(r.Header), Body: r.Body,
 		TimeoutUs: r.Timeout.Microseconds(), Prompt: int64(r.Prompt), Output: int64(r.Output), LastEventId: r.LastEventID, Resumes: string(r.Resumes),
 		Configuration: uint64(h.Configuration), Counted: h.Counted, Prefilled: h.Prefilled,
+		Account: string(h.Account), Rank: uint32(max(h.Rank, 0)),
 	}
 
 	for _, part := range r.Parts {
@@ -70,6 +71,7 @@
 
 	h := &relay.Handover{
 		Configuration: catalog.Version(m.GetConfiguration()), Counted: m.GetCounted(), Prefilled: m.GetPrefilled(),
+		Account: entity.AccountID(m.GetAccount()), Rank: int(m.GetRank()),
 	}
 	for _, id := range m.GetAvoid() {
 		h.Avoid = append(h.Avoid, entity.TargetID(id))
--- /dev/null
+++ b/internal/entry/relay/account_test.go
@@ -0,0 +1,96 @@
+package relay_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
+	"github.com/dotterelflow/dotterelflow/internal/entry/relay"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+var testAccounts = []catalog.Account{
+	{ID: "desk", Keys: []string{"desk-key"}, Rank: 1, HasRank: true},
+	{ID: "branch", Keys: []string{"branch-key"}},
+}
+
+var succeeds runFunc = func(_ int, _ context.Context, s relay.Send) (*relay.Answer, error) { return streamFrom(s), nil }
+
+func TestRequestIsServedForTheAccountOfItsKey(t *testing.T) {
+	for _, route := range []catalog.Route{atMostOnce, repeatable, resumable, plainStream} {
+		route.Rank = 3
+
+		for key, want := range map[string]relay.Send{"desk-key": {Account: "desk", Rank: 1}, "branch-key": {Account: "branch", Rank: 3}} {
+			fx := newFixture(t, route, 3, testAccounts...)
+			fx.targets.run = succeeds
+
+			out := &replyRecorder{}
+			r := request()
+			r.Key = key
+			fx.relay.Serve(t.Context(), r, out)
+
+			require.Nil(t, out.refused)
+
+			for _, s := range append(fx.targets.runs, fx.targets.prefills...) {
+				require.Equal(t, want.Account, s.Account)
+				require.Equal(t, want.Rank, s.Rank)
+			}
+
+			require.Empty(t, fx.log.lines(key))
+		}
+	}
+}
+
+func TestRequestWithoutAKnownKeyReachesNoTarget(t *testing.T) {
+	for _, key := range []string{"", "other", "desk"} {
+		fx := newFixture(t, repeatable, 3, testAccounts...)
+
+		out := &replyRecorder{}
+		r := request()
+		r.Key = key
+		fx.relay.Serve(t.Context(), r, out)
+
+		require.Equal(t, verdict.CodeUnauthorized, out.refused.Code)
+		require.Equal(t, verdict.NotRun, out.refused.Verdict)
+		require.Empty(t, fx.targets.runs)
+	}
+}
+
+func TestPublicRouteNeedsNoKey(t *testing.T) {
+	route := repeatable
+	route.Public = true
+
+	fx := newFixture(t, route, 3, testAccounts...)
+	fx.targets.run = succeeds
+
+	require.Nil(t, fx.serve(t.Context(), t).refused)
+	require.Empty(t, fx.targets.runs[0].Account)
+}
+
+// TestForwardedRequestKeepsItsAccount guards against a host that looks the key up again, which it does not get, or that takes the
+// rank of the route.
+func TestForwardedRequestKeepsItsAccount(t *testing.T) {
+	fx := newFixture(t, repeatable, 3, testAccounts...)
+	fx.cutOff("plain")
+
+	out := &replyRecorder{}
+	r := request()
+	r.Key = "desk-key"
+	fx.relay.Serve(t.Context(), r, out)
+	require.Equal(t, "other", out.body.String())
+
+	h := fx.forwarder.handed[0]
+	require.Equal(t, "desk", string(h.Account))
+	require.Equal(t, 1, h.Rank)
+
+	fx = newFixture(t, repeatable, 3, testAccounts...)
+	fx.targets.run = succeeds
+
+	r = request()
+	r.Handover = &h
+	fx.relay.Serve(t.Context(), r, &replyRecorder{})
+	require.Equal(t, "desk", string(fx.targets.runs[0].Account))
+	require.Equal(t, 1, fx.targets.runs[0].Rank)
+}
--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -165,7 +165,7 @@
 	}
 
 	r := callResult{}
-	r.answer, r.err = j.opts.Targets.Run(runCtx, j.r, Send{Target: target, Rank: j.route.Rank, Timeout: remaining})
+	r.answer, r.err = j.opts.Targets.Run(runCtx, j.r, Send{Target: target, Rank: j.account.RankOn(j.route), Account: j.account.ID, Timeout: remaining})
 
 	if r.err == nil {
 		r.body, r.err = j.readAnswer(r.answer)
--- a/internal/entry/relay/fakes_test.go
+++ b/internal/entry/relay/fakes_test.go
@@ -280,7 +280,7 @@
 
 // newFixture returns a relay with route and a retry budget of slack repeats. Its fleet has two prefill replicas, four
 // decode replicas and two replicas of a plain service.
-func newFixture(t testing.TB, route catalog.Route, slack float64) *fixture {
+func newFixture(t testing.TB, route catalog.Route, slack float64, accounts ...catalog.Account) *fixture {
 	t.Helper()
 
 	route.Host, route.Prefix = "host", "/p/"
@@ -293,7 +293,7 @@
 	route.Shares = []catalog.Share{{Service: service, Weight: 1}}
 	c := catalog.Build(1, catalog.Limits{}, []catalog.Route{route}, []catalog.Service{
 		{Name: "plain"}, {Name: "model", Engine: &catalog.Engine{KVCapacity: 100_000}},
-	})
+	}, accounts...)
 	fx := &fixture{targets: &fakeTargets{}, board: placing.New(), crashers: crashtracker.New(), panics: metrics.NewCounter(), limits: targetlimits.New(targetlimits.Options{}), reach: reach.New(nil), forwarder: &fakeForwarder{}}
 	fx.fleet = []fleet.Target{
 		{ID: "d1", Service: "model", Role: entity.Decode, Slots: 4}, {ID: "d2", Service: "model", Role: entity.Decode, Slots: 4},
--- a/internal/entry/relay/forward.go
+++ b/internal/entry/relay/forward.go
@@ -41,6 +41,7 @@
 
 	j.forwarded = j.opts.Forwarder.Forward(ctx, j.service.Name, &r, Handover{
 		Configuration: j.version, Avoid: append(slices.Clone(j.opts.Fleet().Leaving()), j.opts.Limits.Leaving(j.now())...), Counted: j.counted, Prefilled: j.prefilled,
+		Account: j.account.ID, Rank: j.account.RankOn(j.route),
 	}, &forwardedReply{w, ctx, j})
 
 	return j.forwarded
--- a/internal/entry/relay/prefill.go
+++ b/internal/entry/relay/prefill.go
@@ -119,7 +119,7 @@
 	}
 
 	handle, answer, err := j.opts.Targets.Prefill(runCtx, j.r, Send{
-		Target: target, Rank: j.rank(), Timeout: j.deadline.Sub(sentAt), LastEventID: p.lastEventID,
+		Target: target, Rank: j.rank(), Account: j.account.ID, Timeout: j.deadline.Sub(sentAt), LastEventID: p.lastEventID,
 	})
 	next, endedRun := silence.stop(err != nil)
 
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -137,7 +137,15 @@
 		return
 	}
 
+	account, ok := accountOf(c, route, r)
+	if !ok {
+		l.refuseUnrouted(r, w, verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "the request names no account by a key that is in force"))
+
+		return
+	}
+
 	j := l.newJob(r, route, c)
+	j.account = account
 	defer j.releaseBuffers()
 
 	// The deadline is relative to the arrival, on the monotonic clock.
@@ -174,6 +182,19 @@
 	}
 }
 
+// accountOf returns the account of r, found by its key unless another host has done so. It reports false if r needs an account and
+// names none. The account is zero if r needs none.
+func accountOf(c *catalog.Catalog, route catalog.Route, r *Request) (catalog.Account, bool) {
+	switch {
+	case !c.HasAccounts() || route.Public:
+		return catalog.Account{}, true
+	case r.Handover != nil && r.Handover.Account != "":
+		return catalog.Account{ID: r.Handover.Account, Rank: r.Handover.Rank, HasRank: true}, true
+	}
+
+	return c.AccountOf(r.Key)
+}
+
 // job is the state of one request while it is served. Only one goroutine uses it at a time: the one that serves the
 // request, or that of a watch.
 type job struct {
@@ -181,6 +202,7 @@
 	r           *Request
 	route       catalog.Route
 	service     catalog.Service
+	account     catalog.Account // zero if the request needs none
 	deadline    time.Time
 	version     catalog.Version
 	at          streamVersion
--- a/internal/entry/relay/request.go
+++ b/internal/entry/relay/request.go
@@ -36,6 +36,8 @@
 	// Resumes is the id of the request that brought the first event of the stream that this one takes up; empty if it takes
 	// none up or the caller does not say so.
 	Resumes entity.RequestID
+	// Key is the key of the caller's account. It is never passed on, logged or counted.
+	Key string
 	// Handover is set if another host has sent the request to this one; nil for a request of a caller of this host.
 	Handover *Handover
 }
@@ -47,15 +49,18 @@
 	Avoid         []entity.TargetID // targets that the other host knows to be leaving
 	Counted       bool              // the other host has counted the request towards the retry budget
 	Prefilled     bool              // a replica has prefilled the prompt for the other host
+	Account       entity.AccountID  // account of the request, which the other host has found by its key; empty for none
+	Rank          int               // urgency of the request
 }
 
 // Send describes one send of a request to a target.
 type Send struct {
 	Target      fleet.Target
-	Rank        int           // urgency of the route; zero is the most urgent
-	Timeout     time.Duration // time left until the request's deadline
-	LastEventID string        // id of the last event of this answer that the caller has; empty for none
-	KVCache     *KVHandle     // KV cache of the prompt; nil if the target has to prefill the prompt itself
+	Rank        int              // urgency of the request; zero is the most urgent
+	Account     entity.AccountID // account of the request; empty for none
+	Timeout     time.Duration    // time left until the request's deadline
+	LastEventID string           // id of the last event of this answer that the caller has; empty for none
+	KVCache     *KVHandle        // KV cache of the prompt; nil if the target has to prefill the prompt itself
 }
 
 // KVHandle names the KV cache of a prompt, which Target keeps until another replica fetches it.
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -228,7 +228,7 @@
 	}
 
 	answer, err := j.opts.Targets.Run(runCtx, j.r, Send{
-		Target: target, Rank: j.rank(), Timeout: j.remaining(), LastEventID: p.lastEventID, KVCache: s.handle,
+		Target: target, Rank: j.rank(), Account: j.account.ID, Timeout: j.remaining(), LastEventID: p.lastEventID, KVCache: s.handle,
 	})
 	if err != nil {
 		next, endedRun := silence.stop(true)
--- a/internal/entry/relay/version.go
+++ b/internal/entry/relay/version.go
@@ -32,7 +32,7 @@
 		return 0
 	}
 
-	return j.route.Rank
+	return j.account.RankOn(j.route)
 }
 
 // takeUp sets the version of a stream that the request takes up to that at which it began. An error means that the
