--- a/internal/entry/relay/account_test.go
+++ b/internal/entry/relay/account_test.go
@@ -94,3 +94,23 @@
 	require.Equal(t, "desk", string(fx.targets.runs[0].Account))
 	require.Equal(t, 1, fx.targets.runs[0].Rank)
 }
+
+// TestNoKeyCountsWhileKeysMayBeOutdated guards against a host that is cut off and goes on to serve a key that was taken away.
+func TestNoKeyCountsWhileKeysMayBeOutdated(t *testing.T) {
+	fx := newFixture(t, repeatable, 3, testAccounts...)
+	fx.targets.run = succeeds
+	fx.keysStale.Store(true)
+
+	out := &replyRecorder{}
+	r := request()
+	r.Key = "desk-key"
+	fx.relay.Serve(t.Context(), r, out)
+	require.Equal(t, verdict.CodeNotReady, out.refused.Code)
+	require.Equal(t, verdict.NotRun, out.refused.Verdict)
+
+	fx.keysStale.Store(false)
+
+	out = &replyRecorder{}
+	fx.relay.Serve(t.Context(), r, out)
+	require.Nil(t, out.refused)
+}
--- a/internal/entry/relay/fakes_test.go
+++ b/internal/entry/relay/fakes_test.go
@@ -240,6 +240,7 @@
 	targets   *fakeTargets
 	board     *placing.Board
 	crashers  *crashtracker.Table
+	keysStale atomic.Bool  // result of relay.Options.KeysStale
 	clockLag  atomic.Int64 // by how many nanoseconds the relay's clock is slow
 	fleet     []fleet.Target
 	mu        sync.Mutex
@@ -312,6 +313,7 @@
 		Retries:     fx.retries,
 		Limits:      fx.limits,
 		Reach:       fx.reach,
+		KeysStale:   fx.keysStale.Load,
 		Forwarder:   fx.forwarder,
 	})
 
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -61,7 +61,10 @@
 	Forwarder    Forwarder           // serves requests through other hosts; nil means that there are none
 	Origins      Origins             // versions of streams; nil means that streams are taken up only while there is one version
 	Targets      Targets
-	Observe      func(Outcome) // called once a request has ended; nil means no call
+	// KeysStale reports whether the keys in force may have been taken away longer ago than allowed, so that this host serves no
+	// request that needs one; nil means never.
+	KeysStale func() bool
+	Observe   func(Outcome) // called once a request has ended; nil means no call
 	// BufferBytes bounds the memory of the answers and events that are buffered at the same time, beyond buffers.FreeBytes each.
 	// Zero means 64 MiB.
 	BufferBytes int
@@ -96,6 +99,10 @@
 		opts.TargetsAge = func() time.Duration { return -1 }
 	}
 
+	if opts.KeysStale == nil {
+		opts.KeysStale = func() bool { return false }
+	}
+
 	if opts.Observe == nil {
 		opts.Observe = func(Outcome) {}
 	}
@@ -137,9 +144,9 @@
 		return
 	}
 
-	account, ok := accountOf(c, route, r)
-	if !ok {
-		l.refuseUnrouted(r, w, verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "the request names no account by a key that is in force"))
+	account, err := l.accountOf(c, route, r)
+	if err != nil {
+		l.refuseUnrouted(r, w, err)
 
 		return
 	}
@@ -182,17 +189,25 @@
 	}
 }
 
-// accountOf returns the account of r, found by its key unless another host has done so. It reports false if r needs an account and
-// names none. The account is zero if r needs none.
-func accountOf(c *catalog.Catalog, route catalog.Route, r *Request) (catalog.Account, bool) {
+// accountOf returns the account of r, found by its key unless another host has done so. It fails if r needs an account and names
+// none. The account is zero if r needs none.
+func (l *Relay) accountOf(c *catalog.Catalog, route catalog.Route, r *Request) (catalog.Account, *verdict.Error) {
 	switch {
 	case !c.HasAccounts() || route.Public:
-		return catalog.Account{}, true
+		return catalog.Account{}, nil
 	case r.Handover != nil && r.Handover.Account != "":
-		return catalog.Account{ID: r.Handover.Account, Rank: r.Handover.Rank, HasRank: true}, true
+		return catalog.Account{ID: r.Handover.Account, Rank: r.Handover.Rank, HasRank: true}, nil
+	case l.opts.KeysStale():
+		return catalog.Account{}, verdict.New(verdict.NotRun, verdict.CodeNotReady, "keys may have been taken away since this host last heard of them").
+			WithRetryAfter(noTargetRetryAfter)
+	}
+
+	a, ok := c.AccountOf(r.Key)
+	if !ok {
+		return catalog.Account{}, verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "the request names no account by a key that is in force")
 	}
 
-	return c.AccountOf(r.Key)
+	return a, nil
 }
 
 // job is the state of one request while it is served. Only one goroutine uses it at a time: the one that serves the
