Let the members alone decide how many hosts a data centre has

Two reports of one data centre that were received at the same time both counted as the newest, and the order of a map chose: a host divided the retry budget and the limits of targets by 2 hosts in place of 40. The larger number counts now.

--- a/internal/control/members/table.go
+++ b/internal/control/members/table.go
@@ -176,7 +176,7 @@
 			v.counts[m.DataCentre]++
 		}
 
-		if m.DataCentre != t.home && m.ReceivedAt.After(newest[m.DataCentre].ReceivedAt) {
+		if m.DataCentre != t.home && reportsLater(m, newest[m.DataCentre]) {
 			newest[m.DataCentre] = m
 		}
 	}
@@ -191,6 +191,12 @@
 	return v
 }
 
+// reportsLater reports whether the number of hosts that a states replaces that of b. Of two that were received at the same time, the
+// larger number counts, so that the order of members does not decide and limits are divided among enough hosts.
+func reportsLater(a, b Member) bool {
+	return cmp.Or(a.ReceivedAt.Compare(b.ReceivedAt), cmp.Compare(a.LocalHosts, b.LocalHosts)) > 0
+}
+
 // changesView reports whether a view that was made from old differs from one made from m, received at m.ReceivedAt, in more than
 // the times and numbers of reports.
 func (t *Table) changesView(old, m Member) bool {
