Let the first requests of a host wait for data centres that it has not found yet

dotterelflow demo exits 1 in 5 of 12 runs beside load: one or two answers of 15 are 503 no-target. The host of the other data centre had said in its first heartbeat that it is not ready, and says otherwise a second later; until then its data centre gets no requests, and the service is there alone. Callers were refused by hosts that say they are ready.

A host that becomes ready tells its peers at once. A request whose only targets are in data centres that came into the configuration less than 5 s ago and had no ready host since waits for them inside its deadline. The demo's wait of half a second for heartbeats goes.

--- a/internal/command/demo/deployment.go
+++ b/internal/command/demo/deployment.go
@@ -25,11 +25,10 @@
 )
 
 const (
-	loopback      = "127.0.0.1:0"
-	maxEngines    = 2
-	operatorKey   = "operator-key-of-the-demo"
-	readyPoll     = 20 * time.Millisecond
-	heartbeatWait = 500 * time.Millisecond
+	loopback    = "127.0.0.1:0"
+	maxEngines  = 2
+	operatorKey = "operator-key-of-the-demo"
+	readyPoll   = 20 * time.Millisecond
 )
 
 // runningDeployment is an example deployment with the servers that the demo runs for it.
@@ -172,8 +171,7 @@
 	return d.waitUntilReady(ctx)
 }
 
-// waitUntilReady waits until all entry hosts are ready and have had time to discover each other. It fails
-// if ctx ends before all are ready.
+// waitUntilReady waits until all entry hosts are ready. It fails if ctx ends before.
 func (d *runningDeployment) waitUntilReady(ctx context.Context) error {
 	for _, h := range d.hosts {
 		for h.Ready() != nil {
@@ -185,12 +183,6 @@
 		}
 	}
 
-	// The hosts discover each other through their first heartbeats.
-	select {
-	case <-ctx.Done():
-	case <-time.After(heartbeatWait):
-	}
-
 	return nil
 }
 
--- a/internal/entry/dispatch/runner.go
+++ b/internal/entry/dispatch/runner.go
@@ -50,6 +50,10 @@
 type Router interface {
 	Pick(req entity.Request, tried []entity.TargetID) (entity.Target, bool)
 	Target(id entity.TargetID) (entity.Target, bool)
+	// MayAppear reports whether Pick may find a target for req later, though it finds none now. Refreshed returns a channel that is
+	// closed once Pick may find others.
+	MayAppear(req entity.Request) bool
+	Refreshed() <-chan struct{}
 	Begin(t entity.TargetID, req entity.Request) bool
 	End(t entity.TargetID, req entity.Request, err error)
 }
@@ -166,7 +170,11 @@
 	for try := range maxTries {
 		t, ok := next.target, next.secured
 		if !ok {
-			t, ok = r.opts.Router.Pick(req, tried)
+			t, ok = r.pick(ctx, req, tried)
+		}
+
+		if !ok && ctx.Err() != nil {
+			return finalError(worst, nil, contextError(ctx))
 		}
 
 		if !ok {
@@ -214,6 +222,24 @@
 	return finalError(worst, latest, noTargetError(req))
 }
 
+// pick picks a target for req that is not among tried. It waits for one while one may appear, until ctx ends.
+func (r *Runner) pick(ctx context.Context, req entity.Request, tried []entity.TargetID) (entity.Target, bool) {
+	for {
+		refreshed := r.opts.Router.Refreshed() // before Pick, so that no refresh is missed
+
+		t, ok := r.opts.Router.Pick(req, tried)
+		if ok || !r.opts.Router.MayAppear(req) {
+			return t, ok
+		}
+
+		select {
+		case <-refreshed:
+		case <-ctx.Done():
+			return entity.Target{}, false
+		}
+	}
+}
+
 // mayRetry reports whether req may be tried again after err: its kind allows that, no reader has received an event,
 // tries are left, and the retry budget allows it. If so, the retry has been charged to the budget, and ans has no
 // events.
--- a/internal/entry/dispatch/runner_test.go
+++ b/internal/entry/dispatch/runner_test.go
@@ -78,6 +78,28 @@
 	cancels  []entity.TargetID
 	running  int
 	forwards int
+	hidden   int // refreshes until targets are found, each after a second
+}
+
+func (f *fakeTargets) MayAppear(entity.Request) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.hidden > 0
+}
+
+func (f *fakeTargets) Refreshed() <-chan struct{} {
+	refreshed := make(chan struct{})
+
+	time.AfterFunc(time.Second, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+
+		f.hidden--
+		close(refreshed)
+	})
+
+	return refreshed
 }
 
 func (f *fakeTargets) next(id entity.TargetID, from uint64, resume bool) reply {
@@ -180,6 +202,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
+	if f.hidden > 0 {
+		return entity.Target{}, false
+	}
+
 	for _, id := range []entity.TargetID{"e1", "e2", "e3"} {
 		seen := false
 		for _, other := range tried {
--- a/internal/entry/host/digest.go
+++ b/internal/entry/host/digest.go
@@ -129,6 +129,8 @@
 		}
 	}
 
+	undiscovered := h.undiscovered(snapshot.Targets, reachable)
+
 	hosts := 0
 
 	for dc, n := range h.network.HostCounts() {
@@ -142,7 +144,7 @@
 	list := h.fleetControl.Plans()
 	leaving := plans.LeavingTargets(list)
 
-	h.router.Refresh(snapshot, router.RefreshInput{Hosts: hosts, Loads: loads, Leaving: leaving, Unreachable: unreachable, Reserved: h.guard.Reserved})
+	h.router.Refresh(snapshot, router.RefreshInput{Hosts: hosts, Loads: loads, Leaving: leaving, Unreachable: unreachable, Undiscovered: undiscovered, Reserved: h.guard.Reserved})
 	h.fleetControl.PlansApplied(list.Generation)
 
 	if plans.LeavingHosts(list)[h.opts.ID] {
@@ -151,8 +153,36 @@
 
 	h.crashers.Tick(h.opts.Clock.Now(), nil, func(entity.TargetID) bool { return false }) // load reports show which engines have ended
 	h.guard.Tick(func(p crashguard.Pool) quarantine.View { return h.quarantineView(snapshot, p, loads) })
-	h.admissionLoop.SetConfig(snapshot, hosts, func(t entity.Target) bool { return reachable[t.DataCentre] && !leaving[t.ID] })
-	h.configApplied.Store(true) // last, since the host is ready from here on
+	h.admissionLoop.SetConfig(snapshot, hosts, func(t entity.Target) bool {
+		return (reachable[t.DataCentre] || undiscovered[t.DataCentre]) && !leaving[t.ID]
+	})
+
+	if !h.configApplied.Swap(true) { // last, since the host is ready from here on
+		h.network.HeartbeatNow() // peers that heard of this host before take it for one that cannot serve yet
+	}
+}
+
+// undiscovered returns those data centres of targets that came into the configuration less than discoveryTime ago and had no reachable
+// host since. Only the goroutine of run calls it.
+func (h *Host) undiscovered(targets []entity.Target, reachable map[entity.DataCentre]bool) map[entity.DataCentre]bool {
+	now := h.opts.Clock.Now()
+	result := map[entity.DataCentre]bool{}
+
+	for _, t := range targets {
+		since, ok := h.lookingSince[t.DataCentre]
+
+		switch {
+		case reachable[t.DataCentre]:
+			h.lookingSince[t.DataCentre] = time.Time{}
+		case !ok:
+			h.lookingSince[t.DataCentre] = now
+			result[t.DataCentre] = true
+		case !since.IsZero() && now.Sub(since) < discoveryTime:
+			result[t.DataCentre] = true
+		}
+	}
+
+	return result
 }
 
 // suspectsDigest returns the encoded crash suspects for the peer to, or nil if they cannot be encoded.
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -37,8 +37,11 @@
 	// admissionHorizon bounds the started work that the engines have not absorbed yet, in time at this host's share
 	// of their rate. It is long so that a host with a small share can admit a long prompt; engines schedule their
 	// work by themselves.
-	admissionHorizon     = 3 * time.Second
-	refreshInterval      = 200 * time.Millisecond
+	admissionHorizon = 3 * time.Second
+	refreshInterval  = 200 * time.Millisecond
+	// discoveryTime is how long a host looks for ready hosts of a data centre before requests for its targets are refused. It covers the
+	// introduction through a seed, and a heartbeat that says that the other host is ready.
+	discoveryTime        = 5 * time.Second
 	defaultHeaderTimeout = 10 * time.Second
 	defaultIdleTimeout   = 2 * time.Minute
 	defaultStopTimeout   = 2 * time.Minute
@@ -104,7 +107,8 @@
 
 	listeners
 
-	configApplied   atomic.Bool // routing and admission use a configuration
+	configApplied   atomic.Bool                     // routing and admission use a configuration
+	lookingSince    map[entity.DataCentre]time.Time // since when ready hosts of a data centre are looked for; zero once one was found
 	stopping        atomic.Bool
 	stopOnce        sync.Once
 	stopErr         error
@@ -137,7 +141,7 @@
 	}
 
 	h := &Host{opts: opts, registry: metrics.NewRegistry(), stopRequested: make(chan struct{}), done: make(chan struct{}),
-		roleState: newRoleState(),
+		roleState: newRoleState(), lookingSince: map[entity.DataCentre]time.Time{},
 	}
 	h.panics = panics.New(opts.Log, h.registry)
 
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -45,6 +45,8 @@
 	refreshes      int                                      // number of Refresh calls
 	leaving        atomic.Pointer[map[entity.TargetID]bool] // targets that take no new work
 	versions       *versions
+	undiscovered   atomic.Pointer[map[entity.DataCentre]bool]
+	refreshed      atomic.Pointer[chan struct{}] // closed by the next Refresh
 
 	mu           sync.Mutex
 	downUntil    map[entity.TargetID]time.Time // time before which the target gets no new work
@@ -61,6 +63,8 @@
 		opts: opts, ledger: routing.NewLedger(), prefixes: routing.NewPrefixes(0), versions: newVersions(),
 		downUntil: map[entity.TargetID]time.Time{}, refusedUntil: map[entity.TargetID]time.Time{},
 	}
+	refreshed := make(chan struct{})
+	r.refreshed.Store(&refreshed)
 	r.rngs.New = func() any { return rand.New(rand.NewSource(opts.Seed + r.seeds.Add(1))) }
 
 	return r
@@ -72,6 +76,8 @@
 	Loads       map[entity.TargetID]entity.Load
 	Leaving     map[entity.TargetID]bool   // targets that take no new work
 	Unreachable map[entity.DataCentre]bool // data centres that get no requests
+	// Undiscovered are those of Unreachable whose hosts this host may find any moment, since it has only begun to look for them.
+	Undiscovered map[entity.DataCentre]bool
 	// Reserved reports whether a target is reserved for a request that must run alone; nil reserves none.
 	Reserved func(entity.Model, entity.TargetID) bool
 }
@@ -110,6 +116,11 @@
 		}
 	}
 
+	r.undiscovered.Store(&in.Undiscovered)
+
+	refreshed := make(chan struct{})
+	close(*r.refreshed.Swap(&refreshed))
+
 	r.refreshes++
 	if r.refreshes%ledgerCleanupRounds == 0 {
 		configured := func(id entity.TargetID) bool { _, ok := snapshot.Target(id); return ok }
@@ -191,6 +202,22 @@
 	return r.pickFrom(view, q, tried, accepts)
 }
 
+// MayAppear reports whether Pick may find a target for req after a later Refresh, though it finds none now: one in a data centre whose
+// hosts this host has only begun to look for.
+func (r *Router) MayAppear(req entity.Request) bool {
+	undiscovered := r.undiscovered.Load()
+	if undiscovered == nil || req.Forwarded || req.Pinned != "" {
+		return false
+	}
+
+	return slices.ContainsFunc(r.snapshot.Load().Targets, func(t entity.Target) bool {
+		return (*undiscovered)[t.DataCentre] && t.Model == req.Kind.Model && t.Service == req.Kind.Service && !r.isLeaving(t.ID)
+	})
+}
+
+// Refreshed returns a channel that the next Refresh closes.
+func (r *Router) Refreshed() <-chan struct{} { return *r.refreshed.Load() }
+
 // pickFrom picks a target for q from view that is not among tried and for which accepts returns true. If
 // pickTries draws give no other, it returns one that recently refused work.
 func (r *Router) pickFrom(view *routing.View, q routing.Request, tried []entity.TargetID, accepts func(entity.Target) bool) (entity.Target, bool) {
