--- a/internal/command/plan/plan.go
+++ b/internal/command/plan/plan.go
@@ -5,12 +5,14 @@
 	"context"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/urfave/cli/v3"
 
 	"github.com/dotterelflow/dotterelflow/internal/command/operatorcli"
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/control/plans"
 	"github.com/dotterelflow/dotterelflow/internal/wire/operator"
 )
 
@@ -21,10 +23,10 @@
 		Usage:       "declare planned changes of targets",
 		Description: "Example: dotterelflow plan drain lodz-engine-1\n\n" + operatorcli.ExitHelp,
 		Commands: []*cli.Command{
-			subcommand(string(operator.Drain), "stop new work on a target and wait until none runs", "TARGET", "lodz-engine-1", drain(operator.Drain), idFlag()),
-			subcommand(string(operator.Replace), "drain a target once another one serves in its place", "TARGET WITH", "lodz-engine-1 lodz-engine-2", replace, idFlag()),
-			subcommand(string(operator.Withdraw), "drain a target and take it out for good", "TARGET", "lodz-engine-1", drain(operator.Withdraw), idFlag()),
-			subcommand(string(operator.Role), "drain an engine and change its role", "TARGET ROLE", "lodz-engine-1 decode", role, idFlag()),
+			subcommand(string(operator.Drain), "stop new work on a target and wait until none runs", "TARGET", "lodz-engine-1", drain(operator.Drain), declareFlags()...),
+			subcommand(string(operator.Replace), "drain a target once another one serves in its place", "TARGET WITH", "lodz-engine-1 lodz-engine-2", replace, declareFlags()...),
+			subcommand(string(operator.Withdraw), "drain a target and take it out for good", "TARGET", "lodz-engine-1", drain(operator.Withdraw), declareFlags()...),
+			subcommand(string(operator.Role), "drain an engine and change its role", "TARGET ROLE", "lodz-engine-1 decode", role, declareFlags()...),
 			subcommand("list", "list the plans", "", "", list),
 			subcommand("cancel", "end a plan", "ID", "0b8e4a52-5f4e-4c1c-9f57-2f6d3b1a9c11", cancel),
 		},
@@ -42,8 +44,11 @@
 	}
 }
 
-func idFlag() cli.Flag {
-	return &cli.StringFlag{Name: "id", Usage: "`ID` of the plan, to repeat a declaration whose answer was lost"}
+func declareFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "id", Usage: "`ID` of the plan, to repeat a declaration whose answer was lost"},
+		&cli.DurationFlag{Name: "wait", Usage: "longest `TIME` to wait until the plan has ended; 0 does not wait"},
+	}
 }
 
 // drain returns the action of the subcommands that drain one target without further arguments.
@@ -97,11 +102,41 @@
 		return operatorcli.WithExitCode(fmt.Errorf("plan %s: %w", p.ID, err))
 	}
 
+	if limit := cmd.Duration("wait"); limit > 0 {
+		if declared, err = awaitEnd(ctx, client, limit, declared); err != nil {
+			return err
+		}
+	}
+
 	return operatorcli.Print(cmd, declared, func(w io.Writer) {
 		_, _ = fmt.Fprintf(w, "Plan %s: %s %s is %s.\n", declared.ID, declared.Action, declared.Target, declared.State)
 	})
 }
 
+// awaitEnd waits until p has ended and returns its last state. It fails if p has not ended within limit, or without success.
+func awaitEnd(ctx context.Context, client *operator.Client, limit time.Duration, p operator.Plan) (operator.Plan, error) {
+	err := operatorcli.Wait(ctx, limit, func(ctx context.Context) (string, error) {
+		all, err := client.Plans(ctx)
+
+		for _, other := range all.Plans {
+			if other.ID == p.ID {
+				p = other
+			}
+		}
+
+		if !plans.Phase(p.State).Ended() {
+			return fmt.Sprintf("plan %s is %s", p.ID, p.State), err
+		}
+
+		return "", err
+	})
+	if err == nil && plans.Phase(p.State) == plans.Failed {
+		err = cli.Exit(fmt.Sprintf("Plan %s failed: %s.", p.ID, p.Detail), operatorcli.ExitFailed)
+	}
+
+	return p, err
+}
+
 func list(ctx context.Context, cmd *cli.Command) error {
 	client, err := operatorcli.Connect(cmd)
 	if err != nil {
