Examine a configuration before it is sent

Operators of the platform's program had no way to see, before sending it, that a route can never match, that a key is held by an earlier account or that an objective is longer than its timeout, nor what a version takes away from callers. check-configuration decodes the file as hosts do and prints problems, notices and, with --in-force, differences, as text or JSON; exit codes 0, 1, 2. Findings name keys by position alone.

The own interface's documents are refused on apply as before and have no such command yet.

--- a/cmd/dotterelflow-front/main.go
+++ b/cmd/dotterelflow-front/main.go
@@ -30,13 +30,14 @@
 		Usage: "serve callers as an entry host on the platform",
 		Flags: []cli.Flag{
 			&cli.StringFlag{
-				Name: "settings", Sources: cli.EnvVars(settings.PathVariable), Required: true,
+				Name: "settings", Sources: cli.EnvVars(settings.PathVariable),
 				Usage: "settings file that the platform writes",
 			},
 			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "lowest level that is logged"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
-		Action: run,
+		Commands: []*cli.Command{checkCommand()},
+		Action:   run,
 	}
 
 	if err := app.Run(context.Background(), os.Args); err != nil {
@@ -47,6 +48,10 @@
 
 func run(_ context.Context, c *cli.Command) error {
 	path := c.String("settings")
+	if path == "" {
+		return errors.New("name the settings file with --settings or " + settings.PathVariable)
+	}
+
 	loaded := modTime(path)
 
 	cfg, unusable, err := settings.Read(path, settings.Defaults())
--- a/internal/control/catalog/catalog.go
+++ b/internal/control/catalog/catalog.go
@@ -78,6 +78,20 @@
 	IdleTimeout   time.Duration
 }
 
+// Contents are the entries of a configuration in their order.
+type Contents struct {
+	Version  Version
+	Limits   Limits
+	Routes   []Route
+	Services []Service
+	Accounts []Account
+}
+
+// Build returns the Catalog of c, whose entries must not be modified afterwards.
+func (c Contents) Build() *Catalog {
+	return Build(c.Version, c.Limits, c.Routes, c.Services, c.Accounts...)
+}
+
 // Catalog is one configuration. Make it with Build; a nil *Catalog has no routes.
 type Catalog struct {
 	Version  Version
