--- a/internal/control/duties/duties.go
+++ b/internal/control/duties/duties.go
@@ -36,3 +36,21 @@
 	// Failed means that the call has no effect for another reason.
 	Failed
 )
+
+// Window is the number of a window of usage reports, counted from the start of 1970.
+type Window int64
+
+// Report is the usage report of one window.
+type Report struct {
+	Window Window
+	Counts map[entity.AccountID]uint64 // requests that began to run
+}
+
+// Order is an order of the number of replicas that a service has in a data centre. Reclaimable replicas, which the platform may take
+// away, are counted apart from the others.
+type Order struct {
+	Service     entity.ServiceName
+	DataCentre  entity.DataCentre
+	Count       int
+	Reclaimable bool
+}
