Count requests by account and report them while holding the lease

Each host counts the requests that began to run, by account and window of the time of day, and tells the hosts that collect.

--- a/internal/control/duties/duties.go
+++ b/internal/control/duties/duties.go
@@ -37,6 +37,22 @@
 	Failed
 )
 
+// String returns the name of r for logs.
+func (r Result) String() string {
+	switch r {
+	case Accepted:
+		return "accepted"
+	case Fenced:
+		return "fenced"
+	case Unavailable:
+		return "unavailable"
+	case Throttled:
+		return "throttled"
+	default:
+		return "failed"
+	}
+}
+
 // Window is the number of a window of usage reports, counted from the start of 1970.
 type Window int64
 
--- a/internal/control/members/schedule.go
+++ b/internal/control/members/schedule.go
@@ -117,6 +117,15 @@
 // AllDue makes all heartbeats due.
 func (s *Schedule) AllDue() { clear(s.due) }
 
+// Due makes the heartbeats to hosts due, as far as they are live members.
+func (s *Schedule) Due(now time.Time, hosts []entity.HostID) {
+	for _, host := range hosts {
+		if m, ok := s.Get(host); ok && s.Alive(m, now) {
+			delete(s.due, m.Address)
+		}
+	}
+}
+
 // Postpone defers the heartbeat to the host at address, which has just sent one itself and got a reply, until its next one is
 // overdue.
 func (s *Schedule) Postpone(address string, now time.Time) {
--- a/internal/entry/digests/exchange.go
+++ b/internal/entry/digests/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
 	"github.com/dotterelflow/dotterelflow/internal/control/targetlimits"
+	"github.com/dotterelflow/dotterelflow/internal/control/usage"
 	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
 )
 
@@ -48,10 +49,19 @@
 	// Unreachable returns the services of which this host reaches no target; nil means none.
 	Unreachable func() []entity.ServiceName
 	Limits      *targetlimits.Table // limits that targets state; nil means that none are exchanged
+	Usage       Usage               // requests that began to run; nil means that they are not counted
 	// OnDigest is called with the state in each peer's digest; nil means no call.
 	OnDigest func(PeerState)
 }
 
+// Usage has the requests that began to run, as counted by this host and by others.
+type Usage interface {
+	// Message returns what to tell the host to.
+	Message(to entity.HostID) usage.Message
+	// Merge adds what a peer tells.
+	Merge(from usage.Peer, m usage.Message)
+}
+
 // PeerState is a peer's state as reported in its digest.
 type PeerState struct {
 	Host       entity.HostID
@@ -169,6 +179,10 @@
 		return // what the receiver has confirmed is not known
 	}
 
+	if x.opts.Usage != nil {
+		d.Usage = encodeUsage(x.opts.Usage.Message(to))
+	}
+
 	updates, position := x.opts.Board.PrefixUpdates(to)
 	d.HeldPosition = position
 	d.HeldConfirmed = x.receivedFrom(to)
@@ -201,6 +215,10 @@
 
 	x.opts.Limits.Merge(x.now(), entity.HostID(d.GetHost()), observationsOf(d.GetLimits()))
 
+	if u := d.GetUsage(); u != nil && x.opts.Usage != nil {
+		x.opts.Usage.Merge(usage.Peer{Host: entity.HostID(d.GetHost()), DataCentre: entity.DataCentre(d.GetDataCentre())}, decodeUsage(u))
+	}
+
 	demands := make(map[entity.ServiceName]float64, len(d.GetDemand()))
 	for _, demand := range d.GetDemand() {
 		demands[entity.ServiceName(demand.GetModel())] = demand.GetPrefill()
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -248,6 +248,18 @@
 	}
 }
 
+// HeartbeatTo makes the heartbeats to hosts due at once, as far as this host exchanges heartbeats with them.
+func (n *Network) HeartbeatTo(hosts []entity.HostID) {
+	n.mu.Lock()
+	n.members.Due(n.opts.Clock.Now(), hosts)
+	n.mu.Unlock()
+
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
 // digest returns a digest of this host, with a new sequence number, for the receiver to, which is empty if the receiver
 // is not known.
 func (n *Network) digest(to entity.HostID) *peer.Digest {
--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -82,11 +82,13 @@
 			j.noteNotRun(place, true)
 			j.waitToReturn(ctx, place, next)
 		case r.answer.Status >= 500 && j.route.Repeat == catalog.Repeatable:
+			j.noteRan()
 			j.noteCompletion(target, r.answer.Status)
 			j.tried = append(j.tried, target.ID)
 			lastFailure, failureBody = r.answer, r.body
 			runs++
 		default:
+			j.noteRan()
 			j.noteCompletion(target, r.answer.Status)
 			j.giveUp(next)
 			j.deliver(w, r.answer, r.body)
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -64,7 +64,10 @@
 	// KeysStale reports whether the keys in force may have been taken away longer ago than allowed, so that this host serves no
 	// request that needs one; nil means never.
 	KeysStale func() bool
-	Observe   func(Outcome) // called once a request has ended; nil means no call
+	// Began is called once for each request of an account that began to run at a target: a stream at its first event, any other when
+	// the target answers as having run it. Nil means no call.
+	Began   func(entity.AccountID)
+	Observe func(Outcome) // called once a request has ended; nil means no call
 	// BufferBytes bounds the memory of the answers and events that are buffered at the same time, beyond buffers.FreeBytes each.
 	// Zero means 64 MiB.
 	BufferBytes int
@@ -103,6 +106,10 @@
 		opts.KeysStale = func() bool { return false }
 	}
 
+	if opts.Began == nil {
+		opts.Began = func(entity.AccountID) {}
+	}
+
 	if opts.Observe == nil {
 		opts.Observe = func(Outcome) {}
 	}
@@ -226,6 +233,7 @@
 	quarantine  time.Duration // how long the request is refused; set by isQuarantined
 
 	counted       bool              // the request is counted towards the retry budget
+	began         bool              // Options.Began was called
 	forwarded     bool              // another host has served the request
 	sends         int               // sends so far that count towards maxSends and the retry budget
 	prefilled     bool              // a replica has prefilled the prompt; the first prefill is not counted in sends
@@ -402,6 +410,15 @@
 	}
 }
 
+// noteRan records that a target has begun to run the request.
+func (j *job) noteRan() {
+	if !j.began && j.account.ID != "" {
+		j.opts.Began(j.account.ID)
+	}
+
+	j.began = true
+}
+
 // noteCompletion records that t has answered with status and sent its whole answer.
 func (j *job) noteCompletion(t fleet.Target, status int) {
 	j.noteReached()
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -372,6 +372,7 @@
 		}
 
 		j.noteBegun()
+		j.noteRan()
 
 		if !p.begun {
 			j.awaitRecord(ctx)
--- a/internal/entry/rolecontrol/controller.go
+++ b/internal/entry/rolecontrol/controller.go
@@ -219,7 +219,7 @@
 	c.callsInFlight.Add(1)
 	end = sync.OnceFunc(func() { c.callsInFlight.Add(-1) })
 
-	if now, held := c.Term(); !held || now != t {
+	if !c.Holds(t) {
 		end()
 
 		return nil, false
@@ -228,6 +228,13 @@
 	return end, true
 }
 
+// Holds reports whether this host may make calls in term t now. It is for a last check as the first byte of a call is written.
+func (c *Controller) Holds(t duties.Term) bool {
+	now, held := c.Term()
+
+	return held && now == t
+}
+
 // Changing returns the replicas that are carrying out this host's orders, and none if it does not hold the
 // lease.
 func (c *Controller) Changing() []entity.TargetID {
@@ -326,6 +333,7 @@
 		logged().Uint64("expects", state.Orders).Err(err).Msg("order without an answer")
 	case result == Fenced:
 		c.fenced = true
+		c.term.Store(nil) // a later holder may have made calls of duties too
 		split.Withdraw(c.opts.Clock.Now(), o)
 		logged().Msg("order refused: a later holder has sent orders")
 	case result == Refused:
