Let a successor make calls in time for the next report

A standby read the lease each 5 s, and a new holder waited for 3.5 s whoever had held it. Only calls of one machine before and after another's have to be that far apart; a host that made none since its start calls 0.5 s after it took the lease, and standbys read each 2 s where there are duties.

--- a/internal/control/usage/reporter.go
+++ b/internal/control/usage/reporter.go
@@ -17,7 +17,7 @@
 	// retryInterval is the time after a call that failed until the next one.
 	retryInterval = time.Second
 	// sendMargin is the time before a report is due from which it is not sent any more: it might arrive too late.
-	sendMargin = 500 * time.Millisecond
+	sendMargin = 250 * time.Millisecond
 	// maxDecided bounds the windows that one write decides, after a time without a holder.
 	maxDecided = 16
 )
--- a/internal/entry/relay/account_test.go
+++ b/internal/entry/relay/account_test.go
@@ -114,3 +114,66 @@
 	fx.relay.Serve(t.Context(), r, out)
 	require.Nil(t, out.refused)
 }
+
+// TestRequestBeginsOnce counts, by account, the requests that began to run: once each, however often they are sent, and none that
+// no target has run.
+func TestRequestBeginsOnce(t *testing.T) {
+	fails := func(n int, _ context.Context, s relay.Send) (*relay.Answer, error) {
+		if n == 0 {
+			return answer(500, "failed"), nil
+		}
+
+		return streamFrom(s), nil
+	}
+	refuses := func(int, context.Context, relay.Send) (*relay.Answer, error) {
+		a := answer(503, "")
+		a.NotRun = true
+
+		return a, nil
+	}
+	breaks := func(n int, _ context.Context, s relay.Send) (*relay.Answer, error) {
+		a := streamFrom(s)
+		if n == 0 {
+			a.Body = cut("id: 1\ndata: 1\n\n", mayHaveRun())
+		}
+
+		return a, nil
+	}
+	lost := func(int, context.Context, relay.Send) (*relay.Answer, error) { return nil, mayHaveRun() }
+
+	for name, c := range map[string]struct {
+		route catalog.Route
+		run   runFunc
+		want  int
+	}{
+		"plain":                  {atMostOnce, succeeds, 1},
+		"plain, fails":           {atMostOnce, fails, 1},
+		"repeatable, fails once": {repeatable, fails, 1},
+		"plain, refused":         {atMostOnce, refuses, 0},
+		"plain, without answer":  {atMostOnce, lost, 0},
+		"stream":                 {resumable, succeeds, 1},
+		"stream, goes on":        {resumable, breaks, 1},
+		"stream, refused":        {resumable, refuses, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fx := newFixture(t, c.route, 3, testAccounts...)
+			fx.targets.run = c.run
+
+			r := request()
+			r.Key = "branch-key"
+			fx.relay.Serve(t.Context(), r, &replyRecorder{})
+			require.Len(t, fx.began, c.want)
+
+			for _, account := range fx.began {
+				require.Equal(t, "branch", string(account))
+			}
+		})
+	}
+
+	public := atMostOnce
+	public.Public = true
+	fx := newFixture(t, public, 3, testAccounts...)
+	fx.targets.run = succeeds
+	fx.serve(t.Context(), t)
+	require.Empty(t, fx.began, "a request without an account is counted for none")
+}
--- a/internal/entry/relay/fakes_test.go
+++ b/internal/entry/relay/fakes_test.go
@@ -245,6 +245,7 @@
 	fleet     []fleet.Target
 	mu        sync.Mutex
 	outcome   relay.Outcome // of the last request
+	began     []entity.AccountID
 	retries   *retries.Limiter
 	limits    *targetlimits.Table
 	reach     *reach.Tracker
@@ -261,6 +262,13 @@
 	fx.outcome = o
 }
 
+func (fx *fixture) noteBegan(account entity.AccountID) {
+	fx.mu.Lock()
+	defer fx.mu.Unlock()
+
+	fx.began = append(fx.began, account)
+}
+
 // unusedRepeats returns how many repeats the retry budget still allows, and takes them.
 func (fx *fixture) unusedRepeats() int {
 	n := 0
@@ -309,6 +317,7 @@
 		Clock: slowClock{clockwork.NewRealClock(), &fx.clockLag}, Log: logger, Panics: panics.Recorder{Log: logger, Count: fx.panics}, Catalog: func() *catalog.Catalog { return c },
 		Fleet: func() *fleet.Snapshot { return fleet.NewSnapshot(fx.fleet) }, Board: fx.board, Targets: fx.targets, Crashers: fx.crashers,
 		Observe:     fx.observe,
+		Began:       fx.noteBegan,
 		BufferBytes: fixtureBufferBytes,
 		Retries:     fx.retries,
 		Limits:      fx.limits,
--- a/internal/entry/rolecontrol/controller.go
+++ b/internal/entry/rolecontrol/controller.go
@@ -34,6 +34,11 @@
 	renewInterval = 1500 * time.Millisecond
 	pollInterval  = 5 * time.Second
 	leaseMargin   = time.Second
+	// dutyPollInterval replaces pollInterval where there are duties: a holder that dies is followed in time for the next report.
+	dutyPollInterval = 2 * time.Second
+	// callTransit is the time after the lease was taken until the first call of a duty. The former holder's last call was begun leaseMargin
+	// before its lease ended, or had ended before the lease was released; this covers its way.
+	callTransit = 500 * time.Millisecond
 )
 
 // Result is a replica's reply to an order.
@@ -85,7 +90,8 @@
 	Board       *placing.Board
 	Standby     func() bool   // whether this host may take the lease
 	HasTraffic  func() bool   // whether this host has received requests
-	HandoverGap time.Duration // least time between the orders of two holders
+	HandoverGap time.Duration // least time between the orders of two holders, and between calls of a host before and after another holder's
+	Duties      bool          // calls of duties are made in the terms of this Controller
 	Seed        uint64
 }
 
@@ -99,8 +105,12 @@
 	term          atomic.Pointer[duties.Term] // result of Term, while the lease is held
 	done          chan struct{}
 
+	startedAt time.Time                 // on LeaseClock, as all times here
+	lastCall  atomic.Pointer[time.Time] // when this host last began or ended a call of a duty; nil for never
+
 	fence     entity.Fence // fencing number of the last lease that this host held
 	heldSince time.Time    // when step first found that lease held
+	callsFrom time.Time    // when the first call of a duty may be made under that lease
 	fenced    bool         // a later holder has sent orders to a replica
 	splits    map[entity.ServiceName]*rolesplit.Controller
 
@@ -122,9 +132,14 @@
 		opts.Log = &log.DefaultLogger
 	}
 
-	c := &Controller{opts: opts, done: make(chan struct{}), splits: map[entity.ServiceName]*rolesplit.Controller{}}
+	poll := pollInterval
+	if opts.Duties {
+		poll = dutyPollInterval
+	}
+
+	c := &Controller{opts: opts, done: make(chan struct{}), startedAt: opts.LeaseClock.Now(), splits: map[entity.ServiceName]*rolesplit.Controller{}}
 	c.lease = authority.Start(ctx, opts.LeaseClock, opts.Store, c, authority.Options{
-		DataCentre: "all", Host: opts.Host, Lease: leaseDuration, Renew: renewInterval, Poll: pollInterval, Margin: leaseMargin,
+		DataCentre: "all", Host: opts.Host, Lease: leaseDuration, Renew: renewInterval, Poll: poll, Margin: leaseMargin,
 	}, opts.Seed)
 
 	go c.run(ctx)
@@ -164,17 +179,21 @@
 
 	if fence != c.fence {
 		c.fence, c.heldSince, c.fenced = fence, now, false
+		c.callsFrom = c.firstCall(now)
 		c.term.Store(nil)
 		clear(c.splits)
 		c.opts.Log.Info().Uint64("fence", uint64(fence)).Msg("holds the lease for orders")
 	}
 
+	if !c.fenced && (fence == 1 || !now.Before(c.callsFrom)) {
+		c.term.Store(&duties.Term{Holder: c.opts.Host, Fence: fence})
+	}
+
 	// Options.HandoverGap must pass between the last orders of a former holder and the first ones of this host.
 	if c.fenced || fence > 1 && now.Sub(c.heldSince) < c.opts.HandoverGap {
 		return
 	}
 
-	c.term.Store(&duties.Term{Holder: c.opts.Host, Fence: fence})
 	c.changing = nil
 
 	for _, s := range c.opts.Catalog().Services() {
@@ -186,6 +205,23 @@
 	c.publish(c.changing)
 }
 
+// firstCall returns when the first call of a duty may be made under a lease that was taken at now. Calls of this machine before and after
+// another holder's must be HandoverGap apart. Calls before this process started are not known, so they may have been made until then.
+func (c *Controller) firstCall(now time.Time) time.Time {
+	first := now.Add(callTransit)
+
+	last := c.startedAt
+	if t := c.lastCall.Load(); t != nil {
+		last = *t
+	}
+
+	if own := last.Add(c.opts.HandoverGap); own.After(first) {
+		first = own
+	}
+
+	return first
+}
+
 // publish sets the result of Changing. It also makes the board give these replicas no work for a while, as
 // they take none while they carry out an order.
 func (c *Controller) publish(changing []entity.TargetID) {
@@ -225,7 +261,18 @@
 		return nil, false
 	}
 
-	return end, true
+	c.noteCall()
+
+	return sync.OnceFunc(func() {
+		c.noteCall()
+		end()
+	}), true
+}
+
+// noteCall records that a call of a duty is made now.
+func (c *Controller) noteCall() {
+	now := c.opts.LeaseClock.Now()
+	c.lastCall.Store(&now)
 }
 
 // Holds reports whether this host may make calls in term t now. It is for a last check as the first byte of a call is written.
--- a/internal/entry/usagereport/runner.go
+++ b/internal/entry/usagereport/runner.go
@@ -19,6 +19,8 @@
 
 const (
 	tickInterval = 100 * time.Millisecond
+	// maxActions bounds the actions of one tick: reading, deciding, and sending the reports of a few windows.
+	maxActions = 8
 	// storeTimeout bounds a call to the store, which ends sooner unless its answer goes on arriving.
 	storeTimeout = 2 * time.Second
 	// planKey is the object with the reports that are decided.
@@ -117,10 +119,19 @@
 
 func (r *Runner) now() time.Time { return r.opts.Counter.clock.Now() }
 
-// step performs the next action, if there is one.
+// step performs the actions that are due.
 func (r *Runner) step(ctx context.Context) {
 	r.compare()
 
+	for range maxActions {
+		if ctx.Err() != nil || !r.act(ctx) {
+			return
+		}
+	}
+}
+
+// act performs the next action, and reports false if there is none.
+func (r *Runner) act(ctx context.Context) bool {
 	term, held := r.opts.Duty.Term()
 
 	switch a := r.reporter.Tick(r.now(), term, held).(type) {
@@ -134,8 +145,12 @@
 	case usage.Write:
 		r.write(ctx, term, a)
 	case usage.Send:
-		r.send(ctx, a)
+		return r.send(ctx, a)
+	default:
+		return false
 	}
+
+	return true
 }
 
 func (r *Runner) read(ctx context.Context) (usage.Plan, platform.Version, error) {
@@ -181,10 +196,11 @@
 		Msg("usage reports recorded")
 }
 
-func (r *Runner) send(ctx context.Context, s usage.Send) {
+// send sends a report, and reports false if this host may not send it now.
+func (r *Runner) send(ctx context.Context, s usage.Send) bool {
 	end, ok := r.opts.Duty.BeginCall(s.Term)
 	if !ok {
-		return // the next Tick finds that the term has ended
+		return false // the next Tick finds that the term has ended
 	}
 	defer end()
 
@@ -204,6 +220,8 @@
 
 	logged.Int64("window", int64(s.Report.Window)).Uint64("fence", uint64(s.Term.Fence)).Int("accounts", len(s.Report.Counts)).
 		Uint64("requests", usage.Counts(s.Report.Counts).Total()).Str("result", result.String()).Err(err).Msg("usage reported")
+
+	return true
 }
 
 // sum returns the counts of w for its report.
