Let a call of a duty end

BeginCall returned a function that called itself through the named result, so the first call never ended and nothing was reported after it.

--- a/internal/entry/rolecontrol/controller.go
+++ b/internal/entry/rolecontrol/controller.go
@@ -253,10 +253,9 @@
 // been answered or given up: the lease is not released before.
 func (c *Controller) BeginCall(t duties.Term) (end func(), ok bool) {
 	c.callsInFlight.Add(1)
-	end = sync.OnceFunc(func() { c.callsInFlight.Add(-1) })
 
 	if !c.Holds(t) {
-		end()
+		c.callsInFlight.Add(-1)
 
 		return nil, false
 	}
@@ -265,7 +264,7 @@
 
 	return sync.OnceFunc(func() {
 		c.noteCall()
-		end()
+		c.callsInFlight.Add(-1)
 	}), true
 }
 
