--- a/internal/control/placing/board.go
+++ b/internal/control/placing/board.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/control/speeds"
 )
 
 const (
@@ -63,6 +64,8 @@
 	cache           *cache
 	prefillRate     float64 // mean prompt tokens per second of a replica under its present load
 	idlePrefillRate float64 // the same, for replicas that process a single prompt
+	speeds          *speeds.Table
+	paces           map[entity.ServiceName]paceView // what speeds knows of the decode replicas of each service
 }
 
 // peerWork is what one peer last reported.
@@ -86,6 +89,8 @@
 		cache:           newCache(),
 		prefillRate:     initialPrefillRate,
 		idlePrefillRate: initialPrefillRate,
+		speeds:          speeds.New(),
+		paces:           map[entity.ServiceName]paceView{},
 	}
 }
 
@@ -154,6 +159,8 @@
 			delete(b.records, id)
 		}
 	}
+
+	b.speeds.Tick(now, keep)
 }
 
 // total returns the known work of all hosts on id. The caller holds mu.
--- a/internal/control/placing/choose.go
+++ b/internal/control/placing/choose.go
@@ -46,6 +46,7 @@
 	Near           entity.DataCentre // data centre from which the target is reached
 	Avoid          []entity.TargetID // targets that must not be chosen
 	SolePlacer     bool              // whether no other host places prompts on the candidates
+	Gap            time.Duration     // longest pause between two events of the answer that is in time; zero sets no bound
 	AcceptableWait time.Duration     // expected wait up to which no further cell (see package cells) is tried
 	// Version is the software version of the candidates, for a host that knows other candidates; nil means any.
 	Version *entity.SoftwareVersion
@@ -233,6 +234,10 @@
 func (b *Board) PlaceDecode(now time.Time, candidates []fleet.Target, job Job, capacity entity.Tokens) (Placement, bool) {
 	need := job.Prompt + job.Output
 
+	b.mu.Lock()
+	view := b.viewOf(now, candidates)
+	b.mu.Unlock()
+
 	return b.choose(now, candidates, job, TargetWork{Running: 1, KVTokens: need}, func(w *TargetWork, t fleet.Target) (float64, bool) {
 		load := slotWeight * float64(w.Running) / float64(t.Slots)
 		full := w.Running >= t.Slots
@@ -243,7 +248,7 @@
 			full = full || used > fullFraction
 		}
 
-		return load, full
+		return load + paceCost(view, w, t, job.Gap), full
 	})
 }
 
--- /dev/null
+++ b/internal/control/speeds/view.go
@@ -0,0 +1,81 @@
+package speeds
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+)
+
+const (
+	// unevenSpread is the ratio between the slower and the faster targets of a service, at the two ends of the middle two thirds, from which on
+	// they count as differing. Below, the differences are those of load and chance.
+	unevenSpread = 1.35
+	// minKnown is the number of targets of known speed from which on they are compared.
+	minKnown = 3
+)
+
+// View is what a Table knows of some targets at one time. It is never changed. The zero value knows nothing.
+type View struct {
+	paces  map[entity.TargetID]float64 // seconds between two events without load
+	median float64                     // of paces; zero if they do not differ
+	tail   float64                     // slow stretches take so many times the median of their target
+}
+
+// View returns what is known of ids at now. It knows nothing unless the targets differ.
+func (t *Table) View(now time.Time, ids []entity.TargetID) View {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	v := View{paces: make(map[entity.TargetID]float64, len(ids)), tail: math.Exp(t.tail)}
+	known := make([]float64, 0, len(ids))
+
+	for _, id := range ids {
+		if e, ok := t.targets[id]; ok {
+			if log, ok := e.median(now); ok {
+				pace := math.Exp(log)
+				v.paces[id] = pace
+				known = append(known, pace)
+			}
+		}
+	}
+
+	n := len(known)
+	if n < minKnown {
+		return View{}
+	}
+
+	slices.Sort(known)
+
+	if known[n-1-n/6] < unevenSpread*known[n/6] {
+		return View{}
+	}
+
+	v.median = known[n/2]
+
+	return v
+}
+
+// Uneven reports whether the targets differ.
+func (v View) Uneven() bool { return v.median > 0 }
+
+// Slowness returns how many times as long as usual id takes for an event, 1 if that is unknown or the targets do not differ.
+func (v View) Slowness(id entity.TargetID) float64 {
+	if pace, ok := v.paces[id]; ok && v.median > 0 {
+		return pace / v.median
+	}
+
+	return 1
+}
+
+// Pause returns the pause between two events of a stream on id that few pauses exceed, at load, the used fraction of the
+// target's slots. A target of unknown speed counts as usual. It is zero if the targets do not differ.
+func (v View) Pause(id entity.TargetID, load float64) time.Duration {
+	pace, ok := v.paces[id]
+	if !ok {
+		pace = v.median
+	}
+
+	return seconds(pace * loadFactor(load) * v.tail)
+}
--- a/internal/entry/digests/exchange.go
+++ b/internal/entry/digests/exchange.go
@@ -1,5 +1,5 @@
 // Package digests shares with the other entry hosts, in heartbeats, the state that packages placing and crashtracker
-// need: the work in flight on each target, the targets that have a prompt prefix in their cache, those that are
+// need: the work in flight on each target, the speeds of targets, the targets that have a prompt prefix in their cache, those that are
 // changing role, the demand for each service, and a checksum of the records of requests that crash targets. A digest also
 // has the sender's readiness, its versions of the configuration and the target list, and the placer of its data
 // centre.
@@ -13,6 +13,7 @@
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/control/speeds"
 	"github.com/dotterelflow/dotterelflow/internal/control/targetlimits"
 	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
 )
@@ -161,6 +162,12 @@
 		})
 	}
 
+	for _, o := range x.opts.Board.Speeds().Observations(x.now()) {
+		d.Speeds = append(d.Speeds, &peer.TargetSpeed{
+			Target: string(o.Target), PaceUs: uint32(o.Pace.Microseconds()), Weight: uint32(o.Weight), AgeMs: uint32(o.Age.Milliseconds()),
+		})
+	}
+
 	for service, tokens := range x.opts.Board.LocalDemands(x.now()) {
 		d.Demand = append(d.Demand, &peer.Demand{Model: string(service), Prefill: tokens})
 	}
@@ -201,6 +208,8 @@
 
 	x.opts.Limits.Merge(x.now(), entity.HostID(d.GetHost()), observationsOf(d.GetLimits()))
 
+	x.opts.Board.Speeds().Merge(x.now(), entity.HostID(d.GetHost()), speedsOf(d.GetSpeeds()))
+
 	demands := make(map[entity.ServiceName]float64, len(d.GetDemand()))
 	for _, demand := range d.GetDemand() {
 		demands[entity.ServiceName(demand.GetModel())] = demand.GetPrefill()
@@ -263,6 +272,21 @@
 	return list
 }
 
+// speedsOf decodes the first maxWork entries of list.
+func speedsOf(list []*peer.TargetSpeed) []speeds.Observation {
+	list = list[:min(len(list), maxWork)]
+	observations := make([]speeds.Observation, 0, len(list))
+
+	for _, s := range list {
+		observations = append(observations, speeds.Observation{
+			Target: entity.TargetID(s.GetTarget()), Pace: time.Duration(s.GetPaceUs()) * time.Microsecond,
+			Weight: int(min(s.GetWeight(), maxWork)), Age: time.Duration(s.GetAgeMs()) * time.Millisecond,
+		})
+	}
+
+	return observations
+}
+
 // encodeAge returns age as in a digest. An age beyond maxAge counts as unknown.
 func encodeAge(age time.Duration) uint32 {
 	if age < 0 || age > maxAge {
--- a/internal/entry/relay/prefill.go
+++ b/internal/entry/relay/prefill.go
@@ -158,7 +158,12 @@
 		j.silent = ""
 	}
 
-	took := j.now().Sub(sentAt)
+	doneAt := j.now()
+	if j.lastHeard.IsZero() {
+		j.timing.prompt, j.timing.promptSent, j.timing.promptDone = placement, sentAt, doneAt
+	}
+
+	took := doneAt.Sub(sentAt)
 	j.opts.Board.RecordPrefill(placement, j.r.Parts, took)
 	j.opts.Log.Debug().Str("request", string(j.r.ID)).Str("target", string(target.ID)).Int64("prompt", int64(j.r.Prompt)).
 		Int64("cached", int64(placement.Cached)).Dur("expected", placement.Wait).Dur("took", took).Interface("parts", j.r.Parts).
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -119,6 +119,7 @@
 	Total       time.Duration  // from arrival to the end of the request
 	Silences    int            // number of times that a target was silent for longer than its patience
 	Replaced    int            // number of times that another target replaced a silent one
+	Late        LateCause      // why a stream was later than its route allows; empty if it was not
 }
 
 // Serve serves r and returns when w has its final answer. ctx must end when the caller disconnects. If the host ends the request for
@@ -244,6 +245,7 @@
 	silent        entity.TargetID   // silent target that has not been replaced yet; empty for none
 	held          []*buffers.Buffer // buffers of answers, which the job releases at its end
 	timeToFirst   time.Duration     // as Outcome.TimeToFirst
+	timing        timing            // where the time of a stream went
 	outcome       Outcome
 }
 
@@ -295,7 +297,7 @@
 func (j *job) placingJob() placing.Job {
 	job := placing.Job{
 		ID: j.r.ID, Prompt: j.r.Prompt, Output: j.r.Output, Parts: j.r.Parts, Rank: j.rank(), Near: j.opts.Home, Avoid: j.tried,
-		AcceptableWait: j.route.Objective / acceptableWaitDivisor,
+		Gap: j.route.Gap, AcceptableWait: j.route.Objective / acceptableWaitDivisor,
 	}
 
 	if j.at.chosen {
@@ -442,6 +444,7 @@
 	j.outcome.Route = j.route
 	j.outcome.TimeToFirst = j.timeToFirst
 	j.outcome.Total = j.now().Sub(j.r.Arrived)
+	j.noteLate()
 	j.opts.Observe(j.outcome)
 
 	if j.outcome.Problem == nil {
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -342,10 +342,16 @@
 
 	limit := j.maxEvents()
 
+	var pace pace
+
+	defer func() { j.recordPace(t, stream.count, &pace) }()
+
 	for {
 		event, id, err := stream.next()
 		silence.pause()
 
+		readAt := j.now()
+
 		// A replica that is lost closes its connections too. One that has nothing left to send to a caller who takes a stream up
 		// sends no event.
 		if errors.Is(err, io.EOF) && answer.Open && stream.count == 0 && p.lastEventID == "" {
@@ -382,6 +388,8 @@
 			p.lastEventID = id
 		}
 
+		j.noteEvent(readAt, t, stream.count, &pace)
+
 		if err := w.WriteEvent(event); err != nil {
 			j.outcome.Problem = verdict.New(verdict.Ran, verdict.CodeCallerGone, "the caller disconnected").WithCause(err)
 			w.Abort()
@@ -390,6 +398,11 @@
 		}
 
 		j.silent, j.lastHeard = "", j.now()
+
+		if j.lastHeard.Sub(readAt) > blockedWrite {
+			pace.since = time.Time{}
+		}
+
 		silence.resume(j.lastHeard, j.patience())
 	}
 }
--- a/internal/measure/metrics/calls.go
+++ b/internal/measure/metrics/calls.go
@@ -33,6 +33,13 @@
 	c.replaced.Inc(int64(replaced))
 }
 
+// AnsweredLate counts a stream that came later than its route allows, by cause. An empty cause means that it was in time.
+func (c *Calls) AnsweredLate(cause string) {
+	if cause != "" {
+		metrics.GetOrRegisterCounter("late-"+cause, c.registry).Inc(1)
+	}
+}
+
 // RequestEnded counts a request that has ended. A nil problem means that it was answered completely; first and total
 // are then the times until its first token and its end, and are recorded by urgency. Failed requests are counted by
 // code and by verdict.
