--- a/internal/control/placing/choose.go
+++ b/internal/control/placing/choose.go
@@ -235,7 +235,7 @@
 	need := job.Prompt + job.Output
 
 	b.mu.Lock()
-	view := b.viewOf(now, candidates)
+	view, spread := b.viewOf(now, candidates), b.spread()
 	b.mu.Unlock()
 
 	return b.choose(now, candidates, job, TargetWork{Running: 1, KVTokens: need}, func(w *TargetWork, t fleet.Target) (float64, bool) {
@@ -248,7 +248,7 @@
 			full = full || used > fullFraction
 		}
 
-		return load + paceCost(view, w, t, job.Gap), full
+		return load + paceCost(view, w, t, job.Gap) + spread*jitter(job.ID, t.ID), full
 	})
 }
 
--- a/internal/control/placing/pace.go
+++ b/internal/control/placing/pace.go
@@ -21,6 +21,9 @@
 	latePause      = 1.2
 	// paceLoad is the load added to a target that takes twice as long as usual for an event.
 	paceLoad = 0.3
+	// spreadLoad is the greatest difference in load that is left to chance. In a large fleet, the reports of peers are older than many
+	// streams and leave out most hosts of other data centres, so hosts that took the least load would all choose the same target.
+	spreadLoad = 0.5
 )
 
 // paceView is what is known of the speeds of the targets of one service.
@@ -97,3 +100,11 @@
 
 	return lateLoad*late + paceLoad*(view.Slowness(t.ID)-1)
 }
+
+// spread returns the difference in load that is left to chance: less in a small fleet, whose hosts know each other's work better.
+// The caller holds mu.
+func (b *Board) spread() float64 {
+	peers := float64(len(b.peers))
+
+	return spreadLoad * peers / (peers + fewPeers)
+}
--- a/internal/entry/relay/late.go
+++ b/internal/entry/relay/late.go
@@ -11,25 +11,25 @@
 type LateCause string
 
 const (
-	// LateRepeat: the first event came late, and an earlier send to a target had failed or was refused.
+	// LateRepeat means that the first event came late, and an earlier send to a target had failed or was refused.
 	LateRepeat LateCause = "repeat"
-	// LatePlace: the first event came late, most of the time before the prompt was sent to a target.
+	// LatePlace means that the first event came late, most of the time before the prompt was sent to a target.
 	LatePlace LateCause = "place"
-	// LateReader: the first event came late, most of the time before the prefill replica was done with earlier prompts.
+	// LateReader means that the first event came late, most of the time before the prefill replica was done with earlier prompts.
 	LateReader LateCause = "reader"
-	// LateSharedPart: the first event came late, most of the time while the replica prefilled a part that other requests have too.
+	// LateSharedPart means that the first event came late, most of the time while the replica prefilled a part that other requests have too.
 	LateSharedPart LateCause = "shared-part"
-	// LatePrompt: the first event came late, most of the time while the replica prefilled the rest of the prompt.
+	// LatePrompt means that the first event came late, most of the time while the replica prefilled the rest of the prompt.
 	LatePrompt LateCause = "prompt"
-	// LateStart: the first event came late, most of the time after the run was sent: the KV cache was moved, or a slot was not free.
+	// LateStart means that the first event came late, most of the time after the run was sent: the KV cache was moved, or a slot was not free.
 	LateStart LateCause = "start"
-	// LatePauseSlow: a pause was longer than the route allows, on a target that is slower than others.
+	// LatePauseSlow means that a pause was longer than the route allows, on a target that is slower than others.
 	LatePauseSlow LateCause = "pause-slow"
-	// LatePauseFull: a pause was too long on a target with few free slots.
+	// LatePauseFull means that a pause was too long on a target with few free slots.
 	LatePauseFull LateCause = "pause-full"
-	// LatePauseMoved: a pause was too long since the stream went on at another target.
+	// LatePauseMoved means that a pause was too long since the stream went on at another target.
 	LatePauseMoved LateCause = "pause-moved"
-	// LatePause: a pause was too long on a target that is neither slow nor full.
+	// LatePause means that a pause was too long on a target that is neither slow nor full.
 	LatePause LateCause = "pause-other"
 )
 
