--- a/internal/control/placing/pace.go
+++ b/internal/control/placing/pace.go
@@ -19,7 +19,8 @@
 	// counts in part.
 	tolerablePause = 0.8
 	latePause      = 1.2
-	// paceLoad is the load added to a target that takes twice as long as usual for an event.
+	// paceLoad is the load added to a target that takes twice as long as usual for an event. One that takes less is not preferred: all
+	// hosts would choose the same few.
 	paceLoad = 0.3
 	// spreadLoad is the greatest difference in load that is left to chance. In a large fleet, the reports of peers are older than many
 	// streams and leave out most hosts of other data centres, so hosts that took the least load would all choose the same target.
@@ -98,7 +99,7 @@
 	pause := view.Pause(t.ID, slotLoad(w, t)).Seconds() / gap.Seconds()
 	late := min(max((pause-tolerablePause)/(latePause-tolerablePause), 0), 1)
 
-	return lateLoad*late + paceLoad*(view.Slowness(t.ID)-1)
+	return lateLoad*late + paceLoad*max(view.Slowness(t.ID)-1, 0)
 }
 
 // spread returns the difference in load that is left to chance: less in a small fleet, whose hosts know each other's work better.
--- a/internal/entry/relay/late.go
+++ b/internal/entry/relay/late.go
@@ -15,7 +15,7 @@
 	LateRepeat LateCause = "repeat"
 	// LatePlace means that the first event came late, most of the time before the prompt was sent to a target.
 	LatePlace LateCause = "place"
-	// LateReader means that the first event came late, most of the time before the prefill replica was done with earlier prompts.
+	// LateReader means that the first event came late, most of the time while the prefill replica was busy with other prompts.
 	LateReader LateCause = "reader"
 	// LateSharedPart means that the first event came late, most of the time while the replica prefilled a part that other requests have too.
 	LateSharedPart LateCause = "shared-part"
@@ -154,7 +154,13 @@
 	}
 
 	own := j.r.Prompt - m.prompt.Cached
-	if m.prompt.PrefillTokens-own > own {
+
+	alone := m.prompt.Wait // what the prompt would have taken without others
+	if m.prompt.PrefillTokens > own {
+		alone = time.Duration(float64(alone) * float64(own) / float64(m.prompt.PrefillTokens))
+	}
+
+	if prefill > 2*alone {
 		return LateReader
 	}
 
