--- a/internal/control/placing/pace.go
+++ b/internal/control/placing/pace.go
@@ -13,8 +13,8 @@
 	// they become known.
 	viewAge = 250 * time.Millisecond
 	// lateLoad is the load added to a target on which the pauses of streams are expected to be longer than the request allows:
-	// that of a full target, so that one of the others is preferred until it is nearly full.
-	lateLoad = 1.0
+	// that of a nearly full target, so that one of the others is preferred until it is full too.
+	lateLoad = 0.7
 	// latePause and tolerablePause are the pauses, as fractions of the longest that the request allows, between which lateLoad
 	// counts in part.
 	tolerablePause = 0.8
--- a/internal/control/speeds/view.go
+++ b/internal/control/speeds/view.go
@@ -79,3 +79,17 @@
 
 	return seconds(pace * loadFactor(load) * v.tail)
 }
+
+// Stats are for metrics.
+type Stats struct {
+	Known       int64 // targets of known speed
+	TailPercent int64 // time that slow stretches take, in percent of the median of their target
+}
+
+// Stats returns the present Stats.
+func (t *Table) Stats() Stats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	return Stats{Known: int64(len(t.targets)), TailPercent: int64(100 * math.Exp(t.tail))}
+}
--- a/internal/entry/digests/exchange_test.go
+++ b/internal/entry/digests/exchange_test.go
@@ -165,3 +165,35 @@
 	t.Logf("%.1f bytes for each limit", perLimit)
 	require.Less(t, perLimit, 64.0)
 }
+
+func TestHostsShareTheSpeedsThatTheyHaveSeen(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	a, b, c := newHost(clock), newHost(clock), newHost(clock)
+	targets := []fleet.Target{{ID: "r1", Slots: 4}, {ID: "r2", Slots: 4}, {ID: "r3", Slots: 4}}
+	ids := []entity.TargetID{"r1", "r2", "r3"}
+
+	for i, target := range targets {
+		a.board.RecordPace(clock.Now(), target, time.Duration(i+1)*50*time.Millisecond)
+	}
+
+	clock.Advance(time.Second)
+	sendDigest(t, a, b, "a", "b")
+	require.InDelta(t, 1.5, b.board.Speeds().View(clock.Now(), ids).Slowness("r3"), 0.01)
+
+	sendDigest(t, b, c, "b", "c")
+	require.False(t, c.board.Speeds().View(clock.Now(), ids).Uneven(), "hosts do not pass on what they were told")
+
+	clock.Advance(28 * time.Second)
+	require.True(t, b.board.Speeds().View(clock.Now(), ids).Uneven())
+	clock.Advance(time.Second)
+	require.False(t, b.board.Speeds().View(clock.Now(), ids).Uneven(), "the age before it was sent counts")
+}
+
+// A host of an older build sends no speeds, and ignores those that it gets.
+func TestDigestWithoutSpeedsIsRead(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	a := newHost(clock)
+	a.Receive(&peer.Digest{Host: "old", DataCentre: "z"})
+	a.Receive(&peer.Digest{Host: "odd", DataCentre: "z", Speeds: []*peer.TargetSpeed{nil, {Target: "r1"}, {Target: "r1", PaceUs: 1 << 31, Weight: 1 << 31, AgeMs: 1 << 31}}})
+	require.False(t, a.board.Speeds().View(clock.Now(), []entity.TargetID{"r1"}).Uneven())
+}
