--- a/internal/control/placing/pace.go
+++ b/internal/control/placing/pace.go
@@ -13,18 +13,18 @@
 	// they become known.
 	viewAge = 250 * time.Millisecond
 	// lateLoad is the load added to a target on which the pauses of streams are expected to be longer than the request allows:
-	// that of a nearly full target, so that one of the others is preferred until it is full too.
-	lateLoad = 0.7
+	// that of a full target, so that one of the others is preferred until it is full too.
+	lateLoad = 1.0
 	// latePause and tolerablePause are the pauses, as fractions of the longest that the request allows, between which lateLoad
 	// counts in part.
-	tolerablePause = 0.8
-	latePause      = 1.2
+	tolerablePause = 0.6
+	latePause      = 1.0
 	// paceLoad is the load added to a target that takes twice as long as usual for an event. One that takes less is not preferred: all
 	// hosts would choose the same few.
 	paceLoad = 0.3
 	// spreadLoad is the greatest difference in load that is left to chance. In a large fleet, the reports of peers are older than many
 	// streams and leave out most hosts of other data centres, so hosts that took the least load would all choose the same target.
-	spreadLoad = 0.5
+	spreadLoad = 0.4
 )
 
 // paceView is what is known of the speeds of the targets of one service.
--- a/internal/control/speeds/table.go
+++ b/internal/control/speeds/table.go
@@ -47,6 +47,8 @@
 	tailStep = 0.02
 	// maxTail bounds the tail.
 	maxTail = 6
+	// initialTail is the tail until it is learned.
+	initialTail = 2
 )
 
 // Observation is what one host has learned of a target.
@@ -81,7 +83,7 @@
 }
 
 // New returns an empty Table.
-func New() *Table { return &Table{targets: map[entity.TargetID]*target{}} }
+func New() *Table { return &Table{targets: map[entity.TargetID]*target{}, tail: math.Log(initialTail)} }
 
 // Record records that a stream on id had pace between two events over a stretch of time that ended at now. load is the used
 // fraction of the target's slots.
--- a/internal/control/speeds/view.go
+++ b/internal/control/speeds/view.go
@@ -14,12 +14,15 @@
 	unevenSpread = 1.35
 	// minKnown is the number of targets of known speed from which on they are compared.
 	minKnown = 3
+	// fasterPart divides the known targets, by speed; the slowest of the first part gives the usual speed. It is that of fast targets
+	// also where most are slow, and not that of a single one that was seen at a good moment.
+	fasterPart = 4
 )
 
 // View is what a Table knows of some targets at one time. It is never changed. The zero value knows nothing.
 type View struct {
 	paces  map[entity.TargetID]float64 // seconds between two events without load
-	median float64                     // of paces; zero if they do not differ
+	usual  float64                     // pace of the faster targets; zero if the targets do not differ
 	tail   float64                     // slow stretches take so many times the median of their target
 }
 
@@ -52,18 +55,18 @@
 		return View{}
 	}
 
-	v.median = known[n/2]
+	v.usual = known[n/fasterPart]
 
 	return v
 }
 
 // Uneven reports whether the targets differ.
-func (v View) Uneven() bool { return v.median > 0 }
+func (v View) Uneven() bool { return v.usual > 0 }
 
 // Slowness returns how many times as long as usual id takes for an event, 1 if that is unknown or the targets do not differ.
 func (v View) Slowness(id entity.TargetID) float64 {
-	if pace, ok := v.paces[id]; ok && v.median > 0 {
-		return pace / v.median
+	if pace, ok := v.paces[id]; ok && v.usual > 0 {
+		return pace / v.usual
 	}
 
 	return 1
@@ -74,7 +77,7 @@
 func (v View) Pause(id entity.TargetID, load float64) time.Duration {
 	pace, ok := v.paces[id]
 	if !ok {
-		pace = v.median
+		pace = v.usual
 	}
 
 	return seconds(pace * loadFactor(load) * v.tail)
