--- a/internal/control/placing/pace.go
+++ b/internal/control/placing/pace.go
@@ -24,7 +24,7 @@
 	paceLoad = 0.3
 	// spreadLoad is the greatest difference in load that is left to chance. In a large fleet, the reports of peers are older than many
 	// streams and leave out most hosts of other data centres, so hosts that took the least load would all choose the same target.
-	spreadLoad = 0.4
+	spreadLoad = 0.5
 )
 
 // paceView is what is known of the speeds of the targets of one service.
--- a/internal/control/speeds/view.go
+++ b/internal/control/speeds/view.go
@@ -21,9 +21,9 @@
 
 // View is what a Table knows of some targets at one time. It is never changed. The zero value knows nothing.
 type View struct {
-	paces  map[entity.TargetID]float64 // seconds between two events without load
-	usual  float64                     // pace of the faster targets; zero if the targets do not differ
-	tail   float64                     // slow stretches take so many times the median of their target
+	paces map[entity.TargetID]float64 // seconds between two events without load
+	usual float64                     // pace of the faster targets; zero if the targets do not differ
+	tail  float64                     // slow stretches take so many times the median of their target
 }
 
 // View returns what is known of ids at now. It knows nothing unless the targets differ.
