Act on speeds only where replicas differ, by medians of whole stretches

From the review of: the spread over replicas acted in every deployment, hid the preference for the near data centre and failing replicas; views of a part of a service were kept for all of it; one stall or a short last stretch made a replica slow or fast; the cost of load was fixed.

--- a/internal/control/placing/board.go
+++ b/internal/control/placing/board.go
@@ -64,6 +64,7 @@
 	cache           *cache
 	prefillRate     float64 // mean prompt tokens per second of a replica under its present load
 	idlePrefillRate float64 // the same, for replicas that process a single prompt
+	hosts           int     // hosts of the fleet; zero if unknown
 	speeds          *speeds.Table
 	paces           map[entity.ServiceName]paceView // what speeds knows of the decode replicas of each service
 }
@@ -160,6 +161,12 @@
 		}
 	}
 
+	for service, v := range b.paces {
+		if now.Sub(v.at) > peerTimeout {
+			delete(b.paces, service)
+		}
+	}
+
 	b.speeds.Tick(now, keep)
 }
 
--- a/internal/control/placing/choose.go
+++ b/internal/control/placing/choose.go
@@ -235,10 +235,15 @@
 	need := job.Prompt + job.Output
 
 	b.mu.Lock()
-	view, spread := b.viewOf(now, candidates), b.spread()
+	pace := b.viewOf(now, candidates)
+	known := b.total
+
+	if pace.view.Uneven() {
+		known = b.fleetWork
+	}
 	b.mu.Unlock()
 
-	return b.choose(now, candidates, job, TargetWork{Running: 1, KVTokens: need}, func(w *TargetWork, t fleet.Target) (float64, bool) {
+	return b.choose(now, candidates, job, TargetWork{Running: 1, KVTokens: need}, known, func(w *TargetWork, t fleet.Target) (float64, bool) {
 		load := slotWeight * float64(w.Running) / float64(t.Slots)
 		full := w.Running >= t.Slots
 
@@ -248,20 +253,21 @@
 			full = full || used > fullFraction
 		}
 
-		return load + paceCost(view, w, t, job.Gap) + spread*jitter(job.ID, t.ID), full
+		return load + paceCost(pace.view, w, t, job.Gap) + pace.chance(&job, t), full
 	})
 }
 
 // PlaceCall chooses the replica of a plain service for job. It reports false if job avoids all candidates.
 func (b *Board) PlaceCall(now time.Time, candidates []fleet.Target, job Job) (Placement, bool) {
-	return b.choose(now, candidates, job, TargetWork{Running: 1}, func(w *TargetWork, t fleet.Target) (float64, bool) {
+	return b.choose(now, candidates, job, TargetWork{Running: 1}, b.total, func(w *TargetWork, t fleet.Target) (float64, bool) {
 		return float64(w.Running) / float64(t.Slots), false
 	})
 }
 
 // choose places work on the target with the least load. Full targets come after those with room, and paused ones last.
 func (b *Board) choose(
-	now time.Time, candidates []fleet.Target, job Job, work TargetWork, load func(*TargetWork, fleet.Target) (float64, bool),
+	now time.Time, candidates []fleet.Target, job Job, work TargetWork, known func(entity.TargetID) TargetWork,
+	load func(*TargetWork, fleet.Target) (float64, bool),
 ) (Placement, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -286,7 +292,7 @@
 			continue
 		}
 
-		total := b.total(t.ID)
+		total := known(t.ID)
 		score, full := load(&total, t)
 		r := b.record(t.ID)
 		score += failureLoad * r.failureRate
--- a/internal/control/placing/pace_test.go
+++ b/internal/control/placing/pace_test.go
@@ -33,6 +33,7 @@
 	running map[entity.TargetID]int
 	most    int           // most streams on one replica at once
 	gap     time.Duration // as the hosts know it
+	cost    float64       // time that a full replica takes for an event beyond that of an idle one, as a fraction of the latter
 	apart   bool          // hosts hear of few hosts of other data centres
 	period  time.Duration // time between two reports of a host
 	over    int           // streams that were placed on a replica without a free slot
@@ -44,11 +45,11 @@
 func newStreams(hosts, replicas int, slow float64, spells bool, gap, period time.Duration) *streams {
 	s := &streams{
 		rand: rand.New(rand.NewPCG(3, 3)), factor: map[entity.TargetID]float64{}, spell: map[entity.TargetID]float64{},
-		running: map[entity.TargetID]int{}, gap: gap, period: period,
+		running: map[entity.TargetID]int{}, gap: gap, period: period, cost: 0.23,
 	}
 
 	for i := range replicas {
-		t := fleet.Target{ID: entity.TargetID(fmt.Sprint("r", i)), Service: "s", DataCentre: entity.DataCentre(fmt.Sprint(i % 4)), Slots: 32}
+		t := fleet.Target{ID: entity.TargetID(fmt.Sprint("r", i)), Service: "s", DataCentre: entity.DataCentre(fmt.Sprint(i / 3 % 3)), Slots: 32}
 		s.list = append(s.list, t)
 		s.factor[t.ID], s.spell[t.ID] = 0.7, 1
 
@@ -58,7 +59,9 @@
 	}
 
 	for range hosts {
-		s.boards = append(s.boards, placing.New())
+		board := placing.New()
+		board.SetHosts(hosts)
+		s.boards = append(s.boards, board)
 	}
 
 	if spells {
@@ -126,8 +129,11 @@
 
 // begin places a stream of 24 events on one of the hosts.
 func (s *streams) begin() {
-	board := s.boards[s.rand.IntN(len(s.boards))]
-	job := placing.Job{ID: entity.RequestID(fmt.Sprint(s.rand.Uint64())), Prompt: 1000, Output: 500, Near: "0", Gap: s.gap}
+	i := s.rand.IntN(len(s.boards))
+	board := s.boards[i]
+	job := placing.Job{
+		ID: entity.RequestID(fmt.Sprint(s.rand.Uint64())), Prompt: 5000, Output: 500, Near: entity.DataCentre(fmt.Sprint(i % 3)), Gap: s.gap,
+	}
 
 	place, ok := board.PlaceDecode(s.clock(), s.list, job, 400_000)
 	if !ok {
@@ -160,7 +166,7 @@
 		return
 	}
 
-	pause := time.Duration(float64(46*time.Millisecond) * s.factor[id] * s.spell[id] * (1 + 0.23*float64(s.running[id])/32))
+	pause := time.Duration(float64(46*time.Millisecond) * s.factor[id] * s.spell[id] * (1 + s.cost*float64(s.running[id])/32))
 
 	s.after(pause, func() {
 		if events++; s.now-since >= 400*time.Millisecond {
@@ -209,11 +215,47 @@
 	bySpeed.run(60, 20*time.Second)
 	require.Equal(t, byLoad.running, bySpeed.running)
 
-	byLoad, bySpeed = newStreams(8, 18, 1, true, 0, reportPeriod), newStreams(8, 18, 1, true, streamGap, reportPeriod)
-	byLoad.run(60, 20*time.Second)
-	bySpeed.run(60, 20*time.Second)
-	t.Logf("most on one replica with spells: %d by load alone, %d by speed too", byLoad.most, bySpeed.most)
-	require.LessOrEqual(t, bySpeed.most, byLoad.most+2)
+	for _, cost := range []float64{0, 0.23, 2} {
+		byLoad, bySpeed = newStreams(24, 18, 1, true, 0, reportPeriod), newStreams(24, 18, 1, true, streamGap, reportPeriod)
+		byLoad.cost, bySpeed.cost = cost, cost
+
+		byLoad.run(150, 20*time.Second)
+		bySpeed.run(150, 20*time.Second)
+		t.Logf("cost of load %v: most on one replica %d by load alone, %d by speed too; late %d, %d of %d", cost, byLoad.most, bySpeed.most, byLoad.late, bySpeed.late, bySpeed.total)
+		require.LessOrEqual(t, bySpeed.most, byLoad.most+3)
+		require.LessOrEqual(t, 100*(bySpeed.late-byLoad.late), bySpeed.total)
+	}
+}
+
+// Without load, no stream goes to another data centre, however many hosts there are and whatever the speeds; and a target that
+// fails in one of ten requests is left alone.
+func TestNearAndSoundReplicasArePreferredInLargeFleets(t *testing.T) {
+	s := newStreams(63, 36, 2.4, false, streamGap, reportPeriod)
+	s.run(150, 10*time.Second)
+
+	board := s.boards[0]
+	for range 2 {
+		board.RecordOutcome(s.clock(), s.list[0], placing.Failed)
+	}
+
+	idle := placing.New()
+	for i := range 63 {
+		idle.Merge(s.clock(), entity.HostID(fmt.Sprint(i)), nil)
+	}
+
+	for i := range 300 {
+		job := placing.Job{ID: entity.RequestID(fmt.Sprint("x", i)), Prompt: 1000, Output: 500, Near: "0", Gap: streamGap}
+
+		place, ok := board.PlaceDecode(s.clock(), s.list, job, 400_000)
+		require.True(t, ok)
+		require.NotEqual(t, s.list[0].ID, place.Target.ID)
+		place.Claim.Release()
+
+		place, ok = idle.PlaceDecode(s.clock(), s.list, job, 400_000)
+		require.True(t, ok)
+		require.Equal(t, entity.DataCentre("0"), place.Target.DataCentre)
+		place.Claim.Release()
+	}
 }
 
 // Hosts of a large fleet hear of each other late, and of few in other data centres. They may not all choose the replica that had the least
--- a/internal/control/speeds/table.go
+++ b/internal/control/speeds/table.go
@@ -21,25 +21,34 @@
 	// reportAge is the age up to which own observations are reported: the newest ones reach a peer several times, so that lost
 	// messages cost nothing, and the report stays small.
 	reportAge = 3 * time.Second
-	// maxReported bounds the targets in a report; the newest observations count.
-	maxReported = 32
+	// maxReported bounds the targets in a report; the newest observations count. A host gets dozens of reports a second, so that
+	// it hears of each target in use every second or so, and a report stays below 250 bytes.
+	maxReported = 6
 	// maxAccepted bounds the targets that are read from a report of one host.
-	maxAccepted = 2 * maxReported
+	maxAccepted = 32
 	// maxHeard is the number of hosts whose observations of one target are kept, the newest ones.
 	maxHeard = 12
 	// maxTargets bounds the targets that are known, of which peers might report any number.
 	maxTargets = 4096
 	// maxWeight bounds the weight of one host's observations of a target, so that no single host decides.
-	maxWeight = 8
-	// newestWeight is the least weight of the newest stretch in the mean of this host.
-	newestWeight = 0.2
-	// maxStep bounds the change of the logarithm of an estimate by one stretch, so that one in a slow spell does not decide.
-	maxStep = 0.5
+	maxWeight = kept
+	// kept is the number of own stretches of a target that are kept, the newest ones. Their median counts, so that neither a spell nor
+	// a single stall decides.
+	kept = 7
+	// minWeight is the number of stretches, of all hosts, from which the speed of a target counts as known.
+	minWeight = 6
+	// observationsAge is the age up to which the same report is sent to several peers.
+	observationsAge = 100 * time.Millisecond
 	// minPace and maxPace bound the time between two events that is believed.
 	minPace = 100 * time.Microsecond
 	maxPace = 10 * time.Second
-	// loadCost is the time that a full target needs for an event beyond that of an idle one, as a fraction of the latter.
-	loadCost = 0.25
+	// initialLoadCost is the logarithm of the time that a full target needs for an event, as a multiple of that of an idle one, until
+	// it is learned; priorWeight is the weight of that, in squares of load differences; maxLoadCost bounds what is learned.
+	initialLoadCost = 0.22
+	priorWeight     = 0.1
+	maxLoadCost     = 2
+	// costMemory is the factor by which what was learned of the cost of load fades with each stretch.
+	costMemory = 0.995
 
 	// tailFraction is the fraction of the stretches that are faster, relative to the median of their target, than the tail.
 	tailFraction = 0.92
@@ -55,7 +64,7 @@
 type Observation struct {
 	Target entity.TargetID
 	Pace   time.Duration // time between two events of one stream on the target without other load
-	Weight int           // number of stretches of streams that it rests on, at most 8
+	Weight int           // number of stretches of streams that it rests on, at most 7
 	Age    time.Duration // time since the last one
 }
 
@@ -67,27 +76,61 @@
 	at     time.Time
 }
 
+// stretch is a stretch of a stream on a target.
+type stretch struct {
+	log  float64 // logarithm of the time between two events, in seconds, with the load on the target
+	load float64
+}
+
+// service is what is known of all targets of one service.
+type service struct {
+	tail float64 // logarithm of the ratio of slow stretches to the median of their target
+
+	// xx and xy are sums over pairs of stretches on the same target, of squares of the difference in load and of that times the
+	// difference in the logarithm of the pace.
+	xx, xy float64
+}
+
+// loadCost returns the logarithm of the time that a full target needs for an event, as a multiple of that of an idle one. It is
+// learned within targets, so that slow targets with little load do not hide it.
+func (s *service) loadCost() float64 {
+	return min(max((s.xy+priorWeight*initialLoadCost)/(s.xx+priorWeight), 0), maxLoadCost)
+}
+
+// learnLoadCost adds two stretches on one target.
+func (s *service) learnLoadCost(before, now stretch) {
+	x := now.load - before.load
+	s.xx = costMemory*s.xx + x*x
+	s.xy = costMemory*s.xy + x*(now.log-before.log)
+}
+
 // target is what is known of one run of a target.
 type target struct {
-	log    float64 // mean logarithm of the pace as seen by this host, in seconds
-	weight float64 // stretches that it rests on; zero for none
-	at     time.Time
-	heard  []heard
+	service entity.ServiceName // empty until it is known
+	own     []stretch          // what this host has seen, the newest kept ones
+	next    int                // element of own that the next one replaces
+	at      time.Time          // end of the newest of own
+	heard   []heard
 }
 
 // Table holds the speeds of targets. It is safe for concurrent use. Make it with New.
 type Table struct {
-	mu      sync.Mutex
-	targets map[entity.TargetID]*target
-	tail    float64 // logarithm of the ratio of slow stretches to the median of their target
+	mu       sync.Mutex
+	targets  map[entity.TargetID]*target
+	services map[entity.ServiceName]*service
+
+	reportedAt time.Time     // time of reported
+	reported   []Observation // last result of Observations
 }
 
 // New returns an empty Table.
-func New() *Table { return &Table{targets: map[entity.TargetID]*target{}, tail: math.Log(initialTail)} }
+func New() *Table {
+	return &Table{targets: map[entity.TargetID]*target{}, services: map[entity.ServiceName]*service{}}
+}
 
-// Record records that a stream on id had pace between two events over a stretch of time that ended at now. load is the used
-// fraction of the target's slots.
-func (t *Table) Record(now time.Time, id entity.TargetID, load float64, pace time.Duration) {
+// Record records that a stream on id, a target of the service name, had pace between two events over a stretch of time that ended at now.
+// load is the used fraction of the target's slots.
+func (t *Table) Record(now time.Time, name entity.ServiceName, id entity.TargetID, load float64, pace time.Duration) {
 	if pace < minPace || pace > maxPace {
 		return
 	}
@@ -100,40 +143,71 @@
 		return
 	}
 
-	sample := math.Log(pace.Seconds() / loadFactor(load))
+	all := t.serviceOf(name)
+	e.service = name
+	sample := stretch{log: math.Log(pace.Seconds()), load: min(max(load, 0), 1)}
+
+	if median, ok := e.median(now, all); ok {
+		all.learnTail(sample.log - all.loadCost()*sample.load - median)
+	}
 
-	if median, ok := e.median(now); ok {
-		t.recordTail(sample - median)
+	if len(e.own) > 0 {
+		all.learnLoadCost(e.newest(), sample)
 	}
 
 	if now.Sub(e.at) >= memory {
-		e.weight = 0
+		e.own, e.next = e.own[:0], 0
 	}
 
-	e.weight = min(e.weight+1, maxWeight)
 	e.at = now
 
-	if e.weight == 1 {
-		e.log = sample
+	if len(e.own) < kept {
+		e.own = append(e.own, sample)
 
 		return
 	}
 
-	e.log += max(1/e.weight, newestWeight) * min(max(sample-e.log, -maxStep), maxStep)
+	e.own[e.next] = sample
+	e.next = (e.next + 1) % kept
 }
 
-// recordTail moves the estimate of the tail by the logarithm of the ratio of one stretch to the median of its target.
-func (t *Table) recordTail(ratio float64) {
+// serviceOf returns the element for name and creates it if there is none. The caller holds mu.
+func (t *Table) serviceOf(name entity.ServiceName) *service {
+	s, ok := t.services[name]
+	if !ok {
+		s = &service{tail: math.Log(initialTail)}
+		t.services[name] = s
+	}
+
+	return s
+}
+
+// learnTail moves the estimate of the tail by the logarithm of the ratio of one stretch to the median of its target.
+func (s *service) learnTail(ratio float64) {
 	step := tailStep * tailFraction
-	if ratio < t.tail {
+	if ratio < s.tail {
 		step = -tailStep * (1 - tailFraction)
 	}
 
-	t.tail = min(max(t.tail+step, 0), math.Log(maxTail))
+	s.tail = min(max(s.tail+step, 0), math.Log(maxTail))
 }
 
-// loadFactor returns the time between two events at load as a multiple of that without load.
-func loadFactor(load float64) float64 { return 1 + loadCost*min(max(load, 0), 1) }
+// newest returns the last of own, of which there must be some.
+func (e *target) newest() stretch { return e.own[(e.next+len(e.own)-1)%len(e.own)] }
+
+// ownMedian returns the median of own, of which there must be some, without the cost of load in s.
+func (e *target) ownMedian(s *service) float64 {
+	var logs [kept]float64
+
+	for i, o := range e.own {
+		logs[i] = o.log - s.loadCost()*o.load
+	}
+
+	sorted := logs[:len(e.own)]
+	slices.Sort(sorted)
+
+	return sorted[len(sorted)/2]
+}
 
 // entry returns the entry of id, or nil if there are too many. The caller holds mu.
 func (t *Table) entry(id entity.TargetID) *target {
@@ -146,22 +220,40 @@
 	return e
 }
 
-// Observations returns the newest observations of this host, at most 32.
+// Observations returns the newest observations of this host, at most 6. The result must not be changed.
 func (t *Table) Observations(now time.Time) []Observation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
+	if age := now.Sub(t.reportedAt); age >= 0 && age < observationsAge {
+		return t.reported
+	}
+
 	var list []Observation
 
 	for id, e := range t.targets {
-		if age := now.Sub(e.at); e.weight > 0 && age <= reportAge {
-			list = append(list, Observation{Target: id, Pace: seconds(math.Exp(e.log)), Weight: int(e.weight), Age: max(age, 0)})
+		if age := now.Sub(e.at); len(e.own) > 0 && age <= reportAge {
+			list = append(list, Observation{Target: id, Weight: len(e.own), Age: max(age, 0)})
 		}
 	}
 
 	slices.SortFunc(list, func(a, b Observation) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Target, b.Target)) })
+	list = list[:min(len(list), maxReported)]
+
+	for i := range list {
+		list[i].Pace = seconds(math.Exp(t.ownMedian(list[i].Target)))
+	}
+
+	t.reported, t.reportedAt = list, now
 
-	return list[:min(len(list), maxReported)]
+	return list
+}
+
+// ownMedian returns what this host has seen of the target id, as the logarithm of seconds. The caller holds mu.
+func (t *Table) ownMedian(id entity.TargetID) float64 {
+	e := t.targets[id]
+
+	return e.ownMedian(t.serviceOf(e.service))
 }
 
 // Merge adds the observations that host has made itself. They replace its earlier ones of the same targets.
@@ -205,18 +297,18 @@
 	}
 }
 
-// median returns the weighted median of what the hosts have seen, as the logarithm of seconds. It reports false if nothing is
-// known.
-func (e *target) median(now time.Time) (float64, bool) {
+// median returns the weighted median of what the hosts have seen, as the logarithm of seconds, for a target of s. It reports false if too
+// little is known.
+func (e *target) median(now time.Time, s *service) (float64, bool) {
 	var (
 		list [maxHeard + 1]heard
 		n    int
 		sum  float64
 	)
 
-	if e.weight > 0 && now.Sub(e.at) < memory {
-		list[0] = heard{log: e.log, weight: e.weight}
-		n, sum = 1, e.weight
+	if len(e.own) > 0 && now.Sub(e.at) < memory {
+		list[0] = heard{log: e.ownMedian(s), weight: float64(len(e.own))}
+		n, sum = 1, list[0].weight
 	}
 
 	for _, h := range e.heard {
@@ -227,7 +319,7 @@
 		}
 	}
 
-	if n == 0 {
+	if sum < minWeight {
 		return 0, false
 	}
 
@@ -256,6 +348,8 @@
 			delete(t.targets, id)
 		}
 	}
+
+	t.reportedAt = time.Time{} // reported may have targets that are forgotten
 }
 
 // seconds returns s seconds as a duration.
--- a/internal/control/speeds/view.go
+++ b/internal/control/speeds/view.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// unevenSpread is the ratio between the slower and the faster targets of a service, at the two ends of the middle two thirds, from which on
-	// they count as differing. Below, the differences are those of load and chance.
+	// unevenSpread is the ratio between the slower and the faster targets of a service, at the two ends of the middle half, from which on
+	// they count as differing. Below, the differences are those of load and chance, and fewer targets may be in slow spells.
 	unevenSpread = 1.35
 	// minKnown is the number of targets of known speed from which on they are compared.
-	minKnown = 3
+	minKnown = 6
 	// fasterPart divides the known targets, by speed; the slowest of the first part gives the usual speed. It is that of fast targets
 	// also where most are slow, and not that of a single one that was seen at a good moment.
 	fasterPart = 4
@@ -23,24 +23,35 @@
 type View struct {
 	paces map[entity.TargetID]float64 // seconds between two events without load
 	usual float64                     // pace of the faster targets; zero if the targets do not differ
+	cost  float64                     // logarithm of the time at full load, as a multiple of that without load
 	tail  float64                     // slow stretches take so many times the median of their target
 }
 
-// View returns what is known of ids at now. It knows nothing unless the targets differ.
-func (t *Table) View(now time.Time, ids []entity.TargetID) View {
+// View returns what is known at now of the targets of the service name: of ids, and of those that were named or recorded before. It knows
+// nothing unless they differ.
+func (t *Table) View(now time.Time, name entity.ServiceName, ids []entity.TargetID) View {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	v := View{paces: make(map[entity.TargetID]float64, len(ids)), tail: math.Exp(t.tail)}
-	known := make([]float64, 0, len(ids))
-
 	for _, id := range ids {
 		if e, ok := t.targets[id]; ok {
-			if log, ok := e.median(now); ok {
-				pace := math.Exp(log)
-				v.paces[id] = pace
-				known = append(known, pace)
-			}
+			e.service = name
+		}
+	}
+
+	all := t.serviceOf(name)
+	v := View{paces: make(map[entity.TargetID]float64, len(ids)), tail: math.Exp(all.tail), cost: all.loadCost()}
+	known := make([]float64, 0, len(ids))
+
+	for id, e := range t.targets {
+		if e.service != name {
+			continue
+		}
+
+		if log, ok := e.median(now, all); ok {
+			pace := math.Exp(log)
+			v.paces[id] = pace
+			known = append(known, pace)
 		}
 	}
 
@@ -51,7 +62,7 @@
 
 	slices.Sort(known)
 
-	if known[n-1-n/6] < unevenSpread*known[n/6] {
+	if known[n-1-n/4] < unevenSpread*known[n/4] {
 		return View{}
 	}
 
@@ -80,13 +91,13 @@
 		pace = v.usual
 	}
 
-	return seconds(pace * loadFactor(load) * v.tail)
+	return seconds(pace * math.Exp(v.cost*min(max(load, 0), 1)) * v.tail)
 }
 
 // Stats are for metrics.
 type Stats struct {
-	Known       int64 // targets of known speed
-	TailPercent int64 // time that slow stretches take, in percent of the median of their target
+	Known       int64 // targets of which a speed was seen or heard
+	TailPercent int64 // time that slow stretches take, in percent of the median of their target; the greatest of all services
 }
 
 // Stats returns the present Stats.
@@ -94,5 +105,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	return Stats{Known: int64(len(t.targets)), TailPercent: int64(100 * math.Exp(t.tail))}
+	s := Stats{Known: int64(len(t.targets))}
+	for _, all := range t.services {
+		s.TailPercent = max(s.TailPercent, int64(100*math.Exp(all.tail)))
+	}
+
+	return s
 }
--- a/internal/entry/digests/exchange_test.go
+++ b/internal/entry/digests/exchange_test.go
@@ -169,24 +169,28 @@
 func TestHostsShareTheSpeedsThatTheyHaveSeen(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	a, b, c := newHost(clock), newHost(clock), newHost(clock)
-	targets := []fleet.Target{{ID: "r1", Slots: 4}, {ID: "r2", Slots: 4}, {ID: "r3", Slots: 4}}
-	ids := []entity.TargetID{"r1", "r2", "r3"}
+	var ids []entity.TargetID
 
-	for i, target := range targets {
-		a.board.RecordPace(clock.Now(), target, time.Duration(i+1)*50*time.Millisecond)
+	for i := range 6 {
+		target := fleet.Target{ID: entity.TargetID(fmt.Sprint("r", i)), Service: "s", Slots: 4}
+		ids = append(ids, target.ID)
+
+		for range 6 {
+			a.board.RecordPace(clock.Now(), target, time.Duration(2+i)*25*time.Millisecond)
+		}
 	}
 
 	clock.Advance(time.Second)
 	sendDigest(t, a, b, "a", "b")
-	require.InDelta(t, 3, b.board.Speeds().View(clock.Now(), ids).Slowness("r3"), 0.01)
+	require.InDelta(t, 2, b.board.Speeds().View(clock.Now(), "s", ids).Slowness("r4"), 0.01)
 
 	sendDigest(t, b, c, "b", "c")
-	require.False(t, c.board.Speeds().View(clock.Now(), ids).Uneven(), "hosts do not pass on what they were told")
+	require.False(t, c.board.Speeds().View(clock.Now(), "s", ids).Uneven(), "hosts do not pass on what they were told")
 
 	clock.Advance(28 * time.Second)
-	require.True(t, b.board.Speeds().View(clock.Now(), ids).Uneven())
+	require.True(t, b.board.Speeds().View(clock.Now(), "s", ids).Uneven())
 	clock.Advance(time.Second)
-	require.False(t, b.board.Speeds().View(clock.Now(), ids).Uneven(), "the age before it was sent counts")
+	require.False(t, b.board.Speeds().View(clock.Now(), "s", ids).Uneven(), "the age before it was sent counts")
 }
 
 // A host of an older build sends no speeds, and ignores those that it gets.
@@ -195,5 +199,5 @@
 	a := newHost(clock)
 	a.Receive(&peer.Digest{Host: "old", DataCentre: "z"})
 	a.Receive(&peer.Digest{Host: "odd", DataCentre: "z", Speeds: []*peer.TargetSpeed{nil, {Target: "r1"}, {Target: "r1", PaceUs: 1 << 31, Weight: 1 << 31, AgeMs: 1 << 31}}})
-	require.False(t, a.board.Speeds().View(clock.Now(), []entity.TargetID{"r1"}).Uneven())
+	require.False(t, a.board.Speeds().View(clock.Now(), "s", []entity.TargetID{"r1"}).Uneven())
 }
--- a/internal/entry/relay/fakes_test.go
+++ b/internal/entry/relay/fakes_test.go
@@ -304,7 +304,7 @@
 	}
 
 	fx.retries = retries.NewLimiter(retries.LimiterOptions{Ratio: 0, Slack: slack, Span: 10 * time.Second, Margin: 1})
-	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &fx.log}}
+	logger := &log.Logger{Level: log.DebugLevel, Writer: &log.IOWriter{Writer: &fx.log}}
 	fx.relay = relay.New(relay.Options{
 		Clock: slowClock{clockwork.NewRealClock(), &fx.clockLag}, Log: logger, Panics: panics.Recorder{Log: logger, Count: fx.panics}, Catalog: func() *catalog.Catalog { return c },
 		Fleet: func() *fleet.Snapshot { return fleet.NewSnapshot(fx.fleet) }, Board: fx.board, Targets: fx.targets, Crashers: fx.crashers,
--- a/internal/entry/relay/late.go
+++ b/internal/entry/relay/late.go
@@ -66,6 +66,7 @@
 	since  time.Time // first event of the present stretch; zero if there is none
 	last   time.Time // last event of the run; zero before the first one
 	before int       // events of the run until since
+	skip   bool      // the present stretch does not count
 }
 
 // noteEvent records that an event of t came at now, when its run had sent count of them.
@@ -85,8 +86,11 @@
 	}
 
 	if now.Sub(p.since) >= minStretch {
-		j.recordPace(t, count, p)
-		p.since, p.before = now, count
+		if !p.skip {
+			j.opts.Board.RecordPace(now, t, now.Sub(p.since)/time.Duration(max(count-p.before, 1)))
+		}
+
+		p.since, p.before, p.skip = now, count, false
 	}
 }
 
@@ -105,13 +109,6 @@
 	}
 }
 
-// recordPace records the stretch of p, at whose end the run had sent count events.
-func (j *job) recordPace(t fleet.Target, count int, p *pace) {
-	if n := count - p.before; n > 0 && !p.since.IsZero() && p.last.After(p.since) {
-		j.opts.Board.RecordPace(p.last, t, p.last.Sub(p.since)/time.Duration(n))
-	}
-}
-
 // lateCause returns why the stream was late.
 func (j *job) lateCause() LateCause {
 	switch {
@@ -184,7 +181,7 @@
 	}
 
 	m := &j.timing
-	j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Str("cause", string(cause)).
+	j.opts.Log.Debug().Str("request", string(j.r.ID)).Str("route", j.route.Name).Str("cause", string(cause)).
 		Dur("first", j.timeToFirst).Dur("prefill", m.promptDone.Sub(m.promptSent)).Dur("expected", m.prompt.Wait).Dur("start", m.first.Sub(m.runSent)).
 		Int64("prompt", int64(j.r.Prompt)).Int64("cached", int64(m.prompt.Cached)).Int64("work", int64(m.prompt.PrefillTokens)).
 		Dur("pause", m.pause).Str("target", string(m.pauseTarget.ID)).Float64("load", m.pauseLoad).Float64("pace", m.pausePace).
--- a/internal/entry/relay/late_test.go
+++ b/internal/entry/relay/late_test.go
@@ -100,19 +100,19 @@
 
 	synctest.Test(t, func(t *testing.T) {
 		fx := newFixture(t, plainStream, 100)
-		slow := map[entity.TargetID]bool{"d2": true}
+		slow := map[entity.TargetID]bool{"d2": true, "d3": true}
 		blocked := false
 
 		var target entity.TargetID
 
 		fx.targets.run = func(_ int, _ context.Context, s relay.Send) (*relay.Answer, error) {
-			pause := 50 * ms
+			pause, n := 50*ms, 30
 			if target = s.Target.ID; slow[target] {
-				pause = 260 * ms
+				pause, n = 260*ms, 15
 			}
 
 			a := answer(200, "")
-			a.Body = io.NopCloser(&pacedBody{pauses: append([]time.Duration{0}, pauses(20, pause)...)})
+			a.Body = io.NopCloser(&pacedBody{pauses: append([]time.Duration{0}, pauses(n, pause)...)})
 
 			return a, nil
 		}
@@ -126,28 +126,38 @@
 			fx.serveTo(t.Context(), t, out)
 		}
 
+		fx.fleet = append(fx.fleet,
+			fleet.Target{ID: "d5", Service: "model", Role: entity.Decode, Slots: 4}, fleet.Target{ID: "d6", Service: "model", Role: entity.Decode, Slots: 4})
 		all := fx.fleet
+		ids := []entity.TargetID{"d1", "d2", "d3", "d4", "d5", "d6"}
+		only := func(id entity.TargetID) {
+			fx.fleet = append([]fleet.Target{{ID: id, Service: "model", Role: entity.Decode, Slots: 4}}, all[4:8]...)
+		}
+
+		for _, id := range ids {
+			only(id)
 
-		ids := []entity.TargetID{"d1", "d2", "d3", "d4"}
-		for i, id := range ids {
-			fx.fleet = append([]fleet.Target{{ID: id, Service: "model", Role: entity.Decode, Slots: 4}}, all[4:]...)
 			serve()
-			require.Equal(t, ids[i], target)
+			require.Equal(t, id, target)
+
+			if !slow[id] {
+				serve() // as many stretches as on the slow ones
+			}
 		}
 
-		view := fx.board.Speeds().View(time.Now(), ids)
+		view := fx.board.Speeds().View(time.Now(), "model", ids)
 		require.True(t, view.Uneven())
 		require.Greater(t, view.Slowness("d2"), 4.0)
 		require.InDelta(t, 1, view.Slowness("d1"), 0.2)
 
 		fx.fleet = all
 
-		for range 20 {
+		for range 5 {
 			serve()
-			require.NotEqual(t, entity.TargetID("d2"), target, "the pauses there are longer than the route allows")
+			require.NotContains(t, slow, target, "the pauses there are longer than the route allows")
 		}
 
-		for _, other := range []int{0, 2, 3} {
+		for _, other := range []int{0, 2, 3, 8, 9} {
 			fx.board.RecordOutcome(time.Now(), all[other], placing.Refused)
 		}
 
@@ -156,9 +166,12 @@
 		require.Equal(t, relay.LatePauseSlow, fx.outcome.Late)
 
 		blocked = true
-		fx.fleet = append([]fleet.Target{{ID: "d5", Service: "model", Role: entity.Decode, Slots: 4}}, all[4:]...)
+		only("d7")
 
-		serve()
-		require.InDelta(t, 1, fx.board.Speeds().View(time.Now(), append(ids, "d5")).Slowness("d5"), 0, "nothing was learned")
+		for range 3 {
+			serve()
+		}
+
+		require.InDelta(t, 1, fx.board.Speeds().View(time.Now(), "model", append(ids, "d7")).Slowness("d7"), 0, "nothing was learned")
 	})
 }
--- a/internal/entry/relay/prefill.go
+++ b/internal/entry/relay/prefill.go
@@ -159,7 +159,7 @@
 	}
 
 	doneAt := j.now()
-	if j.lastHeard.IsZero() {
+	if replaceable && j.lastHeard.IsZero() {
 		j.timing.prompt, j.timing.promptSent, j.timing.promptDone = placement, sentAt, doneAt
 	}
 
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -342,16 +342,15 @@
 
 	limit := j.maxEvents()
 
-	var pace pace
-
-	defer func() { j.recordPace(t, stream.count, &pace) }()
+	// A target may send what the caller has missed of a stream that is taken up faster than it generates.
+	pace := pace{skip: p.lastEventID != ""}
 
 	for {
 		event, id, err := stream.next()
-		silence.pause()
-
 		readAt := j.now()
 
+		silence.pause()
+
 		// A replica that is lost closes its connections too. One that has nothing left to send to a caller who takes a stream up
 		// sends no event.
 		if errors.Is(err, io.EOF) && answer.Open && stream.count == 0 && p.lastEventID == "" {
