--- a/internal/entry/digests/size_test.go
+++ b/internal/entry/digests/size_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
@@ -44,3 +46,26 @@
 		})
 	}
 }
+
+// TestSpeedsTakeFewBytesOfADigest bounds what the speeds of targets add to a digest, however many targets the sender uses.
+func TestSpeedsTakeFewBytesOfADigest(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	h := newHost(clock)
+	d := &peer.Digest{Host: "front-abdali-12-1a2b3c4d5e6f7"}
+	h.Fill("b", d)
+	without := proto.Size(d)
+
+	for i := range 600 {
+		target := fleet.Target{ID: entity.TargetID(fmt.Sprintf("i-%010x@1764800000123", i)), Service: "s", Slots: 24}
+		for range 7 {
+			h.board.RecordPace(clock.Now(), target, 80*time.Millisecond)
+		}
+	}
+
+	clock.Advance(time.Second)
+
+	d = &peer.Digest{Host: "front-abdali-12-1a2b3c4d5e6f7"}
+	h.Fill("b", d)
+	require.Less(t, proto.Size(d)-without, 250)
+	t.Logf("%d bytes for the speeds of %d targets", proto.Size(d)-without, len(d.GetSpeeds()))
+}
