--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -342,8 +342,13 @@
 
 	limit := j.maxEvents()
 
+	// A target may send what the caller has missed of a stream that is taken up faster than it generates.
+	pace := pace{skip: p.lastEventID != ""}
+
 	for {
 		event, id, err := stream.next()
+		readAt := j.now()
+
 		silence.pause()
 
 		// A replica that is lost closes its connections too. One that has nothing left to send to a caller who takes a stream up
@@ -383,6 +388,8 @@
 			p.lastEventID = id
 		}
 
+		j.noteEvent(readAt, t, stream.count, &pace)
+
 		if err := w.WriteEvent(event); err != nil {
 			j.outcome.Problem = verdict.New(verdict.Ran, verdict.CodeCallerGone, "the caller disconnected").WithCause(err)
 			w.Abort()
@@ -391,6 +398,11 @@
 		}
 
 		j.silent, j.lastHeard = "", j.now()
+
+		if j.lastHeard.Sub(readAt) > blockedWrite {
+			pace.since = time.Time{}
+		}
+
 		silence.resume(j.lastHeard, j.patience())
 	}
 }
