Bound what requests and connections of callers hold in a host

Cause: each body was read whole with nothing to bound their sum, heads of many short fields took up to 20 times their size, and connections at no listener were counted. 120 clients took 149 to 217 MiB of 64, 700 clients 719 of 500 descriptors.

Connections are bounded by memory and max_fds; those that wait for their caller give way, and bytes that are there are served first. The listeners for readiness and metrics get limits on connections, heads, idle time and answers, and await no bodies.

--- a/internal/entry/serving/connections.go
+++ b/internal/entry/serving/connections.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"bytes"
 	"errors"
 	"maps"
 	"net"
@@ -15,6 +16,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
+	"github.com/dotterelflow/dotterelflow/internal/control/intake"
 )
 
 const (
@@ -24,6 +26,14 @@
 	// server stops. Callers send the first one as soon as they know that the connection is established.
 	firstRequestTime = time.Second
 	nextRequestTime  = 250 * time.Millisecond
+	// crowdDivisor sets how many connections may be open beyond the limit while those that give way are closing.
+	crowdDivisor = 8
+
+	// A parsed head takes headByteCost for each of its bytes, as its fields are copied once, and fieldCost for each line, in bytes.
+	headByteCost = 2
+	fieldCost    = 300
+	// freeHeadBytes is the memory of a head that is not taken from the room; the limit on connections bounds it.
+	freeHeadBytes = 16 << 10
 )
 
 // Stats counts connections of callers.
@@ -31,6 +41,7 @@
 	Open          int64 // connections at present
 	ClosedIdle    int64 // connections that this host has closed because no request arrived in time
 	ClosedReading int64 // connections that this host has closed because the head of a request did not arrive in time
+	ClosedCrowded int64 // connections that this host has closed because too many were open, or no memory was left for the head of a request
 }
 
 // connections are the open connections of callers.
@@ -41,6 +52,9 @@
 	history       *limitHistory
 	closedIdle    atomic.Int64
 	closedReading atomic.Int64
+	closedCrowded atomic.Int64
+	room          *intake.Room // memory for heads; nil means no bound on their sum
+	most          int          // limit on open connections; zero means none
 
 	stopping atomic.Bool // stop was called
 
@@ -52,7 +66,7 @@
 func newConnections(opts Options) *connections {
 	return &connections{
 		clock: opts.Clock, log: opts.Log, configured: opts.Limits, history: newLimitHistory(opts.Clock.Now()),
-		open: map[*connection]struct{}{},
+		open: map[*connection]struct{}{}, room: opts.Room, most: opts.MaxConnections,
 	}
 }
 
@@ -79,7 +93,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return Stats{Open: int64(len(s.open)), ClosedIdle: s.closedIdle.Load(), ClosedReading: s.closedReading.Load()}
+	return Stats{Open: int64(len(s.open)), ClosedIdle: s.closedIdle.Load(), ClosedReading: s.closedReading.Load(), ClosedCrowded: s.closedCrowded.Load()}
 }
 
 // stop lets each connection that waits for a request wait no longer than firstRequestTime or nextRequestTime. Requests that
@@ -133,6 +147,16 @@
 		return nil, err
 	}
 
+	for !l.connections.admit() {
+		if err := tcp.Close(); err != nil {
+			l.connections.log.Debug().Err(err).Msg("closing a connection beyond the limit")
+		}
+
+		if tcp, err = l.AcceptTCP(); err != nil {
+			return nil, err
+		}
+	}
+
 	l.connections.refresh()
 
 	c := &connection{TCPConn: tcp, connections: l.connections}
@@ -146,6 +170,41 @@
 	return c, nil
 }
 
+// admit reports whether one more connection may be open. If there are as many as allowed, one that waits for its caller gives way: first
+// those without a request so far, then those between two requests, then those in the middle of a head, then those in a body that has
+// stalled.
+func (s *connections) admit() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.most == 0 || len(s.open) < s.most {
+		return true
+	}
+
+	var victim *connection
+
+	now, victimClass, victimSince := s.clock.Now(), 0, time.Time{}
+
+	for c := range s.open {
+		class, since := c.waiting()
+		if class == 0 || victim != nil && (class > victimClass || class == victimClass && !since.Before(victimSince)) {
+			continue
+		}
+
+		victim, victimClass, victimSince = c, class, since
+	}
+
+	if victim != nil {
+		victim.giveWay()
+	} else {
+		s.room.EvictStalled(now)
+	}
+
+	s.closedCrowded.Add(1)
+
+	return len(s.open) < s.most+s.most/crowdDivisor
+}
+
 // phase is what a connection is doing.
 type phase uint8
 
@@ -171,6 +230,92 @@
 	used        bool // a request has arrived
 	answered    bool // the last answer has been written, and the connection stays open only until the caller has read it
 	lastLook    bool // the limit has passed, and Read looks for bytes that have arrived meanwhile
+	crowded     bool // the connection gives way to others once no bytes are there
+
+	head *intake.Claim // memory for the head; nil while it needs none. Only the goroutine that reads heads changes it.
+
+	// The fields below belong to that goroutine.
+	headTaken int64 // bytes of that memory
+	headBytes int64
+	headLines int64
+}
+
+// waiting returns how soon the connection gives way to another one, 1 for the first, and since when it waits for its caller. It returns 0 if
+// it does not wait, or gives way already.
+func (c *connection) waiting() (class int, since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	switch {
+	case c.crowded || c.phase == serving:
+		return 0, time.Time{}
+	case c.phase == reading:
+		return 3, c.since
+	case c.used:
+		return 2, c.since
+	}
+
+	return 1, c.since
+}
+
+// giveWay closes the connection unless bytes arrive that complete a head.
+func (c *connection) giveWay() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.crowded = true
+
+	if c.phase != serving {
+		c.setDeadline()
+	}
+}
+
+// takeHead takes the memory for a part p of a head, and reports whether it fits.
+func (c *connection) takeHead(p []byte) bool {
+	if end := bytes.Index(p, []byte("\n\r\n")); end >= 0 {
+		p = p[:end+1] // what follows is not of the head
+	}
+
+	c.headBytes += int64(len(p))
+	c.headLines += int64(bytes.Count(p, []byte("\n")))
+
+	cost := headByteCost*c.headBytes + fieldCost*c.headLines - freeHeadBytes
+	if cost <= c.headTaken {
+		return true
+	}
+
+	now := time.Now()
+
+	if c.head == nil {
+		caller, _, _ := net.SplitHostPort(c.RemoteAddr().String()) // the address of a TCP connection has a port
+		c.setHead(c.connections.room.Enter(now, caller, c.giveWay))
+	}
+
+	c.head.Received(now, len(p))
+
+	if !c.head.Take(now, cost-c.headTaken) {
+		c.connections.closedCrowded.Add(1)
+
+		return false
+	}
+
+	c.headTaken = cost
+
+	return true
+}
+
+// leaveHead gives the memory for the head back.
+func (c *connection) leaveHead() {
+	c.head.Leave()
+	c.setHead(nil)
+	c.headTaken, c.headBytes, c.headLines = 0, 0, 0
+}
+
+func (c *connection) setHead(head *intake.Claim) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.head = head
 }
 
 // onState records the state of a connection. It is the ConnState function of the server for callers.
@@ -191,6 +336,9 @@
 func (c *connection) enter(p phase) {
 	if p == serving {
 		c.connections.refresh() // the limits that are in force for the wait that follows
+		c.head.Arrived()
+	} else {
+		c.leaveHead()
 	}
 
 	c.mu.Lock()
@@ -231,6 +379,10 @@
 		return noLimit
 	}
 
+	if c.crowded {
+		return 0
+	}
+
 	limits := c.connections.history.largestSince(c.limitsSince)
 
 	limit := limits.idle
@@ -267,8 +419,8 @@
 func (c *connection) Read(p []byte) (int, error) {
 	for {
 		n, err := c.TCPConn.Read(p)
-		if n > 0 {
-			c.arrived()
+		if n > 0 && c.arrived() && !c.takeHead(p[:n]) {
+			return 0, os.ErrDeadlineExceeded // an error for which net/http closes the connection without an answer
 		}
 
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.mayReadOn() {
@@ -277,8 +429,8 @@
 	}
 }
 
-// arrived records that bytes have arrived.
-func (c *connection) arrived() {
+// arrived records that bytes have arrived, and reports whether they are of a head.
+func (c *connection) arrived() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
@@ -290,6 +442,8 @@
 	case reading:
 		c.setDeadline()
 	}
+
+	return c.phase == reading
 }
 
 // mayReadOn reports, after a deadline of Read has passed, whether Read may be called again. The limit may have been raised
@@ -326,6 +480,10 @@
 func (c *connection) countClose() {
 	s := c.connections
 
+	if c.crowded {
+		return
+	}
+
 	if c.phase == idle {
 		s.closedIdle.Add(1)
 	} else {
@@ -351,5 +509,11 @@
 	delete(c.connections.open, c)
 	c.connections.mu.Unlock()
 
+	c.mu.Lock()
+	head := c.head
+	c.mu.Unlock()
+
+	head.Leave()
+
 	return c.TCPConn.Close()
 }
--- a/internal/entry/serving/server.go
+++ b/internal/entry/serving/server.go
@@ -16,6 +16,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
+	"github.com/dotterelflow/dotterelflow/internal/control/intake"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
@@ -38,12 +39,21 @@
 
 	// internalHeaderTimeout bounds the time for the head of a request for readiness or metrics.
 	internalHeaderTimeout = 3 * time.Second
+	// internalIdleTimeout is many times the second between two readiness checks.
+	internalIdleTimeout = time.Minute
+	// internalTimeout bounds the time from the head of such a request to the end of its answer.
+	internalTimeout = 10 * time.Second
+	// internalConnections bounds the connections of each listener for readiness or metrics; a load balancer and a few readers of metrics
+	// need one each.
+	internalConnections = 48
+	// internalHeaderBytes bounds the head of a request there, to which net/http adds 4 KiB.
+	internalHeaderBytes = 8 << 10
 	// maxHeaderBytes bounds the head of a request, whatever the configuration says.
 	maxHeaderBytes = 128 << 10
 )
 
-// Options configure a Server. All fields but Clock, Log, Limits, MetricsAddress and MetricsHandler are required. Addresses
-// are ip:port.
+// Options configure a Server. All fields but Clock, Log, Limits, MetricsAddress, MetricsHandler, MaxConnections and Room are required.
+// Addresses are ip:port.
 type Options struct {
 	Clock          clockwork.Clock // nil means the real clock
 	Log            *log.Logger     // nil means the default logger
@@ -54,7 +64,9 @@
 	MetricsHandler http.Handler    // serves metrics; required with a MetricsAddress
 	IsReady        func() bool     // whether the host can serve callers; called for each readiness check
 	// Limits returns the limits of the configuration, and false while none is known. Nil means that none will be known.
-	Limits func() (catalog.Limits, bool)
+	Limits         func() (catalog.Limits, bool)
+	MaxConnections int          // limit on open connections of callers; zero means none
+	Room           *intake.Room // memory for the heads of callers' requests; nil means no bound on their sum
 }
 
 // Server runs the HTTP servers of one entry host. Start makes it.
@@ -103,7 +115,7 @@
 		return nil, err
 	}
 
-	ready := &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: internalHeaderTimeout}
+	ready := newInternalServer(http.HandlerFunc(s.serveReady))
 	s.internalServers = append(s.internalServers, ready)
 
 	var err error
@@ -118,7 +130,7 @@
 		return s, nil
 	}
 
-	metrics := &http.Server{Handler: opts.MetricsHandler, ReadHeaderTimeout: internalHeaderTimeout}
+	metrics := newInternalServer(opts.MetricsHandler)
 	s.internalServers = append(s.internalServers, metrics)
 
 	if _, err := s.listen(metrics, opts.MetricsAddress); err != nil {
@@ -130,6 +142,20 @@
 	return s, nil
 }
 
+// newInternalServer returns a server of requests for readiness or metrics, which have no body of interest.
+func newInternalServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.ContentLength != 0 {
+				w.Header().Set("Connection", "close") // without this field, net/http would wait for the body
+			}
+
+			handler.ServeHTTP(w, r)
+		}),
+		MaxHeaderBytes: internalHeaderBytes, WriteTimeout: internalTimeout, ConnState: onState,
+	}
+}
+
 // listen serves server at address in the background. It returns the address with the actual port, which the system
 // chooses for port 0.
 func (s *Server) listen(server *http.Server, address string) (string, error) {
@@ -138,7 +164,14 @@
 		return "", Error.Wrap(err)
 	}
 
-	go s.serve(server, l)
+	limits := catalog.Limits{HeaderTimeout: internalHeaderTimeout, IdleTimeout: internalIdleTimeout}
+	connections := newConnections(Options{
+		Clock: s.opts.Clock, Log: s.opts.Log, Limits: func() (catalog.Limits, bool) { return limits, true }, MaxConnections: internalConnections,
+	})
+	connections.limits = limits // they never change, so there is no change to log
+	connections.refresh()
+
+	go s.serve(server, listener{l.(*net.TCPListener), connections})
 
 	return l.Addr().String(), nil
 }
