Deliver each sound answer, and wait for memory in place of giving it up

Change: a buffer of an answer waits for memory until its request's deadline. While an answer has waited for more than 1 s, no further request is sent to a target: 503, not run.

Tests: TestLargeAnswersLeaveMemoryForSmallOnes took refused answers as the sign that memory is in use, which is what must not happen. It now requires that some wait, that none is given up, that memory stays below budget and one answer, and that all 48 are delivered whole once they end; the small answer is served meanwhile as before. The old test checked no delivery of large ones.

--- a/internal/entry/forwarding/client.go
+++ b/internal/entry/forwarding/client.go
@@ -212,7 +212,7 @@
 		return nil
 	}
 
-	body, err := c.readWhole(next)
+	body, err := c.readWhole(ctx, next)
 	if err != nil {
 		return lost(err)
 	}
@@ -248,9 +248,9 @@
 	}
 }
 
-// readWhole returns the body of an answer that is passed on once it is whole.
-func (c *Client) readWhole(next func() (*peer.ServeEvent, error)) (*buffers.Buffer, error) {
-	body := &buffers.Buffer{Budget: c.opts.Budget, Limit: maxAnswerBytes}
+// readWhole returns the body of an answer that is passed on once it is whole. If there is no memory for it, it waits until ctx ends.
+func (c *Client) readWhole(ctx context.Context, next func() (*peer.ServeEvent, error)) (*buffers.Buffer, error) {
+	body := &buffers.Buffer{Budget: c.opts.Budget, Limit: maxAnswerBytes, Done: ctx.Done()}
 
 	if _, err := body.ReadAll(&bodyReader{next: next}); err != nil {
 		body.Release()
--- a/internal/entry/relay/buffers_test.go
+++ b/internal/entry/relay/buffers_test.go
@@ -14,8 +14,7 @@
 )
 
 const (
-	maxAnswer = 8 << 20  // limit on one answer, in bytes
-	freeBytes = 32 << 10 // bytes of each answer that are not counted
+	maxAnswer = 8 << 20 // limit on one answer, in bytes
 )
 
 // sized returns a run whose answer has a body of n bytes, which is read after gate is closed.
@@ -64,6 +63,7 @@
 // TestLargeAnswersLeaveMemoryForSmallOnes keeps the memory in use for many large answers that do not end.
 func TestLargeAnswersLeaveMemoryForSmallOnes(t *testing.T) {
 	const (
+		sizes       = 6
 		hogsPerSize = 8
 		smallBytes  = 60 << 10
 	)
@@ -71,9 +71,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		fx := newFixture(t, atMostOnce, 100)
 		gate := make(chan struct{})
-		served := make(chan *replyRecorder, 100)
+		served := make(chan *replyRecorder, sizes*hogsPerSize)
 
-		for _, size := range []int{4 << 20, 2 << 20, 1 << 20, 512 << 10, 256 << 10, 128 << 10} {
+		for _, size := range [sizes]int{4 << 20, 2 << 20, 1 << 20, 512 << 10, 256 << 10, 128 << 10} {
 			fx.targets.run = sized(size-1, gate)
 
 			for range hogsPerSize {
@@ -87,8 +87,9 @@
 			synctest.Wait()
 		}
 
-		refused := len(served)
-		require.Positive(t, refused, "the memory is in use")
+		require.Positive(t, fx.answers.Waiting(), "the memory is in use")
+		require.Empty(t, served, "no answer that has run is given up")
+		require.LessOrEqual(t, fx.answers.Used(), fixtureBufferBytes+maxAnswer)
 
 		fx.targets.run = sized(smallBytes, open())
 		out := &replyRecorder{}
@@ -100,18 +101,16 @@
 		synctest.Wait()
 		close(served)
 
-		total, free := 0, 0
+		delivered := 0
 
 		for out := range served {
-			total += out.body.Len()
+			require.Equal(t, 200, out.status, "%v", out.refused)
 
-			if out.refused == nil {
-				free += freeBytes
-			}
+			delivered++
 		}
 
-		require.LessOrEqual(t, total, fixtureBufferBytes+free)
-		t.Logf("%d large answers refused; others have %d bytes", refused, total)
+		require.Equal(t, sizes*hogsPerSize, delivered)
+		require.Zero(t, fx.answers.Used())
 
 		fx.targets.run = sized(maxAnswer, open())
 		out = &replyRecorder{}
--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -168,7 +168,7 @@
 	r.answer, r.err = j.opts.Targets.Run(runCtx, j.r, Send{Target: target, Rank: j.account.RankOn(j.route), Account: j.account.ID, Timeout: remaining})
 
 	if r.err == nil {
-		r.body, r.err = j.readAnswer(r.answer)
+		r.body, r.err = j.readAnswer(runCtx, r.answer)
 	}
 
 	r.next, r.takenOver = silence.stop(r.err != nil)
@@ -176,8 +176,9 @@
 	return r
 }
 
-// readAnswer reads the whole body of answer and closes it. The body of a refusal is of no use and not returned.
-func (j *job) readAnswer(answer *Answer) ([]byte, error) {
+// readAnswer reads the whole body of answer and closes it. If there is no memory for it, it waits until ctx ends. The body of a refusal is
+// of no use and not returned.
+func (j *job) readAnswer(ctx context.Context, answer *Answer) ([]byte, error) {
 	defer func() { _ = answer.Body.Close() }() // the answer was read to its end, or is of no use
 
 	if answer.NotRun {
@@ -187,7 +188,7 @@
 		return nil, nil
 	}
 
-	buf := j.newBuffer(maxAnswerBytes)
+	buf := j.newBuffer(ctx, maxAnswerBytes)
 
 	body, err := readBody(answer.Body, buf)
 	if err != nil {
--- a/internal/entry/relay/fakes_test.go
+++ b/internal/entry/relay/fakes_test.go
@@ -27,6 +27,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/retries"
 	"github.com/dotterelflow/dotterelflow/internal/control/targetlimits"
 	"github.com/dotterelflow/dotterelflow/internal/entry/relay"
+	"github.com/dotterelflow/dotterelflow/internal/wire/buffers"
 	"github.com/dotterelflow/dotterelflow/internal/wire/panics"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
@@ -237,6 +238,7 @@
 }
 
 type fixture struct {
+	answers   *buffers.Budget
 	targets   *fakeTargets
 	board     *placing.Board
 	crashers  *crashtracker.Table
@@ -303,18 +305,19 @@
 		{ID: "s1", Service: "plain", Slots: 4}, {ID: "s2", Service: "plain", Slots: 4},
 	}
 
+	fx.answers = buffers.NewBudget(fixtureBufferBytes)
 	fx.retries = retries.NewLimiter(retries.LimiterOptions{Ratio: 0, Slack: slack, Span: 10 * time.Second, Margin: 1})
 	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &fx.log}}
 	fx.relay = relay.New(relay.Options{
 		Clock: slowClock{clockwork.NewRealClock(), &fx.clockLag}, Log: logger, Panics: panics.Recorder{Log: logger, Count: fx.panics}, Catalog: func() *catalog.Catalog { return c },
 		Fleet: func() *fleet.Snapshot { return fleet.NewSnapshot(fx.fleet) }, Board: fx.board, Targets: fx.targets, Crashers: fx.crashers,
-		Observe:     fx.observe,
-		BufferBytes: fixtureBufferBytes,
-		Retries:     fx.retries,
-		Limits:      fx.limits,
-		Reach:       fx.reach,
-		KeysStale:   fx.keysStale.Load,
-		Forwarder:   fx.forwarder,
+		Observe:   fx.observe,
+		Answers:   fx.answers,
+		Retries:   fx.retries,
+		Limits:    fx.limits,
+		Reach:     fx.reach,
+		KeysStale: fx.keysStale.Load,
+		Forwarder: fx.forwarder,
 	})
 
 	return fx
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -41,6 +41,8 @@
 	defaultBufferBytes  = 64 << 20
 	// releaseTimeout bounds the call that frees a KV cache.
 	releaseTimeout = time.Second
+	// maxAnswerWait is how long an answer may have been waiting for memory before no further request is sent to a target.
+	maxAnswerWait = time.Second
 )
 
 // Options configure a Relay. All fields are required, except those whose comment says what nil means.
@@ -65,6 +67,9 @@
 	// request that needs one; nil means never.
 	KeysStale func() bool
 	Observe   func(Outcome) // called once a request has ended; nil means no call
+	// Answers bounds the memory of answers that are buffered at the same time, together with others that use it. Nil means a bound of
+	// BufferBytes.
+	Answers *buffers.Budget
 	// BufferBytes bounds the memory of the answers and events that are buffered at the same time, beyond buffers.FreeBytes each.
 	// Zero means 64 MiB.
 	BufferBytes int
@@ -107,7 +112,11 @@
 		opts.Observe = func(Outcome) {}
 	}
 
-	return &Relay{opts: opts, budget: buffers.NewBudget(cmp.Or(opts.BufferBytes, defaultBufferBytes))}
+	if opts.Answers == nil {
+		opts.Answers = buffers.NewBudget(cmp.Or(opts.BufferBytes, defaultBufferBytes))
+	}
+
+	return &Relay{opts: opts, budget: opts.Answers}
 }
 
 // Outcome describes how a request ended. Route is zero if there was no configuration yet or no route matched.
@@ -168,6 +177,13 @@
 		return
 	}
 
+	if j.budget.Waited() > maxAnswerWait {
+		j.count()
+		j.refuse(w, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "no memory is left for the answer").WithRetryAfter(noTargetRetryAfter))
+
+		return
+	}
+
 	if l.opts.Reach.CutOff(j.service.Name) {
 		if r.Handover != nil {
 			j.refuse(w, verdict.New(verdict.NotRun, verdict.CodeNotReady, "this host reaches no target of the service either"))
@@ -272,9 +288,9 @@
 	return j
 }
 
-// newBuffer returns a buffer for limit bytes that is released at the end of the job, or before.
-func (j *job) newBuffer(limit int) *buffers.Buffer {
-	b := &buffers.Buffer{Budget: j.budget, Limit: limit}
+// newBuffer returns a buffer for limit bytes that is released at the end of the job, or before. It waits for memory until ctx ends.
+func (j *job) newBuffer(ctx context.Context, limit int) *buffers.Buffer {
+	b := &buffers.Buffer{Budget: j.budget, Limit: limit, Done: ctx.Done()}
 	j.held = append(j.held, b)
 
 	return b
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -263,7 +263,7 @@
 	if answer.Status >= 300 {
 		next, _ = silence.stop(false)
 
-		if done = j.passErrorAnswer(w, answer, p); done {
+		if done = j.passErrorAnswer(ctx, w, answer, p); done {
 			j.giveUp(next)
 			next = nil
 		}
@@ -315,14 +315,14 @@
 // passErrorAnswer forwards a replica's error status with the whole body to the caller and reports true. It reports false
 // if the stream has begun, the body could not be read, or the replica failed to serve a request that was taken over from
 // a silent one, which may still serve it.
-func (j *job) passErrorAnswer(w Reply, answer *Answer, p *progress) bool {
+func (j *job) passErrorAnswer(ctx context.Context, w Reply, answer *Answer, p *progress) bool {
 	if p.begun || answer.Status >= 500 && len(j.left) > 0 {
 		p.cause = fmt.Errorf("a replica answered with status %d", answer.Status)
 
 		return false
 	}
 
-	body, err := j.readAnswer(answer)
+	body, err := j.readAnswer(ctx, answer)
 	if err != nil {
 		p.cause = err
 
@@ -337,7 +337,7 @@
 // passEvents forwards events as they arrive. It reports whether the stream has ended: the answer is complete or the
 // caller cannot be written to. Otherwise it returns the error of the replica t, whose silences silence watches.
 func (j *job) passEvents(ctx context.Context, w Reply, answer *Answer, t fleet.Target, p *progress, silence *watch) (bool, error) {
-	stream := &events{body: answer.Body, buf: j.newBuffer(maxEventBytes)}
+	stream := &events{body: answer.Body, buf: j.newBuffer(ctx, maxEventBytes)}
 	defer stream.buf.Release()
 
 	limit := j.maxEvents()
