--- a/internal/wire/peer/conns.go
+++ b/internal/wire/peer/conns.go
@@ -24,6 +24,10 @@
 	// idleTimeout is longer than the time between two heartbeats, so that the connections to hosts with which this host exchanges
 	// none close.
 	idleTimeout = 20 * time.Second
+	// handshakeTimeout bounds the time from the start of a connection to its first frames, which peers send at once.
+	handshakeTimeout = 5 * time.Second
+	// maxHeaderBytes bounds the fields of a call; requests travel in messages.
+	maxHeaderBytes = 64 << 10
 
 	// streamWindow and connectionWindow are the most bytes of one call and of all calls of a connection that a receiver lets its
 	// peer send ahead. They are fixed, since gRPC otherwise sends pings with each message to estimate them.
@@ -108,6 +112,7 @@
 // panics is recorded by recorder and fails with codes.Internal.
 func NewGRPCServer(service PeerServer, recorder panics.Recorder) *grpc.Server {
 	server := grpc.NewServer(
+		grpc.ConnectionTimeout(handshakeTimeout), grpc.MaxHeaderListSize(maxHeaderBytes),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.StaticStreamWindowSize(streamWindow), grpc.StaticConnWindowSize(connectionWindow),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
