Let idle decode replicas of a large fleet read together

Up to an eighth of a fleet now takes the prefill role together, once prefill has been busy for two seconds and if three times the demand is left for decode. Orders that are under way count, so lost replicas that are being replaced neither delay it nor add to it. Fewer than four replicas are no group: fleets of less than 32 are as before.

--- a/internal/control/rolesplit/controller.go
+++ b/internal/control/rolesplit/controller.go
@@ -32,6 +32,18 @@
 	decodeSpare  = 0.5
 	// maxPending bounds the number of replicas that change their role at the same time under load.
 	maxPending = 2
+	// idleDelay is how long prefill must be busy while most decode replicas are idle before a group of these takes the
+	// prefill role: longer than a gap between two bursts. Idle replicas are missed by nobody during the change.
+	idleDelay = 2 * time.Second
+	// idleDivisor divides the number of replicas; the result is the largest group that changes at once. Fewer than
+	// minIdleGroup replicas are no group: in a small fleet one replica is a large part of its role.
+	idleDivisor  = 8
+	minIdleGroup = 4
+	// Prefill is busy if its demand exceeds this fraction of its replicas.
+	prefillBusy = 0.5
+	// decodeReserve is the multiple of their demand that the decode replicas that remain must be able to serve, so that a
+	// burst of long answers is borne.
+	decodeReserve = 3
 	// orderTimeout is the time after which an order without visible effect is given up.
 	orderTimeout = 13 * time.Second
 	// withdrawnPause is the time for which a replica gets no order after an order was withdrawn, that is, refused or
@@ -75,6 +87,7 @@
 	shareShift   float64   // change of initialPrefillShare due to demand
 	shortageStep float64   // step of shareShift that the demand calls for; zero if none
 	shortSince   time.Time // start of the present shortageDelay; zero if there is none
+	idleSince    time.Time // start of the present idleDelay; zero if there is none
 }
 
 // New returns a Controller without pending orders.
@@ -100,6 +113,7 @@
 	}
 
 	c.adjustShare(in, prefill)
+	group := c.adjustIdle(in, prefill)
 
 	missing := c.wantedPrefill(len(in.Targets)) - prefill
 	unpaired := c.unpaired(in.Targets)
@@ -116,7 +130,10 @@
 
 	limit := len(in.Targets)
 
-	if in.RequestsSeen {
+	switch {
+	case group > 0 && len(unpaired) == 0:
+		limit = group
+	case in.RequestsSeen:
 		if in.Now.Sub(c.mismatchSince) < mismatchDelay {
 			return nil
 		}
@@ -190,6 +207,33 @@
 	}
 }
 
+// adjustIdle returns the number of idle decode replicas that take the prefill role together, and adds them to the share.
+// It returns zero unless prefill has been busy for idleDelay. The group leaves decodeReserve times the replicas that decode
+// needs, is not larger than prefill can use, and counts the replicas that are changing their role already.
+func (c *Controller) adjustIdle(in Input, prefill int) int {
+	n, decode := len(in.Targets), len(in.Targets)-prefill
+	group := min(n/idleDivisor-len(c.pending), decode-int(math.Ceil(decodeReserve*in.Demand.Decode)), int(in.Demand.Prefill/prefillBusy)-prefill)
+
+	if group < minIdleGroup || !in.RequestsSeen {
+		c.idleSince = time.Time{}
+
+		return 0
+	}
+
+	if c.idleSince.IsZero() {
+		c.idleSince = in.Now
+	}
+
+	if in.Now.Sub(c.idleSince) < idleDelay {
+		return 0
+	}
+
+	c.shareShift = max(c.shareShift, float64(prefill+group)/float64(n)-initialPrefillShare)
+	c.idleSince = time.Time{}
+
+	return group
+}
+
 // dropSettled drops the pending orders that took effect, timed out or were given to a replica that is gone. It also
 // drops the pauses after withdrawn orders once they have ended.
 func (c *Controller) dropSettled(in Input) {
--- a/internal/control/rolesplit/controller_test.go
+++ b/internal/control/rolesplit/controller_test.go
@@ -204,3 +204,41 @@
 	require.Zero(t, s.run(time.Minute, rolesplit.Demand{Prefill: 8, Decode: 4}))
 	require.Zero(t, s.run(time.Minute, rolesplit.Demand{Prefill: 20, Decode: 9}))
 }
+
+// TestIdleDecodeReplicasReadTogether has the demand of a large fleet whose prompts are long and whose answers are short. Moved
+// one by one, the replicas would be too late for a burst of half a minute.
+func TestIdleDecodeReplicasReadTogether(t *testing.T) {
+	s := newSite(140, 85)
+	s.loaded = true
+	demand := rolesplit.Demand{Prefill: 75, Decode: 8}
+
+	require.Zero(t, s.run(2*time.Second, demand), "a short burst")
+	require.Equal(t, 17, s.run(time.Second, demand))
+	s.run(time.Minute, demand)
+	require.Equal(t, 116, s.prefillReplicas(), "three times the demand is left for decode")
+	require.Zero(t, s.run(time.Minute, rolesplit.Demand{Prefill: 75, Decode: 20}), "a burst of answers that is borne")
+}
+
+// TestLostReplicasDoNotDelayIdleOnes loses replicas of both roles, so that others are being ordered all the time.
+func TestLostReplicasDoNotDelayIdleOnes(t *testing.T) {
+	s := newSite(140, 85)
+	s.loaded = true
+	s.targets = s.targets[20:]
+
+	orders := 0
+	for range 30 { // orders that never take effect stay pending
+		orders += len(s.tickWith(rolesplit.Demand{Prefill: 75, Decode: 8}))
+		s.now = s.now.Add(200 * time.Millisecond)
+	}
+
+	require.GreaterOrEqual(t, orders, 12)
+	require.LessOrEqual(t, orders, 15, "an eighth of the replicas at once")
+}
+
+func TestBusyDecodeReplicasKeepTheirRole(t *testing.T) {
+	for _, demand := range []rolesplit.Demand{{Prefill: 75, Decode: 20}, {Prefill: 30, Decode: 2}, {Prefill: 42, Decode: 25}} {
+		s := newSite(140, 85)
+		s.loaded = true
+		require.Zero(t, s.run(time.Minute, demand), "%+v", demand)
+	}
+}
