Keep large shared parts at their holders, also between cells

A host took the cell with the shorter wait, so a cell that would read 13,300 shared tokens again was chosen as soon as the holder was a little busier, and parts lay in two cells that have room for one copy. A large part that nobody was known to hold had no home if the beginning of the prompt was known, and the hash gave homes very unequally.

Cells are now compared by wait plus the weighted prefill of what is not held (Board.Cost, the sum that chooses within a cell). A prompt that shares 4,096 tokens and more has a home replica unless the whole part has a holder, with a credit of twice the prompt; the hash is mixed.

TestLargeSharedPartIsNotPrefilledInAnotherCell: without the comparison by cost the prompts are spread over three replicas (1, 1, 6).

--- a/internal/control/placing/choose.go
+++ b/internal/control/placing/choose.go
@@ -16,6 +16,12 @@
 	// homeCredit is the fraction of the prompt that counts as cached on the home replica of a prefix without a known
 	// holder (see homeReplica), so that hosts that first see a prefix at the same time choose the same replica.
 	homeCredit = 0.3
+	// largePart is the size of the shared part of a prompt from which largeHomeCredit applies instead of homeCredit, also if
+	// some replica holds the beginning of the shared part. At usual rates, to prefill it takes as long as a whole objective
+	// can be, so prompts are in time only if all hosts, and a cell that has lost track of the holder, find the same replica.
+	largePart entity.Tokens = 4_096
+	// largeHomeCredit outweighs the differences in load between replicas, other than those of a queue.
+	largeHomeCredit = 2
 	// recomputeWeight is the weight of the prefill of uncached tokens, which delays all later requests on the
 	// replica, relative to the wait of this request.
 	recomputeWeight = 8
@@ -67,6 +73,17 @@
 	Exclusive     bool          // no other prompt is waiting or being prefilled on Target
 }
 
+// Queue returns the part of Wait that passes before the prefill of the prompt, with the given number of tokens, begins.
+func (p Placement) Queue(prompt entity.Tokens) time.Duration {
+	if p.PrefillTokens <= 0 {
+		return 0
+	}
+
+	own := min(max(prompt-p.Cached, 0), p.PrefillTokens)
+
+	return time.Duration(float64(p.Wait) * float64(p.PrefillTokens-own) / float64(p.PrefillTokens))
+}
+
 // PromptResult is the result of a placed prompt. The zero value means that it was not sent.
 type PromptResult struct {
 	Sent        bool
@@ -90,10 +107,7 @@
 
 	rank := rankIndex(job.Rank)
 
-	var home entity.TargetID
-	if shared := len(keys) - 1; len(cachedBy) == 0 && shared > 0 {
-		home = homeReplica(keys[shared-1], candidates)
-	}
+	home, credit := b.home(keys, job, len(cachedBy) > 0, candidates)
 
 	var (
 		best      Placement
@@ -128,7 +142,7 @@
 			}
 
 			if t.ID == home {
-				score -= homeCredit * float64(job.Prompt) / b.prefillRate
+				score -= credit * float64(job.Prompt) / b.prefillRate
 			}
 
 			if !found || score < bestScore {
@@ -155,6 +169,50 @@
 	return best, found
 }
 
+// home returns the home replica of job's shared part, and its credit as a fraction of the prompt. It returns "" if the
+// prompt shares nothing or a holder is known: of any prefix for a small shared part, of the whole part for a large one.
+// keys are the prefixes of the prompt, and held states that a replica holds one of them. The caller holds mu.
+func (b *Board) home(keys []Prefix, job Job, held bool, candidates []fleet.Target) (replica entity.TargetID, credit float64) {
+	shared := len(keys) - 1
+	if shared <= 0 {
+		return "", 0
+	}
+
+	credit = homeCredit
+
+	if sharedTokens(job.Parts) >= largePart {
+		held = b.cache.byPrefix.Contains(keys[shared-1])
+		credit = largeHomeCredit
+	}
+
+	if held {
+		return "", 0
+	}
+
+	return homeReplica(keys[shared-1], candidates), credit
+}
+
+// sharedTokens returns the tokens of all parts but the last one, which belongs to a single request.
+func sharedTokens(parts []Part) entity.Tokens {
+	var sum entity.Tokens
+	for _, p := range parts[:max(len(parts)-1, 0)] {
+		sum += p.Tokens
+	}
+
+	return sum
+}
+
+// Cost returns the cost of the prefill of a prompt of the given length at p: the wait until it ends, plus the prefill of
+// uncached tokens with its weight, as in PlacePrompt. It compares placements by different hosts.
+func (b *Board) Cost(p Placement, prompt entity.Tokens) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	uncached := max(prompt-p.Cached, 0)
+
+	return p.Wait + time.Duration(recomputeWeight*float64(uncached)/b.prefillRate*float64(time.Second))
+}
+
 // unreportedDelay estimates the seconds of prefill per replica that peers have placed since their last reports, and
 // returns the estimate times a weight: unreportedWeight, lowered if there are few peers (see fewPeers). PlacePrompt
 // multiplies the result by the jitter of the request and replica and adds it to the replica's score. Without it, hosts
@@ -208,7 +266,12 @@
 
 		_, _ = hash.WriteString(string(t.ID)) // never fails
 
-		if score := hash.Sum64() ^ uint64(p)*0x9e3779b97f4a7c15; home == "" || score > best {
+		// Without the mixing, replicas would be homes of very unequal numbers of prefixes.
+		score := (hash.Sum64() ^ uint64(p)) * 0x9e3779b97f4a7c15
+		score ^= score >> 32
+		score *= 0xd6e8feb86659fd93
+
+		if home == "" || score > best {
 			home, best = t.ID, score
 		}
 	}
--- a/internal/entry/placer/placer.go
+++ b/internal/entry/placer/placer.go
@@ -140,8 +140,8 @@
 }
 
 // Place implements relay.PromptPlacer. It calls the placers of up to maxCells cells in the order of cells.Rank, stops at
-// an expected wait of at most job.AcceptableWait, and takes the shortest wait. If none of them places the prompt, this
-// host does.
+// an expected wait of at most job.AcceptableWait, and takes the least cost (see Board.Cost): a cell that would prefill the
+// shared part again has to be faster by much. If none of them places the prompt, this host does.
 func (p *Placer) Place(
 	ctx context.Context, service entity.ServiceName, candidates []fleet.Target, job placing.Job, hold time.Duration,
 ) (relay.PlacedPrompt, bool) {
@@ -158,7 +158,7 @@
 			continue
 		case best == nil:
 			best = prompt
-		case prompt.Placement().Wait < best.Placement().Wait:
+		case p.cost(prompt, job) < p.cost(best, job):
 			best.End(placing.PromptResult{})
 			best = prompt
 		default:
@@ -179,6 +179,10 @@
 	return p.local.Place(ctx, service, candidates, job, hold)
 }
 
+func (p *Placer) cost(prompt relay.PlacedPrompt, job placing.Job) time.Duration {
+	return p.opts.Board.Cost(prompt.Placement(), job.Prompt)
+}
+
 // PlacedLocally returns the number of prompts that this host placed by itself, because no placer did.
 func (p *Placer) PlacedLocally() int64 { return p.placedLocally.Load() }
 
--- a/internal/entry/placer/placer_test.go
+++ b/internal/entry/placer/placer_test.go
@@ -363,6 +363,35 @@
 	require.Equal(t, map[entity.DataCentre]int{"dc0": 4, "dc1": 4}, byDataCentre)
 }
 
+// TestLargeSharedPartIsNotPrefilledInAnotherCell places prompts with a large shared part that one cell holds. They must wait there,
+// although another cell is idle and would be faster for some of them.
+func TestLargeSharedPartIsNotPrefilledInAnotherCell(t *testing.T) {
+	n := newNetwork(t, cells.MaxSingleCellHosts+2, 4)
+	requester := n.hosts[0]
+	shared := placing.Part{ID: 7, Tokens: 13_300}
+	byTarget := map[entity.TargetID]int{}
+
+	for i := range 8 {
+		j := prompt(i, shared, uniquePart(i, 4_000))
+		j.AcceptableWait = 100 * time.Millisecond
+
+		p, ok := requester.Place(t.Context(), "llm", n.fleet.Of("llm"), j, hold)
+		require.True(t, ok)
+
+		byTarget[p.Placement().Target.ID]++
+
+		if i == 0 {
+			p.End(placing.PromptResult{Sent: true, Outcome: placing.Served, PrefillTime: 300 * time.Millisecond})
+			n.pendingEnds.Wait()
+			requester.board.RecordPrefill(p.Placement(), j.Parts, 0)
+		}
+
+		require.Eventually(t, func() bool { return n.claims() <= i+1 }, 5*time.Second, time.Millisecond)
+	}
+
+	require.Len(t, byTarget, 1)
+}
+
 // TestHostThatIsNotReadyPlacesNothing sends a Place request to a host that is stopping or has no configuration.
 func TestHostThatIsNotReadyPlacesNothing(t *testing.T) {
 	n := newNetwork(t, 2, 2)
