Refuse prompts with a large shared part by their turn

Beyond what readers can carry, prompts were accepted as long as callers have patience: the queue stood at the limit, everything in it was late, and the longest were refused first, since their own length counts.

--- a/internal/control/placing/load_test.go
+++ b/internal/control/placing/load_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,6 +24,8 @@
 	rank          int
 	objective     time.Duration
 	inTime, total int
+
+	long, longRefused int // prompts of longPrompt tokens and more
 }
 
 // dombudKinds returns the request kinds of the site dombud-pl.
@@ -34,6 +37,16 @@
 	}
 }
 
+// largePartKinds returns kinds of which the first can be in time only where its large shared part is held. They are many more
+// than a replica can hold.
+func largePartKinds() []*kind {
+	return []*kind{
+		{rate: 87, common: 1, deep: 394, sizes: [3]float64{0, 13_300, 3720}, rank: 2, objective: 600 * time.Millisecond},
+		{rate: 60, common: 4, deep: 271, sizes: [3]float64{2520, 3780, 2890}, rank: 1, objective: time.Second},
+		{rate: 92, common: 80, deep: 279, sizes: [3]float64{210, 140, 1110}, rank: 0, objective: time.Second},
+	}
+}
+
 // event is an action at a simulated time.
 type event struct {
 	at time.Duration
@@ -54,12 +67,36 @@
 	return last
 }
 
-// replica simulates a replica that prefills one prompt at a time, the most urgent first, and evicts nothing.
+// replica simulates a replica that prefills one prompt at a time, the most urgent first, and evicts the parts that were
+// used least recently.
 type replica struct {
 	queue  []prefill
 	busy   bool
-	cached map[string]bool // whether a prefix is cached, by the IDs of its parts
-	slow   float64         // factor on the usual duration of a prefill
+	cached map[string]entity.Tokens // tokens of the last part of each cached prefix, by the IDs of its parts
+	used   []string                 // the cached prefixes, the least recently used first
+	slow   float64                  // factor on the usual duration of a prefill
+}
+
+// keep caches a prefix whose last part has n tokens and evicts others until all tokens fit into room; zero sets no bound.
+func (r *replica) keep(prefix string, n, room entity.Tokens) {
+	r.cached[prefix] = n
+
+	if room == 0 {
+		return
+	}
+
+	r.used = append(slices.DeleteFunc(r.used, func(p string) bool { return p == prefix }), prefix)
+
+	var sum entity.Tokens
+	for _, tokens := range r.cached {
+		sum += tokens
+	}
+
+	for sum > room {
+		sum -= r.cached[r.used[0]]
+		delete(r.cached, r.used[0])
+		r.used = r.used[1:]
+	}
 }
 
 // prefill is a prompt sent to a replica.
@@ -80,23 +117,35 @@
 	kinds    []*kind
 	spread   float64 // standard deviation of the logarithm of the size of unique parts
 	most     float64 // maximum tokens of a unique part
+
+	room        entity.Tokens // KV cache of a replica; zero sets no bound
+	read, again float64       // tokens that were prefilled, and those of them that had been prefilled before
+	seen        map[string]bool
 }
 
-const tokensPerSecond = 56_600
+const (
+	tokensPerSecond = 56_600
+	// longPrompt is the length that a tenth of the prompts of the first of largePartKinds exceed.
+	longPrompt = 21_600
+)
 
 func newSimulation(hosts, replicas int) *simulation { return newScaledSimulation(hosts, replicas, 1) }
 
 // newScaledSimulation returns a simulation with the request rates of dombudKinds multiplied by scale.
 func newScaledSimulation(hosts, replicas int, scale float64) *simulation {
+	return newSimulationOf(dombudKinds(), hosts, replicas, scale)
+}
+
+func newSimulationOf(kinds []*kind, hosts, replicas int, scale float64) *simulation {
 	s := &simulation{
-		rand: rand.New(rand.NewPCG(7, 7)), replicas: map[entity.TargetID]*replica{}, kinds: dombudKinds(),
-		spread: 0.8, most: math.Inf(1),
+		rand: rand.New(rand.NewPCG(7, 7)), replicas: map[entity.TargetID]*replica{}, kinds: kinds,
+		spread: 0.8, most: math.Inf(1), seen: map[string]bool{},
 	}
 
 	for i := range replicas {
 		t := fleet.Target{ID: entity.TargetID(fmt.Sprint("r", i)), DataCentre: entity.DataCentre(fmt.Sprint(i % 4)), Slots: 64}
 		s.list = append(s.list, t)
-		s.replicas[t.ID] = &replica{cached: map[string]bool{}, slow: 1}
+		s.replicas[t.ID] = &replica{cached: map[string]entity.Tokens{}, slow: 1}
 	}
 
 	for range hosts {
@@ -190,6 +239,23 @@
 	board.AddDemand(s.clock(), "s", job.Prompt-place.Cached)
 
 	k.total++
+
+	long := 0
+	if job.Prompt >= longPrompt {
+		long = 1
+	}
+
+	k.long += long
+
+	pacing := placing.Pacing{Objective: k.objective}
+	if s.room > 0 && (!pacing.Worthwhile(place.Wait, 0) || pacing.CrowdedOut(place, job)) {
+		place.Claim.Release()
+
+		k.longRefused += long
+
+		return
+	}
+
 	sent := s.now
 	r := s.replicas[place.Target.ID]
 	r.queue = append(r.queue, prefill{k.rank, parts, func() {
@@ -224,14 +290,24 @@
 
 	for _, part := range q.parts {
 		prefix += fmt.Sprint("/", part.ID)
-		hit = hit && r.cached[prefix]
+		_, held := r.cached[prefix]
+		hit = hit && held
 
 		if !hit {
 			tokens += float64(part.Tokens)
-			r.cached[prefix] = true
+
+			if s.seen[prefix] {
+				s.again += float64(part.Tokens)
+			}
+
+			s.seen[prefix] = true
 		}
+
+		r.keep(prefix, part.Tokens, s.room)
 	}
 
+	s.read += tokens
+
 	s.after(time.Duration(tokens/tokensPerSecond*r.slow*float64(time.Second)), func() {
 		r.busy = false
 		q.done()
@@ -293,3 +369,27 @@
 	s.run(20 * time.Second)
 	s.requireInTime(t)
 }
+
+// TestLargePartsStayWithTheirHolders runs many large shared parts on the replicas of one cell. Together they take more than
+// half of the room, so that few are held if each is prefilled on several replicas. Under twice the load, nothing would be in
+// time if prompts were accepted while their callers have patience. What is refused must not be the longest prompts.
+func TestLargePartsStayWithTheirHolders(t *testing.T) {
+	for _, c := range []struct {
+		scale                     float64
+		inTime, again, longServed float64 // shares: in time of all, again of the prefilled tokens, served of the longest tenth
+	}{{1, 0.92, 0.06, 0.9}, {1.5, 0.7, 0.11, 0.75}, {2, 0.5, 0.15, 0.6}} {
+		s := newSimulationOf(largePartKinds(), 1, 34, c.scale)
+		s.room, s.spread, s.most = 526_000, 1.1, 53_200
+		s.run(20 * time.Second)
+
+		large := s.kinds[0]
+		require.GreaterOrEqual(t, float64(large.inTime), c.inTime*float64(large.total), "load %v: %d of %d", c.scale, large.inTime, large.total)
+		require.LessOrEqual(t, s.again, c.again*s.read, "load %v", c.scale)
+		require.LessOrEqual(t, float64(large.longRefused), (1-c.longServed)*float64(large.long), "load %v: %d of %d", c.scale,
+			large.longRefused, large.long)
+
+		for _, k := range s.kinds[1:] {
+			require.GreaterOrEqual(t, float64(k.inTime), 0.97*float64(k.total), "load %v: %d of %d", c.scale, k.inTime, k.total)
+		}
+	}
+}
