Let prompts follow a large part that is under way, refuse none by turn

A part counted as held only once its first prompt had been prefilled, so prompts that came in the meantime, up to a second later, brought it to two or three replicas. Now a prompt with a large shared part counts what a queued prompt brings to a replica as held there; it waits behind it.

Two tries go. A larger credit of the home replica: with parts under way it gives nothing.

Cells are compared by cost for large shared parts only; a cell in time is better than one that is not.

--- a/internal/control/placing/board.go
+++ b/internal/control/placing/board.go
@@ -57,6 +57,7 @@
 	peers           map[entity.HostID]peerWork
 	totals          map[entity.TargetID]*TargetWork // own plus peers, kept since each choice looks at all targets
 	queues          map[entity.TargetID][]*queued   // prompts that this host has placed, oldest first
+	parts           map[Prefix][]entity.TargetID    // targets of the queued prompts that bring a large shared part, oldest first
 	records         map[entity.TargetID]*record
 	centres         map[entity.DataCentre]*reachability
 	demand          map[entity.ServiceName]*decayingSum // uncached prompt tokens that arrive at this host
@@ -80,6 +81,7 @@
 		peers:           map[entity.HostID]peerWork{},
 		totals:          map[entity.TargetID]*TargetWork{},
 		queues:          map[entity.TargetID][]*queued{},
+		parts:           map[Prefix][]entity.TargetID{},
 		records:         map[entity.TargetID]*record{},
 		centres:         map[entity.DataCentre]*reachability{},
 		demand:          map[entity.ServiceName]*decayingSum{},
--- a/internal/control/placing/choose.go
+++ b/internal/control/placing/choose.go
@@ -16,12 +16,11 @@
 	// homeCredit is the fraction of the prompt that counts as cached on the home replica of a prefix without a known
 	// holder (see homeReplica), so that hosts that first see a prefix at the same time choose the same replica.
 	homeCredit = 0.3
-	// largePart is the size of the shared part of a prompt from which largeHomeCredit applies instead of homeCredit, also if
-	// some replica holds the beginning of the shared part. At usual rates, to prefill it takes as long as a whole objective
-	// can be, so prompts are in time only if all hosts, and a cell that has lost track of the holder, find the same replica.
+	// largePart is the size of the shared part of a prompt from which prompts follow one that brings the part to a replica, and
+	// cells are compared by what they hold. The prefill of a smaller part takes less than a queue of a few prompts.
 	largePart entity.Tokens = 4_096
-	// largeHomeCredit outweighs the differences in load between replicas, other than those of a queue.
-	largeHomeCredit = 2
+	// acceptableParts is the objective as a multiple of Job.AcceptableWait.
+	acceptableParts = 2
 	// recomputeWeight is the weight of the prefill of uncached tokens, which delays all later requests on the
 	// replica, relative to the wait of this request.
 	recomputeWeight = 8
@@ -73,17 +72,6 @@
 	Exclusive     bool          // no other prompt is waiting or being prefilled on Target
 }
 
-// Queue returns the part of Wait that passes before the prefill of the prompt, with the given number of tokens, begins.
-func (p Placement) Queue(prompt entity.Tokens) time.Duration {
-	if p.PrefillTokens <= 0 {
-		return 0
-	}
-
-	own := min(max(prompt-p.Cached, 0), p.PrefillTokens)
-
-	return time.Duration(float64(p.Wait) * float64(p.PrefillTokens-own) / float64(p.PrefillTokens))
-}
-
 // PromptResult is the result of a placed prompt. The zero value means that it was not sent.
 type PromptResult struct {
 	Sent        bool
@@ -107,7 +95,19 @@
 
 	rank := rankIndex(job.Rank)
 
-	home, credit := b.home(keys, job, len(cachedBy) > 0, candidates)
+	large := Prefix(0)
+	if n := len(keys) - 1; n > 0 && sharedTokens(job.Parts) >= largePart {
+		large = keys[n-1]
+
+		if id := b.underWay(large); id != "" {
+			cachedBy[id] = sharedTokens(job.Parts)
+		}
+	}
+
+	var home entity.TargetID
+	if shared := len(keys) - 1; len(cachedBy) == 0 && shared > 0 {
+		home = homeReplica(keys[shared-1], candidates)
+	}
 
 	var (
 		best      Placement
@@ -142,7 +142,7 @@
 			}
 
 			if t.ID == home {
-				score -= credit * float64(job.Prompt) / b.prefillRate
+				score -= homeCredit * float64(job.Prompt) / b.prefillRate
 			}
 
 			if !found || score < bestScore {
@@ -164,32 +164,14 @@
 		work.PendingPrefill[rank] = job.Prompt - best.Cached
 		best.Claim = b.claim(work)
 		best.Claim.queued = b.enqueue(best.Target.ID, rank, work.PendingPrefill[rank])
-	}
 
-	return best, found
-}
-
-// home returns the home replica of job's shared part, and its credit as a fraction of the prompt. It returns "" if the
-// prompt shares nothing or a holder is known: of any prefix for a small shared part, of the whole part for a large one.
-// keys are the prefixes of the prompt, and held states that a replica holds one of them. The caller holds mu.
-func (b *Board) home(keys []Prefix, job Job, held bool, candidates []fleet.Target) (replica entity.TargetID, credit float64) {
-	shared := len(keys) - 1
-	if shared <= 0 {
-		return "", 0
-	}
-
-	credit = homeCredit
-
-	if sharedTokens(job.Parts) >= largePart {
-		held = b.cache.byPrefix.Contains(keys[shared-1])
-		credit = largeHomeCredit
-	}
-
-	if held {
-		return "", 0
+		if large != 0 && best.Cached < sharedTokens(job.Parts) {
+			best.Claim.queued.part = large
+			b.parts[large] = append(b.parts[large], best.Target.ID)
+		}
 	}
 
-	return homeReplica(keys[shared-1], candidates), credit
+	return best, found
 }
 
 // sharedTokens returns the tokens of all parts but the last one, which belongs to a single request.
@@ -202,15 +184,25 @@
 	return sum
 }
 
-// Cost returns the cost of the prefill of a prompt of the given length at p: the wait until it ends, plus the prefill of
-// uncached tokens with its weight, as in PlacePrompt. It compares placements by different hosts.
-func (b *Board) Cost(p Placement, prompt entity.Tokens) time.Duration {
+// Better reports whether the placement p of job is better than the placement q in another cell. For a large shared part, the one
+// that is in time is better than one that is not, and otherwise the one with the lower cost: the wait plus the prefill of
+// uncached tokens with its weight, as in PlacePrompt. Else the shorter wait is better.
+func (b *Board) Better(p, q Placement, job Job) bool {
+	if sharedTokens(job.Parts) < largePart {
+		return p.Wait < q.Wait
+	}
+
+	objective := job.AcceptableWait * acceptableParts
+	if inTime := p.Wait <= objective; inTime != (q.Wait <= objective) {
+		return inTime
+	}
+
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	uncached := max(prompt-p.Cached, 0)
+	saved := float64(p.Cached-q.Cached) / b.prefillRate
 
-	return p.Wait + time.Duration(recomputeWeight*float64(uncached)/b.prefillRate*float64(time.Second))
+	return p.Wait.Seconds() < q.Wait.Seconds()+recomputeWeight*saved
 }
 
 // unreportedDelay estimates the seconds of prefill per replica that peers have placed since their last reports, and
@@ -266,12 +258,7 @@
 
 		_, _ = hash.WriteString(string(t.ID)) // never fails
 
-		// Without the mixing, replicas would be homes of very unequal numbers of prefixes.
-		score := (hash.Sum64() ^ uint64(p)) * 0x9e3779b97f4a7c15
-		score ^= score >> 32
-		score *= 0xd6e8feb86659fd93
-
-		if home == "" || score > best {
+		if score := hash.Sum64() ^ uint64(p)*0x9e3779b97f4a7c15; home == "" || score > best {
 			home, best = t.ID, score
 		}
 	}
--- a/internal/control/placing/pacing.go
+++ b/internal/control/placing/pacing.go
@@ -37,11 +37,3 @@
 func (p Pacing) Worthwhile(wait, waited time.Duration) bool {
 	return waited+wait <= time.Duration(worthwhileFraction*float64(p.AbandonAfter()))
 }
-
-// CrowdedOut reports whether the prompt of job, placed as placed, waits for its turn until it is late whatever its own size. Only
-// prompts with a large shared part are crowded out: read late, each keeps the replica for so long that the next one is late
-// too, and takes the room of parts that other prompts share. The own length of a prompt does not count, so that the longest
-// prompts are not refused before others.
-func (p Pacing) CrowdedOut(placed Placement, job Job) bool {
-	return p.Objective > 0 && sharedTokens(job.Parts) >= largePart && placed.Queue(job.Prompt) > p.Objective
-}
--- a/internal/control/placing/queue.go
+++ b/internal/control/placing/queue.go
@@ -11,6 +11,7 @@
 type queued struct {
 	rank   int
 	tokens entity.Tokens
+	part   Prefix    // large shared part that the prompt brings to the replica; zero for none
 	since  time.Time // when the prompt was first seen at the head of its queue; zero if it was not seen there
 }
 
@@ -22,6 +23,16 @@
 	return q
 }
 
+// underWay returns the replica with the longest queued prompt that brings the large shared part p to it, or "". Prompts that
+// are placed there next find the part. The caller holds mu.
+func (b *Board) underWay(p Prefix) entity.TargetID {
+	if parts := b.parts[p]; len(parts) > 0 {
+		return parts[0]
+	}
+
+	return ""
+}
+
 // dequeue removes q, which may be nil, from the queue of target. The caller holds mu.
 func (b *Board) dequeue(target entity.TargetID, q *queued) {
 	queue := b.queues[target]
@@ -31,6 +42,12 @@
 		return
 	}
 
+	if parts := b.parts[q.part]; len(parts) > 1 {
+		b.parts[q.part] = slices.Delete(parts, slices.Index(parts, target), slices.Index(parts, target)+1)
+	} else {
+		delete(b.parts, q.part)
+	}
+
 	if queue = slices.Delete(queue, i, i+1); len(queue) == 0 {
 		delete(b.queues, target)
 
--- a/internal/entry/placer/placer.go
+++ b/internal/entry/placer/placer.go
@@ -158,7 +158,7 @@
 			continue
 		case best == nil:
 			best = prompt
-		case p.cost(prompt, job) < p.cost(best, job):
+		case p.opts.Board.Better(prompt.Placement(), best.Placement(), job):
 			best.End(placing.PromptResult{})
 			best = prompt
 		default:
@@ -179,10 +179,6 @@
 	return p.local.Place(ctx, service, candidates, job, hold)
 }
 
-func (p *Placer) cost(prompt relay.PlacedPrompt, job placing.Job) time.Duration {
-	return p.opts.Board.Cost(prompt.Placement(), job.Prompt)
-}
-
 // PlacedLocally returns the number of prompts that this host placed by itself, because no placer did.
 func (p *Placer) PlacedLocally() int64 { return p.placedLocally.Load() }
 
--- a/internal/entry/relay/prefill.go
+++ b/internal/entry/relay/prefill.go
@@ -44,9 +44,7 @@
 // placePrompt places the prompt on a prefill replica. All results are nil if no replica accepts it. first states that the
 // prompt has not been placed before. An error means that the request must not be sent any further.
 func (j *job) placePrompt(ctx context.Context, p *progress, first bool) (*successor, *verdict.Error) {
-	job := j.placingJob()
-
-	prompt, ok := j.placePromptOn(ctx, job)
+	prompt, ok := j.placePromptOn(ctx, j.placingJob())
 	if !ok {
 		return nil, nil
 	}
@@ -57,14 +55,14 @@
 		j.opts.Board.AddDemand(j.now(), j.service.Name, j.r.Prompt-placement.Cached)
 	}
 
-	if late, wait := j.late(placement, job); late && !p.begun {
+	if !p.begun && !j.inTime(placement.Wait) {
 		j.unplacePrompt(prompt)
 
 		if j.passOver() {
 			return j.placePrompt(ctx, p, false)
 		}
 
-		return nil, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the first event would come too late").WithRetryAfter(wait)
+		return nil, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the first event would come too late").WithRetryAfter(placement.Wait)
 	}
 
 	if !j.reserveRun() {
@@ -83,15 +81,6 @@
 	return &successor{prompt: prompt, paidAt: j.now()}, nil
 }
 
-// late reports whether the first event of the stream is expected too late, and after which wait the stream could be served.
-func (j *job) late(placement placing.Placement, job placing.Job) (bool, time.Duration) {
-	if !j.inTime(placement.Wait) {
-		return true, placement.Wait
-	}
-
-	return !j.resumes() && j.pacing().CrowdedOut(placement, job), placement.Queue(job.Prompt)
-}
-
 // inTime reports whether a first event that is expected after wait is early enough. A stream that is taken up can go on
 // only at its version, so it waits for as long as its caller does.
 func (j *job) inTime(wait time.Duration) bool {
