Extrapolate demand to hosts that are not heard, let groups go back

A group that has taken the prefill role goes back once decode is busy for a second. All groups together are a quarter of the replicas at most.

--- a/internal/control/placing/demand.go
+++ b/internal/control/placing/demand.go
@@ -70,6 +70,14 @@
 	b.peers[from] = p
 }
 
+// KnownHosts returns the number of hosts whose work and demands this host knows, itself included.
+func (b *Board) KnownHosts() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return len(b.peers) + 1
+}
+
 // TotalDemand returns the prompt tokens per second that arrive at this host and its peers for service, without those
 // that are expected to be cached.
 func (b *Board) TotalDemand(now time.Time, service entity.ServiceName) float64 {
--- a/internal/control/rolesplit/controller.go
+++ b/internal/control/rolesplit/controller.go
@@ -44,6 +44,12 @@
 	// decodeReserve is the multiple of their demand that the decode replicas that remain must be able to serve, so that a
 	// burst of long answers is borne.
 	decodeReserve = 3
+	// lentDivisor divides the number of replicas; the result bounds the replicas of all groups together.
+	lentDivisor = 4
+	// returnDelay is how long decode must be busy before a group goes back, and decodeBusy the fraction of the decode replicas
+	// from which it is.
+	returnDelay = time.Second
+	decodeBusy  = 0.6
 	// orderTimeout is the time after which an order without visible effect is given up.
 	orderTimeout = 13 * time.Second
 	// withdrawnPause is the time for which a replica gets no order after an order was withdrawn, that is, refused or
@@ -87,7 +93,8 @@
 	shareShift   float64   // change of initialPrefillShare due to demand
 	shortageStep float64   // step of shareShift that the demand calls for; zero if none
 	shortSince   time.Time // start of the present shortageDelay; zero if there is none
-	idleSince    time.Time // start of the present idleDelay; zero if there is none
+	idleSince    time.Time // start of the present idleDelay or returnDelay; zero if there is none
+	lent         int       // decode replicas that have taken the prefill role in groups
 }
 
 // New returns a Controller without pending orders.
@@ -207,14 +214,22 @@
 	}
 }
 
-// adjustIdle returns the number of idle decode replicas that take the prefill role together, and adds them to the share.
-// It returns zero unless prefill has been busy for idleDelay. The group leaves decodeReserve times the replicas that decode
-// needs, is not larger than prefill can use, and counts the replicas that are changing their role already.
+// adjustIdle returns the number of replicas that change their role together, and adds them to the share, or takes them off: idle
+// decode replicas take the prefill role once prefill has been busy for idleDelay, and go back once decode has been busy for
+// returnDelay. Otherwise it returns zero.
 func (c *Controller) adjustIdle(in Input, prefill int) int {
 	n, decode := len(in.Targets), len(in.Targets)-prefill
-	group := min(n/idleDivisor-len(c.pending), decode-int(math.Ceil(decodeReserve*in.Demand.Decode)), int(in.Demand.Prefill/prefillBusy)-prefill)
+	room := n/idleDivisor - len(c.pending) // replicas may change at once
 
-	if group < minIdleGroup || !in.RequestsSeen {
+	size := min(room, n/lentDivisor-c.lent, decode-int(math.Ceil(decodeReserve*in.Demand.Decode)), int(in.Demand.Prefill/prefillBusy)-prefill)
+	delay, sign, least := idleDelay, 1, minIdleGroup
+
+	if in.Demand.Decode > decodeBusy*float64(decode) && c.lent > 0 {
+		size = min(room, c.lent, int(math.Ceil(in.Demand.Decode/decodeBusy))-decode)
+		delay, sign, least = returnDelay, -1, min(minIdleGroup, c.lent)
+	}
+
+	if !in.RequestsSeen || size < least {
 		c.idleSince = time.Time{}
 
 		return 0
@@ -224,14 +239,15 @@
 		c.idleSince = in.Now
 	}
 
-	if in.Now.Sub(c.idleSince) < idleDelay {
+	if in.Now.Sub(c.idleSince) < delay {
 		return 0
 	}
 
-	c.shareShift = max(c.shareShift, float64(prefill+group)/float64(n)-initialPrefillShare)
+	c.lent += sign * size
+	c.shareShift = float64(prefill+sign*size)/float64(n) - initialPrefillShare
 	c.idleSince = time.Time{}
 
-	return group
+	return size
 }
 
 // dropSettled drops the pending orders that took effect, timed out or were given to a replica that is gone. It also
--- a/internal/entry/rolecontrol/controller.go
+++ b/internal/entry/rolecontrol/controller.go
@@ -85,6 +85,7 @@
 	Board       *placing.Board
 	Standby     func() bool   // whether this host may take the lease
 	HasTraffic  func() bool   // whether this host has received requests
+	Hosts       func() int    // number of entry hosts; nil means that this host hears from all of them
 	HandoverGap time.Duration // least time between the orders of two holders
 	Seed        uint64
 }
@@ -122,6 +123,10 @@
 		opts.Log = &log.DefaultLogger
 	}
 
+	if opts.Hosts == nil {
+		opts.Hosts = opts.Board.KnownHosts
+	}
+
 	c := &Controller{opts: opts, done: make(chan struct{}), splits: map[entity.ServiceName]*rolesplit.Controller{}}
 	c.lease = authority.Start(ctx, opts.LeaseClock, opts.Store, c, authority.Options{
 		DataCentre: "all", Host: opts.Host, Lease: leaseDuration, Renew: renewInterval, Poll: pollInterval, Margin: leaseMargin,
@@ -263,7 +268,7 @@
 	c.changing = append(c.changing, split.PendingTargets()...)
 }
 
-// demand returns the demand for s at all hosts as numbers of replicas.
+// demand returns the demand for s at all hosts as numbers of replicas, extrapolated from the hosts that this one hears from.
 func (c *Controller) demand(now time.Time, s catalog.Service, targets []fleet.Target) rolesplit.Demand {
 	var (
 		ids   []entity.TargetID
@@ -289,6 +294,11 @@
 		need.Decode = max(need.Decode, float64(load.KVTokens)/float64(s.Engine.KVCapacity))
 	}
 
+	// In a large fleet a host hears from a part of the others. Callers are spread over all hosts alike.
+	unheard := max(float64(c.opts.Hosts())/float64(c.opts.Board.KnownHosts()), 1)
+	need.Prefill *= unheard
+	need.Decode *= unheard
+
 	return need
 }
 
--- a/internal/entry/rolecontrol/controller_test.go
+++ b/internal/entry/rolecontrol/controller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -382,3 +383,46 @@
 		}
 	})
 }
+
+// TestDemandOfHostsThatAreNotHeardCounts lets a host hear from a third of the others. The demand that it knows alone would move
+// no replica.
+func TestDemandOfHostsThatAreNotHeardCounts(t *testing.T) {
+	for _, hosts := range []int{28, 84} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			s, r := &store{unreachable: map[entity.HostID]bool{}}, newReplicas(140)
+			board := placing.New()
+			c := catalog.Build(1, catalog.Limits{}, nil, []catalog.Service{{Name: "s", Engine: &catalog.Engine{}}})
+
+			var traffic atomic.Bool
+
+			controller := rolecontrol.Start(ctx, rolecontrol.Options{
+				Log: &log.Logger{Level: log.PanicLevel}, Host: "a", Store: storeOf{s, "a"}, Replicas: r,
+				Catalog: func() *catalog.Catalog { return c }, Fleet: r.snapshot, Board: board, Standby: func() bool { return true },
+				HasTraffic: traffic.Load, Hosts: func() int { return hosts }, HandoverGap: handoverGap,
+			})
+
+			time.Sleep(10 * time.Second)
+			traffic.Store(true)
+
+			before := len(r.accepted())
+
+			for range 25 {
+				for i := range 27 {
+					board.MergeDemands(time.Now(), entity.HostID(fmt.Sprint(i)), map[entity.ServiceName]float64{"s": 25 * board.IdlePrefillRate() / 27})
+				}
+
+				time.Sleep(200 * time.Millisecond)
+			}
+
+			if hosts == 28 {
+				require.Len(t, r.accepted(), before)
+			} else {
+				require.Greater(t, len(r.accepted()), before+10)
+			}
+
+			cancel()
+			<-controller.Done()
+		})
+	}
+}
