Let strong hosts place prompts for the others

The placer of a cell answers for all its hosts. Hosts tell their processor time, from the settings, and the placer is one of those with at least half of the most. Where all hosts are alike it is chosen as before.

--- a/internal/control/members/table.go
+++ b/internal/control/members/table.go
@@ -32,6 +32,7 @@
 	Ready      bool
 	Stopping   bool
 	LocalHosts int       // number of live hosts in its data centre, itself included
+	Processor  int       // processor time of the host, in thousandths of a core; zero if unknown
 	Sequence   uint64    // number of the report; later reports of the host have higher ones
 	ReceivedAt time.Time // when the report was received, on the clock of this host
 }
--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -42,6 +42,7 @@
 	DataCentre entity.DataCentre
 	Address    string   // ip:port of this host's peer API
 	Seeds      []string // ip:port of peers to contact first
+	Processor  int      // processor time of this host, in thousandths of a core; zero if unknown
 	Digests    DigestHandler
 	Period     time.Duration // least time between two heartbeats to a member; zero means 1 s
 }
@@ -266,7 +267,7 @@
 
 	d := &peer.Digest{
 		Host: string(n.opts.Host), Address: n.opts.Address, DataCentre: string(n.opts.DataCentre), Sequence: n.sequence,
-		LocalHosts: uint32(n.members.HomeHosts(n.opts.Clock.Now())),
+		LocalHosts: uint32(n.members.HomeHosts(n.opts.Clock.Now())), Processor: uint32(n.opts.Processor),
 	}
 	n.introduce(to, d)
 
@@ -312,7 +313,7 @@
 	n.members.Update(members.Member{
 		Host: entity.HostID(d.GetHost()), Address: d.GetAddress(), DataCentre: entity.DataCentre(d.GetDataCentre()),
 		Generation: entity.Generation(d.GetGeneration()), Ready: d.GetReady(), Stopping: d.GetStopping(),
-		LocalHosts: int(d.GetLocalHosts()), Sequence: d.GetSequence(), ReceivedAt: n.opts.Clock.Now(),
+		LocalHosts: int(d.GetLocalHosts()), Processor: int(d.GetProcessor()), Sequence: d.GetSequence(), ReceivedAt: n.opts.Clock.Now(),
 	})
 }
 
--- a/internal/entry/placer/placer.go
+++ b/internal/entry/placer/placer.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,9 @@
 	// minPause and maxPause bound the time for which no request is sent to a placer that did not answer.
 	minPause = 500 * time.Millisecond
 	maxPause = 4 * time.Second
+	// strongDivisor divides the processor time of the strongest host of a cell; hosts with less than the result do not place
+	// for others. A placer works for all hosts of its cell, and all of them wait if it has to wait for its turn of a processor.
+	strongDivisor = 2
 	// maxCells bounds the cells whose placers receive a Place call for one prompt.
 	maxCells = 2
 )
@@ -55,6 +59,7 @@
 	Host       entity.HostID
 	DataCentre entity.DataCentre
 	Address    string         // ip:port of this host's peer API
+	Processor  int            // processor time of this host, in thousandths of a core; zero if unknown
 	Board      *placing.Board // this host's view of the work on replicas
 	Peers      Peers
 	Ready      func() bool // whether this host may place prompts
@@ -120,23 +125,34 @@
 		return p.remotePlacers[cell]
 	}
 
-	addresses := map[entity.HostID]string{}
+	var hosts []members.Member
 	if p.opts.Ready() {
-		addresses[p.opts.Host] = p.opts.Address
+		hosts = append(hosts, members.Member{Host: p.opts.Host, Address: p.opts.Address, Processor: p.opts.Processor})
 	}
 
 	for _, m := range live {
 		if m.Ready && !m.Stopping && !p.opts.Excludes(m.Host) && (cell == cells.AllReplicas || cell == m.DataCentre) {
-			addresses[m.Host] = m.Address
+			hosts = append(hosts, m)
 		}
 	}
 
-	hosts := make([]entity.HostID, 0, len(addresses))
-	for h := range addresses {
-		hosts = append(hosts, h)
+	addresses := map[entity.HostID]string{}
+	for _, m := range strong(hosts) {
+		addresses[m.Host] = m.Address
+	}
+
+	return addresses[cells.Placer(cell, slices.Collect(maps.Keys(addresses)))]
+}
+
+// strong returns the hosts with at least 1/strongDivisor of the most processor time among hosts. Those whose processor time is
+// unknown belong to them only if it is unknown of all.
+func strong(hosts []members.Member) []members.Member {
+	most := 0
+	for _, m := range hosts {
+		most = max(most, m.Processor)
 	}
 
-	return addresses[cells.Placer(cell, hosts)]
+	return slices.DeleteFunc(hosts, func(m members.Member) bool { return m.Processor*strongDivisor < most })
 }
 
 // Place implements relay.PromptPlacer. It calls the placers of up to maxCells cells in the order of cells.Rank, stops at
--- a/internal/entry/placer/placer_test.go
+++ b/internal/entry/placer/placer_test.go
@@ -47,8 +47,10 @@
 	id      entity.HostID
 	dc      entity.DataCentre
 	ready   bool
-	board   *placing.Board
-	server  *placer.Server
+
+	processor int
+	board     *placing.Board
+	server    *placer.Server
 }
 
 func (h *host) address() string { return "at-" + string(h.id) }
@@ -113,7 +115,7 @@
 
 	for _, other := range h.network.hosts {
 		if other != h.host {
-			live = append(live, members.Member{Host: other.id, Address: other.address(), DataCentre: other.dc, Ready: other.ready})
+			live = append(live, members.Member{Host: other.id, Address: other.address(), DataCentre: other.dc, Ready: other.ready, Processor: other.processor})
 		}
 	}
 
@@ -363,6 +365,28 @@
 	require.Equal(t, map[entity.DataCentre]int{"dc0": 4, "dc1": 4}, byDataCentre)
 }
 
+// TestWeakHostsDoNotPlaceForOthers gives two hosts of a cell several times the processor time of the others.
+func TestWeakHostsDoNotPlaceForOthers(t *testing.T) {
+	n := newNetwork(t, 12, 4)
+	for i, h := range n.hosts {
+		h.processor = 192
+		if i == 5 || i == 9 {
+			h.processor = 800
+		}
+	}
+
+	for i, h := range n.hosts {
+		own := placer.New(placer.Options{
+			Clock: n.clock, Host: h.id, DataCentre: h.dc, Address: h.address(), Processor: h.processor, Board: h.board, Peers: link{h},
+			Ready: func() bool { return true },
+		})
+
+		if i%2 == 1 {
+			require.Contains(t, []string{n.hosts[5].address(), n.hosts[9].address()}, own.HomePlacer())
+		}
+	}
+}
+
 // TestLargeSharedPartIsNotPrefilledInAnotherCell places prompts with a large shared part that one cell holds. They must wait there,
 // although another cell is idle and would be faster for some of them.
 func TestLargeSharedPartIsNotPrefilledInAnotherCell(t *testing.T) {
