--- a/internal/entry/placer/placer.go
+++ b/internal/entry/placer/placer.go
@@ -156,8 +156,8 @@
 }
 
 // Place implements relay.PromptPlacer. It calls the placers of up to maxCells cells in the order of cells.Rank, stops at
-// an expected wait of at most job.AcceptableWait, and takes the least cost (see Board.Cost): a cell that would prefill the
-// shared part again has to be faster by much. If none of them places the prompt, this host does.
+// an expected wait of at most job.AcceptableWait, and takes the best place (see Board.Better). If none of them places the
+// prompt, this host does.
 func (p *Placer) Place(
 	ctx context.Context, service entity.ServiceName, candidates []fleet.Target, job placing.Job, hold time.Duration,
 ) (relay.PlacedPrompt, bool) {
