--- a/internal/control/placing/choose.go
+++ b/internal/control/placing/choose.go
@@ -19,8 +19,6 @@
 	// largePart is the size of the shared part of a prompt from which prompts follow one that brings the part to a replica, and
 	// cells are compared by what they hold. The prefill of a smaller part takes less than a queue of a few prompts.
 	largePart entity.Tokens = 4_096
-	// acceptableParts is the objective as a multiple of Job.AcceptableWait.
-	acceptableParts = 2
 	// recomputeWeight is the weight of the prefill of uncached tokens, which delays all later requests on the
 	// replica, relative to the wait of this request.
 	recomputeWeight = 8
@@ -184,19 +182,14 @@
 	return sum
 }
 
-// Better reports whether the placement p of job is better than the placement q in another cell. For a large shared part, the one
-// that is in time is better than one that is not, and otherwise the one with the lower cost: the wait plus the prefill of
-// uncached tokens with its weight, as in PlacePrompt. Else the shorter wait is better.
+// Better reports whether the placement p of job is better than the placement q in another cell. For a large shared part it
+// is the one with the lower cost: the wait plus the prefill of uncached tokens with its weight, as in PlacePrompt. Else it is
+// the one with the shorter wait.
 func (b *Board) Better(p, q Placement, job Job) bool {
 	if sharedTokens(job.Parts) < largePart {
 		return p.Wait < q.Wait
 	}
 
-	objective := job.AcceptableWait * acceptableParts
-	if inTime := p.Wait <= objective; inTime != (q.Wait <= objective) {
-		return inTime
-	}
-
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
