--- a/internal/entry/peers/network_test.go
+++ b/internal/entry/peers/network_test.go
@@ -47,7 +47,7 @@
 
 		address := listener.Addr().String()
 		networks[i] = peers.New(peers.Options{
-			Clock: clock, Host: entity.HostID(rune('a' + i)), DataCentre: "x", Address: address, Seeds: seeds, Digests: handlers[i],
+			Clock: clock, Host: entity.HostID(rune('a' + i)), DataCentre: "x", Address: address, Seeds: seeds, Processor: 200 * (i + 1), Digests: handlers[i],
 		})
 		seeds = []string{address}
 
@@ -69,6 +69,7 @@
 
 	for i, n := range networks {
 		require.Len(t, n.Live(), 1)
+		require.Equal(t, 200*(2-i), n.Live()[0].Processor, "of the other host")
 		require.LessOrEqual(t, handlers[i].count.Load(), periods*5/4)
 		require.GreaterOrEqual(t, handlers[i].count.Load(), periods/2)
 	}
