--- a/internal/control/placing/choose.go
+++ b/internal/control/placing/choose.go
@@ -16,6 +16,9 @@
 	// homeCredit is the fraction of the prompt that counts as cached on the home replica of a prefix without a known
 	// holder (see homeReplica), so that hosts that first see a prefix at the same time choose the same replica.
 	homeCredit = 0.3
+	// largePart is the size of the shared part of a prompt from which prompts follow one that brings the part to a replica, and
+	// cells are compared by what they hold. The prefill of a smaller part takes less than a queue of a few prompts.
+	largePart entity.Tokens = 4_096
 	// recomputeWeight is the weight of the prefill of uncached tokens, which delays all later requests on the
 	// replica, relative to the wait of this request.
 	recomputeWeight = 8
@@ -91,6 +94,15 @@
 
 	rank := rankIndex(job.Rank)
 
+	large := Prefix(0)
+	if n := len(keys) - 1; n > 0 && sharedTokens(job.Parts) >= largePart {
+		large = keys[n-1]
+
+		if id := b.underWay(large); id != "" {
+			cachedBy[id] = sharedTokens(job.Parts)
+		}
+	}
+
 	var home entity.TargetID
 	if shared := len(keys) - 1; len(cachedBy) == 0 && shared > 0 {
 		home = homeReplica(keys[shared-1], candidates)
@@ -151,11 +163,42 @@
 		work.PendingPrefill[rank] = job.Prompt - best.Cached
 		best.Claim = b.claim(work)
 		best.Claim.queued = b.enqueue(best.Target.ID, rank, work.PendingPrefill[rank])
+
+		if large != 0 && best.Cached < sharedTokens(job.Parts) {
+			best.Claim.queued.part = large
+			b.parts[large] = append(b.parts[large], best.Target.ID)
+		}
 	}
 
 	return best, found
 }
 
+// sharedTokens returns the tokens of all parts but the last one, which belongs to a single request.
+func sharedTokens(parts []Part) entity.Tokens {
+	var sum entity.Tokens
+	for _, p := range parts[:max(len(parts)-1, 0)] {
+		sum += p.Tokens
+	}
+
+	return sum
+}
+
+// Better reports whether the placement p of job is better than the placement q in another cell. For a large shared part it
+// is the one with the lower cost: the wait plus the prefill of uncached tokens with its weight, as in PlacePrompt. Else it is
+// the one with the shorter wait.
+func (b *Board) Better(p, q Placement, job Job) bool {
+	if sharedTokens(job.Parts) < largePart {
+		return p.Wait < q.Wait
+	}
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	saved := float64(p.Cached-q.Cached) / b.prefillRate
+
+	return p.Wait.Seconds() < q.Wait.Seconds()+recomputeWeight*saved
+}
+
 // unreportedDelay estimates the seconds of prefill per replica that peers have placed since their last reports, and
 // returns the estimate times a weight: unreportedWeight, lowered if there are few peers (see fewPeers). PlacePrompt
 // multiplies the result by the jitter of the request and replica and adds it to the replica's score. Without it, hosts
--- a/internal/control/placing/load_test.go
+++ b/internal/control/placing/load_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,6 +35,16 @@
 	}
 }
 
+// largePartKinds returns kinds of which the first can be in time only where its large shared part is held. They are many more
+// than a replica can hold.
+func largePartKinds() []*kind {
+	return []*kind{
+		{rate: 87, common: 1, deep: 394, sizes: [3]float64{0, 13_300, 3720}, rank: 2, objective: 600 * time.Millisecond},
+		{rate: 60, common: 4, deep: 271, sizes: [3]float64{2520, 3780, 2890}, rank: 1, objective: time.Second},
+		{rate: 92, common: 80, deep: 279, sizes: [3]float64{210, 140, 1110}, rank: 0, objective: time.Second},
+	}
+}
+
 // event is an action at a simulated time.
 type event struct {
 	at time.Duration
@@ -54,12 +65,36 @@
 	return last
 }
 
-// replica simulates a replica that prefills one prompt at a time, the most urgent first, and evicts nothing.
+// replica simulates a replica that prefills one prompt at a time, the most urgent first, and evicts the parts that were
+// used least recently.
 type replica struct {
 	queue  []prefill
 	busy   bool
-	cached map[string]bool // whether a prefix is cached, by the IDs of its parts
-	slow   float64         // factor on the usual duration of a prefill
+	cached map[string]entity.Tokens // tokens of the last part of each cached prefix, by the IDs of its parts
+	used   []string                 // the cached prefixes, the least recently used first
+	slow   float64                  // factor on the usual duration of a prefill
+}
+
+// keep caches a prefix whose last part has n tokens and evicts others until all tokens fit into room; zero sets no bound.
+func (r *replica) keep(prefix string, n, room entity.Tokens) {
+	r.cached[prefix] = n
+
+	if room == 0 {
+		return
+	}
+
+	r.used = append(slices.DeleteFunc(r.used, func(p string) bool { return p == prefix }), prefix)
+
+	var sum entity.Tokens
+	for _, tokens := range r.cached {
+		sum += tokens
+	}
+
+	for sum > room {
+		sum -= r.cached[r.used[0]]
+		delete(r.cached, r.used[0])
+		r.used = r.used[1:]
+	}
 }
 
 // prefill is a prompt sent to a replica.
@@ -80,6 +115,10 @@
 	kinds    []*kind
 	spread   float64 // standard deviation of the logarithm of the size of unique parts
 	most     float64 // maximum tokens of a unique part
+
+	room        entity.Tokens // KV cache of a replica; zero sets no bound
+	read, again float64       // tokens that were prefilled, and those of them that had been prefilled before
+	seen        map[string]bool
 }
 
 const tokensPerSecond = 56_600
@@ -88,15 +127,19 @@
 
 // newScaledSimulation returns a simulation with the request rates of dombudKinds multiplied by scale.
 func newScaledSimulation(hosts, replicas int, scale float64) *simulation {
+	return newSimulationOf(dombudKinds(), hosts, replicas, scale)
+}
+
+func newSimulationOf(kinds []*kind, hosts, replicas int, scale float64) *simulation {
 	s := &simulation{
-		rand: rand.New(rand.NewPCG(7, 7)), replicas: map[entity.TargetID]*replica{}, kinds: dombudKinds(),
-		spread: 0.8, most: math.Inf(1),
+		rand: rand.New(rand.NewPCG(7, 7)), replicas: map[entity.TargetID]*replica{}, kinds: kinds,
+		spread: 0.8, most: math.Inf(1), seen: map[string]bool{},
 	}
 
 	for i := range replicas {
 		t := fleet.Target{ID: entity.TargetID(fmt.Sprint("r", i)), DataCentre: entity.DataCentre(fmt.Sprint(i % 4)), Slots: 64}
 		s.list = append(s.list, t)
-		s.replicas[t.ID] = &replica{cached: map[string]bool{}, slow: 1}
+		s.replicas[t.ID] = &replica{cached: map[string]entity.Tokens{}, slow: 1}
 	}
 
 	for range hosts {
@@ -190,6 +233,7 @@
 	board.AddDemand(s.clock(), "s", job.Prompt-place.Cached)
 
 	k.total++
+
 	sent := s.now
 	r := s.replicas[place.Target.ID]
 	r.queue = append(r.queue, prefill{k.rank, parts, func() {
@@ -224,14 +268,24 @@
 
 	for _, part := range q.parts {
 		prefix += fmt.Sprint("/", part.ID)
-		hit = hit && r.cached[prefix]
+		_, held := r.cached[prefix]
+		hit = hit && held
 
 		if !hit {
 			tokens += float64(part.Tokens)
-			r.cached[prefix] = true
+
+			if s.seen[prefix] {
+				s.again += float64(part.Tokens)
+			}
+
+			s.seen[prefix] = true
 		}
+
+		r.keep(prefix, part.Tokens, s.room)
 	}
 
+	s.read += tokens
+
 	s.after(time.Duration(tokens/tokensPerSecond*r.slow*float64(time.Second)), func() {
 		r.busy = false
 		q.done()
@@ -293,3 +347,49 @@
 	s.run(20 * time.Second)
 	s.requireInTime(t)
 }
+
+// TestLargePartsStayWithTheirHolders runs many large shared parts on the replicas of one cell: half as many tokens as there is
+// room for, so that parts are evicted if each is prefilled on several replicas.
+func TestLargePartsStayWithTheirHolders(t *testing.T) {
+	for _, c := range []struct{ scale, inTime, again float64 }{{1, 0.92, 0.05}, {1.5, 0.68, 0.07}} {
+		for seed := range uint64(3) {
+			s := newSimulationOf(largePartKinds(), 1, 34, c.scale)
+			s.rand = rand.New(rand.NewPCG(seed, 9))
+			s.room, s.spread, s.most = 526_000, 1.1, 53_200
+			s.run(20 * time.Second)
+
+			large := s.kinds[0]
+			require.GreaterOrEqual(t, float64(large.inTime), c.inTime*float64(large.total), "load %v: %d of %d", c.scale, large.inTime, large.total)
+			require.LessOrEqual(t, s.again, c.again*s.read, "load %v", c.scale)
+
+			for _, k := range s.kinds[1:] {
+				require.GreaterOrEqual(t, float64(k.inTime), 0.97*float64(k.total), "load %v: %d of %d", c.scale, k.inTime, k.total)
+			}
+		}
+	}
+}
+
+// TestPromptsFollowThePartThatIsUnderWay takes the only holder of a part away. The prompts that come next must bring the part to
+// one replica, and to another one if that prompt ends without a prefill.
+func TestPromptsFollowThePartThatIsUnderWay(t *testing.T) {
+	s := newSimulation(1, 12)
+	board, shared := s.boards[0], placing.Part{ID: 1, Tokens: 13_000}
+	board.RecordPrefill(placing.Placement{Target: fleet.Target{ID: "gone"}}, []placing.Part{shared}, 0)
+
+	place := func(id int) placing.Placement {
+		place, ok := board.PlacePrompt(now, s.list, placing.Job{
+			ID: entity.RequestID(fmt.Sprint(id)), Prompt: 13_100, Parts: []placing.Part{shared, {ID: uint64(10 + id), Tokens: 100}}, Near: "0", SolePlacer: true,
+		})
+		require.True(t, ok)
+
+		return place
+	}
+
+	first, second, third := place(1), place(2), place(3)
+	require.Zero(t, first.Cached)
+	require.Equal(t, []entity.TargetID{first.Target.ID, first.Target.ID}, []entity.TargetID{second.Target.ID, third.Target.ID})
+	require.Equal(t, shared.Tokens, third.Cached)
+
+	first.Claim.Release()
+	require.Zero(t, func() entity.Tokens { p := place(4); return p.Cached }(), "the part has not come")
+}
--- a/internal/entry/rolecontrol/controller.go
+++ b/internal/entry/rolecontrol/controller.go
@@ -90,6 +90,7 @@
 	Board       *placing.Board
 	Standby     func() bool   // whether this host may take the lease
 	HasTraffic  func() bool   // whether this host has received requests
+	Hosts       func() int    // number of entry hosts; nil means that this host hears from all of them
 	HandoverGap time.Duration // least time between the orders of two holders, and between calls of a host before and after another holder's
 	Duties      bool          // calls of duties are made in the terms of this Controller
 	Seed        uint64
@@ -132,6 +133,10 @@
 		opts.Log = &log.DefaultLogger
 	}
 
+	if opts.Hosts == nil {
+		opts.Hosts = opts.Board.KnownHosts
+	}
+
 	poll := pollInterval
 	if opts.Duties {
 		poll = dutyPollInterval
@@ -316,7 +321,7 @@
 	c.changing = append(c.changing, split.PendingTargets()...)
 }
 
-// demand returns the demand for s at all hosts as numbers of replicas.
+// demand returns the demand for s at all hosts as numbers of replicas, extrapolated from the hosts that this one hears from.
 func (c *Controller) demand(now time.Time, s catalog.Service, targets []fleet.Target) rolesplit.Demand {
 	var (
 		ids   []entity.TargetID
@@ -342,6 +347,11 @@
 		need.Decode = max(need.Decode, float64(load.KVTokens)/float64(s.Engine.KVCapacity))
 	}
 
+	// In a large fleet a host hears from a part of the others. Callers are spread over all hosts alike.
+	unheard := max(float64(c.opts.Hosts())/float64(c.opts.Board.KnownHosts()), 1)
+	need.Prefill *= unheard
+	need.Decode *= unheard
+
 	return need
 }
 
