Read the lease on hosts that stand by only

A host without an address goes on reading only if it stands by, holds the lease, or has a loss to acknowledge.

Ran: go test of control/authority, control/orders, control/plans, control/usage, entry/rolecontrol: pass.

--- a/internal/control/authority/former.go
+++ b/internal/control/authority/former.go
@@ -21,9 +21,12 @@
 }
 
 // mustKeepReading reports whether this host must go on reading the record even if it is no standby: it,
-// or an earlier process at its address, holds the lease, or lost it and has not acknowledged that yet.
+// or an earlier process at its address, holds the lease, or lost it and has not acknowledged that yet. Hosts without an
+// address are told apart by their ids alone.
 func (m *Machine) mustKeepReading() bool {
-	return m.record.Address == m.opts.Address || m.mustAcknowledge()
+	atAddress := m.opts.Address != "" && m.record.Address == m.opts.Address
+
+	return atAddress || m.isHolder() || m.mustAcknowledge()
 }
 
 // canAcknowledge reports whether no order can still arrive that this host, or an earlier process at
--- a/internal/control/usage/reporter_test.go
+++ b/internal/control/usage/reporter_test.go
@@ -73,11 +73,10 @@
 	id         entity.HostID
 	frozen     bool
 	dead       bool
-	pending    usage.Action  // an action whose call has not reached the store or the platform yet
-	answersAt  time.Duration // since epoch
-	loseAnswer bool          // of the next call
-	lateWrite  bool          // the next write gets no answer and takes effect later
-	sums       uint64        // number of times that counts were taken
+	pending    usage.Action // an action whose call has not reached the store or the platform yet
+	loseAnswer bool         // of the next call
+	lateWrite  bool         // the next write gets no answer and takes effect later
+	sums       uint64       // number of times that counts were taken
 }
 
 // world is a few hosts with one lease, one store and one platform.
--- a/internal/control/usage/table_test.go
+++ b/internal/control/usage/table_test.go
@@ -91,11 +91,10 @@
 	r := rand.New(rand.NewPCG(1, 2))
 	fleet := newFleet(r, 4, 15)
 	want := map[duties.Window]usage.Counts{}
-	now := epoch
 	lost := func() bool { return r.IntN(10) == 0 }
 
 	for round := range 300 {
-		now = epoch.Add(time.Duration(round) * tick)
+		now := epoch.Add(time.Duration(round) * tick)
 
 		for range 43 {
 			account := entity.AccountID(fmt.Sprint("account-", r.IntN(72)))
