--- a/internal/control/usage/clock.go
+++ b/internal/control/usage/clock.go
@@ -19,11 +19,11 @@
 type Clock struct {
 	wall, steady clockwork.Clock
 
-	mu          sync.Mutex
-	offset      time.Duration // from the steady clock to the time that is told
-	step        time.Duration // difference of a step that is not followed yet; zero for none
-	stepSince   time.Time     // by the steady clock
-	clockPassed time.Time     // latest time that was told
+	mu        sync.Mutex
+	offset    time.Duration // from the steady clock to the time that is told
+	step      time.Duration // difference of a step that is not followed yet; zero for none
+	stepSince time.Time     // by the steady clock
+	latest    time.Time     // latest time that was told
 }
 
 // NewClock returns a Clock. steady must not step and must advance while the machine is suspended.
@@ -44,11 +44,11 @@
 	steady := c.steady.Now()
 	c.follow(steady)
 
-	if now := time.Unix(0, steady.UnixNano()).Add(c.offset); now.After(c.clockPassed) {
-		c.clockPassed = now
+	if now := time.Unix(0, steady.UnixNano()).Add(c.offset); now.After(c.latest) {
+		c.latest = now
 	}
 
-	return c.clockPassed
+	return c.latest
 }
 
 // follow adopts the time of day if it is close or has been another for stepPatience.
