--- a/internal/entry/relay/late_test.go
+++ b/internal/entry/relay/late_test.go
@@ -175,3 +175,79 @@
 		require.InDelta(t, 1, fx.board.Speeds().View(time.Now(), "model", append(ids, "d7")).Slowness("d7"), 0, "nothing was learned")
 	})
 }
+
+func TestCauseOfLateFirstEventFollowsWhereTheTimeWent(t *testing.T) {
+	for name, tc := range map[string]struct {
+		parts   []placing.Part
+		arrived time.Duration // before it is served
+		prefill time.Duration
+		want    relay.LateCause
+	}{
+		"it waited in this host":  {arrived: time.Second, want: relay.LatePlace},
+		"its own prompt is long":  {parts: []placing.Part{{ID: 1, Tokens: 10_000}, {ID: 2, Tokens: 50_000}}, prefill: 1300 * time.Millisecond, want: relay.LatePrompt},
+		"its shared part is long": {parts: []placing.Part{{ID: 1, Tokens: 50_000}, {ID: 2, Tokens: 10_000}}, prefill: 1300 * time.Millisecond, want: relay.LateSharedPart},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fx := newFixture(t, resumable, 100)
+				fx.targets.prefill = func(_ int, s relay.Send) (*relay.KVHandle, *relay.Answer, error) {
+					time.Sleep(tc.prefill)
+
+					return &relay.KVHandle{Target: s.Target, Name: "kv"}, nil, nil
+				}
+				fx.targets.run = func(int, context.Context, relay.Send) (*relay.Answer, error) {
+					return answer(200, eventsFrom(1, 3)), nil
+				}
+
+				r := request()
+				r.Arrived, r.Parts = r.Arrived.Add(-tc.arrived), tc.parts
+
+				for _, p := range tc.parts {
+					r.Prompt += p.Tokens
+				}
+
+				out := &replyRecorder{}
+				fx.relay.Serve(t.Context(), r, out)
+				require.Equal(t, 200, out.status)
+				require.Equal(t, tc.want, fx.outcome.Late)
+			})
+		})
+	}
+}
+
+func TestPauseOnAFullTargetAndAtAMoveHaveTheirCauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture(t, resumable, 100)
+		fx.fleet = append([]fleet.Target{{ID: "d9", Service: "model", Role: entity.Decode, Slots: 1}}, fx.fleet[4:]...)
+		fx.targets.run = func(int, context.Context, relay.Send) (*relay.Answer, error) {
+			a := answer(200, "")
+			a.Body = io.NopCloser(&pacedBody{pauses: []time.Duration{0, 300 * time.Millisecond}})
+
+			return a, nil
+		}
+
+		require.Equal(t, 200, fx.serve(t.Context(), t).status)
+		require.Equal(t, relay.LatePauseFull, fx.outcome.Late)
+	})
+
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture(t, resumable, 100)
+		fx.targets.run = func(n int, _ context.Context, s relay.Send) (*relay.Answer, error) {
+			a := answer(200, "")
+			if n == 1 {
+				a.Body = io.NopCloser(io.MultiReader(strings.NewReader(eventsFrom(1, 2)), errReader{errReset}))
+
+				return a, nil
+			}
+
+			require.Equal(t, "2", s.LastEventID)
+			a.Body = io.NopCloser(io.MultiReader(&pacedBody{pauses: []time.Duration{300 * time.Millisecond}}))
+
+			return a, nil
+		}
+
+		out := fx.serve(t.Context(), t)
+		require.False(t, out.broken)
+		require.Equal(t, relay.LatePauseMoved, fx.outcome.Late)
+	})
+}
