Order the replicas of services that are scaled by need

Replicas of such services are paid for by the second, and nothing ordered them: all ran from start to end. A controller without I/O now wants a number for each data centre and kind: ordinary replicas are replaced by reclaimable ones before the first request, the total follows the peak of the demand, and what was taken back or is unavailable is ordered elsewhere.

--- a/internal/control/placing/demand.go
+++ b/internal/control/placing/demand.go
@@ -84,3 +84,48 @@
 
 	return sum
 }
+
+// HostLoad is the work for one service that comes from one host. It is work that the host has counted itself.
+type HostLoad struct {
+	Host    entity.HostID // "" for this host
+	Prefill float64       // prompt tokens per second that arrive there, without those that are expected to be cached
+	Decode  DecodeLoad    // work under way on the targets of the service
+}
+
+// HostLoads returns the work of this host and of each peer that has reported for service, whose targets are ids.
+func (b *Board) HostLoads(now time.Time, service entity.ServiceName, ids []entity.TargetID) []HostLoad {
+	own := b.LocalDemands(now)[service]
+
+	of := make(map[entity.TargetID]bool, len(ids))
+	for _, id := range ids {
+		of[id] = true
+	}
+
+	add := func(l *DecodeLoad, w *TargetWork) {
+		if of[w.Target] {
+			l.Running += w.Running
+			l.KVTokens += w.KVTokens
+		}
+	}
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	this := HostLoad{Prefill: own}
+	for _, w := range b.own {
+		add(&this.Decode, w)
+	}
+
+	loads := []HostLoad{this}
+
+	for id, p := range b.peers {
+		l := HostLoad{Host: id, Prefill: p.demands[service]}
+		for i := range p.work {
+			add(&l.Decode, &p.work[i])
+		}
+
+		loads = append(loads, l)
+	}
+
+	return loads
+}
--- /dev/null
+++ b/internal/control/scaling/controller.go
@@ -0,0 +1,341 @@
+// Package scaling decides how many replicas of a service are ordered in each data centre, ordinary and reclaimable ones.
+//
+// A Controller must be used by one goroutine only. It does no I/O and reads no clock.
+package scaling
+
+import (
+	"math"
+	"time"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
+	"github.com/dotterelflow/dotterelflow/internal/control/duties"
+	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
+	"github.com/dotterelflow/dotterelflow/internal/control/rolesplit"
+)
+
+const (
+	// headroom is the number of replicas for each fully busy one. Demand may double while a start is under way, and replicas
+	// answer late before they are fully busy.
+	headroom = 1.8
+	// bareHeadroom is the least number of replicas for each fully busy one: what must remain after the loss of a data centre or of its
+	// reclaimable replicas.
+	bareHeadroom = 1.15
+	// maxHeadroom is the number of replicas for each fully busy one of both roles from which on a role that is short gets no
+	// new replicas but some of the other role.
+	maxHeadroom = 3.0
+	// minRoleShare and maxRoleShare bound the share of prefill replicas that the total is derived from. Shares beyond them are those
+	// of a fleet that is changing.
+	minRoleShare = 0.35
+	maxRoleShare = 0.65
+
+	// ordinaryShare is the fraction of the replicas that the platform must not be able to take back.
+	ordinaryShare = 1.0 / 6
+	// minOrdinary is the least number of ordinary replicas in a data centre: one of each role.
+	minOrdinary = 2
+
+	// learnTime is the time from the first requests until the demand is known.
+	learnTime = 10 * time.Second
+	// growThreshold and shrinkThreshold are the fractions of the total beyond which another need changes it. Less is noise.
+	growThreshold   = 1.08
+	shrinkThreshold = 0.88
+	// shrinkInterval is the least time between two steps down of the total, each at most by shrinkStep of it.
+	shrinkInterval = 6 * time.Second
+	shrinkStep     = 0.15
+
+	// lowerInterval is the least time between orders that lower numbers while requests arrive; lowerStep is the fraction of the
+	// replicas that may leave with them. Roles are put right in between.
+	lowerInterval = 2 * time.Second
+	lowerStep     = 0.1
+	minLowerStep  = 3
+
+	// followTime is the time that the fleet has for an order besides that of a start: replicas leave within it, and are listed.
+	followTime = 3 * time.Second
+	// unavailablePause is the time before a kind that a data centre does not have is ordered there again.
+	unavailablePause = 2 * time.Second
+	// lostPause is the time for which replicas that were taken back or do not come are ordered elsewhere.
+	lostPause = 8 * time.Second
+	// lostShare is the fraction of the ordered replicas below which the data centre is in trouble. Single ones that crash are replaced there.
+	lostShare = 0.75
+	// retryPause is the time before an order that the platform has refused for another reason is sent again.
+	retryPause = time.Second
+)
+
+// Group is one kind of replicas of a service in one data centre.
+type Group struct {
+	DataCentre  entity.DataCentre
+	Reclaimable bool
+}
+
+// Input holds all that a decision depends on besides the state of the Controller.
+type Input struct {
+	Now          time.Time
+	Scaling      catalog.Scaling
+	Targets      []fleet.Target   // replicas of the service, without leaving ones
+	Roles        bool             // whether the replicas have roles
+	RequestsSeen bool             // whether requests have arrived; before that, all roles can change at once
+	Demand       rolesplit.Demand // of all hosts; that of a service without roles is Decode
+}
+
+// Order is an order of a number of replicas and what it is for.
+type Order struct {
+	Group
+
+	Count   int
+	Present int
+	Reason  Reason
+}
+
+// Reason is why an order is sent.
+type Reason uint8
+
+const (
+	// Raise means that more replicas are wanted.
+	Raise Reason = iota
+	// Lower means that fewer replicas are wanted and that enough others serve.
+	Lower
+	// Repeat means that the fleet does not show the number of the last order.
+	Repeat
+)
+
+// String implements fmt.Stringer.
+func (r Reason) String() string {
+	switch r {
+	case Raise:
+		return "raise"
+	case Lower:
+		return "lower"
+	default:
+		return "repeat"
+	}
+}
+
+// Counts are numbers of replicas by kind.
+type Counts struct{ Ordinary, Reclaimable int }
+
+// Add returns the sums of a and b.
+func (a Counts) Add(b Counts) Counts {
+	return Counts{a.Ordinary + b.Ordinary, a.Reclaimable + b.Reclaimable}
+}
+
+// Plan is what a Controller wants and sees, for logs and metrics.
+type Plan struct {
+	Demand  rolesplit.Demand // peak demand, in fully busy replicas
+	Total   int              // wanted replicas
+	Bare    int              // replicas that must remain after a loss
+	Wanted  Counts
+	Present Counts
+	Avoided int // groups whose replicas are ordered elsewhere
+}
+
+// group is the state of a Group.
+type group struct {
+	Group
+
+	price     float64 // of an ordinary replica of the data centre
+	present   int
+	reached   int // greatest number present since the last loss or lowering, for noticing a loss
+	wanted    int
+	ordered   int       // number of the last order that may be in force; the number present if there was none
+	orderedAt time.Time // when it was sent; zero if there was none
+
+	avoidUntil time.Time // until when missing replicas are ordered elsewhere
+	retryAt    time.Time // no order is sent before
+}
+
+// Controller decides for one service. Make it with New.
+type Controller struct {
+	started   time.Time // first Tick
+	learnFrom time.Time // start of learnTime; zero before the first requests
+	tookOver  bool      // requests had arrived before the first Tick
+	history   history
+	total     int
+	bare      int
+	shrunk    time.Time // when total was last changed
+	lowered   time.Time // when an order to lower a number was last sent
+	groups    map[Group]*group
+	plan      Plan
+}
+
+// New returns a Controller that knows of no orders.
+func New() *Controller { return &Controller{groups: map[Group]*group{}} }
+
+// Plan returns what the last Tick wanted and saw.
+func (c *Controller) Plan() Plan { return c.plan }
+
+// Tick returns the orders to be sent now, at most one for each group. Answer must be called for each of them before the next Tick.
+func (c *Controller) Tick(in Input) []Order {
+	if c.started.IsZero() {
+		if len(in.Targets) == 0 {
+			return nil
+		}
+
+		c.started, c.tookOver = in.Now, in.RequestsSeen
+	}
+
+	if in.RequestsSeen && c.learnFrom.IsZero() {
+		c.learnFrom = in.Now
+	}
+
+	c.count(in)
+	c.notice(in)
+	c.history.add(in.Now, in.Demand)
+	c.setTotal(in)
+	c.setWanted(in)
+
+	return c.orders(in)
+}
+
+// count updates the groups from the replicas that are present.
+func (c *Controller) count(in Input) {
+	present := map[Group]int{}
+
+	for _, t := range in.Targets {
+		present[Group{t.DataCentre, t.Reclaimable}]++
+
+		for _, reclaimable := range []bool{false, true} {
+			key := Group{t.DataCentre, reclaimable}
+			if c.groups[key] == nil {
+				c.groups[key] = &group{Group: key}
+			}
+		}
+	}
+
+	for key, g := range c.groups {
+		g.present = present[key]
+		g.price = 1
+
+		if p, known := in.Scaling.Prices[key.DataCentre]; known {
+			g.price = p
+		}
+
+		if g.orderedAt.IsZero() {
+			g.ordered = g.present
+		}
+
+		g.reached = max(g.reached, g.staying())
+	}
+}
+
+// staying returns the number of replicas that serve and do not leave by an order.
+func (g *group) staying() int { return min(g.present, g.ordered) }
+
+// overdue reports whether the fleet has had the time to show the last order, if there was one.
+func (g *group) overdue(in Input) bool { return in.Now.Sub(g.orderedAt) > in.Scaling.Boot+followTime }
+
+// avoided reports whether replicas that g lacks are ordered elsewhere.
+func (g *group) avoided(in Input) bool { return in.Now.Before(g.avoidUntil) }
+
+// notice finds the groups whose replicas were taken back or do not come.
+func (c *Controller) notice(in Input) {
+	for _, g := range c.groups {
+		switch {
+		case g.Reclaimable && g.reached > 1 && 2*g.present <= g.reached:
+			g.reached = g.present
+			g.avoidUntil = in.Now.Add(lostPause)
+		case float64(g.present) < lostShare*float64(g.ordered) && g.overdue(in) && in.Now.Sub(g.avoidUntil) > in.Scaling.Boot+followTime:
+			g.avoidUntil = in.Now.Add(lostPause)
+		}
+	}
+}
+
+// demandKnown reports whether the demand is that of callers and not that of a fleet which has just begun to hear of them.
+func (c *Controller) demandKnown(now time.Time) bool {
+	return !c.learnFrom.IsZero() && now.Sub(c.learnFrom) >= learnTime
+}
+
+// setTotal sets the wanted number of replicas and the one that must remain after a loss.
+func (c *Controller) setTotal(in Input) {
+	ahead := in.Scaling.Boot
+	if !c.demandKnown(in.Now) {
+		ahead = 0 // the first requests are no growth
+	}
+
+	peak := c.history.peak(ahead)
+	centres := float64(max(len(c.groups)/2, 1))
+	present := len(in.Targets)
+
+	prefill := 0
+
+	for _, t := range in.Targets {
+		if t.Role == entity.Prefill {
+			prefill++
+		}
+	}
+
+	need := peak.Prefill + peak.Decode
+
+	if in.Roles && present > 0 {
+		share := min(max(float64(prefill)/float64(present), minRoleShare), maxRoleShare)
+		need = max(peak.Prefill/share, peak.Decode/(1-share))
+		need = min(need, maxHeadroom/headroom*(peak.Prefill+peak.Decode))
+	}
+
+	bare := bareHeadroom * need
+	wanted := headroom * need
+
+	if centres > 1 {
+		wanted = max(wanted, bare*centres/(centres-1))
+	}
+
+	least := max(int(centres)*max(in.Scaling.Min, minOrdinary), 1)
+	most := int(centres) * in.Scaling.Max
+	total := min(max(int(math.Ceil(wanted)), least), max(most, least))
+
+	switch {
+	case !c.demandKnown(in.Now):
+		// What there is counts as needed.
+		if c.total == 0 || !in.RequestsSeen && !c.replacing() {
+			c.total = max(c.total, min(present, max(most, least)))
+		}
+
+		c.total = max(c.total, total)
+		c.bare = max(c.total/2, int(math.Ceil(bare)))
+		c.shrunk = in.Now
+	case float64(total) > growThreshold*float64(c.total):
+		c.total, c.shrunk = total, in.Now
+	case float64(total) < shrinkThreshold*float64(c.total) && in.Now.Sub(c.shrunk) >= shrinkInterval:
+		c.total, c.shrunk = max(total, int((1-shrinkStep)*float64(c.total))), in.Now
+	}
+
+	if c.demandKnown(in.Now) {
+		c.bare = min(int(math.Ceil(bare)), c.total)
+	}
+
+	c.plan = Plan{Demand: peak, Total: c.total, Bare: c.bare}
+}
+
+// replacing reports whether orders were sent, so that the number present holds replicas that are to leave.
+func (c *Controller) replacing() bool {
+	for _, g := range c.groups {
+		if !g.orderedAt.IsZero() {
+			return true
+		}
+	}
+
+	return false
+}
+
+// Answer records the platform's answer to o, which was sent at now. answered is false if there was none, so that o may have an
+// effect, now or later.
+func (c *Controller) Answer(now time.Time, o Order, result duties.Result, answered bool) {
+	g := c.groups[o.Group]
+
+	switch {
+	case !answered, result == duties.Accepted:
+		if o.Count < g.reached {
+			g.reached = o.Count
+		}
+
+		g.ordered, g.orderedAt = o.Count, now
+	case result == duties.Unavailable:
+		g.avoidUntil = now.Add(unavailablePause)
+		g.retryAt = now.Add(unavailablePause)
+	default:
+		g.retryAt = now.Add(retryPause)
+	}
+
+	if o.Reason == Lower {
+		c.lowered = now
+	}
+}
--- /dev/null
+++ b/internal/control/scaling/play_test.go
@@ -0,0 +1,283 @@
+package scaling_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
+	"github.com/dotterelflow/dotterelflow/internal/control/duties"
+	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
+	"github.com/dotterelflow/dotterelflow/internal/control/rolesplit"
+	"github.com/dotterelflow/dotterelflow/internal/control/scaling"
+)
+
+const (
+	tick       = 100 * time.Millisecond
+	roleChange = 3 * time.Second
+	notice     = 2200 * time.Millisecond
+	firstCalls = 14 * time.Second // when requests begin to arrive
+	endOfPlay  = 90 * time.Second
+)
+
+var centres = []entity.DataCentre{"a", "b", "c"}
+
+// replica is a replica of the played platform.
+type replica struct {
+	fleet.Target
+
+	servesAt, goesAt time.Time // goesAt is zero while it stays
+	changedAt        time.Time // end of its last role change
+	changesTo        entity.Role
+}
+
+// play is a platform with 90 replicas, and the callers of a day.
+type play struct {
+	t        *testing.T
+	now      time.Time
+	start    time.Time
+	rand     *rand.Rand
+	scaling  catalog.Scaling
+	replicas []*replica
+	next     int
+	late     []func() // orders that are carried out later, each when it is due
+
+	demand      func(at time.Duration) rolesplit.Demand
+	unavailable func(at time.Duration, g scaling.Group) bool
+	unanswered  func(at time.Duration) bool
+
+	decider *scaling.Controller
+	roles   *rolesplit.Controller
+
+	paid      float64 // replica seconds at the price of ordinary ones
+	orders    int
+	roleCalls int
+	shortest  float64 // least capacity over demand of a role while requests arrived
+	shortAt   time.Duration
+}
+
+func newPlay(t *testing.T, seed uint64) *play {
+	t.Helper()
+
+	p := &play{
+		t: t, start: time.Unix(0, 0), rand: rand.New(rand.NewPCG(seed, 1)),
+		scaling: catalog.Scaling{
+			Min: 1, Max: 60, Boot: 4 * time.Second, ReclaimablePrice: 0.18,
+			Prices: map[entity.DataCentre]float64{"a": 0.85, "b": 1.2, "c": 1},
+		},
+		demand:      func(time.Duration) rolesplit.Demand { return rolesplit.Demand{Prefill: 9, Decode: 15} },
+		unavailable: func(time.Duration, scaling.Group) bool { return false },
+		unanswered:  func(time.Duration) bool { return false },
+		decider:     scaling.New(), roles: rolesplit.New(), shortest: 1000,
+	}
+	p.now = p.start
+
+	for _, dc := range centres {
+		for range 30 {
+			p.add(scaling.Group{DataCentre: dc}, p.start)
+		}
+	}
+
+	return p
+}
+
+func (p *play) at() time.Duration { return p.now.Sub(p.start) }
+
+func (p *play) add(g scaling.Group, serves time.Time) {
+	p.next++
+
+	r := &replica{Target: fleet.Target{
+		ID: entity.TargetID(fmt.Sprint("r", p.next)), Service: "s", DataCentre: g.DataCentre, Reclaimable: g.Reclaimable, Slots: 32, Role: entity.Decode,
+	}, servesAt: serves}
+	if p.rand.Float64() < 0.27 {
+		r.Role = entity.Prefill
+	}
+
+	p.replicas = append(p.replicas, r)
+}
+
+func (p *play) of(g scaling.Group) []*replica {
+	var list []*replica
+
+	for _, r := range p.replicas {
+		if r.DataCentre == g.DataCentre && r.Reclaimable == g.Reclaimable && r.goesAt.IsZero() {
+			list = append(list, r)
+		}
+	}
+
+	return list
+}
+
+// carryOut makes the platform start replicas, or take any away.
+func (p *play) carryOut(g scaling.Group, n int) {
+	have := p.of(g)
+
+	for i := len(have); i < n; i++ {
+		p.add(g, p.now.Add(p.scaling.Boot))
+	}
+
+	p.rand.Shuffle(len(have), func(i, j int) { have[i], have[j] = have[j], have[i] })
+
+	for i := n; i < len(have); i++ {
+		have[i-n].goesAt = p.now.Add(2 * time.Second)
+	}
+}
+
+// reclaim takes the reclaimable replicas of dc back.
+func (p *play) reclaim(dc entity.DataCentre) {
+	for _, r := range p.of(scaling.Group{DataCentre: dc, Reclaimable: true}) {
+		r.goesAt = p.now.Add(notice)
+	}
+}
+
+func (p *play) order(o scaling.Order) {
+	p.orders++
+
+	switch {
+	case p.unanswered(p.at()):
+		due := p.now.Add(3 * time.Second)
+
+		var carryOut func()
+
+		carryOut = func() {
+			if p.now.Before(due) {
+				p.late = append(p.late, carryOut)
+
+				return
+			}
+
+			p.carryOut(o.Group, o.Count)
+		}
+		p.late = append(p.late, carryOut)
+		p.decider.Answer(p.now, o, duties.Failed, false)
+	case o.Reclaimable && p.unavailable(p.at(), o.Group) && o.Count > len(p.of(o.Group)):
+		p.decider.Answer(p.now, o, duties.Unavailable, true)
+	default:
+		p.carryOut(o.Group, o.Count)
+		p.decider.Answer(p.now, o, duties.Accepted, true)
+	}
+}
+
+// step plays one tick: the platform, the deciders, and what callers find.
+func (p *play) step() {
+	p.now = p.now.Add(tick)
+
+	late := p.late
+	p.late = nil
+
+	for _, f := range late {
+		f()
+	}
+
+	var (
+		kept    []*replica
+		targets []fleet.Target
+		able    rolesplit.Demand // replicas that can work, by role
+	)
+
+	for _, r := range p.replicas {
+		if !r.goesAt.IsZero() && p.now.After(r.goesAt) {
+			continue
+		}
+
+		kept = append(kept, r)
+
+		price := p.scaling.Prices[r.DataCentre]
+		if r.Reclaimable {
+			price *= p.scaling.ReclaimablePrice
+		}
+
+		p.paid += price * tick.Seconds()
+
+		if p.now.Before(r.servesAt) {
+			continue
+		}
+
+		changing := p.now.Before(r.changedAt)
+		if !r.changedAt.IsZero() && !changing {
+			r.Role = r.changesTo
+		}
+
+		if r.goesAt.IsZero() {
+			targets = append(targets, r.Target)
+		}
+
+		switch {
+		case changing:
+		case r.Role == entity.Prefill:
+			able.Prefill++
+		default:
+			able.Decode++
+		}
+	}
+
+	p.replicas = kept
+	seen := p.at() >= firstCalls
+
+	var demand rolesplit.Demand
+	if seen {
+		demand = p.demand(p.at())
+		if least := min(able.Prefill/demand.Prefill, able.Decode/demand.Decode); least < p.shortest {
+			p.shortest, p.shortAt = least, p.at()
+		}
+	}
+
+	heard := rolesplit.Demand{Prefill: demand.Prefill * (0.85 + 0.3*p.rand.Float64()), Decode: demand.Decode * (0.85 + 0.3*p.rand.Float64())}
+
+	if p.at()%(2*tick) == 0 {
+		p.changeRoles(targets, heard, seen)
+	}
+
+	if p.at()%(5*tick) == 0 && p.at() > 3*time.Second {
+		for _, o := range p.decider.Tick(scaling.Input{Now: p.now, Scaling: p.scaling, Targets: targets, Roles: true, RequestsSeen: seen, Demand: heard}) {
+			p.order(o)
+		}
+
+		plan := p.decider.Plan()
+		if testing.Verbose() && p.at()%(10*tick) == 0 {
+			p.t.Logf("%v total %d bare %d wanted %v present %v avoided %d able %v demand %.1f", p.at(), plan.Total, plan.Bare, plan.Wanted, plan.Present, plan.Avoided, able, plan.Demand)
+		}
+	}
+}
+
+func (p *play) changeRoles(targets []fleet.Target, demand rolesplit.Demand, seen bool) {
+	in := rolesplit.Input{Now: p.now, Targets: targets, Busy: func(entity.TargetID) int { return 0 }, RequestsSeen: seen, Demand: demand}
+	for _, o := range p.roles.Tick(in) {
+		p.roleCalls++
+
+		for _, r := range p.replicas {
+			if r.ID == o.Target.ID {
+				r.changedAt, r.changesTo = p.now.Add(roleChange), o.Role
+			}
+		}
+	}
+}
+
+func (p *play) run(until time.Duration) {
+	for p.at() < until {
+		p.step()
+	}
+}
+
+func (p *play) report() {
+	p.t.Logf("paid %.0f s, %d orders, %d role changes, least capacity over demand %.2f at %v", p.paid, p.orders, p.roleCalls, p.shortest, p.shortAt)
+}
+
+// paidForAll is what all 90 replicas cost until endOfPlay.
+const paidForAll = 30 * (0.85 + 1.2 + 1) * 90.0
+
+func TestQuietLoadIsPaidByAThird(t *testing.T) {
+	for seed := range uint64(5) {
+		p := newPlay(t, seed)
+		p.run(endOfPlay)
+		p.report()
+
+		require.GreaterOrEqual(t, p.shortest, 1.5)
+		require.Less(t, p.paid, paidForAll*0.4)
+		require.Less(t, p.orders, 90)
+	}
+}
--- /dev/null
+++ b/internal/control/scaling/spread.go
@@ -0,0 +1,190 @@
+package scaling
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/entity"
+)
+
+// setWanted divides the total among kinds and data centres.
+func (c *Controller) setWanted(in Input) {
+	ordinary, reclaimable := c.sorted(false), c.sorted(true)
+	centres := len(ordinary)
+	rest := func(others []*group) func(*group) int {
+		used := map[entity.DataCentre]int{}
+		for _, g := range others {
+			used[g.DataCentre] = g.wanted
+		}
+
+		return func(g *group) int { return max(in.Scaling.Max-used[g.DataCentre], 0) }
+	}
+
+	kept := c.total
+
+	if p := in.Scaling.ReclaimablePrice; p > 0 && p < 1 {
+		// With the last figure, c.bare replicas remain when a data centre loses its reclaimable ones.
+		kept = max(int(math.Ceil(ordinaryShare*float64(c.total))), minOrdinary*centres, centres*c.bare-(centres-1)*c.total)
+		kept = min(kept, c.total)
+	}
+
+	kept -= spread(in, ordinary, kept, func(*group) int { return in.Scaling.Max })
+
+	missing := c.total - kept
+
+	if p := in.Scaling.ReclaimablePrice; p > 0 && p < 1 {
+		missing = spread(in, reclaimable, missing, rest(ordinary))
+	}
+
+	// Ordinary replicas stand in for reclaimable ones as far as callers need them now.
+	if short := min(missing, c.bare-(c.total-missing)); short > 0 {
+		spread(in, ordinary, kept+short, rest(reclaimable))
+	}
+
+	for _, g := range c.groups {
+		counts := [2]*int{&c.plan.Wanted.Ordinary, &c.plan.Present.Ordinary}
+		if g.Reclaimable {
+			counts = [2]*int{&c.plan.Wanted.Reclaimable, &c.plan.Present.Reclaimable}
+		}
+
+		*counts[0] += g.wanted
+		*counts[1] += g.present
+
+		if g.avoided(in) {
+			c.plan.Avoided++
+		}
+	}
+}
+
+// sorted returns the groups of one kind, the cheapest data centres first.
+func (c *Controller) sorted(reclaimable bool) []*group {
+	var list []*group
+
+	for _, g := range c.groups {
+		if g.Reclaimable == reclaimable {
+			list = append(list, g)
+		}
+	}
+
+	slices.SortFunc(list, func(a, b *group) int {
+		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(a.DataCentre, b.DataCentre))
+	})
+
+	return list
+}
+
+// spread sets the wanted numbers of groups, which are of one kind, to n together, as evenly as room allows. A group that is avoided
+// gets no more than it has. It returns the number that finds no room.
+func spread(in Input, groups []*group, n int, room func(*group) int) (left int) {
+	limits := make([]int, len(groups))
+
+	for i, g := range groups {
+		g.wanted = 0
+		limits[i] = room(g)
+
+		if g.avoided(in) {
+			limits[i] = min(limits[i], g.present)
+		}
+	}
+
+	for n > 0 {
+		gave := false
+		least := math.MaxInt
+
+		for i, g := range groups {
+			if g.wanted < limits[i] {
+				least = min(least, g.wanted)
+			}
+		}
+
+		for i, g := range groups {
+			if n > 0 && g.wanted < limits[i] && g.wanted == least {
+				g.wanted++
+				n--
+				gave = true
+			}
+		}
+
+		if !gave {
+			break
+		}
+	}
+
+	return n
+}
+
+// orders returns the orders that bring the fleet closer to the wanted numbers: all that raise a number, and those that lower one as far as
+// the others serve.
+func (c *Controller) orders(in Input) []Order {
+	if c.tookOver && !c.demandKnown(in.Now) && c.total <= len(in.Targets) {
+		return nil
+	}
+
+	var list []Order
+
+	groups := append(c.sorted(true), c.sorted(false)...)
+
+	for _, g := range groups {
+		o := Order{Group: g.Group, Count: g.wanted, Present: g.present}
+
+		switch {
+		case in.Now.Before(g.retryAt):
+			continue
+		case g.wanted > g.ordered:
+			o.Reason = Raise
+		case g.wanted > g.present && !g.avoided(in) && g.overdue(in):
+			o.Reason = Repeat
+		case g.present > g.ordered && g.overdue(in):
+			o.Count, o.Reason = g.ordered, Repeat
+		default:
+			continue
+		}
+
+		list = append(list, o)
+	}
+
+	return append(list, c.lowering(in, groups)...)
+}
+
+// lowering returns the orders that lower a number, the one with the most replicas too many first.
+func (c *Controller) lowering(in Input, groups []*group) []Order {
+	if in.Now.Sub(c.started) < in.Scaling.Boot {
+		return nil // orders of a former holder may be under way
+	}
+
+	step := math.MaxInt
+
+	if in.RequestsSeen {
+		if in.Now.Sub(c.lowered) < lowerInterval {
+			return nil
+		}
+
+		step = max(int(lowerStep*float64(len(in.Targets))), minLowerStep)
+	}
+
+	// Only replicas that serve now and stay count.
+	spare := -c.total
+	for _, g := range groups {
+		spare += g.staying()
+	}
+
+	spare = min(spare, step)
+	excess := func(g *group) int { return g.staying() - g.wanted }
+
+	slices.SortStableFunc(groups, func(a, b *group) int { return cmp.Compare(excess(b), excess(a)) })
+
+	var list []Order
+
+	for _, g := range groups {
+		n := min(excess(g), spare)
+		if n <= 0 || in.Now.Before(g.retryAt) || g.avoided(in) || g.present > g.ordered {
+			continue
+		}
+
+		list = append(list, Order{Group: g.Group, Count: g.present - n, Present: g.present, Reason: Lower})
+		spare -= n
+	}
+
+	return list
+}
