--- a/internal/control/scaling/controller.go
+++ b/internal/control/scaling/controller.go
@@ -17,20 +17,20 @@
 const (
 	// headroom is the number of replicas for each fully busy one. Demand may double while a start is under way, and replicas
 	// answer late before they are fully busy.
-	headroom = 1.8
+	headroom = 2.2
 	// bareHeadroom is the least number of replicas for each fully busy one: what must remain after the loss of a data centre or of its
 	// reclaimable replicas.
-	bareHeadroom = 1.15
+	bareHeadroom = 1.35
 	// maxHeadroom is the number of replicas for each fully busy one of both roles from which on a role that is short gets no
 	// new replicas but some of the other role.
-	maxHeadroom = 3.0
+	maxHeadroom = 3.6
 	// minRoleShare and maxRoleShare bound the share of prefill replicas that the total is derived from. Shares beyond them are those
 	// of a fleet that is changing.
 	minRoleShare = 0.35
 	maxRoleShare = 0.65
 
-	// ordinaryShare is the fraction of the replicas that the platform must not be able to take back.
-	ordinaryShare = 1.0 / 6
+	// ordinaryShare is the fraction of the replicas that the platform must not be able to take back, besides those for peaks.
+	ordinaryShare = 1.0 / 8
 	// minOrdinary is the least number of ordinary replicas in a data centre: one of each role.
 	minOrdinary = 2
 
@@ -40,8 +40,8 @@
 	growThreshold   = 1.08
 	shrinkThreshold = 0.88
 	// shrinkInterval is the least time between two steps down of the total, each at most by shrinkStep of it.
-	shrinkInterval = 6 * time.Second
-	shrinkStep     = 0.15
+	shrinkInterval = 4 * time.Second
+	shrinkStep     = 0.2
 
 	// lowerInterval is the least time between orders that lower numbers while requests arrive; lowerStep is the fraction of the
 	// replicas that may leave with them. Roles are put right in between.
@@ -151,6 +151,7 @@
 	history   history
 	total     int
 	bare      int
+	steady    int       // part of total that mean demand calls for
 	shrunk    time.Time // when total was last changed
 	lowered   time.Time // when an order to lower a number was last sent
 	groups    map[Group]*group
@@ -255,24 +256,8 @@
 	centres := float64(max(len(c.groups)/2, 1))
 	present := len(in.Targets)
 
-	prefill := 0
-
-	for _, t := range in.Targets {
-		if t.Role == entity.Prefill {
-			prefill++
-		}
-	}
-
-	need := peak.Prefill + peak.Decode
-
-	if in.Roles && present > 0 {
-		share := min(max(float64(prefill)/float64(present), minRoleShare), maxRoleShare)
-		need = max(peak.Prefill/share, peak.Decode/(1-share))
-		need = min(need, maxHeadroom/headroom*(peak.Prefill+peak.Decode))
-	}
-
-	bare := bareHeadroom * need
-	wanted := headroom * need
+	bare := bareHeadroom * replicasFor(in, c.history.peak(0))
+	wanted := headroom * replicasFor(in, peak)
 
 	if centres > 1 {
 		wanted = max(wanted, bare*centres/(centres-1))
@@ -298,13 +283,36 @@
 		c.total, c.shrunk = max(total, int((1-shrinkStep)*float64(c.total))), in.Now
 	}
 
+	c.steady = c.total
+
 	if c.demandKnown(in.Now) {
 		c.bare = min(int(math.Ceil(bare)), c.total)
+		c.steady = min(int(math.Ceil(headroom*replicasFor(in, c.history.mean()))), c.total)
 	}
 
 	c.plan = Plan{Demand: peak, Total: c.total, Bare: c.bare}
 }
 
+// replicasFor returns how many replicas of both roles, as they are divided now, are busy with d.
+func replicasFor(in Input, d rolesplit.Demand) float64 {
+	need := d.Prefill + d.Decode
+	if !in.Roles || len(in.Targets) == 0 {
+		return need
+	}
+
+	prefill := 0.0
+
+	for _, t := range in.Targets {
+		if t.Role == entity.Prefill {
+			prefill++
+		}
+	}
+
+	share := min(max(prefill/float64(len(in.Targets)), minRoleShare), maxRoleShare)
+
+	return min(max(d.Prefill/share, d.Decode/(1-share)), maxHeadroom/headroom*need)
+}
+
 // replacing reports whether orders were sent, so that the number present holds replicas that are to leave.
 func (c *Controller) replacing() bool {
 	for _, g := range c.groups {
--- a/internal/control/scaling/demand.go
+++ b/internal/control/scaling/demand.go
@@ -116,6 +116,18 @@
 	}
 }
 
+// mean returns the mean demand of each role in the window.
+func (h *history) mean() rolesplit.Demand {
+	var mean rolesplit.Demand
+
+	for _, s := range h.samples {
+		mean.Prefill += s.demand.Prefill / float64(len(h.samples))
+		mean.Decode += s.demand.Decode / float64(len(h.samples))
+	}
+
+	return mean
+}
+
 // grown returns the demand that follows before and now if it grows on at the same pace. It is at most half above now.
 func grown(before, now float64) float64 {
 	if now < growthThreshold*before || before == 0 {
--- a/internal/control/scaling/spread.go
+++ b/internal/control/scaling/spread.go
@@ -24,8 +24,20 @@
 	kept := c.total
 
 	if p := in.Scaling.ReclaimablePrice; p > 0 && p < 1 {
-		// With the last figure, c.bare replicas remain when a data centre loses its reclaimable ones.
-		kept = max(int(math.Ceil(ordinaryShare*float64(c.total))), minOrdinary*centres, centres*c.bare-(centres-1)*c.total)
+		// With the last figure, c.bare replicas remain when one more data centre loses its reclaimable ones.
+		sources := 0
+
+		for _, g := range reclaimable {
+			if !g.avoided(in) {
+				sources++
+			}
+		}
+
+		kept = max(int(math.Ceil(ordinaryShare*float64(c.steady))), minOrdinary*centres)
+		if sources > 0 {
+			kept = max(kept, sources*c.bare-(sources-1)*c.total)
+		}
+
 		kept = min(kept, c.total)
 	}
 
