Order fewer ordinary replicas, and more cheap ones before demand is known

The total came from the present shares of the roles, which new replicas distort, and rose to 159. While two of three data centres were passed over, 67 ordinary replicas were ordered for the loss of the third one's reclaimable ones; they stayed for half a minute. The ordinary part moved with each peak.

The total now comes from the shares that the split can reach, what must remain counts all data centres, and the ordinary part follows the least demand between peaks. Until demand is known, 1.15 times the replicas are held, as one data centre's were taken back 1.2 s after the first request. More roles may change at once where replicas are ordered by need.

--- a/internal/control/rolesplit/controller.go
+++ b/internal/control/rolesplit/controller.go
@@ -30,7 +30,7 @@
 	// The other role can spare a replica if its demand is below this fraction of the number that remains.
 	prefillSpare = 0.6
 	decodeSpare  = 0.5
-	// maxPending bounds the number of replicas that change their role at the same time under load.
+	// maxPending bounds the number of replicas that change their role at the same time under load, unless Input says more.
 	maxPending = 2
 	// orderTimeout is the time after which an order without visible effect is given up.
 	orderTimeout = 13 * time.Second
@@ -52,6 +52,9 @@
 	Busy         func(entity.TargetID) int // amount of work under way on a target; less busy replicas are changed first
 	RequestsSeen bool                      // whether requests have arrived; before that, all roles change at once
 	Demand       Demand
+	// MaxPending bounds the number of replicas that change their role at the same time under load; zero means maxPending. It is greater
+	// where replicas come and go in numbers.
+	MaxPending int
 }
 
 // Demand states how many fully busy replicas the present requests call for. The zero value stands for no requests.
@@ -121,7 +124,7 @@
 			return nil
 		}
 
-		limit = maxPending - len(c.pending)
+		limit = max(in.MaxPending, maxPending) - len(c.pending)
 	}
 
 	if len(unpaired) > 0 {
--- a/internal/control/scaling/controller.go
+++ b/internal/control/scaling/controller.go
@@ -15,21 +15,22 @@
 )
 
 const (
-	// headroom is the number of replicas for each fully busy one. Demand may double while a start is under way, and replicas
-	// answer late before they are fully busy.
-	headroom = 2.2
+	// headroom is the number of replicas for each fully busy one. Demand may double for less time than a start takes, and replicas answer
+	// late before they are fully busy.
+	headroom = 2.1
 	// bareHeadroom is the least number of replicas for each fully busy one: what must remain after the loss of a data centre or of its
-	// reclaimable replicas.
+	// reclaimable replicas, and what there must be for the demand that will have grown once a start has ended.
 	bareHeadroom = 1.35
-	// maxHeadroom is the number of replicas for each fully busy one of both roles from which on a role that is short gets no
-	// new replicas but some of the other role.
-	maxHeadroom = 3.6
-	// minRoleShare and maxRoleShare bound the share of prefill replicas that the total is derived from. Shares beyond them are those
-	// of a fleet that is changing.
-	minRoleShare = 0.35
-	maxRoleShare = 0.65
-
-	// ordinaryShare is the fraction of the replicas that the platform must not be able to take back, besides those for peaks.
+	// maxPrefillShare and maxDecodeShare are the shares of the replicas that the roles can have without a shortage of the other one. A role
+	// that is short of replicas gets some of the other role first.
+	maxPrefillShare = 0.65
+	maxDecodeShare  = 0.4
+	// unknownReserve is the number of replicas for each one that there is, while demand is unknown and further ones cost little.
+	unknownReserve = 1.15
+	// unknownBare is the fraction of the replicas that must remain while demand is unknown.
+	unknownBare = 0.6
+
+	// ordinaryShare is the fraction of the replicas that the platform must not be able to take back, of those needed between peaks.
 	ordinaryShare = 1.0 / 8
 	// minOrdinary is the least number of ordinary replicas in a data centre: one of each role.
 	minOrdinary = 2
@@ -151,7 +152,7 @@
 	history   history
 	total     int
 	bare      int
-	steady    int       // part of total that mean demand calls for
+	steady    int       // part of total that is needed between peaks
 	shrunk    time.Time // when total was last changed
 	lowered   time.Time // when an order to lower a number was last sent
 	groups    map[Group]*group
@@ -256,8 +257,9 @@
 	centres := float64(max(len(c.groups)/2, 1))
 	present := len(in.Targets)
 
-	bare := bareHeadroom * replicasFor(in, c.history.peak(0))
-	wanted := headroom * replicasFor(in, peak)
+	need := replicasFor(in, c.history.peak(0))
+	bare := bareHeadroom * need
+	wanted := max(headroom*need, bareHeadroom*replicasFor(in, peak))
 
 	if centres > 1 {
 		wanted = max(wanted, bare*centres/(centres-1))
@@ -271,11 +273,15 @@
 	case !c.demandKnown(in.Now):
 		// What there is counts as needed.
 		if c.total == 0 || !in.RequestsSeen && !c.replacing() {
+			if reclaims(in) && !in.RequestsSeen {
+				present = int(unknownReserve * float64(present))
+			}
+
 			c.total = max(c.total, min(present, max(most, least)))
 		}
 
 		c.total = max(c.total, total)
-		c.bare = max(c.total/2, int(math.Ceil(bare)))
+		c.bare = max(int(unknownBare*float64(c.total)), int(math.Ceil(bare)))
 		c.shrunk = in.Now
 	case float64(total) > growThreshold*float64(c.total):
 		c.total, c.shrunk = total, in.Now
@@ -283,34 +289,33 @@
 		c.total, c.shrunk = max(total, int((1-shrinkStep)*float64(c.total))), in.Now
 	}
 
-	c.steady = c.total
-
 	if c.demandKnown(in.Now) {
-		c.bare = min(int(math.Ceil(bare)), c.total)
-		c.steady = min(int(math.Ceil(headroom*replicasFor(in, c.history.mean()))), c.total)
+		c.bare = min(int(math.Ceil(bare)), int(float64(c.total)*bareHeadroom/headroom))
+		steady := int(math.Ceil(min(headroom*replicasFor(in, c.history.least()), float64(c.total))))
+
+		if d := float64(steady) / float64(max(c.steady, 1)); d > growThreshold || d < shrinkThreshold {
+			c.steady = steady
+		}
+	} else {
+		c.steady = c.total
 	}
 
 	c.plan = Plan{Demand: peak, Total: c.total, Bare: c.bare}
 }
 
-// replicasFor returns how many replicas of both roles, as they are divided now, are busy with d.
+// replicasFor returns how many replicas of both roles are busy with d, divided between the roles as far as can be.
 func replicasFor(in Input, d rolesplit.Demand) float64 {
 	need := d.Prefill + d.Decode
-	if !in.Roles || len(in.Targets) == 0 {
+	if !in.Roles {
 		return need
 	}
 
-	prefill := 0.0
-
-	for _, t := range in.Targets {
-		if t.Role == entity.Prefill {
-			prefill++
-		}
-	}
-
-	share := min(max(prefill/float64(len(in.Targets)), minRoleShare), maxRoleShare)
+	return max(need, d.Prefill/maxPrefillShare, d.Decode/maxDecodeShare)
+}
 
-	return min(max(d.Prefill/share, d.Decode/(1-share)), maxHeadroom/headroom*need)
+// reclaims reports whether there are reclaimable replicas that cost less.
+func reclaims(in Input) bool {
+	return in.Scaling.ReclaimablePrice > 0 && in.Scaling.ReclaimablePrice < 1
 }
 
 // replacing reports whether orders were sent, so that the number present holds replicas that are to leave.
--- a/internal/control/scaling/demand.go
+++ b/internal/control/scaling/demand.go
@@ -116,16 +116,15 @@
 	}
 }
 
-// mean returns the mean demand of each role in the window.
-func (h *history) mean() rolesplit.Demand {
-	var mean rolesplit.Demand
+// least returns the least demand of each role in the window.
+func (h *history) least() rolesplit.Demand {
+	least := rolesplit.Demand{Prefill: math.Inf(1), Decode: math.Inf(1)}
 
 	for _, s := range h.samples {
-		mean.Prefill += s.demand.Prefill / float64(len(h.samples))
-		mean.Decode += s.demand.Decode / float64(len(h.samples))
+		least.Prefill, least.Decode = min(least.Prefill, s.demand.Prefill), min(least.Decode, s.demand.Decode)
 	}
 
-	return mean
+	return least
 }
 
 // grown returns the demand that follows before and now if it grows on at the same pace. It is at most half above now.
--- a/internal/control/scaling/play_test.go
+++ b/internal/control/scaling/play_test.go
@@ -247,7 +247,7 @@
 }
 
 func (p *play) changeRoles(targets []fleet.Target, demand rolesplit.Demand, seen bool) {
-	in := rolesplit.Input{Now: p.now, Targets: targets, Busy: func(entity.TargetID) int { return 0 }, RequestsSeen: seen, Demand: demand}
+	in := rolesplit.Input{MaxPending: len(targets) / 15, Now: p.now, Targets: targets, Busy: func(entity.TargetID) int { return 0 }, RequestsSeen: seen, Demand: demand}
 	for _, o := range p.roles.Tick(in) {
 		p.roleCalls++
 
--- a/internal/control/scaling/spread.go
+++ b/internal/control/scaling/spread.go
@@ -23,21 +23,9 @@
 
 	kept := c.total
 
-	if p := in.Scaling.ReclaimablePrice; p > 0 && p < 1 {
-		// With the last figure, c.bare replicas remain when one more data centre loses its reclaimable ones.
-		sources := 0
-
-		for _, g := range reclaimable {
-			if !g.avoided(in) {
-				sources++
-			}
-		}
-
-		kept = max(int(math.Ceil(ordinaryShare*float64(c.steady))), minOrdinary*centres)
-		if sources > 0 {
-			kept = max(kept, sources*c.bare-(sources-1)*c.total)
-		}
-
+	if reclaims(in) {
+		// With the last figure, c.bare replicas remain when a data centre loses its reclaimable ones.
+		kept = max(int(math.Ceil(ordinaryShare*float64(c.steady))), minOrdinary*centres, centres*c.bare-(centres-1)*c.total)
 		kept = min(kept, c.total)
 	}
 
@@ -45,7 +33,7 @@
 
 	missing := c.total - kept
 
-	if p := in.Scaling.ReclaimablePrice; p > 0 && p < 1 {
+	if reclaims(in) {
 		missing = spread(in, reclaimable, missing, rest(ordinary))
 	}
 
--- a/internal/entry/rolecontrol/controller.go
+++ b/internal/entry/rolecontrol/controller.go
@@ -26,6 +26,9 @@
 
 const (
 	stepInterval = 200 * time.Millisecond
+	// scaledPendingDivisor sets the part of the replicas that may change their role at the same time where their number is ordered by
+	// need. New ones come with any role and are idle.
+	scaledPendingDivisor = 15
 	// orderTimeout bounds reading a replica's state and sending it one order, both together.
 	orderTimeout = time.Second
 
@@ -250,7 +253,12 @@
 	targets := c.opts.Fleet().Of(s.Name)
 	need := c.demand(now, s, targets)
 
-	orders := split.Tick(rolesplit.Input{Now: now, Targets: targets, RequestsSeen: c.opts.HasTraffic(), Busy: c.opts.Board.Busy, Demand: need})
+	in := rolesplit.Input{Now: now, Targets: targets, RequestsSeen: c.opts.HasTraffic(), Busy: c.opts.Board.Busy, Demand: need}
+	if s.Scaling != nil {
+		in.MaxPending = len(targets) / scaledPendingDivisor
+	}
+
+	orders := split.Tick(in)
 	if len(orders) > 0 {
 		c.opts.Log.Info().Str("service", string(s.Name)).Int("targets", len(targets)).Int("orders", len(orders)).
 			Float64("need-read", need.Prefill).Float64("need-answer", need.Decode).Msg("roles are wrong")
