Lower no number of replicas by a list that may not be whole

Numbers do not follow a list that shrinks before 3 s have passed, requests that peers report count, an order without an answer is repeated after 2 s and one that cannot have been sent at once, raising leaves room for the kind that has yet to leave, orders use half of the platform's rate, a fenced term ends for all duties. A holder that hears too few data centres lowers nothing. The plays no longer count leaving replicas as able, and assert bounds and numbers with each order. Without each mechanism but the pause for a list that lost half, a test fails (tried one by one); that pause has other guards beside it.

--- a/internal/control/scaling/controller.go
+++ b/internal/control/scaling/controller.go
@@ -58,6 +58,10 @@
 	lostPause = 8 * time.Second
 	// lostShare is the fraction of the ordered replicas below which the data centre is in trouble. Single ones that crash are replaced there.
 	lostShare = 0.75
+	// unansweredPause is the time after which an order without an answer is sent again. Its number is absolute.
+	unansweredPause = 2 * time.Second
+	// splitStep is the change of the number of ordinary replicas that is worth orders of its own.
+	splitStep = 3
 	// retryPause is the time before an order that the platform has refused for another reason is sent again.
 	retryPause = time.Second
 )
@@ -76,6 +80,7 @@
 	Roles        bool             // whether the replicas have roles
 	RequestsSeen bool             // whether requests have arrived; before that, all roles can change at once
 	Demand       rolesplit.Demand // of all hosts; that of a service without roles is Decode
+	Unheard      bool             // too few hosts are heard: Demand is not that of all hosts
 }
 
 // Order is an order of a number of replicas and what it is for.
@@ -137,8 +142,10 @@
 	present   int
 	reached   int // greatest number present since the last loss or lowering, for noticing a loss
 	wanted    int
-	ordered   int       // number of the last order that may be in force; the number present if there was none
+	ordered   int       // number of the last order that may be in force; the greatest number present if there was none
 	orderedAt time.Time // when it was sent; zero if there was none
+	certain   bool      // it was accepted
+	below     time.Time // since when fewer are present than wanted; zero if there are enough
 
 	avoidUntil time.Time // until when missing replicas are ordered elsewhere
 	retryAt    time.Time // no order is sent before
@@ -155,6 +162,10 @@
 	steady    int       // part of total that is needed between peaks
 	shrunk    time.Time // when total was last changed
 	lowered   time.Time // when an order to lower a number was last sent
+	kept      int       // wanted ordinary replicas, and what they were derived from
+	keptOf    [2]int    // total and avoided groups
+	blind     time.Time // until when the list of replicas is not believed
+	listed    int       // replicas that the last list should have had
 	groups    map[Group]*group
 	plan      Plan
 }
@@ -165,7 +176,8 @@
 // Plan returns what the last Tick wanted and saw.
 func (c *Controller) Plan() Plan { return c.plan }
 
-// Tick returns the orders to be sent now, at most one for each group. Answer must be called for each of them before the next Tick.
+// Tick returns the orders to be sent now, at most one for each group, the most urgent first. Answer must be called before the next Tick for
+// those that were sent.
 func (c *Controller) Tick(in Input) []Order {
 	if c.started.IsZero() {
 		if len(in.Targets) == 0 {
@@ -180,8 +192,17 @@
 	}
 
 	c.count(in)
+
+	if c.isBlind(in) {
+		return nil
+	}
+
 	c.notice(in)
-	c.history.add(in.Now, in.Demand)
+
+	if !in.Unheard {
+		c.history.add(in.Now, in.Demand)
+	}
+
 	c.setTotal(in)
 	c.setWanted(in)
 
@@ -212,7 +233,13 @@
 		}
 
 		if g.orderedAt.IsZero() {
-			g.ordered = g.present
+			g.ordered = max(g.ordered, g.present)
+		}
+
+		if g.present >= min(g.wanted, g.ordered) {
+			g.below = time.Time{}
+		} else if g.below.IsZero() {
+			g.below = in.Now
 		}
 
 		g.reached = max(g.reached, g.staying())
@@ -222,8 +249,32 @@
 // staying returns the number of replicas that serve and do not leave by an order.
 func (g *group) staying() int { return min(g.present, g.ordered) }
 
-// overdue reports whether the fleet has had the time to show the last order, if there was one.
-func (g *group) overdue(in Input) bool { return in.Now.Sub(g.orderedAt) > in.Scaling.Boot+followTime }
+// overdue reports whether the fleet has had the time to show the last order, if there was one, or its answer is missing.
+func (g *group) overdue(in Input) bool {
+	if !g.certain && in.Now.Sub(g.orderedAt) > unansweredPause {
+		return true
+	}
+
+	return in.Now.Sub(g.orderedAt) > in.Scaling.Boot+followTime
+}
+
+// lost reports whether replicas have been missing for so long that their entries are not just late.
+func (g *group) lost(now time.Time) bool { return !g.below.IsZero() && now.Sub(g.below) >= followTime }
+
+// isBlind reports whether more than half of the replicas have left the list at once, so that it may not be the whole list. What is lost
+// indeed is noticed once followTime has passed.
+func (c *Controller) isBlind(in Input) bool {
+	if 2*len(in.Targets) < c.listed && !in.Now.Before(c.blind) {
+		c.blind = in.Now.Add(followTime)
+	}
+
+	c.listed = 0
+	for _, g := range c.groups {
+		c.listed += g.staying()
+	}
+
+	return in.Now.Before(c.blind) || len(in.Targets) == 0
+}
 
 // avoided reports whether replicas that g lacks are ordered elsewhere.
 func (g *group) avoided(in Input) bool { return in.Now.Before(g.avoidUntil) }
@@ -235,7 +286,7 @@
 		case g.Reclaimable && g.reached > 1 && 2*g.present <= g.reached:
 			g.reached = g.present
 			g.avoidUntil = in.Now.Add(lostPause)
-		case float64(g.present) < lostShare*float64(g.ordered) && g.overdue(in) && in.Now.Sub(g.avoidUntil) > in.Scaling.Boot+followTime:
+		case float64(g.present) < lostShare*float64(g.ordered) && g.certain && g.overdue(in) && in.Now.Sub(g.avoidUntil) > in.Scaling.Boot+followTime:
 			g.avoidUntil = in.Now.Add(lostPause)
 		}
 	}
@@ -274,17 +325,22 @@
 		// What there is counts as needed.
 		if c.total == 0 || !in.RequestsSeen && !c.replacing() {
 			if reclaims(in) && !in.RequestsSeen {
-				present = int(unknownReserve * float64(present))
+				present = c.beforeRequests()
 			}
 
 			c.total = max(c.total, min(present, max(most, least)))
 		}
 
-		c.total = max(c.total, total)
+		if float64(total) > growThreshold*float64(c.total) {
+			c.total = total
+		}
+
 		c.bare = max(int(unknownBare*float64(c.total)), int(math.Ceil(bare)))
 		c.shrunk = in.Now
 	case float64(total) > growThreshold*float64(c.total):
 		c.total, c.shrunk = total, in.Now
+	case in.Unheard:
+		c.shrunk = in.Now
 	case float64(total) < shrinkThreshold*float64(c.total) && in.Now.Sub(c.shrunk) >= shrinkInterval:
 		c.total, c.shrunk = max(total, int((1-shrinkStep)*float64(c.total))), in.Now
 	}
@@ -303,6 +359,22 @@
 	c.plan = Plan{Demand: peak, Total: c.total, Bare: c.bare}
 }
 
+// beforeRequests returns the number of replicas to want before the first request. The kinds may be replacing each other, so that only the
+// more numerous one counts.
+func (c *Controller) beforeRequests() int {
+	var ordinary, reclaimable int
+
+	for _, g := range c.groups {
+		if g.Reclaimable {
+			reclaimable += g.present
+		} else {
+			ordinary += g.present
+		}
+	}
+
+	return max(int(unknownReserve*float64(ordinary)), reclaimable)
+}
+
 // replicasFor returns how many replicas of both roles are busy with d, divided between the roles as far as can be.
 func replicasFor(in Input, d rolesplit.Demand) float64 {
 	need := d.Prefill + d.Decode
@@ -340,7 +412,7 @@
 			g.reached = o.Count
 		}
 
-		g.ordered, g.orderedAt = o.Count, now
+		g.ordered, g.orderedAt, g.certain = o.Count, now, answered
 	case result == duties.Unavailable:
 		g.avoidUntil = now.Add(unavailablePause)
 		g.retryAt = now.Add(unavailablePause)
--- a/internal/control/scaling/demand.go
+++ b/internal/control/scaling/demand.go
@@ -13,8 +13,8 @@
 	smoothTime = time.Second
 	// peakWindow is how long a peak of the demand counts. Peaks that return within it find their replicas still there.
 	peakWindow = 12 * time.Second
-	// growthThreshold is the growth within the time of a start below which demand is taken to be steady.
-	growthThreshold = 1.25
+	// steepGrowth is the growth within the time of a start below which demand is taken to be steady.
+	steepGrowth = 1.25
 )
 
 // Load is the work of a number of hosts for one service.
@@ -129,7 +129,7 @@
 
 // grown returns the demand that follows before and now if it grows on at the same pace. It is at most half above now.
 func grown(before, now float64) float64 {
-	if now < growthThreshold*before || before == 0 {
+	if now < steepGrowth*before || before == 0 {
 		return now
 	}
 
--- a/internal/control/scaling/play_test.go
+++ b/internal/control/scaling/play_test.go
@@ -51,6 +51,9 @@
 	demand      func(at time.Duration) rolesplit.Demand
 	unavailable func(at time.Duration, g scaling.Group) bool
 	unanswered  func(at time.Duration) bool
+	lateOrders  bool                        // some orders are carried out after newer ones
+	dropped     func(at time.Duration) bool // orders that are lost, without an answer
+	hidden      func(fleet.Target) bool     // replicas that the list lacks; nil if it is whole
 
 	decider *scaling.Controller
 	roles   *rolesplit.Controller
@@ -74,6 +77,7 @@
 		demand:      func(time.Duration) rolesplit.Demand { return rolesplit.Demand{Prefill: 9, Decode: 15} },
 		unavailable: func(time.Duration, scaling.Group) bool { return false },
 		unanswered:  func(time.Duration) bool { return false },
+		dropped:     func(time.Duration) bool { return false },
 		decider:     scaling.New(), roles: rolesplit.New(), shortest: 1000,
 	}
 	p.now = p.start
@@ -139,7 +143,20 @@
 func (p *play) order(o scaling.Order) {
 	p.orders++
 
+	other := len(p.of(scaling.Group{DataCentre: o.DataCentre, Reclaimable: !o.Reclaimable}))
+	require.LessOrEqual(p.t, o.Count+other, p.scaling.Max, "both kinds together at %v", p.at())
+	require.GreaterOrEqual(p.t, o.Count+other, p.scaling.Min, "both kinds together at %v", p.at())
+
+	if !p.lateOrders {
+		real := len(p.of(o.Group))
+		require.False(p.t, o.Reason == scaling.Raise && o.Count < real, "%v raises %d to %d at %v", o.Group, real, o.Count, p.at())
+		hidden := p.hidden != nil && p.hidden(fleet.Target{DataCentre: o.DataCentre, Reclaimable: o.Reclaimable})
+		require.False(p.t, hidden && o.Count < real, "%v lowers %d to %d at %v by a list that is not whole", o.Group, real, o.Count, p.at())
+	}
+
 	switch {
+	case p.dropped(p.at()):
+		p.decider.Answer(p.now, o, duties.Failed, false)
 	case p.unanswered(p.at()):
 		due := p.now.Add(3 * time.Second)
 
@@ -204,12 +221,12 @@
 			r.Role = r.changesTo
 		}
 
-		if r.goesAt.IsZero() {
+		if r.goesAt.IsZero() && (p.hidden == nil || !p.hidden(r.Target)) {
 			targets = append(targets, r.Target)
 		}
 
 		switch {
-		case changing:
+		case changing || !r.goesAt.IsZero(): // a leaving replica takes no more work
 		case r.Role == entity.Prefill:
 			able.Prefill++
 		default:
@@ -323,13 +340,15 @@
 			events: map[time.Duration]func(p *play){
 				40 * time.Second: func(p *play) { p.reclaim("a") }, 50 * time.Second: func(p *play) { p.reclaim("b") },
 				60 * time.Second: func(p *play) { p.reclaim("c") },
-			}, least: 0.9, paid: 0.5,
+			}, least: 1, paid: 0.5,
 		},
 		"none to be had for the whole time": {
 			prepare: func(p *play) { p.unavailable = func(time.Duration, scaling.Group) bool { return true } }, least: 1.5, paid: 1,
 		},
 		"a third of the orders without an answer, carried out late": {
-			prepare: func(p *play) { p.unanswered = func(time.Duration) bool { return p.rand.IntN(3) == 0 } }, least: 1.3, paid: 0.5,
+			prepare: func(p *play) {
+				p.lateOrders, p.unanswered = true, func(time.Duration) bool { return p.rand.IntN(3) == 0 }
+			}, least: 1.3, paid: 0.5,
 		},
 		"holders change each 20 s": {
 			events: map[time.Duration]func(p *play){
@@ -366,6 +385,117 @@
 	}
 }
 
+// A list of replicas that is empty or lacks a data centre for a moment, as when the store forgets entries, takes no replicas away.
+func TestReplicasThatAreNotListedForAMomentStay(t *testing.T) {
+	for name, hidden := range map[string]func(fleet.Target) bool{
+		"all":             func(fleet.Target) bool { return true },
+		"a data centre":   func(r fleet.Target) bool { return r.DataCentre == "b" },
+		"two of three":    func(r fleet.Target) bool { return r.DataCentre != "b" },
+		"ordinary ones":   func(r fleet.Target) bool { return !r.Reclaimable },
+		"cheap of a data": func(r fleet.Target) bool { return r.DataCentre == "a" && r.Reclaimable },
+	} {
+		for _, since := range []time.Duration{5 * time.Second, 20 * time.Second, 45 * time.Second} {
+			for _, took := range []bool{false, true} {
+				t.Run(fmt.Sprint(name, " at ", since, " new holder ", took), func(t *testing.T) {
+					p := newPlay(t, 1)
+					p.run(since)
+
+					if took {
+						p.decider = scaling.New()
+						p.run(since + time.Second)
+					}
+
+					p.hidden = hidden
+					p.shortest = 1000
+
+					for p.at() < since+3*time.Second {
+						p.step()
+					}
+
+					p.hidden = nil
+					p.run(since + 20*time.Second)
+					p.report()
+
+					if p.at() > firstCalls {
+						require.GreaterOrEqual(t, p.shortest, 1.5)
+					}
+				})
+			}
+		}
+	}
+}
+
+// All orders are lost for 8 s, beginning with a burst. Once the platform answers again, callers wait for a start at most.
+func TestBurstWhileOrdersAreLost(t *testing.T) {
+	p := newPlay(t, 1)
+	p.demand = func(at time.Duration) rolesplit.Demand {
+		if at < 40*time.Second {
+			return rolesplit.Demand{Prefill: 9, Decode: 15}
+		}
+
+		return rolesplit.Demand{Prefill: 20, Decode: 40}
+	}
+	p.dropped = func(at time.Duration) bool { return at >= 40*time.Second && at < 48*time.Second }
+
+	p.run(56 * time.Second)
+	p.shortest = 1000
+	p.run(60 * time.Second)
+	p.report()
+	require.GreaterOrEqual(t, p.shortest, 1.0)
+}
+
+// The bounds of a data centre hold for both kinds together, also while one replaces the other; order asserts that.
+func TestBoundsOfADataCentre(t *testing.T) {
+	for _, bounds := range []struct{ least, most int }{{1, 32}, {12, 40}, {30, 60}} {
+		p := newPlay(t, 1)
+		p.scaling.Min, p.scaling.Max = bounds.least, bounds.most
+		p.run(endOfPlay)
+		p.report()
+		require.GreaterOrEqual(t, p.shortest, 1.0)
+		require.Less(t, p.paid, paidForAll)
+	}
+}
+
+// A service without roles in one data centre.
+func TestPlainServiceInOneDataCentre(t *testing.T) {
+	c := scaling.New()
+	in := scaling.Input{Scaling: catalog.Scaling{Min: 1, Max: 20, Boot: 4 * time.Second}, RequestsSeen: true, Demand: rolesplit.Demand{Decode: 3}}
+
+	for i := range 12 {
+		in.Targets = append(in.Targets, fleet.Target{ID: entity.TargetID(fmt.Sprint(i)), DataCentre: "a", Slots: 6})
+	}
+
+	for i := range 200 {
+		in.Now = time.Unix(0, 0).Add(time.Duration(i) * 500 * time.Millisecond)
+		for _, o := range c.Tick(in) {
+			require.False(t, o.Reclaimable)
+			require.GreaterOrEqual(t, o.Count, 6)
+			c.Answer(in.Now, o, duties.Accepted, true)
+			in.Targets = in.Targets[:o.Count]
+		}
+	}
+
+	require.Len(t, in.Targets, 7, "3 fully busy ones and the headroom")
+}
+
+// A holder that hears too few hosts lowers nothing.
+func TestUnheardDemandLowersNothing(t *testing.T) {
+	p := newPlay(t, 1)
+	p.run(30 * time.Second)
+
+	var targets []fleet.Target
+	for _, r := range p.replicas {
+		targets = append(targets, r.Target)
+	}
+
+	for i := range 100 {
+		at := p.now.Add(time.Duration(i) * 500 * time.Millisecond)
+		for _, o := range p.decider.Tick(scaling.Input{Now: at, Scaling: p.scaling, Targets: targets, Roles: true, RequestsSeen: true, Unheard: true}) {
+			require.NotEqual(t, scaling.Lower, o.Reason)
+		}
+	}
+}
+
 // lose makes all replicas of dc go at once.
 func (p *play) lose(dc entity.DataCentre) {
 	for _, r := range p.replicas {
--- a/internal/control/scaling/spread.go
+++ b/internal/control/scaling/spread.go
@@ -26,13 +26,17 @@
 	if reclaims(in) {
 		// With the last figure, c.bare replicas remain when a data centre loses its reclaimable ones.
 		kept = max(int(math.Ceil(ordinaryShare*float64(c.steady))), minOrdinary*centres, centres*c.bare-(centres-1)*c.total)
-		kept = min(kept, c.total)
+		kept = min(c.steadyKept(in, kept), c.total)
 	}
 
 	kept -= spread(in, ordinary, kept, func(*group) int { return in.Scaling.Max })
 
 	missing := c.total - kept
 
+	for _, g := range reclaimable {
+		g.wanted = 0
+	}
+
 	if reclaims(in) {
 		missing = spread(in, reclaimable, missing, rest(ordinary))
 	}
@@ -42,6 +46,10 @@
 		spread(in, ordinary, kept+short, rest(reclaimable))
 	}
 
+	for _, g := range ordinary {
+		g.wanted = max(g.wanted, in.Scaling.Min-c.other(g).wanted)
+	}
+
 	for _, g := range c.groups {
 		counts := [2]*int{&c.plan.Wanted.Ordinary, &c.plan.Present.Ordinary}
 		if g.Reclaimable {
@@ -57,6 +65,28 @@
 	}
 }
 
+// steadyKept returns the number of ordinary replicas to want: kept, or the last one if little has changed since.
+func (c *Controller) steadyKept(in Input, kept int) int {
+	of := [2]int{c.total, 0}
+
+	for _, g := range c.groups {
+		if g.avoided(in) {
+			of[1]++
+		}
+	}
+
+	if of != c.keptOf || kept >= c.kept+splitStep || kept <= c.kept-splitStep {
+		c.kept, c.keptOf = kept, of
+	}
+
+	return c.kept
+}
+
+// other returns the group of the other kind in the data centre of g.
+func (c *Controller) other(g *group) *group {
+	return c.groups[Group{g.DataCentre, !g.Reclaimable}]
+}
+
 // sorted returns the groups of one kind, the cheapest data centres first.
 func (c *Controller) sorted(reclaimable bool) []*group {
 	var list []*group
@@ -126,17 +156,17 @@
 	groups := append(c.sorted(true), c.sorted(false)...)
 
 	for _, g := range groups {
-		o := Order{Group: g.Group, Count: g.wanted, Present: g.present}
+		// Both kinds together have to stay within the bound, those included that are to leave.
+		other := c.other(g)
+		o := Order{Group: g.Group, Count: min(g.wanted, in.Scaling.Max-max(other.present, other.ordered)), Present: g.present}
 
 		switch {
 		case in.Now.Before(g.retryAt):
 			continue
-		case g.wanted > g.ordered:
+		case o.Count > g.ordered:
 			o.Reason = Raise
-		case g.wanted > g.present && !g.avoided(in) && g.overdue(in):
+		case o.Count > g.present && !g.avoided(in) && g.overdue(in) && (o.Count == g.ordered || g.lost(in.Now)):
 			o.Reason = Repeat
-		case g.present > g.ordered && g.overdue(in):
-			o.Count, o.Reason = g.ordered, Repeat
 		default:
 			continue
 		}
@@ -149,8 +179,13 @@
 
 // lowering returns the orders that lower a number, the one with the most replicas too many first.
 func (c *Controller) lowering(in Input, groups []*group) []Order {
-	if in.Now.Sub(c.started) < in.Scaling.Boot {
-		return nil // orders of a former holder may be under way
+	wait := in.Scaling.Boot
+	if c.tookOver {
+		wait += followTime
+	}
+
+	if in.Now.Sub(c.started) < wait || in.Unheard {
+		return nil // orders of a former holder may be under way, or more replicas be needed
 	}
 
 	step := math.MaxInt
@@ -165,8 +200,21 @@
 
 	// Only replicas that serve now and stay count.
 	spare := -c.total
+	unanswered, blocked := false, false
+
 	for _, g := range groups {
 		spare += g.staying()
+		blocked = blocked || g.wanted > g.ordered && !g.avoided(in) && g.ordered+c.other(g).ordered >= in.Scaling.Max
+		unanswered = unanswered || g.present > g.ordered && !g.certain
+	}
+
+	if blocked && in.RequestsSeen {
+		// Replicas of one kind must leave before those of the other kind have room.
+		spare += min(step, c.total-c.bare)
+	}
+
+	if spare < 0 {
+		return nil
 	}
 
 	spare = min(spare, step)
@@ -177,13 +225,15 @@
 	var list []Order
 
 	for _, g := range groups {
-		n := min(excess(g), spare)
-		if n <= 0 || in.Now.Before(g.retryAt) || g.avoided(in) || g.present > g.ordered {
-			continue
+		switch n := min(excess(g), spare, g.staying()+c.other(g).staying()-in.Scaling.Min); {
+		case in.Now.Before(g.retryAt) || g.avoided(in):
+		case g.present > g.ordered && g.overdue(in) && g.present-g.ordered <= step:
+			list = append(list, Order{Group: g.Group, Count: g.ordered, Present: g.present, Reason: Repeat})
+			step -= g.present - g.ordered
+		case n > 0 && g.present <= g.ordered && !unanswered:
+			list = append(list, Order{Group: g.Group, Count: g.present - n, Present: g.present, Reason: Lower})
+			spare -= n
 		}
-
-		list = append(list, Order{Group: g.Group, Count: g.present - n, Present: g.present, Reason: Lower})
-		spare -= n
 	}
 
 	return list
--- a/internal/entry/rolecontrol/controller.go
+++ b/internal/entry/rolecontrol/controller.go
@@ -174,6 +174,8 @@
 
 	// Options.HandoverGap must pass between the last orders of a former holder and the first ones of this host.
 	if c.fenced || fence > 1 && now.Sub(c.heldSince) < c.opts.HandoverGap {
+		c.term.Store(nil)
+
 		return
 	}
 
@@ -334,6 +336,7 @@
 		logged().Uint64("expects", state.Orders).Err(err).Msg("order without an answer")
 	case result == Fenced:
 		c.fenced = true
+		c.term.Store(nil)
 		split.Withdraw(c.opts.Clock.Now(), o)
 		logged().Msg("order refused: a later holder has sent orders")
 	case result == Refused:
--- a/internal/entry/rolecontrol/controller_test.go
+++ b/internal/entry/rolecontrol/controller_test.go
@@ -183,10 +183,14 @@
 const handoverGap = 3500 * time.Millisecond
 
 func start(ctx context.Context, host entity.HostID, s *store, r *replicas) *rolecontrol.Controller {
+	return startWith(ctx, host, s, r, r)
+}
+
+func startWith(ctx context.Context, host entity.HostID, s *store, r *replicas, orders rolecontrol.Replicas) *rolecontrol.Controller {
 	c := catalog.Build(1, catalog.Limits{}, nil, []catalog.Service{{Name: "s", Engine: &catalog.Engine{}}})
 
 	return rolecontrol.Start(ctx, rolecontrol.Options{
-		Log: &log.Logger{Level: log.PanicLevel}, Host: host, Store: storeOf{s, host}, Replicas: r,
+		Log: &log.Logger{Level: log.PanicLevel}, Host: host, Store: storeOf{s, host}, Replicas: orders,
 		Catalog: func() *catalog.Catalog { return c }, Fleet: r.snapshot, Board: placing.New(),
 		Standby: func() bool { return true }, HasTraffic: func() bool { return false }, HandoverGap: handoverGap,
 		Seed: uint64(len(host)),
--- a/internal/entry/scalecontrol/controller.go
+++ b/internal/entry/scalecontrol/controller.go
@@ -19,6 +19,7 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/rolesplit"
 	"github.com/dotterelflow/dotterelflow/internal/control/scaling"
 	"github.com/dotterelflow/dotterelflow/internal/control/ticker"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
 const (
@@ -27,6 +28,10 @@
 	orderTimeout = time.Second
 	// statusInterval is the time between two log lines on a service for which nothing is ordered.
 	statusInterval = 10 * time.Second
+	// defaultCallRate is the number of orders a second where the platform states no limit.
+	defaultCallRate = 10
+	// callShare is the fraction of the platform's limit on calls that orders use. The others are usage reports.
+	callShare = 0.5
 )
 
 // Platform takes the orders.
@@ -53,6 +58,7 @@
 	Fleet      func() *fleet.Snapshot
 	Board      *placing.Board
 	HasTraffic func() bool // whether this host has received requests
+	CallRate   float64     // calls a second that the platform takes from all duties together; zero if unknown
 	// HostCounts returns the number of hosts in each data centre; DataCentre returns that of a host, "" being this one, and false if it
 	// is not known to be alive.
 	HostCounts func() map[entity.DataCentre]int
@@ -70,7 +76,9 @@
 	sent  atomic.Int64
 
 	term     duties.Term // term of services
-	fenced   bool        // the platform has refused an order of this term for a later holder
+	fenced   duties.Term // the last term in which the platform refused an order for a later holder
+	calls    float64     // orders that may be sent now
+	counted  time.Time   // when calls was last raised
 	services map[entity.ServiceName]*service
 }
 
@@ -78,6 +86,7 @@
 type service struct {
 	scaling  *scaling.Controller
 	loggedAt time.Time
+	hasLoad  bool // requests have arrived at some host
 }
 
 // Start returns a Controller that works until ctx ends.
@@ -134,13 +143,13 @@
 	}
 
 	if term != c.term {
-		c.term, c.fenced, c.services = term, false, map[entity.ServiceName]*service{}
+		c.term, c.services = term, map[entity.ServiceName]*service{}
 	}
 
 	var stats Stats
 
 	for _, s := range c.opts.Catalog().Services() {
-		if s.Scaling == nil || c.fenced {
+		if s.Scaling == nil || c.fenced == term {
 			continue
 		}
 
@@ -163,9 +172,13 @@
 	now := c.opts.Clock.Now()
 	targets := c.opts.Fleet().Of(s.Name)
 
+	demand, heard := c.demand(now, s, targets)
+	state.hasLoad = state.hasLoad || demand != rolesplit.Demand{} || c.opts.HasTraffic()
+
 	orders := state.scaling.Tick(scaling.Input{
-		Now: now, Scaling: *s.Scaling, Targets: targets, Roles: s.Engine != nil, RequestsSeen: c.opts.HasTraffic(), Demand: c.demand(now, s, targets),
+		Now: now, Scaling: *s.Scaling, Targets: targets, Roles: s.Engine != nil, RequestsSeen: state.hasLoad, Demand: demand, Unheard: !heard,
 	})
+	orders = orders[:c.allowed(now, len(orders))]
 	plan := state.scaling.Plan()
 
 	if len(orders) > 0 || now.Sub(state.loggedAt) >= statusInterval {
@@ -182,6 +195,21 @@
 	return plan
 }
 
+// allowed returns how many of n orders may be sent now, and counts them. The decider asks again for the others.
+func (c *Controller) allowed(now time.Time, n int) int {
+	rate := defaultCallRate * 1.0
+	if c.opts.CallRate > 0 {
+		rate = callShare * c.opts.CallRate
+	}
+
+	c.calls = min(c.calls+rate*now.Sub(c.counted).Seconds(), max(rate*stepInterval.Seconds(), 1))
+	c.counted = now
+	n = min(n, int(c.calls))
+	c.calls -= float64(n)
+
+	return n
+}
+
 // outcome is how an order ended.
 type outcome struct {
 	result duties.Result
@@ -231,15 +259,16 @@
 		return
 	}
 
-	decider.Answer(now, o, out.result, out.err == nil)
+	answered := out.err == nil || verdict.Of(out.err) == verdict.NotRun
+	decider.Answer(now, o, out.result, answered)
 
 	text := "replicas ordered"
 
 	switch {
-	case out.err != nil:
+	case !answered:
 		text = "order of replicas without an answer"
 	case out.result == duties.Fenced:
-		c.fenced = true
+		c.fenced = c.term
 		text = "order of replicas refused: a later holder has sent orders"
 	case out.result == duties.Unavailable:
 		text = "order of replicas refused: none to be had"
@@ -252,8 +281,9 @@
 		Uint64("fence", uint64(c.term.Fence)).Err(out.err).Msg(text)
 }
 
-// demand returns the demand for s at all hosts as numbers of fully busy replicas.
-func (c *Controller) demand(now time.Time, s catalog.Service, targets []fleet.Target) rolesplit.Demand {
+// demand returns the demand for s at all hosts as numbers of fully busy replicas. It reports false if hosts are heard in less than half
+// of the data centres that have some.
+func (c *Controller) demand(now time.Time, s catalog.Service, targets []fleet.Target) (need rolesplit.Demand, ok bool) {
 	var (
 		ids   []entity.TargetID
 		slots int
@@ -266,7 +296,7 @@
 	}
 
 	if slots == 0 {
-		return rolesplit.Demand{}
+		return rolesplit.Demand{}, false
 	}
 
 	// Requests that run on leaving replicas need a place among those that stay.
@@ -284,11 +314,20 @@
 		}
 	}
 
-	load := scaling.Extrapolate(heard, c.opts.HostCounts())
-	need := rolesplit.Demand{Decode: load.Running / float64(slots) * float64(len(targets))}
+	counts := c.opts.HostCounts()
+	centres := map[entity.DataCentre]bool{}
+
+	for _, h := range heard {
+		centres[h.DataCentre] = true
+	}
+
+	ok = 2*len(centres) >= len(counts)
+
+	load := scaling.Extrapolate(heard, counts)
+	need = rolesplit.Demand{Decode: load.Running / float64(slots) * float64(len(targets))}
 
 	if s.Engine == nil {
-		return need
+		return need, ok
 	}
 
 	need.Prefill = load.Prefill / c.opts.Board.IdlePrefillRate()
@@ -297,5 +336,5 @@
 		need.Decode = max(need.Decode, load.KVTokens/float64(s.Engine.KVCapacity))
 	}
 
-	return need
+	return need, ok
 }
--- a/internal/entry/scalecontrol/controller_test.go
+++ b/internal/entry/scalecontrol/controller_test.go
@@ -62,35 +62,36 @@
 }
 
 type call struct {
+	at    time.Time
 	term  duties.Term
 	order duties.Order
 }
 
-// platform records orders, which have no effect.
+// platform records orders, which have no effect unless carriesOut is set.
 type platform struct {
-	holder *holder
-
-	mu      sync.Mutex
-	calls   []call
-	onOrder func()
-	result  duties.Result
-	err     error
-	unbegun int // calls outside BeginCall and its end
+	holder     *holder
+	carriesOut bool
+	board      *placing.Board
+	callRate   float64
+
+	mu       sync.Mutex
+	calls    []call
+	onOrder  func()
+	result   duties.Result
+	err      error
+	replicas []fleet.Target
+	started  int
 }
 
 func (p *platform) Order(_ context.Context, t duties.Term, o duties.Order) (duties.Result, error) {
-	p.holder.mu.Lock()
-	open := p.holder.open
-	p.holder.mu.Unlock()
-
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	if open == 0 {
-		p.unbegun++
-	}
+	p.calls = append(p.calls, call{time.Now(), t, o})
 
-	p.calls = append(p.calls, call{t, o})
+	if p.carriesOut {
+		p.carryOut(o)
+	}
 
 	if p.onOrder != nil {
 		p.onOrder()
@@ -99,6 +100,40 @@
 	return p.result, p.err
 }
 
+// carryOut makes replicas come and go at once.
+func (p *platform) carryOut(o duties.Order) {
+	var kept []fleet.Target
+
+	n := 0
+
+	for _, t := range p.replicas {
+		if t.Service == o.Service && t.DataCentre == o.DataCentre && t.Reclaimable == o.Reclaimable {
+			n++
+			if n > o.Count {
+				continue
+			}
+		}
+
+		kept = append(kept, t)
+	}
+
+	for ; n < o.Count; n++ {
+		p.started++
+		kept = append(kept, fleet.Target{
+			ID: entity.TargetID(fmt.Sprint("new", p.started)), Service: o.Service, DataCentre: o.DataCentre, Slots: 8, Reclaimable: o.Reclaimable,
+		})
+	}
+
+	p.replicas = kept
+}
+
+func (p *platform) snapshot() *fleet.Snapshot {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return fleet.NewSnapshot(append([]fleet.Target(nil), p.replicas...))
+}
+
 func (p *platform) taken() []call {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -118,7 +153,11 @@
 			})
 		}
 
-		snapshot := fleet.NewSnapshot(list)
+		p.replicas = list
+		if p.board == nil {
+			p.board = placing.New()
+		}
+
 		services := catalog.Build(1, catalog.Limits{}, nil, []catalog.Service{
 			{Name: "scaled", Engine: &catalog.Engine{}, Scaling: &catalog.Scaling{Min: 1, Max: 60, Boot: 4 * time.Second, ReclaimablePrice: 0.2}},
 			{Name: "fixed", Engine: &catalog.Engine{}},
@@ -127,7 +166,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		c := scalecontrol.Start(ctx, scalecontrol.Options{
 			Log: &log.Logger{Level: log.PanicLevel}, Duties: p.holder, Platform: p, Catalog: func() *catalog.Catalog { return services },
-			Fleet: func() *fleet.Snapshot { return snapshot }, Board: placing.New(), HasTraffic: func() bool { return false },
+			Fleet: p.snapshot, Board: p.board, CallRate: p.callRate, HasTraffic: func() bool { return false },
 			HostCounts: func() map[entity.DataCentre]int { return map[entity.DataCentre]int{"a": 1} },
 			DataCentre: func(entity.HostID) (entity.DataCentre, bool) { return "a", true },
 		})
@@ -135,7 +174,7 @@
 		play(c)
 		cancel()
 		<-c.Done()
-		require.Zero(t, p.unbegun)
+		require.Len(t, p.taken(), p.holder.begun, "each call has its BeginCall")
 		require.Zero(t, p.holder.open)
 	})
 }
@@ -210,8 +249,8 @@
 		time.Sleep(60 * time.Second)
 
 		calls := p.taken()
-		require.GreaterOrEqual(t, len(calls), 3)
-		require.Less(t, len(calls), 30)
+		require.GreaterOrEqual(t, len(calls), 20, "one each 2 to 2.5 s")
+		require.LessOrEqual(t, len(calls), 31)
 
 		for _, made := range calls {
 			if made.order.Reclaimable {
@@ -233,3 +272,90 @@
 		}
 	})
 }
+
+// A holder that has received no request itself knows from its peers that there are callers, and lets replicas go in small steps.
+func TestPeersTellOfRequests(t *testing.T) {
+	for _, load := range []bool{false, true} {
+		p := &platform{holder: &holder{term: duties.Term{Holder: "h", Fence: 3}}, carriesOut: true, board: placing.New()}
+
+		run(t, p, func(*scalecontrol.Controller) {
+			for range 78 {
+				if load {
+					work := []placing.TargetWork{{Target: "r0", Running: 8}, {Target: "r2", Running: 8}, {Target: "r4", Running: 8}}
+					p.board.Merge(time.Now(), "peer", work)
+					p.board.MergeDemands(time.Now(), "peer", map[entity.ServiceName]float64{"scaled": 100, "fixed": 1e6})
+				}
+
+				time.Sleep(500 * time.Millisecond)
+			}
+
+			ordinary, most := 20, 0
+
+			for _, made := range p.taken() {
+				if !made.order.Reclaimable {
+					most = max(most, ordinary-made.order.Count)
+					ordinary = made.order.Count
+				}
+			}
+
+			if load {
+				require.LessOrEqual(t, most, 4, "a tenth, and three at least")
+			} else {
+				require.Greater(t, most, 4, "at once, all but what the loss of the only data centre calls for")
+			}
+		})
+	}
+}
+
+// The load of hosts that are not heard, and of other services, is told apart.
+func TestDemandOfTheService(t *testing.T) {
+	board := placing.New()
+	now := time.Now()
+	board.Merge(now, "peer", []placing.TargetWork{{Target: "a", Running: 3, KVTokens: 30}, {Target: "b", Running: 5, KVTokens: 50}})
+	board.MergeDemands(now, "peer", map[entity.ServiceName]float64{"s": 70, "other": 1000})
+	board.Merge(now, "idle", nil)
+
+	loads := map[entity.HostID]placing.HostLoad{}
+	for _, l := range board.HostLoads(now, "s", []entity.TargetID{"a"}) {
+		loads[l.Host] = l
+	}
+
+	require.Len(t, loads, 3, "this host, and two peers")
+	require.Equal(t, placing.HostLoad{Host: "peer", Prefill: 70, Decode: placing.DecodeLoad{Running: 3, KVTokens: 30}}, loads["peer"])
+	require.Zero(t, loads["idle"].Decode)
+	require.Zero(t, loads[""].Prefill)
+}
+
+func TestRateOfOrders(t *testing.T) {
+	p := &platform{holder: &holder{term: duties.Term{Holder: "h", Fence: 3}}, result: duties.Throttled, callRate: 1}
+
+	run(t, p, func(*scalecontrol.Controller) {
+		time.Sleep(60 * time.Second)
+
+		calls := p.taken()
+		require.NotEmpty(t, calls)
+
+		for i := 2; i < len(calls); i++ {
+			require.GreaterOrEqual(t, calls[i].at.Sub(calls[i-2].at), 3*time.Second, "half of one call a second")
+		}
+	})
+}
+
+// A call that is known not to have been sent is made again soon, and one that a later holder has overtaken never in that term, also if the
+// term is not seen for a moment.
+func TestFencedTermStaysFenced(t *testing.T) {
+	term := duties.Term{Holder: "h", Fence: 3}
+	p := &platform{holder: &holder{term: term}, result: duties.Fenced}
+
+	run(t, p, func(*scalecontrol.Controller) {
+		time.Sleep(time.Second)
+
+		before := len(p.taken())
+		require.NotZero(t, before)
+		p.holder.set(duties.Term{})
+		time.Sleep(time.Second)
+		p.holder.set(term)
+		time.Sleep(10 * time.Second)
+		require.Len(t, p.taken(), before)
+	})
+}
