Keep the reserve for reclaimed replicas in cheap ones that run

A start takes too long for such bursts, and ordinary replicas in reserve cost five times as much.

Before demand is known a third more is held in reclaimable replicas, later enough for 1.6 replicas a busy one after a data centre's were taken back; the ordinary part is a fifteenth. Ordinary replicas leave before the first request as soon as as many serve as there were, not as many as are wanted.

--- a/internal/control/scaling/controller.go
+++ b/internal/control/scaling/controller.go
@@ -21,17 +21,20 @@
 	// bareHeadroom is the least number of replicas for each fully busy one: what must remain after the loss of a data centre or of its
 	// reclaimable replicas, and what there must be for the demand that will have grown once a start has ended.
 	bareHeadroom = 1.35
+	// lossHeadroom is the least number of replicas for each fully busy one after a data centre has lost its reclaimable replicas, where these
+	// cost less: others may not be had for longer than bursts last.
+	lossHeadroom = 1.6
 	// maxPrefillShare and maxDecodeShare are the shares of the replicas that the roles can have without a shortage of the other one. A role
 	// that is short of replicas gets some of the other role first.
 	maxPrefillShare = 0.65
 	maxDecodeShare  = 0.4
 	// unknownReserve is the number of replicas for each one that there is, while demand is unknown and further ones cost little.
-	unknownReserve = 1.15
+	unknownReserve = 1.35
 	// unknownBare is the fraction of the replicas that must remain while demand is unknown.
-	unknownBare = 0.6
+	unknownBare = 0.65
 
 	// ordinaryShare is the fraction of the replicas that the platform must not be able to take back, of those needed between peaks.
-	ordinaryShare = 1.0 / 8
+	ordinaryShare = 1.0 / 15
 	// minOrdinary is the least number of ordinary replicas in a data centre: one of each role.
 	minOrdinary = 2
 
@@ -159,6 +162,7 @@
 	history   history
 	total     int
 	bare      int
+	there     int       // replicas that there were while demand was unknown
 	steady    int       // part of total that is needed between peaks
 	shrunk    time.Time // when total was last changed
 	lowered   time.Time // when an order to lower a number was last sent
@@ -314,6 +318,10 @@
 
 	if centres > 1 {
 		wanted = max(wanted, bare*centres/(centres-1))
+
+		if reclaims(in) {
+			wanted = max(wanted, lossHeadroom*need*centres/(centres-1+ordinaryShare))
+		}
 	}
 
 	least := max(int(centres)*max(in.Scaling.Min, minOrdinary), 1)
@@ -324,10 +332,16 @@
 	case !c.demandKnown(in.Now):
 		// What there is counts as needed.
 		if c.total == 0 || !in.RequestsSeen && !c.replacing() {
-			if reclaims(in) && !in.RequestsSeen {
+			if !in.RequestsSeen {
 				present = c.beforeRequests()
 			}
 
+			c.there = max(c.there, present)
+
+			if reclaims(in) && !in.RequestsSeen {
+				present = int(unknownReserve * float64(present))
+			}
+
 			c.total = max(c.total, min(present, max(most, least)))
 		}
 
@@ -335,7 +349,7 @@
 			c.total = total
 		}
 
-		c.bare = max(int(unknownBare*float64(c.total)), int(math.Ceil(bare)))
+		c.bare = max(int(unknownBare*float64(min(c.there, c.total))), int(math.Ceil(bare)))
 		c.shrunk = in.Now
 	case float64(total) > growThreshold*float64(c.total):
 		c.total, c.shrunk = total, in.Now
@@ -372,7 +386,7 @@
 		}
 	}
 
-	return max(int(unknownReserve*float64(ordinary)), reclaimable)
+	return max(ordinary, reclaimable)
 }
 
 // replicasFor returns how many replicas of both roles are busy with d, divided between the roles as far as can be.
--- a/internal/control/scaling/spread.go
+++ b/internal/control/scaling/spread.go
@@ -200,6 +200,10 @@
 
 	// Only replicas that serve now and stay count.
 	spare := -c.total
+	if !in.RequestsSeen {
+		spare = -min(c.total, c.there) // the reserve may come later
+	}
+
 	unanswered, blocked := false, false
 
 	for _, g := range groups {
