--- a/internal/control/scaling/controller.go
+++ b/internal/control/scaling/controller.go
@@ -367,7 +367,7 @@
 			c.steady = steady
 		}
 	} else {
-		c.steady = c.total
+		c.steady = min(c.total, c.there)
 	}
 
 	c.plan = Plan{Demand: peak, Total: c.total, Bare: c.bare}
@@ -434,7 +434,7 @@
 		g.retryAt = now.Add(retryPause)
 	}
 
-	if o.Reason == Lower {
+	if o.Reason == Lower || o.Count < o.Present {
 		c.lowered = now
 	}
 }
--- a/internal/control/scaling/spread.go
+++ b/internal/control/scaling/spread.go
@@ -231,9 +231,11 @@
 	for _, g := range groups {
 		switch n := min(excess(g), spare, g.staying()+c.other(g).staying()-in.Scaling.Min); {
 		case in.Now.Before(g.retryAt) || g.avoided(in):
-		case g.present > g.ordered && g.overdue(in) && g.present-g.ordered <= step:
-			list = append(list, Order{Group: g.Group, Count: g.ordered, Present: g.present, Reason: Repeat})
-			step -= g.present - g.ordered
+		case g.present > g.ordered && g.overdue(in) && step > 0:
+			// Replicas that came by a late order may be many.
+			count := max(g.ordered, g.present-step)
+			list = append(list, Order{Group: g.Group, Count: count, Present: g.present, Reason: Repeat})
+			step -= g.present - count
 		case n > 0 && g.present <= g.ordered && !unanswered:
 			list = append(list, Order{Group: g.Group, Count: g.present - n, Present: g.present, Reason: Lower})
 			spare -= n
