--- a/internal/entry/rolecontrol/duty_test.go
+++ b/internal/entry/rolecontrol/duty_test.go
@@ -311,7 +311,9 @@
 		c := start(ctx, "a", s, r)
 
 		time.Sleep(30 * time.Second)
+		r.mu.Lock()
 		require.NotEmpty(t, r.fenced)
+		r.mu.Unlock()
 
 		_, held := c.Term()
 		require.False(t, held)
