Move no groups of replicas between roles where their number is ordered

A service that is scaled meets a shortage by further replicas, so idle ones keep their role there.

TestIdleReplicasOfAScaledServiceKeepTheirRole fails without it.

--- a/internal/control/rolesplit/controller.go
+++ b/internal/control/rolesplit/controller.go
@@ -73,6 +73,8 @@
 	// MaxPending bounds the number of replicas that change their role at the same time under load; zero means maxPending. It is greater
 	// where replicas come and go in numbers.
 	MaxPending int
+	// Scaled is set if the number of replicas is ordered by need. A shortage is then met by further replicas, not by groups of idle ones.
+	Scaled bool
 }
 
 // Demand states how many fully busy replicas the present requests call for. The zero value stands for no requests.
@@ -232,7 +234,7 @@
 		delay, sign, least = returnDelay, -1, min(minIdleGroup, c.lent)
 	}
 
-	if !in.RequestsSeen || size < least {
+	if !in.RequestsSeen || in.Scaled || size < least {
 		c.idleSince = time.Time{}
 
 		return 0
--- a/internal/control/rolesplit/controller_test.go
+++ b/internal/control/rolesplit/controller_test.go
@@ -19,6 +19,7 @@
 	c       *rolesplit.Controller
 	now     time.Time
 	loaded  bool
+	scaled  bool
 }
 
 func newSite(n, prefill int) *site {
@@ -164,7 +165,7 @@
 
 func (s *site) tickWith(demand rolesplit.Demand) []rolesplit.Order {
 	return s.c.Tick(rolesplit.Input{
-		Now: s.now, Targets: s.targets, RequestsSeen: s.loaded, Busy: func(entity.TargetID) int { return 0 }, Demand: demand,
+		Now: s.now, Targets: s.targets, RequestsSeen: s.loaded, Busy: func(entity.TargetID) int { return 0 }, Demand: demand, Scaled: s.scaled,
 	})
 }
 
@@ -249,6 +250,16 @@
 	require.LessOrEqual(t, orders, 15, "an eighth of the replicas at once")
 }
 
+// TestIdleReplicasOfAScaledServiceKeepTheirRole guards against groups that read while most of the replicas are about to leave, so that
+// too few are left for the answers.
+func TestIdleReplicasOfAScaledServiceKeepTheirRole(t *testing.T) {
+	s := newSite(140, 85)
+	s.loaded, s.scaled = true, true
+
+	require.Zero(t, s.run(time.Minute, rolesplit.Demand{Prefill: 75, Decode: 8}))
+	require.Equal(t, 85, s.prefillReplicas())
+}
+
 func TestBusyDecodeReplicasKeepTheirRole(t *testing.T) {
 	for _, demand := range []rolesplit.Demand{{Prefill: 75, Decode: 20}, {Prefill: 30, Decode: 2}, {Prefill: 42, Decode: 25}} {
 		s := newSite(140, 85)
--- a/internal/entry/rolecontrol/controller.go
+++ b/internal/entry/rolecontrol/controller.go
@@ -313,7 +313,7 @@
 
 	in := rolesplit.Input{Now: now, Targets: targets, RequestsSeen: c.opts.HasTraffic(), Busy: c.opts.Board.Busy, Demand: need}
 	if s.Scaling != nil {
-		in.MaxPending = len(targets) / scaledPendingDivisor
+		in.MaxPending, in.Scaled = len(targets)/scaledPendingDivisor, true
 	}
 
 	orders := split.Tick(in)
