Let requests without a body run on while bodies are refused

Cause: a request without a body made a claim in the room and never arrived, so that it counted as stalled one second after its head. The next body without room let it give way: its read deadline passed, and net/http ended its context while a target ran it.

--- a/internal/control/intake/room.go
+++ b/internal/control/intake/room.go
@@ -163,12 +163,12 @@
 	return r.evictStalled(now, nil)
 }
 
-// evictStalled does the same, but passes over except. r.mu is held.
+// evictStalled does the same, but passes over except. A claim that holds nothing frees nothing, so it stays. r.mu is held.
 func (r *Room) evictStalled(now time.Time, except *Claim) bool {
 	var victim *Claim
 
 	for c := range r.arriving {
-		if c != except && c.stalled(now) && (victim == nil || c.last.Before(victim.last)) {
+		if c != except && c.taken > 0 && c.stalled(now) && (victim == nil || c.last.Before(victim.last)) {
 			victim = c
 		}
 	}
--- a/internal/control/intake/room_test.go
+++ b/internal/control/intake/room_test.go
@@ -75,6 +75,19 @@
 	require.Zero(t, r.Stats().Used)
 }
 
+func TestClaimThatHoldsNothingStays(t *testing.T) {
+	r, now := intake.NewRoom(16*mib), time.Unix(1, 0)
+	r.Enter(now, "empty", func() { t.Error("it frees nothing") })
+
+	evicted := 0
+	require.True(t, r.Enter(now.Add(time.Second), "stalled", func() { evicted++ }).Take(now, 8*mib))
+
+	now = now.Add(time.Minute)
+	require.False(t, r.Enter(now, "next", nil).Take(now, 12*mib))
+	require.Equal(t, 1, evicted)
+	require.False(t, r.EvictStalled(now))
+}
+
 func TestRoomWithoutBound(t *testing.T) {
 	var r *intake.Room
 
