Record no loss of a target whose answer found no memory

Cause: an answer whose wait for memory ended with the deadline, the caller or the host was recorded as lost with its target: the target was paused, this host looked cut off, and the request and its shared parts counted towards quarantine.

Change: the relay takes such an answer for one that may have run and records nothing of its target. The log says "answer given up for want of memory".

TestTargetIsNotLostForWantOfMemory failed before in all six cases with the line "target did not answer ... losses 1 ... no memory is left for the answer". go test -race ./internal/entry/relay passes.

--- /dev/null
+++ b/internal/entry/relay/memory_test.go
@@ -0,0 +1,93 @@
+package relay_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
+	"github.com/dotterelflow/dotterelflow/internal/control/crashtracker"
+	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/entry/relay"
+	"github.com/dotterelflow/dotterelflow/internal/wire/buffers"
+	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
+)
+
+// largeBytes is the size of an answer that waits while holdAnswers holds the memory.
+const largeBytes = 1 << 20
+
+// holdAnswers takes all memory for answers, also that which one answer may have beyond the bound, until release is called.
+func (fx *fixture) holdAnswers() (release func()) {
+	held := []*buffers.Buffer{{Budget: fx.answers, Limit: maxAnswer, Done: make(chan struct{})}}
+
+	for len(held) == 1 || held[len(held)-1].Bytes() != nil {
+		b := &buffers.Buffer{Budget: fx.answers, Limit: largeBytes}
+		if _, err := b.ReadAll(bytes.NewReader(make([]byte, largeBytes))); err != nil {
+			b.Release()
+		}
+
+		held = append(held, b)
+	}
+
+	_, _ = held[0].ReadAll(bytes.NewReader(make([]byte, maxAnswer)))
+
+	return func() {
+		for _, b := range held {
+			b.Release()
+		}
+	}
+}
+
+// sound returns a run of a sound target whose answer takes more memory than holdAnswers leaves.
+func sound(route catalog.Route) runFunc {
+	if !route.Streaming {
+		return sized(largeBytes, open())
+	}
+
+	return func(int, context.Context, relay.Send) (*relay.Answer, error) {
+		return answer(200, "id: 1\ndata: "+strings.Repeat("x", largeBytes/2)+"\n\n"), nil
+	}
+}
+
+func TestTargetIsNotLostForWantOfMemory(t *testing.T) {
+	for name, route := range map[string]catalog.Route{"at most once": atMostOnce, "repeatable": repeatable, "resumable": resumable} {
+		for _, leaves := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					fx := newFixture(t, route, 0)
+					fx.keepOnly("s1", "p1", "d1")
+					release := fx.holdAnswers()
+					fx.targets.run = sound(route)
+
+					ctx, cancel := context.WithCancel(t.Context())
+					defer cancel()
+
+					if leaves {
+						time.AfterFunc(100*time.Millisecond, cancel)
+					}
+
+					r := request()
+					r.Parts = []placing.Part{{ID: 1, Tokens: 100}}
+					out := &replyRecorder{}
+					fx.relay.Serve(ctx, r, out)
+					require.NotNil(t, out.refused)
+					require.Equal(t, verdict.MayHaveRun, out.refused.Verdict)
+
+					require.NotEmpty(t, fx.log.lines("answer given up for want of memory"))
+					require.Empty(t, fx.log.lines("target did not answer"))
+					require.Empty(t, fx.board.PausedTargets(time.Now()))
+					require.Zero(t, fx.crashers.Losses(time.Now(), crashtracker.FingerprintOf(r.Host, r.URI, r.Body)))
+					require.Zero(t, fx.crashers.Stats().SuspectParts)
+
+					release()
+					require.Equal(t, 200, fx.serve(t.Context(), t).status)
+				})
+			})
+		}
+	}
+}
--- a/internal/entry/relay/parts.go
+++ b/internal/entry/relay/parts.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/crashtracker"
 	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/control/placing"
+	"github.com/dotterelflow/dotterelflow/internal/wire/buffers"
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
 
@@ -84,6 +86,10 @@
 // noteBrokenRun records that the run on t ended with err. If t may have crashed as it began to write the answer, the shared parts
 // of the prompt are suspected, and it is checked whether t has ended.
 func (j *job) noteBrokenRun(t fleet.Target, err error) {
+	if errors.Is(err, buffers.ErrNoMemory) {
+		return // t has sent more than this host could take
+	}
+
 	if j.parts.begun || len(j.parts.shared) == 0 || verdict.Of(err) != verdict.MayHaveRun || j.opts.Reach.CutOff(j.service.Name) {
 		return
 	}
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -379,11 +379,18 @@
 }
 
 // noteFailure records that a send to t ended with err, and returns the verdict of err. A cancelled send, or one that the
-// deadline has ended before t was silent for long, only excludes t from further tries.
+// deadline has ended before t was silent for long, only excludes t from further tries, and so does an answer for which this host has no memory.
 func (j *job) noteFailure(t fleet.Target, err error) verdict.Verdict {
 	j.tried = append(j.tried, t.ID)
 	v := verdict.Of(err)
 
+	if errors.Is(err, buffers.ErrNoMemory) {
+		j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Str("target", string(t.ID)).
+			Str("verdict", v.String()).Err(err).Msg("answer given up for want of memory")
+
+		return v
+	}
+
 	switch {
 	case errors.Is(err, context.Canceled):
 	case !endedHere(err) || v == verdict.NotRun:
