Count no wait for memory as silence of the target

Cause: the watch of a silent target ran on while this host had no memory for the answer, so a sound answer of a repeatable route or a resumable stream was given up, run by a second target, which waited too, and the first target was paused as silent.

Change: a buffer tells when a wait for memory begins and ends. The relay pauses the watch meanwhile, and the target may be silent for its usual time from then on. The pace of a stream does not count the stretch.

--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -170,7 +170,7 @@
 	r.answer, r.err = j.opts.Targets.Run(runCtx, j.r, Send{Target: target, Rank: j.account.RankOn(j.route), Account: j.account.ID, Timeout: remaining})
 
 	if r.err == nil {
-		r.body, r.err = j.readAnswer(runCtx, r.answer)
+		r.body, r.err = j.readAnswer(runCtx, r.answer, silence)
 	}
 
 	r.next, r.takenOver = silence.stop(r.err != nil)
@@ -178,9 +178,9 @@
 	return r
 }
 
-// readAnswer reads the whole body of answer and closes it. If there is no memory for it, it waits until ctx ends. The body of a refusal is
-// of no use and not returned.
-func (j *job) readAnswer(ctx context.Context, answer *Answer) ([]byte, error) {
+// readAnswer reads the whole body of answer and closes it. If there is no memory for it, it waits until ctx ends, and silence, which may be nil,
+// pauses. The body of a refusal is of no use and not returned.
+func (j *job) readAnswer(ctx context.Context, answer *Answer, silence *watch) ([]byte, error) {
 	defer func() { _ = answer.Body.Close() }() // the answer was read to its end, or is of no use
 
 	if answer.NotRun {
@@ -190,7 +190,7 @@
 		return nil, nil
 	}
 
-	buf := j.newBuffer(ctx, maxAnswerBytes)
+	buf := j.newBuffer(ctx, maxAnswerBytes, silence)
 
 	body, err := readBody(answer.Body, buf)
 	if err != nil {
--- a/internal/entry/relay/memory_test.go
+++ b/internal/entry/relay/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -54,6 +55,51 @@
 	}
 }
 
+// TestWaitForMemoryIsNoSilence lets answers wait for longer than their targets may be silent.
+func TestWaitForMemoryIsNoSilence(t *testing.T) {
+	for name, route := range map[string]catalog.Route{"repeatable": repeatable, "resumable": resumable} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fx := newFixture(t, route, 100)
+				time.AfterFunc(2*time.Second, fx.holdAnswers())
+
+				fx.targets.run = sound(route)
+				out := fx.serve(t.Context(), t)
+				require.Equal(t, 200, out.status)
+				require.Len(t, fx.targets.runs, 1)
+				require.Zero(t, fx.outcome.Silences)
+				require.Empty(t, fx.board.PausedTargets(time.Now()))
+			})
+		})
+	}
+}
+
+func TestTargetIsReplacedThatIsSilentAfterAWaitForMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const wait = 2 * time.Second
+
+		fx := newFixture(t, repeatable, 100)
+		time.AfterFunc(wait, fx.holdAnswers())
+
+		began := time.Now()
+		fx.targets.run = func(n int, ctx context.Context, s relay.Send) (*relay.Answer, error) {
+			a, err := sound(repeatable)(n, ctx, s)
+			if n == 1 {
+				a.Body = io.NopCloser(io.MultiReader(io.LimitReader(a.Body, largeBytes/2), silentBody{ctx}))
+			}
+
+			return a, err
+		}
+
+		out := fx.serve(t.Context(), t)
+		require.Equal(t, 200, out.status)
+		require.Equal(t, largeBytes, out.body.Len())
+		require.Len(t, fx.targets.runs, 2)
+		require.Equal(t, 1, fx.outcome.Silences)
+		require.Equal(t, wait+4*repeatable.Objective, time.Since(began))
+	})
+}
+
 func TestTargetIsNotLostForWantOfMemory(t *testing.T) {
 	for name, route := range map[string]catalog.Route{"at most once": atMostOnce, "repeatable": repeatable, "resumable": resumable} {
 		for _, leaves := range []bool{false, true} {
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -266,6 +266,7 @@
 	lack          lack              // why the last attempt to send to another target failed
 	sentAt        time.Time         // when the request was last sent to a target; zero if it was not
 	lastHeard     time.Time         // when a target last sent something; zero if none has
+	deafUntil     time.Time         // end of the last wait for memory, during which no target is heard; zero if there was none
 	silent        entity.TargetID   // silent target that has not been replaced yet; empty for none
 	held          []*buffers.Buffer // buffers of answers, which the job releases at its end
 	timeToFirst   time.Duration     // as Outcome.TimeToFirst
@@ -298,9 +299,19 @@
 	return j
 }
 
-// newBuffer returns a buffer for limit bytes that is released at the end of the job, or before. It waits for memory until ctx ends.
-func (j *job) newBuffer(ctx context.Context, limit int) *buffers.Buffer {
-	b := &buffers.Buffer{Budget: j.budget, Limit: limit, Done: ctx.Done()}
+// newBuffer returns a buffer for limit bytes that is released at the end of the job, or before. It waits for memory until ctx ends. Meanwhile
+// its target cannot be heard, so that silence pauses.
+func (j *job) newBuffer(ctx context.Context, limit int, silence *watch) *buffers.Buffer {
+	b := &buffers.Buffer{Budget: j.budget, Limit: limit, Done: ctx.Done(), OnWait: func(waiting bool) {
+		if waiting {
+			silence.pause()
+
+			return
+		}
+
+		j.deafUntil = j.now()
+		silence.resume(j.deafUntil, j.patience())
+	}}
 	j.held = append(j.held, b)
 
 	return b
--- a/internal/entry/relay/silence.go
+++ b/internal/entry/relay/silence.go
@@ -56,13 +56,17 @@
 	return j.now().Sub(j.lastHeard)
 }
 
-// silentFor returns how long the target that the request was last sent to has sent nothing.
+// silentFor returns how long the target that the request was last sent to has sent nothing, although it could be heard.
 func (j *job) silentFor() time.Duration {
-	if j.lastHeard.After(j.sentAt) {
-		return j.now().Sub(j.lastHeard)
+	since := j.sentAt
+
+	for _, t := range []time.Time{j.lastHeard, j.deafUntil} {
+		if t.After(since) {
+			since = t
+		}
 	}
 
-	return j.now().Sub(j.sentAt)
+	return j.now().Sub(since)
 }
 
 // patience returns how long a target that runs the request may send nothing before it counts as silent.
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -322,7 +322,7 @@
 		return false
 	}
 
-	body, err := j.readAnswer(ctx, answer)
+	body, err := j.readAnswer(ctx, answer, nil)
 	if err != nil {
 		p.cause = err
 
@@ -337,7 +337,7 @@
 // passEvents forwards events as they arrive. It reports whether the stream has ended: the answer is complete or the
 // caller cannot be written to. Otherwise it returns the error of the replica t, whose silences silence watches.
 func (j *job) passEvents(ctx context.Context, w Reply, answer *Answer, t fleet.Target, p *progress, silence *watch) (bool, error) {
-	stream := &events{body: answer.Body, buf: j.newBuffer(ctx, maxEventBytes)}
+	stream := &events{body: answer.Body, buf: j.newBuffer(ctx, maxEventBytes, silence)}
 	defer stream.buf.Release()
 
 	limit := j.maxEvents()
@@ -351,6 +351,10 @@
 
 		silence.pause()
 
+		if j.deafUntil.After(j.lastHeard) {
+			pace.skip = true // the wait was not the target's
+		}
+
 		// A replica that is lost closes its connections too. One that has nothing left to send to a caller who takes a stream up
 		// sends no event.
 		if errors.Is(err, io.EOF) && answer.Open && stream.count == 0 && p.lastEventID == "" {
--- a/internal/wire/buffers/buffer.go
+++ b/internal/wire/buffers/buffer.go
@@ -85,7 +85,7 @@
 			b.over = buf
 		}
 
-		granted := true
+		granted, begins := true, false
 
 		if b.over == buf {
 			b.beyond += n
@@ -94,20 +94,25 @@
 		} else if buf.Done != nil && w == nil {
 			w = &waiter{since: time.Now()}
 			b.waiting = append(b.waiting, w)
+			begins = true
 		}
 
 		changed := b.changed
 		b.mu.Unlock()
 
 		if granted || buf.Done == nil {
-			b.leave(w)
+			b.leave(buf, w)
 
 			return granted
 		}
 
+		if begins && buf.OnWait != nil {
+			buf.OnWait(true)
+		}
+
 		select {
 		case <-buf.Done:
-			b.leave(w)
+			b.leave(buf, w)
 
 			return false
 		case <-changed:
@@ -125,12 +130,16 @@
 	return n <= free/2
 }
 
-// leave ends the wait of w, which may be nil.
-func (b *Budget) leave(w *waiter) {
+// leave ends the wait w of buf, which may be nil.
+func (b *Budget) leave(buf *Buffer, w *waiter) {
 	if w == nil {
 		return
 	}
 
+	if buf.OnWait != nil {
+		defer buf.OnWait(false)
+	}
+
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
@@ -167,6 +176,8 @@
 	Limit  int     // limit on the contents, in bytes
 	// Done ends a wait for memory when it is closed. Nil means that the Buffer does not wait.
 	Done <-chan struct{}
+	// OnWait is called by Fill when a wait for memory begins and when it ends. Nil means no call.
+	OnWait func(waiting bool)
 
 	bytes   []byte
 	charged int
