--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -266,6 +266,7 @@
 	lack          lack              // why the last attempt to send to another target failed
 	sentAt        time.Time         // when the request was last sent to a target; zero if it was not
 	lastHeard     time.Time         // when a target last sent something; zero if none has
+	deafUntil     time.Time         // end of the last wait for memory, during which no target is heard; zero if there was none
 	silent        entity.TargetID   // silent target that has not been replaced yet; empty for none
 	held          []*buffers.Buffer // buffers of answers, which the job releases at its end
 	timeToFirst   time.Duration     // as Outcome.TimeToFirst
@@ -298,9 +299,19 @@
 	return j
 }
 
-// newBuffer returns a buffer for limit bytes that is released at the end of the job, or before. It waits for memory until ctx ends.
-func (j *job) newBuffer(ctx context.Context, limit int) *buffers.Buffer {
-	b := &buffers.Buffer{Budget: j.budget, Limit: limit, Done: ctx.Done()}
+// newBuffer returns a buffer for limit bytes that is released at the end of the job, or before. It waits for memory until ctx ends. Meanwhile
+// its target cannot be heard, so that silence pauses.
+func (j *job) newBuffer(ctx context.Context, limit int, silence *watch) *buffers.Buffer {
+	b := &buffers.Buffer{Budget: j.budget, Limit: limit, Done: ctx.Done(), OnWait: func(waiting bool) {
+		if waiting {
+			silence.pause()
+
+			return
+		}
+
+		j.deafUntil = j.now()
+		silence.resume(j.deafUntil, j.patience())
+	}}
 	j.held = append(j.held, b)
 
 	return b
@@ -379,11 +390,18 @@
 }
 
 // noteFailure records that a send to t ended with err, and returns the verdict of err. A cancelled send, or one that the
-// deadline has ended before t was silent for long, only excludes t from further tries.
+// deadline has ended before t was silent for long, only excludes t from further tries, and so does an answer for which this host has no memory.
 func (j *job) noteFailure(t fleet.Target, err error) verdict.Verdict {
 	j.tried = append(j.tried, t.ID)
 	v := verdict.Of(err)
 
+	if errors.Is(err, buffers.ErrNoMemory) {
+		j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Str("target", string(t.ID)).
+			Str("verdict", v.String()).Err(err).Msg("answer given up for want of memory")
+
+		return v
+	}
+
 	switch {
 	case errors.Is(err, context.Canceled):
 	case !endedHere(err) || v == verdict.NotRun:
