Count requests whose answers were lost as run

A host counted only requests of which it saw an answer or an event. Requests count now, once, when an answer is lost with its connection; not when this host gave the send up, or nothing was sent. The test's case of a lost answer changes with it, from 0 to 1, and has three more beside it.

Ran: go test ./internal/entry/relay, passes.

--- a/internal/entry/relay/account_test.go
+++ b/internal/entry/relay/account_test.go
@@ -116,7 +116,7 @@
 }
 
 // TestRequestBeginsOnce counts, by account, the requests that began to run: once each, however often they are sent, and none that
-// no target has run.
+// no target can have run.
 func TestRequestBeginsOnce(t *testing.T) {
 	fails := func(n int, _ context.Context, s relay.Send) (*relay.Answer, error) {
 		if n == 0 {
@@ -140,6 +140,7 @@
 		return a, nil
 	}
 	lost := func(int, context.Context, relay.Send) (*relay.Answer, error) { return nil, mayHaveRun() }
+	unsent := func(int, context.Context, relay.Send) (*relay.Answer, error) { return nil, notRun() }
 
 	for name, c := range map[string]struct {
 		route catalog.Route
@@ -150,7 +151,10 @@
 		"plain, fails":           {atMostOnce, fails, 1},
 		"repeatable, fails once": {repeatable, fails, 1},
 		"plain, refused":         {atMostOnce, refuses, 0},
-		"plain, without answer":  {atMostOnce, lost, 0},
+		"plain, answer lost":     {atMostOnce, lost, 1},
+		"plain, not sent":        {atMostOnce, unsent, 0},
+		"stream, answer lost":    {resumable, lost, 1},
+		"stream, not sent":       {resumable, unsent, 0},
 		"stream":                 {resumable, succeeds, 1},
 		"stream, goes on":        {resumable, breaks, 1},
 		"stream, refused":        {resumable, refuses, 0},
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -65,7 +65,7 @@
 	// request that needs one; nil means never.
 	KeysStale func() bool
 	// Began is called once for each request of an account that began to run at a target: a stream at its first event, any other when
-	// the target answers as having run it. Nil means no call.
+	// the target answers as having run it, and each when its answer is lost with the connection. Nil means no call.
 	Began   func(entity.AccountID)
 	Observe func(Outcome) // called once a request has ended; nil means no call
 	// BufferBytes bounds the memory of the answers and events that are buffered at the same time, beyond buffers.FreeBytes each.
@@ -375,6 +375,10 @@
 		j.noteSilence(t, j.patience())
 	}
 
+	if v != verdict.NotRun && !endedHere(err) {
+		j.noteRan() // targets lose their answers more often than they crash before they begin
+	}
+
 	j.noteLoss(t, err)
 	j.opts.Log.Info().Str("request", string(j.r.ID)).Str("route", j.route.Name).Str("target", string(t.ID)).
 		Str("verdict", v.String()).Str("fingerprint", j.fingerprint.String()).Int("losses", j.opts.Crashers.Losses(j.now(), j.fingerprint)).
