End heads that trickle at their limit

Cause: each byte of a head set the deadline of the connection again, also once its limit had passed, so a caller that sent a byte each 20 ms was never ended, neither by its limit nor to let others in. Readiness and metrics share the code and could be held the same way.

Change: bytes do not lengthen the last look of 50 ms, which ends the head unless it is whole by then.

Both tests failed before: heads with limits of 0.3 s and 3 s were read until the trials ended 2 s later, and none of 8 connections gave way within 2 s. go test -race ./internal/entry/serving passes.

--- a/internal/entry/serving/connections.go
+++ b/internal/entry/serving/connections.go
@@ -440,7 +440,10 @@
 		c.phase, c.since, c.limitsSince = reading, now, now
 		c.setDeadline()
 	case reading:
-		c.setDeadline()
+		// Bytes do not lengthen the last look, or a caller that sends one now and then would never meet the limit.
+		if !c.lastLook || c.remaining() > 0 {
+			c.setDeadline()
+		}
 	}
 
 	return c.phase == reading
