Refuse only requests whose answers are likely to wait for memory

Cause: once one answer had waited for memory for 1 s, the host refused every request, also streams and those with small answers, which need none of that memory. A few slow readers of large answers could keep it so while the host counted as ready.

Change: the relay keeps the share of large answers of each route. Streams and the rest are served. Requests are not forwarded instead: a large answer of another host takes the same memory here.

--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -199,6 +199,8 @@
 		return nil, err
 	}
 
+	j.noteSize(len(body))
+
 	return body, nil
 }
 
--- a/internal/entry/relay/memory_test.go
+++ b/internal/entry/relay/memory_test.go
@@ -100,6 +100,81 @@
 	})
 }
 
+// TestOrdinaryRequestsAreServedWhileAnAnswerWaits asks routes with answers of different sizes while answers have waited for long.
+func TestOrdinaryRequestsAreServedWhileAnAnswerWaits(t *testing.T) {
+	const smallBytes = 20 << 10
+
+	for name, c := range map[string]struct {
+		route   catalog.Route
+		large   int // of the ten answers before
+		waiting int
+		refused bool
+	}{
+		"small answers":              {atMostOnce, 0, 1, false},
+		"small answers, many wait":   {atMostOnce, 0, 100, false},
+		"few large answers":          {atMostOnce, 2, 1, false},
+		"few large, many wait":       {atMostOnce, 2, 100, true},
+		"large answers":              {atMostOnce, 10, 1, true},
+		"streams":                    {resumable, 0, 1, false},
+		"streams, many answers wait": {resumable, 0, 100, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fx := newFixture(t, c.route, 100)
+
+				for i := range 10 {
+					fx.targets.run = sized(smallBytes, open())
+					if c.route.Streaming || i < c.large {
+						fx.targets.run = sound(c.route)
+					}
+
+					require.Equal(t, 200, fx.serve(t.Context(), t).status)
+				}
+
+				release := fx.holdAnswers()
+				done := make(chan struct{})
+
+				for range c.waiting { // answers of other routes
+					go func() {
+						b := &buffers.Buffer{Budget: fx.answers, Limit: largeBytes, Done: done}
+						_, _ = b.ReadAll(bytes.NewReader(make([]byte, largeBytes)))
+						b.Release()
+					}()
+				}
+
+				time.Sleep(1500 * time.Millisecond)
+				require.Equal(t, c.waiting, fx.answers.Waiting())
+
+				runs := len(fx.targets.runs)
+				fx.targets.run = func(n int, ctx context.Context, s relay.Send) (*relay.Answer, error) {
+					if c.route.Streaming {
+						return streamFrom(s), nil
+					}
+
+					return sized(smallBytes, open())(n, ctx, s)
+				}
+
+				out := fx.serve(t.Context(), t)
+
+				close(done)
+				synctest.Wait()
+				release()
+
+				if c.refused {
+					require.NotNil(t, out.refused)
+					require.Equal(t, verdict.NotRun, out.refused.Verdict)
+					require.Equal(t, verdict.CodeOverloaded, out.refused.Code)
+					require.Len(t, fx.targets.runs, runs)
+				} else {
+					require.Equal(t, 200, out.status, "%v", out.refused)
+				}
+
+				require.Equal(t, 200, fx.serve(t.Context(), t).status)
+			})
+		})
+	}
+}
+
 func TestTargetIsNotLostForWantOfMemory(t *testing.T) {
 	for name, route := range map[string]catalog.Route{"at most once": atMostOnce, "repeatable": repeatable, "resumable": resumable} {
 		for _, leaves := range []bool{false, true} {
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -41,8 +41,6 @@
 	defaultBufferBytes  = 64 << 20
 	// releaseTimeout bounds the call that frees a KV cache.
 	releaseTimeout = time.Second
-	// maxAnswerWait is how long an answer may have been waiting for memory before no further request is sent to a target.
-	maxAnswerWait = time.Second
 )
 
 // Options configure a Relay. All fields are required, except those whose comment says what nil means.
@@ -82,6 +80,7 @@
 type Relay struct {
 	opts      Options
 	budget    *buffers.Budget
+	sizes     answerSizes
 	endChecks sync.Map // targets of which it is checked whether they have ended
 }
 
@@ -123,7 +122,7 @@
 		opts.Answers = buffers.NewBudget(cmp.Or(opts.BufferBytes, defaultBufferBytes))
 	}
 
-	return &Relay{opts: opts, budget: opts.Answers}
+	return &Relay{opts: opts, budget: opts.Answers, sizes: answerSizes{large: map[routeKey]float64{}}}
 }
 
 // Outcome describes how a request ended. Route is zero if there was no configuration yet or no route matched.
@@ -185,7 +184,7 @@
 		return
 	}
 
-	if j.budget.Waited() > maxAnswerWait {
+	if l.lacksMemory(route) {
 		j.count()
 		j.refuse(w, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "no memory is left for the answer").WithRetryAfter(noTargetRetryAfter))
 
@@ -305,6 +304,7 @@
 	b := &buffers.Buffer{Budget: j.budget, Limit: limit, Done: ctx.Done(), OnWait: func(waiting bool) {
 		if waiting {
 			silence.pause()
+			j.noteSize(limit) // it is large, and may end too late to tell so
 
 			return
 		}
