Keep connections open that were served as they gave way

Cause: a connection that was to give way stayed marked when a request came in time, so it closed 50 ms after the answer, which had not told the caller so, and the next request on it was reset.

Change: the mark ends with the head of a request, and a connection that is being served gets none. Another one gives way if need be.

TestConnectionThatIsServedAsItGivesWayStaysOpen failed before: the second request ended without an answer. go test -race ./internal/entry/serving passes.

--- a/internal/entry/serving/connections.go
+++ b/internal/entry/serving/connections.go
@@ -258,16 +258,17 @@
 	return 1, c.since
 }
 
-// giveWay closes the connection unless bytes arrive that complete a head.
+// giveWay closes the connection unless a head has arrived whole, or bytes arrive that complete it.
 func (c *connection) giveWay() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.crowded = true
-
-	if c.phase != serving {
-		c.setDeadline()
+	if c.phase == serving {
+		return
 	}
+
+	c.crowded = true
+	c.setDeadline()
 }
 
 // takeHead takes the memory for a part p of a head, and reports whether it fits.
@@ -352,7 +353,11 @@
 	}
 
 	c.phase, c.since = p, now
-	c.used = c.used || p == serving
+	if p == serving {
+		// A request that arrived in time is served like any other, and so is the next one, as its caller is not told to use another connection.
+		c.used, c.crowded = true, false
+	}
+
 	c.setDeadline()
 }
 
