Let nobody else give way to the share of one address

Cause: a claim that was refused only since its address held half of the room let the longest stalled request of anybody give way, although there was room for that.

Change: such a claim lets one of the same address give way.

TestOnlyTheSameAddressGivesWayToItsShare failed before: the slow request of another address gave way. go test -race ./internal/control/intake and go test ./platform/ingress pass.

--- a/internal/control/intake/room.go
+++ b/internal/control/intake/room.go
@@ -70,7 +70,7 @@
 }
 
 // Take takes n more bytes. If they do not fit, it reports false, and a request that makes no progress has to give way, so that a later
-// claim may fit.
+// claim may fit: one from the same address if only the share of that is used up.
 func (c *Claim) Take(now time.Time, n int64) bool {
 	if c == nil || n <= 0 {
 		return true
@@ -81,9 +81,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	if !r.fits(c, n) {
+	small := c.taken+n <= SmallBytes
+
+	switch {
+	case !r.fits(n, small):
+		r.refused++
+		r.evictStalled(now, func(other *Claim) bool { return other != c })
+
+		return false
+	case !small && r.byCaller[c.caller]+n > r.bytes/2:
 		r.refused++
-		r.evictStalled(now, c)
+		r.evictStalled(now, func(other *Claim) bool { return other != c && other.caller == c.caller })
 
 		return false
 	}
@@ -95,14 +103,14 @@
 	return true
 }
 
-// fits reports whether c may take n more bytes: large claims leave a quarter of the room free for small ones, and those of one caller half of
-// it for those of others. r.mu is held.
-func (r *Room) fits(c *Claim, n int64) bool {
-	if c.taken+n <= SmallBytes {
+// fits reports whether n more bytes of a small or a large claim fit: large ones leave a quarter of the room free for small ones. Those of one
+// caller also leave half of it for those of others. r.mu is held.
+func (r *Room) fits(n int64, small bool) bool {
+	if small {
 		return r.used+n <= r.bytes
 	}
 
-	return r.used+n <= r.bytes/4*3 && r.byCaller[c.caller]+n <= r.bytes/2
+	return r.used+n <= r.bytes/4*3
 }
 
 // Received records that n bytes of the request have arrived.
@@ -160,15 +168,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	return r.evictStalled(now, nil)
+	return r.evictStalled(now, func(*Claim) bool { return true })
 }
 
-// evictStalled does the same, but passes over except. A claim that holds nothing frees nothing, so it stays. r.mu is held.
-func (r *Room) evictStalled(now time.Time, except *Claim) bool {
+// evictStalled does the same among the claims that may give way. One that holds nothing frees nothing, so it stays. r.mu is held.
+func (r *Room) evictStalled(now time.Time, may func(*Claim) bool) bool {
 	var victim *Claim
 
 	for c := range r.arriving {
-		if c != except && c.taken > 0 && c.stalled(now) && (victim == nil || c.last.Before(victim.last)) {
+		if c.taken > 0 && may(c) && c.stalled(now) && (victim == nil || c.last.Before(victim.last)) {
 			victim = c
 		}
 	}
--- a/internal/control/intake/room_test.go
+++ b/internal/control/intake/room_test.go
@@ -75,6 +75,31 @@
 	require.Zero(t, r.Stats().Used)
 }
 
+func TestOnlyTheSameAddressGivesWayToItsShare(t *testing.T) {
+	r, now := intake.NewRoom(16*mib), time.Unix(1, 0)
+
+	var evicted []string
+
+	take := func(caller string, n int64) bool {
+		return r.Enter(now, caller, func() { evicted = append(evicted, caller) }).Take(now, n)
+	}
+
+	require.True(t, take("slow", 2*mib))
+
+	now = now.Add(time.Second)
+
+	require.True(t, take("crowd", 8*mib))
+	require.False(t, take("crowd", mib))
+	require.Empty(t, evicted, "there is room for others")
+
+	now = now.Add(time.Second)
+
+	require.False(t, take("crowd", mib))
+	require.Equal(t, []string{"crowd"}, evicted)
+	require.False(t, take("other", 4*mib))
+	require.Equal(t, []string{"crowd", "slow"}, evicted, "the room is full")
+}
+
 func TestClaimThatHoldsNothingStays(t *testing.T) {
 	r, now := intake.NewRoom(16*mib), time.Unix(1, 0)
 	r.Enter(now, "empty", func() { t.Error("it frees nothing") })
