Count replicas that are listed after the first orders

The holder wanted as many as it saw, and lowered the ordinary ones to 6 once 39 cheap ones served; when those of a data centre were taken back at 1.2 s, callers had 32 left.

Before the first request, ordinary replicas of data centres in which none was ordered count whenever they are listed. TestReplicasThatAreListedLaterCount fails without it.

--- a/internal/control/scaling/controller.go
+++ b/internal/control/scaling/controller.go
@@ -343,6 +343,14 @@
 			}
 
 			c.total = max(c.total, min(present, max(most, least)))
+		} else if listed := c.listedLater(); !in.RequestsSeen && listed > c.there {
+			c.there = listed
+
+			if reclaims(in) {
+				listed = int(unknownReserve * float64(listed))
+			}
+
+			c.total = max(c.total, min(listed, max(most, least)))
 		}
 
 		if float64(total) > growThreshold*float64(c.total) {
@@ -389,6 +397,20 @@
 	return max(ordinary, reclaimable)
 }
 
+// listedLater returns the number of ordinary replicas in data centres where this Controller has ordered none: replicas that start with
+// the hosts register over some seconds, also after the first orders.
+func (c *Controller) listedLater() int {
+	n := 0
+
+	for _, g := range c.groups {
+		if !g.Reclaimable && g.orderedAt.IsZero() {
+			n += g.present
+		}
+	}
+
+	return n
+}
+
 // replicasFor returns how many replicas of both roles are busy with d, divided between the roles as far as can be.
 func replicasFor(in Input, d rolesplit.Demand) float64 {
 	need := d.Prefill + d.Decode
--- a/internal/control/scaling/play_test.go
+++ b/internal/control/scaling/play_test.go
@@ -425,6 +425,19 @@
 	}
 }
 
+// TestReplicasThatAreListedLaterCount guards against a holder that has the lease before all replicas have registered, and keeps as many as it
+// saw first.
+func TestReplicasThatAreListedLaterCount(t *testing.T) {
+	p := newPlay(t, 1)
+	p.hidden = func(r fleet.Target) bool { return p.at() < 6*time.Second && !r.Reclaimable && r.ID[len(r.ID)-1]%3 != 0 }
+	p.run(firstCalls)
+	require.GreaterOrEqual(t, p.decider.Plan().Total, 90)
+
+	p.shortest = 1000
+	p.run(firstCalls + 20*time.Second)
+	require.GreaterOrEqual(t, p.shortest, 1.5)
+}
+
 // All orders are lost for 8 s, beginning with a burst. Once the platform answers again, callers wait for a start at most.
 func TestBurstWhileOrdersAreLost(t *testing.T) {
 	p := newPlay(t, 1)
