Count requests that return to a connection which has carried them

A refusal is matched with its request by the id that the target repeats. Connections now record the ids of their requests, and two gauges count connections to targets and such requests. No decision depends on it yet.

--- a/internal/wire/once/conn.go
+++ b/internal/wire/once/conn.go
@@ -2,10 +2,18 @@
 
 import (
 	"context"
+	"hash/maphash"
 	"net"
+	"slices"
 	"sync"
 )
 
+// maxCarried bounds the request ids that a connection carries.
+const maxCarried = 256
+
+// idSeed is the seed of the hashes of request ids.
+var idSeed = maphash.MakeSeed()
+
 // conn is a connection that counts its writes and can be sealed, after which writes fail. Once a conn is
 // sealed, a request of which nothing was sent stays unsent, although http.Transport may still try to write it.
 type conn struct {
@@ -14,17 +22,22 @@
 	mu         sync.Mutex
 	writeCount uint64 // writes begun
 	sealed     bool
-	abandoned  bool // abandon was called
+	abandoned  bool     // abandon was called
+	carried    []uint64 // hashes of the ids of its requests
 }
 
-// sealableDial returns a dial function that wraps the connections of dial in conns.
-func sealableDial(dial func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+// sealableDial returns a dial function that wraps the connections of dial in conns, which it counts.
+func sealableDial(
+	dial func(context.Context, string, string) (net.Conn, error), counts *Counts,
+) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
 
+		counts.Opened.Add(1)
+
 		return &conn{Conn: c}, nil
 	}
 }
@@ -60,6 +73,22 @@
 	return c.writeCount
 }
 
+// carry records that c is to carry the request id. It reports false if c has carried that id before, or maxCarried others.
+func (c *conn) carry(id string) bool {
+	hash := maphash.String(idSeed, id)
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if len(c.carried) >= maxCarried || slices.Contains(c.carried, hash) {
+		return false
+	}
+
+	c.carried = append(c.carried, hash)
+
+	return true
+}
+
 // seal reports whether the number of writes begun still equals writesBefore. If so, it closes c, which then accepts no
 // more writes.
 func (c *conn) seal(writesBefore uint64) bool {
--- a/internal/wire/once/transport.go
+++ b/internal/wire/once/transport.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -34,10 +35,20 @@
 	IdlePerTarget int           // idle connections kept per target; zero means 64
 	HeaderTimeout time.Duration // limit on the time from the end of the request to the answer's header; zero means none
 
+	// RequestIDHeader names the header field with the id of a request. Empty means that requests have none.
+	RequestIDHeader string
+	Counts          *Counts // counts the connections, also those of other Transports that use it; nil means that they are not counted
+
 	// Dial replaces the default TCP dialer, and DialTimeout is then not used. It may be nil.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// Counts counts connections since the start. It is safe for concurrent use.
+type Counts struct {
+	Opened   atomic.Int64 // connections
+	Repeated atomic.Int64 // requests that were given a connection which had carried a request with their id, or too many others
+}
+
 // Transport is an http.RoundTripper over HTTP/1.1 that sends each request to a target at most once.
 //
 // Its errors are of type *verdict.Error. The verdict is NotRun if no byte of the request was written to a
@@ -45,7 +56,9 @@
 // the connection to another protocol, is an error. Errors from reading the body of an answer carry no
 // verdict; the reader of the body has to decide on one. The texts of errors are short, whatever the target has sent. A Transport is safe for concurrent use.
 type Transport struct {
-	base *http.Transport
+	base     *http.Transport
+	idHeader string
+	counts   *Counts
 }
 
 var _ http.RoundTripper = (*Transport)(nil)
@@ -60,11 +73,15 @@
 		opts.Dial = (&net.Dialer{Timeout: opts.DialTimeout, KeepAlive: keepAlivePeriod}).DialContext
 	}
 
+	if opts.Counts == nil {
+		opts.Counts = new(Counts)
+	}
+
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 
-	return &Transport{base: &http.Transport{
-		DialContext:           sealableDial(opts.Dial),
+	return &Transport{idHeader: opts.RequestIDHeader, counts: opts.Counts, base: &http.Transport{
+		DialContext:           sealableDial(opts.Dial, opts.Counts),
 		Protocols:             protocols,
 		MaxIdleConnsPerHost:   opts.IdlePerTarget,
 		IdleConnTimeout:       opts.IdleTimeout,
@@ -120,7 +137,11 @@
 
 // try sends r at most once. unsent reports that nothing of r was sent since its connection was abandoned.
 func (t *Transport) try(r *http.Request) (_ *http.Response, unsent bool, _ error) {
-	a := &attempt{bodyBytes: r.ContentLength}
+	a := &attempt{bodyBytes: r.ContentLength, counts: t.counts}
+	if t.idHeader != "" {
+		a.id = r.Header.Get(t.idHeader)
+	}
+
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: a.gotConn})
 
 	resp, err := t.base.RoundTrip(disableReplay(r.WithContext(ctx)))
@@ -183,7 +204,9 @@
 
 // attempt records the connection on which one request is sent.
 type attempt struct {
-	bodyBytes int64 // length of the body, negative if it is unknown
+	bodyBytes int64  // length of the body, negative if it is unknown
+	id        string // id of the request; empty for none
+	counts    *Counts
 
 	mu           sync.Mutex
 	conn         *conn
@@ -209,6 +232,10 @@
 	a.conn = c
 	a.writesBefore = c.writes()
 
+	if a.id != "" && !c.carry(a.id) {
+		a.counts.Repeated.Add(1)
+	}
+
 	if p, ok := c.Conn.(*probingConn); ok {
 		_ = p.expect(a.bodyBytes) // fails only on a connection that is closed, on which the request fails too
 	}
