Carry each request id once on a connection to a target

Callers of unsafe requests got 503 for a request that had run, or it ran at a second replica: a copy of its earlier refusal counted as the answer.

Cause: an answer was matched with its request by the id that it repeats, which says nothing where the connection has carried that id before. Requests do return to a connection: to a silent replica that they were taken over from, to a successor at the same address, from prompt to prompt and to the run, since the pool goes by address.

Now a connection keeps hashes of the ids of its requests. One that has carried the id of the next request, or 256 others, is closed before anything is sent on it, and the request goes out on another one. This holds for all answers, so the copy of an answer to a prompt does not pass for that to the run either. Refusals stay useful to callers. Both interfaces use it.

--- a/internal/wire/engine/client.go
+++ b/internal/wire/engine/client.go
@@ -57,7 +57,7 @@
 		opts.IdleTimeout = defaultIdleTimeout
 	}
 
-	return &Client{opts: opts, http: once.NewClient(once.Options{DialTimeout: opts.DialTimeout})}
+	return &Client{opts: opts, http: once.NewClient(once.Options{DialTimeout: opts.DialTimeout, RequestIDHeader: HeaderRequestID})}
 }
 
 // Stream runs or resumes req on the engine at t and calls emit for each event, in order, without
--- a/internal/wire/once/transport.go
+++ b/internal/wire/once/transport.go
@@ -25,7 +25,6 @@
 	defaultIdleConns   = 64
 	keepAlivePeriod    = 15 * time.Second
 	maxHeaderBytes     = 64 << 10
-	maxAbandoned       = 3 // abandoned connections that one request is given before its error is returned
 )
 
 // Options configures a Transport. The zero value selects the defaults.
@@ -35,7 +34,8 @@
 	IdlePerTarget int           // idle connections kept per target; zero means 64
 	HeaderTimeout time.Duration // limit on the time from the end of the request to the answer's header; zero means none
 
-	// RequestIDHeader names the header field with the id of a request. Empty means that requests have none.
+	// RequestIDHeader names the header field with the id of a request. A connection carries each id once. Empty means that requests
+	// have none.
 	RequestIDHeader string
 	Counts          *Counts // counts the connections, also those of other Transports that use it; nil means that they are not counted
 
@@ -46,7 +46,7 @@
 // Counts counts connections since the start. It is safe for concurrent use.
 type Counts struct {
 	Opened   atomic.Int64 // connections
-	Repeated atomic.Int64 // requests that were given a connection which had carried a request with their id, or too many others
+	Repeated atomic.Int64 // connections that were replaced, since they had carried a request with the id of the next one, or too many others
 }
 
 // Transport is an http.RoundTripper over HTTP/1.1 that sends each request to a target at most once.
@@ -59,6 +59,8 @@
 	base     *http.Transport
 	idHeader string
 	counts   *Counts
+	// maxAbandoned bounds the abandoned connections that one request is given before its error is returned: as many as may be idle.
+	maxAbandoned int
 }
 
 var _ http.RoundTripper = (*Transport)(nil)
@@ -80,7 +82,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 
-	return &Transport{idHeader: opts.RequestIDHeader, counts: opts.Counts, base: &http.Transport{
+	return &Transport{idHeader: opts.RequestIDHeader, counts: opts.Counts, maxAbandoned: opts.IdlePerTarget, base: &http.Transport{
 		DialContext:           sealableDial(opts.Dial, opts.Counts),
 		Protocols:             protocols,
 		MaxIdleConnsPerHost:   opts.IdlePerTarget,
@@ -109,9 +111,9 @@
 }
 
 // RoundTrip sends r at most once. It calls r.GetBody only if nothing of r was sent, because the connection had been closed by
-// CloseConnection: http.Transport may hand it out for a moment after that.
+// CloseConnection, http.Transport may hand it out for a moment after that, or must not carry r.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	for range maxAbandoned {
+	for range t.maxAbandoned {
 		resp, unsent, err := t.try(r)
 		if !unsent || r.Context().Err() != nil {
 			return resp, err
@@ -232,8 +234,10 @@
 	a.conn = c
 	a.writesBefore = c.writes()
 
+	// The id of an answer tells which request it is for only if no other one on the connection has had it.
 	if a.id != "" && !c.carry(a.id) {
 		a.counts.Repeated.Add(1)
+		c.abandon()
 	}
 
 	if p, ok := c.Conn.(*probingConn); ok {
--- a/internal/wire/service/client.go
+++ b/internal/wire/service/client.go
@@ -82,7 +82,7 @@
 
 	return &Client{
 		clock: opts.Clock, silenceTimeout: opts.SilenceTimeout, budget: buffers.NewBudget(bufferBytes),
-		http: once.NewClient(once.Options{DialTimeout: opts.DialTimeout}),
+		http: once.NewClient(once.Options{DialTimeout: opts.DialTimeout, RequestIDHeader: headerRequestID}),
 	}
 }
 
