Make each order to an engine on a connection of its own

Cause: as with the replicas of the platform, orders, states and cancels shared the kept connections of streams, and nothing in their answers says which call they are for. A load report with the id of a request counted as the report too.

Now orders, states and cancels go out on connections of their own. Load reports stay on the kept ones, since they are frequent and hold their time; an answer that names a request is none, and its connection is closed.

TestCopyOfARefusalDoesNotCountWhenItsRequestReturns shows that holds in this interface.

--- a/internal/wire/engine/client.go
+++ b/internal/wire/engine/client.go
@@ -39,8 +39,9 @@
 
 // Client calls engines. It is safe for concurrent use and sends each request at most once.
 type Client struct {
-	opts Options
-	http *http.Client
+	opts  Options
+	http  *http.Client
+	calls *http.Client // for calls whose answers have no id, each on a connection of its own
 }
 
 // NewClient returns a Client.
@@ -57,7 +58,9 @@
 		opts.IdleTimeout = defaultIdleTimeout
 	}
 
-	return &Client{opts: opts, http: once.NewClient(once.Options{DialTimeout: opts.DialTimeout, RequestIDHeader: HeaderRequestID})}
+	connections := once.Options{DialTimeout: opts.DialTimeout, RequestIDHeader: HeaderRequestID}
+
+	return &Client{opts: opts, http: once.NewClient(connections), calls: once.NewClient(connections)}
 }
 
 // Stream runs or resumes req on the engine at t and calls emit for each event, in order, without
@@ -254,7 +257,9 @@
 		return Error.Wrap(err)
 	}
 
-	resp, err := c.http.Do(r)
+	r.Close = true
+
+	resp, err := c.calls.Do(r)
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -285,6 +290,12 @@
 
 	defer func() { _ = resp.Body.Close() }()
 
+	if once.IsEarlierAnswer(resp, "", resp.Header.Get(HeaderRequestID), false) {
+		once.CloseConnection(resp) // requests and answers no longer correspond on it
+
+		return report, Error.New("the answer of %s belongs to a request", t.ID)
+	}
+
 	if resp.StatusCode != http.StatusOK {
 		return report, Error.New("load report of %s has status %d", t.ID, resp.StatusCode)
 	}
--- a/internal/wire/engine/orders.go
+++ b/internal/wire/engine/orders.go
@@ -56,9 +56,10 @@
 		return state, fmt.Errorf("%w: %w", orders.ErrNotSent, err)
 	}
 
+	r.Close = true // nothing in an answer tells it from that to an earlier order
 	r.Header.Set("Content-Type", "application/json")
 
-	resp, err := s.client.http.Do(r)
+	resp, err := s.client.calls.Do(r)
 	if err != nil {
 		return state, verdict.New(verdict.Of(err), verdict.CodeTargetLost, "no answer from %s", t.ID).WithCause(err)
 	}
