Discard answers to requests that were not sent

Cause: a connection that must not carry a request is closed before anything is written, but net/http may already hold a copy of an earlier answer from it. If it reads that copy before it notices that the write failed, the copy is the answer to the request.

Now an answer that comes while nothing of its request was written, and nothing can be any more, is discarded, and the request goes out on another connection. That holds for all requests, with or without ids.

TestAnswerToOneSendPassesForNoOther found it: 16 senders, few ids, a replica that sends copies of any earlier answer at any time.

--- a/internal/wire/once/transport.go
+++ b/internal/wire/once/transport.go
@@ -111,7 +111,7 @@
 }
 
 // RoundTrip sends r at most once. It calls r.GetBody only if nothing of r was sent, because the connection had been closed by
-// CloseConnection, http.Transport may hand it out for a moment after that, or must not carry r.
+// CloseConnection, http.Transport may hand it out for a moment after that, or must not carry r, or because an answer came before r.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	for range t.maxAbandoned {
 		resp, unsent, err := t.try(r)
@@ -137,7 +137,8 @@
 	return resp, err
 }
 
-// try sends r at most once. unsent reports that nothing of r was sent since its connection was abandoned.
+// try sends r at most once. unsent reports that nothing of r was sent since its connection was abandoned or had an answer to another
+// request.
 func (t *Transport) try(r *http.Request) (_ *http.Response, unsent bool, _ error) {
 	a := &attempt{bodyBytes: r.ContentLength, counts: t.counts}
 	if t.idHeader != "" {
@@ -147,6 +148,13 @@
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: a.gotConn})
 
 	resp, err := t.base.RoundTrip(disableReplay(r.WithContext(ctx)))
+	if err == nil && a.seal() {
+		a.abandon()
+		_ = resp.Body.Close() // an answer to a request that was not sent is that to another one
+
+		return nil, true, verdict.New(verdict.NotRun, verdict.CodeTargetLost, "request not sent")
+	}
+
 	if err == nil && resp.StatusCode < http.StatusOK {
 		_ = resp.Body.Close() // closes the connection
 
@@ -261,6 +269,16 @@
 	return a.conn != nil && a.conn.isAbandoned()
 }
 
+// abandon closes the connection of the request, if there is one.
+func (a *attempt) abandon() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	if a.conn != nil {
+		a.conn.abandon()
+	}
+}
+
 // seal reports whether certainly nothing of the request was written. If so, nothing of it can be written later.
 func (a *attempt) seal() bool {
 	a.mu.Lock()
