Go on with a broken stream only at the same kind of answer

Callers whose stream had broken off got the text of a page or an error in the middle of it, or a stream that looked complete without its last events, where the next replica answered 200 with JSON, HTML or text, or with 202, 204 or 206.

Cause: once a stream had begun, any answer below 300 was taken for its rest. One without a body was a stream with no event left, and the end of a body was passed on although it held no event. An error status never was.

Now the next replica's answer must have the status that the caller has and its media type, or text/event-stream; parameters may differ. Otherwise the replica counts as one that failed to go on, as with an error status.

--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
@@ -19,6 +21,8 @@
 	// eventsPerToken and extraEvents bound the events of an answer.
 	eventsPerToken = 4
 	extraEvents    = 256
+
+	eventStream = "text/event-stream" // media type of streams of events
 )
 
 var (
@@ -29,6 +33,8 @@
 // progress is how much of a stream has been served.
 type progress struct {
 	begun       bool              // the status and header were sent to the caller
+	status      int               // that status
+	mediaType   string            // media type in that header; empty for none
 	lastEventID string            // id of the last event that the caller has
 	ran         []entity.TargetID // replicas that may have run the request
 	final       bool              // the request may not be run again
@@ -46,6 +52,27 @@
 	return !p.final && runs < n
 }
 
+// continues returns an error if answer cannot go on with the stream that has begun.
+func (p *progress) continues(answer *Answer) error {
+	switch t := mediaType(answer.Header); {
+	case !p.begun:
+		return nil
+	case answer.Status != p.status:
+		return fmt.Errorf("a replica answered with status %d", answer.Status)
+	case t != p.mediaType && t != eventStream:
+		return fmt.Errorf("a replica answered with media type %.64q", t)
+	}
+
+	return nil
+}
+
+// mediaType returns the media type that h states, without its parameters, or "" if h states none.
+func mediaType(h http.Header) string {
+	t, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+
+	return strings.ToLower(strings.TrimSpace(t))
+}
+
 func (j *job) pacing() placing.Pacing {
 	return placing.Pacing{Objective: j.route.Objective, Gap: j.route.Gap}
 }
@@ -260,7 +287,8 @@
 
 	j.noteRun(p, target)
 
-	if answer.Status >= 300 {
+	if err := p.continues(answer); err != nil || answer.Status >= 300 {
+		p.cause = err
 		next, _ = silence.stop(false)
 
 		if done = j.passErrorAnswer(ctx, w, answer, p); done {
@@ -316,7 +344,11 @@
 // if the stream has begun, the body could not be read, or the replica failed to serve a request that was taken over from
 // a silent one, which may still serve it.
 func (j *job) passErrorAnswer(ctx context.Context, w Reply, answer *Answer, p *progress) bool {
-	if p.begun || answer.Status >= 500 && len(j.left) > 0 {
+	if p.begun {
+		return false
+	}
+
+	if answer.Status >= 500 && len(j.left) > 0 {
 		p.cause = fmt.Errorf("a replica answered with status %d", answer.Status)
 
 		return false
@@ -423,7 +455,7 @@
 
 // beginReply sends the status and header to the caller and records the time to the first event.
 func (j *job) beginReply(w Reply, answer *Answer, p *progress) {
-	p.begun = true
+	p.begun, p.status, p.mediaType = true, answer.Status, mediaType(answer.Header)
 	j.timeToFirst = j.now().Sub(j.r.Arrived)
 	w.Begin(answer.Status, answer.Header)
 }
