Pass no bytes of another answer on within a stream

Callers found the head of an error, at times with its text, in the middle or at the end of their stream, and the stream looked complete.

Cause: blocks of lines that are no event were held back with the event that follows them and passed on with it, or at the end of the stream, whatever they held. A body that ends with its connection takes in whatever the replica sends after its events, such as the head of an error, also where that begins within an event: the fields of that head then passed for more fields of the event.

Now lines that belong to no event end the stream as a broken one, after the events before them: a line without a colon that the format doesn't know, an unknown field after the data or id of an event, and a block of unknown fields alone. Comments, event and retry blocks, and unknown fields before the data and id (such as the change of a version) pass as before. The stream then goes on at another replica where it may.

Left: a head that has no fields and begins within the data of an event can't be told from that data.

--- a/internal/entry/relay/events.go
+++ b/internal/entry/relay/events.go
@@ -8,16 +8,20 @@
 	"github.com/dotterelflow/dotterelflow/internal/wire/buffers"
 )
 
-// errPartialEvent is the error of a stream that ended in the middle of an event.
-var errPartialEvent = errors.New("the stream ended in the middle of an event")
+var (
+	errPartialEvent = errors.New("the stream ended in the middle of an event")
+	errNoEvents     = errors.New("the stream holds lines that belong to no event")
+)
 
 // maxEventBytes bounds the buffered part of an incomplete event, with the comments before it.
 const maxEventBytes = 1 << 20
 
 // events splits a stream of server-sent events at event boundaries. It does not change any byte.
 //
-// Only a block of lines that has a data or id field is an event. Other blocks, such as comments, are returned together
-// with the event that follows them, so that a stream of them alone neither reaches the caller nor counts as progress.
+// Only a block of lines that has a data or id field is an event. Blocks of comments and of the other fields that the format knows are
+// returned together with the event that follows them, so that a stream of them alone neither reaches the caller nor counts as progress.
+// Fields that the format does not know are allowed before the data and id of an event. Elsewhere they are an error, as another answer may
+// have got into a body that ends with its connection.
 type events struct {
 	body io.Reader
 	buf  *buffers.Buffer
@@ -26,15 +30,18 @@
 	lineStart int    // start of the first line in buf that has not been scanned
 	inBlock   bool   // the block of that line has a line before it
 	isEvent   bool   // that block has a data or id field
+	isUnknown bool   // that block has a field that the format does not know
 	blockID   string // value of the last id field of that block
 	end       int    // end of the last whole event in buf
 	id        string // value of the last id field before end
 	count     int    // whole events so far
+	err       error  // why the line before lineStart cannot be part of the stream; nil if it can
 }
 
 // next returns the bytes of one or more whole events, which are valid until the next call, and the value of their last id
 // field, or "" if they have none. It returns io.EOF at the end of a stream that ended after a whole event, and
-// errPartialEvent for one that ended within an event. An event of more than maxEventBytes is an error too.
+// errPartialEvent for one that ended within an event. Lines that belong to no event are an error once the events before them have been
+// returned, and so is an event of more than maxEventBytes.
 func (e *events) next() ([]byte, string, error) {
 	e.discardReturned()
 
@@ -45,6 +52,10 @@
 			return e.take(e.end)
 		}
 
+		if e.err != nil {
+			return nil, "", e.err
+		}
+
 		n, err := e.buf.Fill(e.body)
 		if n > 0 || err == nil {
 			continue
@@ -77,9 +88,9 @@
 	e.returned = 0
 }
 
-// scan scans the whole lines that have not been scanned.
+// scan scans the whole lines that have not been scanned, up to one that cannot be part of the stream.
 func (e *events) scan() {
-	for {
+	for e.err == nil {
 		n := bytes.IndexByte(e.buf.Bytes()[e.lineStart:], '\n')
 		if n < 0 {
 			return
@@ -94,6 +105,12 @@
 			continue
 		}
 
+		if e.isUnknown && !e.isEvent {
+			e.err = errNoEvents
+
+			return
+		}
+
 		if e.isEvent {
 			e.end = e.lineStart
 			e.count++
@@ -103,20 +120,27 @@
 			e.id, e.blockID = e.blockID, ""
 		}
 
-		e.inBlock, e.isEvent = false, false
+		e.inBlock, e.isEvent, e.isUnknown = false, false, false
 	}
 }
 
 func (e *events) scanField(line []byte) {
 	e.inBlock = true
 
-	name, value, _ := bytes.Cut(line, []byte(":"))
+	name, value, hasValue := bytes.Cut(line, []byte(":"))
 
 	switch string(name) {
+	case "", "event", "retry": // a line without a name is a comment
 	case "data":
 		e.isEvent = true
 	case "id":
 		e.isEvent = true
 		e.blockID = string(bytes.TrimSpace(value))
+	default:
+		e.isUnknown = true
+
+		if !hasValue || e.isEvent {
+			e.err = errNoEvents
+		}
 	}
 }
