Join no run that begins again to a stream

Cause: the ids of events were remembered for the next resumption and never checked, though the protocol says that they increase.

Now an event whose id is a number must have a greater one than the event before it, and on routes that may be resumed than the last event that the caller has. Otherwise the stream is broken there, and goes on elsewhere where it may.

--- a/internal/entry/relay/events.go
+++ b/internal/entry/relay/events.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"errors"
 	"io"
+	"strconv"
 
 	"github.com/dotterelflow/dotterelflow/internal/wire/buffers"
 )
 
 var (
 	errPartialEvent = errors.New("the stream ended in the middle of an event")
+	errNotAfter     = errors.New("the id of an event is not greater than the one before")
 	errNoEvents     = errors.New("the stream holds lines that belong to no event")
 )
 
@@ -35,12 +37,13 @@
 	end       int    // end of the last whole event in buf
 	id        string // value of the last id field before end
 	count     int    // whole events so far
+	lastID    string // id of the last event that had one, at first that of the last event which the caller has; empty for none
 	err       error  // why the line before lineStart cannot be part of the stream; nil if it can
 }
 
 // next returns the bytes of one or more whole events, which are valid until the next call, and the value of their last id
 // field, or "" if they have none. It returns io.EOF at the end of a stream that ended after a whole event, and
-// errPartialEvent for one that ended within an event. Lines that belong to no event are an error once the events before them have been
+// errPartialEvent for one that ended within an event. An event whose id is a number not greater than the one before is an error. Lines that belong to no event are an error once the events before them have been
 // returned, and so is an event of more than maxEventBytes.
 func (e *events) next() ([]byte, string, error) {
 	e.discardReturned()
@@ -111,19 +114,37 @@
 			return
 		}
 
+		if e.blockID != "" && !isAfter(e.blockID, e.lastID) {
+			e.err = errNotAfter
+
+			return
+		}
+
 		if e.isEvent {
 			e.end = e.lineStart
 			e.count++
 		}
 
 		if e.blockID != "" {
-			e.id, e.blockID = e.blockID, ""
+			e.id, e.lastID, e.blockID = e.blockID, e.blockID, ""
 		}
 
 		e.inBlock, e.isEvent, e.isUnknown = false, false, false
 	}
 }
 
+// isAfter reports whether an event with id may follow one with last. Ids that are not numbers may be in any order.
+func isAfter(id, last string) bool {
+	n, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		return true
+	}
+
+	before, err := strconv.ParseUint(last, 10, 64)
+
+	return err != nil || n > before
+}
+
 func (e *events) scanField(line []byte) {
 	e.inBlock = true
 
--- a/internal/entry/relay/late_test.go
+++ b/internal/entry/relay/late_test.go
@@ -19,6 +19,7 @@
 // pacedBody sends one event after each of the pauses.
 type pacedBody struct {
 	pauses []time.Duration
+	after  int // id of the event before the first
 	sent   int
 }
 
@@ -30,7 +31,7 @@
 	time.Sleep(b.pauses[b.sent])
 	b.sent++
 
-	return strings.NewReader(eventsFrom(b.sent, b.sent)).Read(p)
+	return strings.NewReader(eventsFrom(b.after+b.sent, b.after+b.sent)).Read(p)
 }
 
 // pauses returns n equal pauses.
@@ -241,13 +242,14 @@
 			}
 
 			require.Equal(t, "2", s.LastEventID)
-			a.Body = io.NopCloser(io.MultiReader(&pacedBody{pauses: []time.Duration{300 * time.Millisecond}}))
+			a.Body = io.NopCloser(&pacedBody{pauses: []time.Duration{300 * time.Millisecond}, after: 2})
 
 			return a, nil
 		}
 
 		out := fx.serve(t.Context(), t)
 		require.False(t, out.broken)
+		require.Equal(t, eventsFrom(1, 3), out.body.String())
 		require.Equal(t, relay.LatePauseMoved, fx.outcome.Late)
 	})
 }
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -372,6 +372,10 @@
 	stream := &events{body: answer.Body, buf: j.newBuffer(ctx, maxEventBytes, silence)}
 	defer stream.buf.Release()
 
+	if j.route.Repeat == catalog.Resumable {
+		stream.lastID = p.lastEventID
+	}
+
 	limit := j.maxEvents()
 
 	// A target may send what the caller has missed of a stream that is taken up faster than it generates.
