Run no stream again whose last event has no id

Callers of a resumable stream whose events have no ids got its pieces twice: the stream broke off, and another replica ran the request from its beginning, or from the last event that had an id, after the pieces that the caller had.

Cause: where to go on was the last id seen, also if events without one had followed, and none seen meant the beginning.

Now such a stream ends as a broken one. The caller decides whether to begin it anew.

TestBrokenStreamWithoutIDsIsNotRunAgain: 2 of 2 cases failed before, and pass.

--- a/internal/entry/relay/events.go
+++ b/internal/entry/relay/events.go
@@ -38,6 +38,7 @@
 	id        string // value of the last id field before end
 	count     int    // whole events so far
 	lastID    string // id of the last event that had one, at first that of the last event which the caller has; empty for none
+	unnamed   bool   // the last whole event had no id
 	err       error  // why the line before lineStart cannot be part of the stream; nil if it can
 }
 
@@ -123,6 +124,7 @@
 		if e.isEvent {
 			e.end = e.lineStart
 			e.count++
+			e.unnamed = e.blockID == ""
 		}
 
 		if e.blockID != "" {
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -428,6 +428,9 @@
 			p.lastEventID = id
 		}
 
+		// A run that goes on at lastEventID would send the events without an id again.
+		p.final = j.route.Repeat != catalog.Resumable || stream.unnamed
+
 		j.noteEvent(readAt, t, stream.count, &pace)
 
 		if err := w.WriteEvent(event); err != nil {
