Take a closed connection for no end of a broken stream

Cause: an answer without events counts as whole where a stream is taken up, since there may be nothing left to send. A replica that is lost closes its connection too, and such an answer doesn't tell the two apart.

Now this holds only for a caller's own request with Last-Event-Id, whose stream could not end otherwise. Within a response that has begun the stream is broken, and its caller takes it up. Empty answers with a length or with chunks count as before.

--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -377,6 +377,7 @@
 	}
 
 	limit := j.maxEvents()
+	mayBeEmpty := !answer.Open || !p.begun && p.lastEventID != ""
 
 	// A target may send what the caller has missed of a stream that is taken up faster than it generates.
 	pace := pace{skip: p.lastEventID != ""}
@@ -392,8 +393,8 @@
 		}
 
 		// A replica that is lost closes its connections too. One that has nothing left to send to a caller who takes a stream up
-		// sends no event.
-		if errors.Is(err, io.EOF) && answer.Open && stream.count == 0 && p.lastEventID == "" {
+		// sends no event, and that caller could not get the end of its stream otherwise.
+		if errors.Is(err, io.EOF) && stream.count == 0 && !mayBeEmpty {
 			err = errNoEvent
 		}
 
