Take no head that goes over into another answer's

A replica broke off within the head of its answer and another answer followed on the connection. Callers got a 200 with the text of an error or the body of another request, framed as whole and with the first answer's signature (MIXED); where a refusal followed, they got 503 although the answer before it had said 200 (REFUSED, and TWICE for what is then sent elsewhere).

Cause: where the first head ends within its reason phrase or within the value of a field, the status line of the second one becomes the rest of that text, and the fields, the length and the body after it are those of the second answer. The result is a proper head.

Now an answer whose reason phrase or fields hold a status line is an error with the verdict that the request may have run, and its connection is closed. This is in wire/once, so it holds for engines and services of the own interface too.

--- a/internal/wire/once/transport.go
+++ b/internal/wire/once/transport.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"regexp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +21,9 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("once")
 
+// statusLine matches the begin of a status line.
+var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [0-9]{3}`)
+
 const (
 	defaultDialTimeout = 2 * time.Second
 	defaultIdleTimeout = 30 * time.Second
@@ -156,7 +161,14 @@
 	if err == nil {
 		resp.Body = a.body(resp.Body)
 
-		return resp, false, nil
+		if !holdsStatusLine(resp) {
+			return resp, false, nil
+		}
+
+		CloseConnection(resp)
+		_ = resp.Body.Close() // nothing of it is used
+
+		return nil, false, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "the head of the answer goes over into that of another one")
 	}
 
 	err = Brief(err)
@@ -168,6 +180,22 @@
 	return nil, false, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "no answer").WithCause(Error.Wrap(err))
 }
 
+// holdsStatusLine reports whether the head of resp holds the status line of another answer: its own one broke off, and another followed.
+// Its status, its fields and its body are not of one answer then.
+func holdsStatusLine(resp *http.Response) bool {
+	if statusLine.MatchString(resp.Status) {
+		return true
+	}
+
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // IsEarlierAnswer reports whether resp, an answer that a Transport has returned to the request id, is or may be that to an earlier request
 // on the connection, which the target has sent late or once more. echo is the request id in resp, or "". refusal states that resp says that
 // the request has not run: one without an id counts only as the first answer on its connection.
