Hold what a forwarder transfers, and find who has a connection

Hold withholds data and closes in one or both directions, for all or some callers, until it is released; what waits is then delivered, and dropped if its sender has reset the connection meanwhile. A reset is passed on as a reset.

--- a/internal/standin/forwarder/forwarder.go
+++ b/internal/standin/forwarder/forwarder.go
@@ -1,8 +1,13 @@
 package forwarder
 
 import (
+	"errors"
+	"maps"
 	"net"
+	"net/netip"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -22,10 +27,30 @@
 	listener net.Listener
 	done     chan struct{}
 
-	mu     sync.Mutex
-	conns  map[*connPair]bool
-	opened int
-	delay  time.Duration // of all data
+	mu      sync.Mutex
+	conns   map[*connPair]bool
+	opened  int
+	closed  bool
+	delay   time.Duration // of all data
+	holds   map[*hold]bool
+	changed *sync.Cond // holds of a connection, or its end
+}
+
+// Directions are directions of a connection.
+type Directions uint8
+
+const (
+	// ToTarget is from the caller to the target.
+	ToTarget Directions = 1 << iota
+	// FromTarget is from the target to the caller.
+	FromTarget
+	// Both are all directions.
+	Both = ToTarget | FromTarget
+)
+
+// hold is a time in which connections are held.
+type hold struct {
+	directions func(caller netip.AddrPort) Directions
 }
 
 // connPair is an accepted connection and its connection to the target.
@@ -34,6 +59,25 @@
 	silent chan struct{} // closed when the pair is silenced
 	oneWay chan struct{} // closed when what the target sends is dropped
 	closed chan struct{} // closed when the pair has ended or the Forwarder is closed
+	holds  map[*hold]Directions
+}
+
+// heldIn reports whether p is held in one of the directions d. The caller holds the lock of the Forwarder.
+func (p *connPair) heldIn(d Directions) bool {
+	for _, held := range p.holds {
+		if held&d != 0 {
+			return true
+		}
+	}
+
+	return false
+}
+
+// caller returns the address of the caller.
+func (p *connPair) caller() netip.AddrPort {
+	address, _ := netip.ParseAddrPort(p.ends[0].RemoteAddr().String())
+
+	return address
 }
 
 // Listen returns a Forwarder that listens on a free loopback port and forwards to target, an ip:port.
@@ -43,7 +87,8 @@
 		return nil, Error.Wrap(err)
 	}
 
-	f := &Forwarder{target: target, listener: listener, done: make(chan struct{}), conns: map[*connPair]bool{}}
+	f := &Forwarder{target: target, listener: listener, done: make(chan struct{}), conns: map[*connPair]bool{}, holds: map[*hold]bool{}}
+	f.changed = sync.NewCond(&f.mu)
 
 	go f.accept()
 
@@ -98,6 +143,71 @@
 	}
 }
 
+// Hold withholds what connections transfer, open ones and later ones, in the directions that it is told for the address of the
+// caller. What a caller or target sends, its close included, is transferred once release is called, as when a network passes
+// packets again. What is withheld is dropped if its sender resets the connection meanwhile. Several holds may overlap. Hold calls
+// directions once for each connection, from several goroutines.
+func (f *Forwarder) Hold(directions func(caller netip.AddrPort) Directions) (release func()) {
+	h := &hold{directions}
+
+	f.mu.Lock()
+	f.holds[h] = true
+	open := slices.Collect(maps.Keys(f.conns))
+	f.mu.Unlock()
+
+	var applying sync.WaitGroup
+
+	for _, p := range open {
+		applying.Go(func() { f.applyHold(h, p) })
+	}
+
+	applying.Wait()
+
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+
+		delete(f.holds, h)
+
+		for p := range f.conns {
+			delete(p.holds, h)
+		}
+
+		f.changed.Broadcast()
+	}
+}
+
+func (f *Forwarder) applyHold(h *hold, p *connPair) {
+	d := h.directions(p.caller())
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if f.holds[h] {
+		p.holds[h] = d
+	}
+}
+
+// awaitRelease waits until p is not held in the direction d, or has ended. It reports whether p was held.
+func (f *Forwarder) awaitRelease(p *connPair, d Directions) (held bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	for p.heldIn(d) {
+		select {
+		case <-p.closed:
+			return held
+		default:
+		}
+
+		held = true
+
+		f.changed.Wait()
+	}
+
+	return held
+}
+
 // SetDelay delays all data by d from now on, in each direction.
 func (f *Forwarder) SetDelay(d time.Duration) {
 	f.mu.Lock()
@@ -124,7 +234,7 @@
 		select {
 		case <-p.silent:
 		default:
-			p.close()
+			f.end(p)
 
 			n++
 		}
@@ -142,6 +252,19 @@
 	return f.opened
 }
 
+// Upstream returns the addresses, as ip:port, from which f has connections to the target now.
+func (f *Forwarder) Upstream() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	var addresses []string
+	for p := range f.conns {
+		addresses = append(addresses, p.ends[1].LocalAddr().String())
+	}
+
+	return addresses
+}
+
 // Close stops f and closes all its connections.
 func (f *Forwarder) Close() error {
 	err := f.listener.Close()
@@ -150,8 +273,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
+	f.closed = true
+
 	for p := range f.conns {
-		p.close()
+		f.end(p)
 	}
 
 	return Error.Wrap(err)
@@ -171,19 +296,27 @@
 			return
 		}
 
-		f.mu.Lock()
-		target := f.target
-		f.mu.Unlock()
+		go f.forward(conn)
+	}
+}
 
-		upstream, err := net.DialTimeout("tcp", target, dialTimeout)
-		if err != nil {
-			_ = conn.Close()
+// forward forwards conn until it ends.
+func (f *Forwarder) forward(conn net.Conn) {
+	f.mu.Lock()
+	target := f.target
+	f.mu.Unlock()
 
-			continue
-		}
+	upstream, err := net.DialTimeout("tcp", target, dialTimeout)
+	if err != nil {
+		_ = conn.Close()
 
-		f.add(&connPair{ends: [2]net.Conn{conn, upstream}, silent: make(chan struct{}), oneWay: make(chan struct{}), closed: make(chan struct{})})
+		return
 	}
+
+	f.add(&connPair{
+		ends: [2]net.Conn{conn, upstream}, silent: make(chan struct{}), oneWay: make(chan struct{}), closed: make(chan struct{}),
+		holds: map[*hold]Directions{},
+	})
 }
 
 // add starts forwarding in both directions of p, and removes p when both have ended.
@@ -191,12 +324,22 @@
 	f.mu.Lock()
 	f.conns[p] = true
 	f.opened++
+
+	if f.closed {
+		f.end(p)
+	}
+
+	holds := slices.Collect(maps.Keys(f.holds))
 	f.mu.Unlock()
 
+	for _, h := range holds {
+		f.applyHold(h, p)
+	}
+
 	var copying sync.WaitGroup
 
-	copying.Go(func() { p.copyData(p.ends[0], p.ends[1], nil, f.currentDelay) })
-	copying.Go(func() { p.copyData(p.ends[1], p.ends[0], p.oneWay, f.currentDelay) })
+	copying.Go(func() { f.copyData(p, ToTarget) })
+	copying.Go(func() { f.copyData(p, FromTarget) })
 
 	go func() {
 		copying.Wait()
@@ -204,20 +347,32 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 
-		p.close()
+		f.end(p)
 		delete(f.conns, p)
 	}()
 }
 
-// copyData copies data from one end to the other, delayed by the result of delay, until either end closes or p is silenced. Once
-// drop is closed, it drops the data instead. If p is silenced, it returns only when the Forwarder closes, and leaves both
+// copyData copies data of p in the direction d, delayed by the current delay, until either end closes or p is silenced. Once
+// oneWay is closed, it drops what the target sends. If p is silenced, it returns only when the Forwarder closes, and leaves both
 // ends open until then.
-func (p *connPair) copyData(from, to net.Conn, drop <-chan struct{}, delay func() time.Duration) {
+func (f *Forwarder) copyData(p *connPair, d Directions) {
+	from, to := p.ends[0], p.ends[1]
+
+	var drop <-chan struct{}
+
+	if d == FromTarget {
+		from, to, drop = to, from, p.oneWay
+	}
+
 	buf := make([]byte, bufferSize)
 
 	for {
 		n, err := from.Read(buf)
 
+		if f.awaitRelease(p, d) && isReset(from) {
+			n, err = 0, syscall.ECONNRESET
+		}
+
 		select {
 		case <-p.silent:
 			<-p.closed
@@ -232,8 +387,8 @@
 		default:
 		}
 
-		if d := delay(); n > 0 && d > 0 {
-			time.Sleep(d)
+		if delay := f.currentDelay(); n > 0 && delay > 0 {
+			time.Sleep(delay)
 		}
 
 		if n > 0 {
@@ -244,6 +399,10 @@
 		}
 
 		if err != nil {
+			if errors.Is(err, syscall.ECONNRESET) {
+				resetOnClose(to)
+			}
+
 			p.closeUnlessSilent()
 
 			return
@@ -251,6 +410,31 @@
 	}
 }
 
+// isReset reports whether the other end has reset conn.
+func isReset(conn net.Conn) bool {
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+
+	pending := 0
+
+	if err := raw.Control(func(fd uintptr) {
+		pending, _ = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
+	}); err != nil {
+		return false
+	}
+
+	return pending == int(syscall.ECONNRESET)
+}
+
+// resetOnClose makes the close of conn reset it.
+func resetOnClose(conn net.Conn) {
+	if c, ok := conn.(*net.TCPConn); ok {
+		_ = c.SetLinger(0) // an error means that it has ended
+	}
+}
+
 // closeUnlessSilent closes both ends, which stops both copies. If p is silenced, it waits until the Forwarder
 // closes instead.
 func (p *connPair) closeUnlessSilent() {
@@ -263,7 +447,13 @@
 	}
 }
 
-// close closes both ends of p, silenced or not. The caller holds the lock of the Forwarder.
+// end closes both ends of p, silenced, held or not. The caller holds mu.
+func (f *Forwarder) end(p *connPair) {
+	p.close()
+	f.changed.Broadcast()
+}
+
+// close closes both ends of p. The caller holds the lock of the Forwarder.
 func (p *connPair) close() {
 	select {
 	case <-p.closed:
