Do not take a failure without an id for the answer to a later request

Now a failure without an id counts only as the first answer on its connection, as a refusal does. Replicas repeat the ids of requests, so that this costs something only where one does not.

--- a/internal/wire/once/transport.go
+++ b/internal/wire/once/transport.go
@@ -177,10 +177,10 @@
 }
 
 // IsEarlierAnswer reports whether resp, an answer that a Transport has returned to the request id, is or may be that to an earlier request
-// on the connection, which the target has sent late or once more. echo is the request id in resp, or "". refusal states that resp says that
-// the request has not run: one without an id counts only as the first answer on its connection.
-func IsEarlierAnswer(resp *http.Response, id, echo string, refusal bool) bool {
-	if echo != "" || !refusal {
+// on the connection, which the target has sent late or once more. echo is the request id in resp, or "". onlyFirst states that an
+// answer such as resp counts without an id only as the first one on its connection.
+func IsEarlierAnswer(resp *http.Response, id, echo string, onlyFirst bool) bool {
+	if echo != "" || !onlyFirst {
 		return echo != "" && echo != id
 	}
 
