Take the age in a heartbeat as of its sending

A host took the targets of a peer for younger than they were where the heartbeat waited on a slow link, or in the socket of a paused host, and told it on: ages counted from the arrival.

A digest now echoes the number of the last digest from its receiver and the time since then. The receiver knows when it sent that one, so that it knows how long the digest can have been under way, and adds this to the ages. A reply is also bounded by the beginning of its call. The fields are new: a heartbeat of an older build that began there counts as before.

TestStateIsNotTakenForYoungerThanItIs failed before: on a path of 150 ms, state was taken for 151 ms too young.

--- a/internal/entry/peers/network.go
+++ b/internal/entry/peers/network.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
@@ -29,7 +30,7 @@
 type DigestHandler interface {
 	// Fill completes a digest of this host for the receiver to, which is empty if the receiver is not known.
 	Fill(to entity.HostID, d *peer.Digest)
-	// Receive handles a digest received from another host.
+	// Receive handles a digest received from another host. The ages of the sender's state are as of now.
 	Receive(d *peer.Digest)
 }
 
@@ -57,9 +58,9 @@
 	// wake starts a round of the loop before its next tick.
 	wake chan struct{}
 
-	mu       sync.Mutex
-	members  *members.Schedule
-	sequence uint64 // sequence number of the last digest
+	mu      sync.Mutex
+	members *members.Schedule
+	sent    sentDigests
 }
 
 // New returns a Network without members.
@@ -137,9 +138,11 @@
 	defer n.opts.Panics.Recover("", func(*verdict.Error) {})
 
 	err := n.call(ctx, address, callTimeout, func(ctx context.Context, client peer.PeerClient) error {
+		began := n.opts.Clock.Now()
+
 		reply, err := client.Heartbeat(ctx, n.digest(n.hostAt(address)))
 		if err == nil {
-			n.receive(reply)
+			n.receive(reply, began)
 		}
 
 		return err
@@ -275,14 +278,19 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
-	n.sequence++
+	now := n.opts.Clock.Now()
 
 	d := &peer.Digest{
-		Host: string(n.opts.Host), Address: n.opts.Address, DataCentre: string(n.opts.DataCentre), Sequence: n.sequence,
-		LocalHosts: uint32(n.members.HomeHosts(n.opts.Clock.Now())), Processor: uint32(n.opts.Processor),
+		Host: string(n.opts.Host), Address: n.opts.Address, DataCentre: string(n.opts.DataCentre), Sequence: n.sent.next(now),
+		LocalHosts: uint32(n.members.HomeHosts(now)), Processor: uint32(n.opts.Processor),
 	}
 	n.introduce(to, d)
 
+	if m, ok := n.members.Get(to); ok {
+		d.Echo = m.Sequence
+		d.EchoAge = uint32(min(max(0, now.Sub(m.ReceivedAt).Milliseconds()), math.MaxUint32))
+	}
+
 	return d
 }
 
@@ -310,29 +318,33 @@
 	return introduced
 }
 
-// receive updates the members and the local state from a digest of another host.
-func (n *Network) receive(d *peer.Digest) {
-	n.updateMember(d)
+// receive updates the members and the local state from a digest of another host, which it has sent after began; zero means unknown.
+func (n *Network) receive(d *peer.Digest, began time.Time) {
+	addDelay(d, n.updateMember(d, began))
 	n.opts.Digests.Receive(d)
 }
 
-// updateMember updates the members from a digest of another host.
-func (n *Network) updateMember(d *peer.Digest) {
+// updateMember updates the members from a digest of another host, and returns the longest time for which it can have been under way.
+func (n *Network) updateMember(d *peer.Digest, began time.Time) time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
+	delay := n.sent.maxDelay(n.opts.Clock.Now(), began, d)
+
 	n.members.Introduce(n.opts.Clock.Now(), entity.DataCentre(d.GetDataCentre()), introducedIn(d))
 	n.members.Update(members.Member{
 		Host: entity.HostID(d.GetHost()), Address: d.GetAddress(), DataCentre: entity.DataCentre(d.GetDataCentre()),
 		Generation: entity.Generation(d.GetGeneration()), Ready: d.GetReady(), Stopping: d.GetStopping(),
 		LocalHosts: int(d.GetLocalHosts()), Processor: int(d.GetProcessor()), Sequence: d.GetSequence(), ReceivedAt: n.opts.Clock.Now(),
 	})
+
+	return delay
 }
 
 // receiveExchange handles the digest in another host's heartbeat. The reply to a heartbeat carries this host's digest,
 // so this host sends that host no heartbeat of its own until that host's next heartbeat is overdue.
 func (n *Network) receiveExchange(d *peer.Digest) {
-	n.receive(d)
+	n.receive(d, time.Time{})
 
 	n.mu.Lock()
 	defer n.mu.Unlock()
