Keep lapsed entries only if the store was away from all hosts

After an outage in which entries can lapse, a host keeps missing entries, as their replicas may be registering again. It took its own cut for an outage of the store. Heartbeats now tell a span of time in which the store is known to have answered one host or another, without a pause in which entries can lapse. Hosts join the spans. If one covers the outage, nothing was lapsed: what is missing was removed. If it begins within the outage, the entries are kept from then on, not from the host's own return, so hosts that return late keep them no longer than others. A span from a heartbeat that was held up counts as shorter, so it cannot hide an outage that came meanwhile.

A host without news of its peers, or with peers of an older build alone, keeps entries as before.

--- a/internal/control/fleet/view.go
+++ b/internal/control/fleet/view.go
@@ -43,12 +43,17 @@
 	RenewalInterval time.Duration
 }
 
+// Span is the time from Since until Until.
+type Span struct{ Since, Until time.Time }
+
 // View follows the platform's list. Make it with New.
 type View struct {
 	opts      Options
 	targets   map[string]Target    // listed and kept targets, by Instance
 	lapsed    map[string]time.Time // entries missing from the list, with the time until which they are kept
 	holdUntil time.Time            // until when missing entries are kept; zero before the first outage has ended
+	awaySince time.Time            // when the outage before holdUntil began, as this host saw it
+	served    Span                 // the last span in which the platform served any host
 	changed   bool                 // whether the targets changed since the last call of Take
 }
 
@@ -57,13 +62,65 @@
 	return &View{opts: opts, targets: map[string]Target{}, lapsed: map[string]time.Time{}}
 }
 
-// PlatformReturned records that the platform answers again at now, after it was unavailable for outage. If entries can have
+// PlatformReturned records that the platform answers this host again at now, after it did not for outage. If entries can have
 // lapsed in that time, those that are missing are kept for returnGrace, as their replicas may still be registering
-// again. After a shorter outage a missing entry was removed on purpose.
+// again. After a shorter outage, or if the platform has served other hosts meanwhile, a missing entry was removed on purpose.
 func (v *View) PlatformReturned(now time.Time, outage time.Duration) {
-	if outage >= missedRenewals*v.opts.RenewalInterval {
-		v.holdUntil = now.Add(returnGrace)
+	if v.canLapse(outage) {
+		v.holdUntil, v.awaySince = now.Add(returnGrace), now.Add(-outage)
+	}
+
+	v.PlatformServed(now, Span{now, now})
+}
+
+// PlatformServed records at now that the platform served some host in s, without a pause in which entries can lapse. Entries that are kept
+// on account of an outage of which the platform was away for a part, or not at all, are kept for accordingly less time.
+func (v *View) PlatformServed(now time.Time, s Span) {
+	v.served = v.join(v.served, s)
+
+	if !now.Before(v.holdUntil) {
+		return
+	}
+
+	until := v.served.Since.Add(returnGrace)
+	if !v.canLapse(v.served.Since.Sub(v.awaySince)) {
+		until = now
+	}
+
+	if !until.Before(v.holdUntil) {
+		return
+	}
+
+	v.holdUntil = until
+
+	for name := range v.lapsed {
+		v.lapsed[name] = until
 	}
+
+	v.Tick(now)
+}
+
+// Served returns the last span in which the platform is known to have served any host; the zero value before that.
+func (v *View) Served() Span { return v.served }
+
+// canLapse reports whether entries can lapse while the platform is away for d.
+func (v *View) canLapse(d time.Duration) bool { return d >= missedRenewals*v.opts.RenewalInterval }
+
+// join returns the span of a and b, or the later one if entries can have lapsed between them.
+func (v *View) join(a, b Span) Span {
+	if b.Until.Before(a.Until) {
+		a, b = b, a
+	}
+
+	if gap := b.Since.Sub(a.Until); a.Until.IsZero() || gap > 0 && v.canLapse(gap) {
+		return b
+	}
+
+	if a.Since.Before(b.Since) {
+		b.Since = a.Since
+	}
+
+	return b
 }
 
 // Replace sets the entries of list, which was read at now, and removes all others as Remove does.
--- a/internal/control/fleet/view_test.go
+++ b/internal/control/fleet/view_test.go
@@ -68,6 +68,55 @@
 	require.False(t, changed, "the entry of b may have lapsed")
 }
 
+// TestEntryIsNotHeldIfThePlatformServedOthers guards against a host that keeps removed entries after it alone was cut off.
+func TestEntryIsNotHeldIfThePlatformServedOthers(t *testing.T) {
+	const outage = 5 * time.Second
+
+	back := start.Add(outage)
+	tests := map[string]struct {
+		span fleet.Span
+		held time.Duration // after back; zero: not at all
+	}{
+		"all the while":                        {fleet.Span{Since: start.Add(-time.Minute), Until: back.Add(-100 * time.Millisecond)}, 0},
+		"but for less than entries take":       {fleet.Span{Since: start.Add(renewal), Until: back.Add(-renewal)}, 0},
+		"until it was away for long":           {fleet.Span{Since: start.Add(-time.Minute), Until: back.Add(-2 * renewal)}, 2500 * time.Millisecond},
+		"from shortly before":                  {fleet.Span{Since: back.Add(-time.Second), Until: back}, 1500 * time.Millisecond},
+		"again, and this host since just now":  {fleet.Span{Since: back, Until: back}, 2500 * time.Millisecond},
+		"in the meantime, with a long silence": {fleet.Span{Since: start.Add(2 * renewal), Until: start.Add(2 * renewal)}, 2500 * time.Millisecond},
+	}
+
+	for name, tt := range tests {
+		for _, early := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, known early %v", name, early), func(t *testing.T) {
+				v := fleet.New(fleet.Options{RenewalInterval: renewal})
+				v.Replace(start, []fleet.Target{target("a", 1), target("b", 1)})
+				require.Equal(t, []string{"a", "b"}, instances(t, v))
+
+				if early {
+					v.PlatformServed(back, tt.span)
+				}
+
+				v.PlatformReturned(back, outage)
+				v.Replace(back, []fleet.Target{target("a", 1)})
+
+				if !early {
+					v.PlatformServed(back, tt.span)
+				}
+
+				if tt.held > 0 {
+					v.Tick(back.Add(tt.held - time.Millisecond))
+
+					_, changed := v.Take()
+					require.False(t, changed, "b may be registering again")
+				}
+
+				v.Tick(back.Add(tt.held))
+				require.Equal(t, []string{"a"}, instances(t, v))
+			})
+		}
+	}
+}
+
 func TestEntryThatReturnsInTimeIsKept(t *testing.T) {
 	v := fleet.New(fleet.Options{})
 	v.Replace(start, []fleet.Target{target("a", 1)})
--- a/internal/entry/deployment/state.go
+++ b/internal/entry/deployment/state.go
@@ -166,6 +166,38 @@
 	return now.Sub(asOf)
 }
 
+// StoreAnswered records that the store answered a call of this host at now.
+func (s *State) StoreAnswered(now time.Time) {
+	s.storeServed(now, fleet.Span{Since: now, Until: now}, fromStore)
+}
+
+// Served returns how long ago the last span began and ended in which the store is known to have served any host. Both are negative
+// before the first one.
+func (s *State) Served(now time.Time) (since, until time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	span := s.view.Served()
+
+	return ageOf(now, span.Since), ageOf(now, span.Until)
+}
+
+// ServedByPeer records what a peer reported at now: how long ago a span began and ended in which the store served any host. Negative
+// ages mean unknown.
+func (s *State) ServedByPeer(now time.Time, since, until time.Duration, from string) {
+	if until >= 0 && since >= until {
+		s.storeServed(now, fleet.Span{Since: now.Add(-since), Until: now.Add(-until)}, from)
+	}
+}
+
+func (s *State) storeServed(now time.Time, span fleet.Span, from string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.view.PlatformServed(now, span)
+	s.publish(now, from)
+}
+
 // LapsedTargets returns the number of targets that are kept although the store no longer lists them.
 func (s *State) LapsedTargets() int {
 	s.mu.Lock()
--- a/internal/entry/digests/exchange.go
+++ b/internal/entry/digests/exchange.go
@@ -43,7 +43,10 @@
 	Ages func() (configuration, targets time.Duration)
 	// HeardAge returns how long ago this host last knew that open connections to the store work; negative means unknown. Nil
 	// means that it is unknown.
-	HeardAge   func() time.Duration
+	HeardAge func() time.Duration
+	// Served returns how long ago a span began and ended in which the store served any host without a pause in which entries of targets can
+	// lapse; negative means unknown. Nil means that it is unknown.
+	Served     func() (since, until time.Duration)
 	ReadsStore func() bool // whether this host reads the store itself and the store answers; nil means no
 	// Placer returns the address of the host that places the prompts of this data centre; nil means none.
 	Placer func() string
@@ -73,6 +76,7 @@
 	// ConfigurationAge and TargetsAge are how long ago the peer last knew them to be current; negative for unknown.
 	ConfigurationAge, TargetsAge time.Duration
 	HeardAge                     time.Duration        // how long ago the peer last knew that connections to the store work; negative for unknown
+	ServedSince, ServedUntil     time.Duration        // how long ago a span began and ended in which the store served any host; negative for unknown
 	ReadsStore                   bool                 // the peer reads the store itself, and the store answers
 	Unreachable                  []entity.ServiceName // services of which the peer reaches no target
 	Placer                       string               // peer address of the host that places the prompts of DataCentre; "" for none
@@ -108,6 +112,10 @@
 		opts.HeardAge = func() time.Duration { return -1 }
 	}
 
+	if opts.Served == nil {
+		opts.Served = func() (time.Duration, time.Duration) { return -1, -1 }
+	}
+
 	if opts.OnDigest == nil {
 		opts.OnDigest = func(PeerState) {}
 	}
@@ -145,6 +153,8 @@
 	configurationAge, targetsAge := x.opts.Ages()
 	d.ConfigurationAge, d.TargetsAge = encodeAge(configurationAge), encodeAge(targetsAge)
 	d.HeardAge = encodeAge(x.opts.HeardAge())
+	servedSince, servedUntil := x.opts.Served()
+	d.ServedSince, d.ServedUntil = encodeAge(min(servedSince, maxAge)), encodeAge(servedUntil)
 	d.ReadsStore = x.opts.ReadsStore()
 	d.Placer = x.opts.Placer()
 	d.CrashSum = x.opts.CrashSum()
@@ -210,6 +220,7 @@
 		Unreachable: unreachable,
 		Host:        entity.HostID(d.GetHost()), Address: d.GetAddress(), DataCentre: entity.DataCentre(d.GetDataCentre()), Version: d.GetGeneration(),
 		ConfigurationAge: decodeAge(d.GetConfigurationAge()), TargetsAge: decodeAge(d.GetTargetsAge()), HeardAge: decodeAge(d.GetHeardAge()),
+		ServedSince: decodeAge(d.GetServedSince()), ServedUntil: decodeAge(d.GetServedUntil()),
 		Revision: d.GetTargetsRevision(), ReadsStore: d.GetReadsStore(), Placer: d.GetPlacer(), CrashSum: d.GetCrashSum(),
 	})
 	x.opts.Board.Merge(x.now(), entity.HostID(d.GetHost()), workOf(d.GetWork()))
--- a/internal/entry/digests/exchange_test.go
+++ b/internal/entry/digests/exchange_test.go
@@ -30,6 +30,7 @@
 		Version: func() uint64 { return 7 }, Revision: func() uint64 { return 40 }, ReadsStore: func() bool { return true },
 		Ages:     func() (configuration, targets time.Duration) { return -1, 1500 * time.Millisecond },
 		HeardAge: func() time.Duration { return 0 },
+		Served:   func() (since, until time.Duration) { return time.Hour, 250 * time.Millisecond },
 		Changing: func() []entity.TargetID { return changing },
 		OnDigest: func(s digests.PeerState) { h.states = append(h.states, s) },
 	})
@@ -67,7 +68,8 @@
 	require.Equal(t, 5100, b.board.Busy("r1"), "the peer's prefill counts here")
 	require.Positive(t, b.board.TotalDemand(clock.Now(), "s"))
 	require.Equal(t, []digests.PeerState{{
-		Host: "a", DataCentre: "z", Version: 7, Revision: 40, ConfigurationAge: -1, TargetsAge: 1500 * time.Millisecond, HeardAge: 0, ReadsStore: true, CrashSum: 9,
+		Host: "a", DataCentre: "z", Version: 7, Revision: 40, ConfigurationAge: -1, TargetsAge: 1500 * time.Millisecond, HeardAge: 0, ServedSince: time.Minute, ServedUntil: 250 * time.Millisecond,
+		ReadsStore: true, CrashSum: 9,
 	}}, b.states)
 
 	p, ok = b.board.PlacePrompt(clock.Now(), targets, placing.Job{
--- a/internal/entry/peers/sent.go
+++ b/internal/entry/peers/sent.go
@@ -50,9 +50,10 @@
 	return max(0, now.Sub(sentAfter))
 }
 
-// addDelay makes the ages in d, which are as of its sending, the longest ones that are possible after delay.
+// addDelay makes the ages in d, which are as of its sending, the longest ones that are possible after delay. The span in which the store has
+// served becomes the shortest one.
 func addDelay(d *peer.Digest, delay time.Duration) {
-	for _, age := range []*uint32{&d.ConfigurationAge, &d.TargetsAge, &d.HeardAge} {
+	for _, age := range []*uint32{&d.ConfigurationAge, &d.TargetsAge, &d.HeardAge, &d.ServedUntil} {
 		*age = older(*age, delay)
 	}
 }
