Log what is believed of a target when a request is sent to it

No decision changes.

Before each prompt, run and call, the target is looked up again. "targets that were leaving or gone return" names targets that do so without a new registration, where entries carry the time of their start.

--- a/internal/control/fleet/view.go
+++ b/internal/control/fleet/view.go
@@ -175,6 +175,13 @@
 // Lapsed returns the number of entries that are kept although the platform no longer lists them.
 func (v *View) Lapsed() int { return len(v.lapsed) }
 
+// IsLapsed reports whether the entry of instance is kept although the platform no longer lists it.
+func (v *View) IsLapsed(instance string) bool {
+	_, ok := v.lapsed[instance]
+
+	return ok
+}
+
 // Tick drops the kept entries whose time has passed without a new registration.
 func (v *View) Tick(now time.Time) {
 	for name, until := range v.lapsed {
--- a/internal/entry/deployment/state.go
+++ b/internal/entry/deployment/state.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/dotterelflow/dotterelflow/internal/control/catalog"
+	"github.com/dotterelflow/dotterelflow/internal/control/entity"
 	"github.com/dotterelflow/dotterelflow/internal/control/fleet"
 	"github.com/dotterelflow/dotterelflow/internal/entry/storewatch"
 )
@@ -49,8 +51,9 @@
 	// until a grace period is over, since its replica may be registering again. Until then confirmedRevision stays behind
 	// revision, as peers must not apply the removal.
 	confirmedRevision uint64
-	storeLost         bool // the last call to the store about targets failed
-	kept              int  // targets kept at the last publish although the store no longer lists them
+	storeLost         bool   // the last call to the store about targets failed
+	changedBy         string // what changed the targets last, as publish logs it
+	kept              int    // targets kept at the last publish although the store no longer lists them
 	// configurationAsOf and targetsAsOf are when the configuration and the targets were last known to be current; zero
 	// before the first answer.
 	configurationAsOf, targetsAsOf time.Time
@@ -198,6 +201,18 @@
 	s.publish(now, from)
 }
 
+// Belief returns what this host believes at now of the target with the given id.
+func (s *State) Belief(now time.Time, id entity.TargetID) fleet.Belief {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	t, listed := s.fleet.Load().Target(id)
+
+	return fleet.Belief{
+		Listed: listed, Leaving: t.Leaving, Kept: listed && s.view.IsLapsed(t.Instance), Revision: s.revision, Age: ageOf(now, s.targetsAsOf), Source: s.changedBy,
+	}
+}
+
 // LapsedTargets returns the number of targets that are kept although the store no longer lists them.
 func (s *State) LapsedTargets() int {
 	s.mu.Lock()
@@ -225,6 +240,7 @@
 		next := fleet.NewSnapshot(list)
 		s.logTargets(now, s.fleet.Load(), next, from)
 		s.fleet.Store(next)
+		s.changedBy = from
 	}
 }
 
@@ -235,10 +251,28 @@
 		return
 	}
 
+	s.logReturned(old, added, from)
 	s.opts.Log.Info().Str("from", from).Uint64("revision", s.revision).Int("targets", len(next.All)).Int("added", len(added)).
 		Strs("leaving", leaving).Strs("gone", gone).Int("kept", s.view.Lapsed()).Dur("age", ageOf(now, s.targetsAsOf)).Msg("targets in force")
 }
 
+// logReturned logs the targets in added, accepting work in next, that were leaving in old or have been removed: a replica that registers
+// anew is another target. The caller holds mu.
+func (s *State) logReturned(old *fleet.Snapshot, added []string, from string) {
+	var returned []string
+
+	for _, id := range added {
+		before, known := old.Target(entity.TargetID(id))
+		if known && before.Leaving || slices.ContainsFunc(s.removed, func(e removedEntry) bool { return string(e.target.ID) == id }) {
+			returned = append(returned, id)
+		}
+	}
+
+	if len(returned) > 0 {
+		s.opts.Log.Warn().Str("from", from).Uint64("revision", s.revision).Strs("targets", returned).Msg("targets that were leaving or gone return")
+	}
+}
+
 // Configurations returns the sink for the store's configuration objects. Objects under other names than
 // Options.ConfigName are ignored, and so is the deletion of the configuration.
 func (s *State) Configurations() storewatch.Sink { return configurationSink{s} }
--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -166,6 +166,8 @@
 		silence = j.watchRun(ctx, target, patience, cancel, func(context.Context) *successor { return j.replaceCall(target) })
 	}
 
+	j.noteSend(target)
+
 	r := callResult{}
 	r.answer, r.err = j.opts.Targets.Run(runCtx, j.r, Send{Target: target, Rank: j.account.RankOn(j.route), Account: j.account.ID, Timeout: remaining})
 
--- a/internal/entry/relay/prefill.go
+++ b/internal/entry/relay/prefill.go
@@ -118,6 +118,8 @@
 		defer timer.Stop()
 	}
 
+	j.noteSend(target)
+
 	handle, answer, err := j.opts.Targets.Prefill(runCtx, j.r, Send{
 		Target: target, Rank: j.rank(), Account: j.account.ID, Timeout: j.deadline.Sub(sentAt), LastEventID: p.lastEventID,
 	})
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -45,13 +45,15 @@
 
 // Options configure a Relay. All fields are required, except those whose comment says what nil means.
 type Options struct {
-	Clock        clockwork.Clock         // nil means the real clock
-	Log          *log.Logger             // nil means the default logger
-	Panics       panics.Recorder         // records panics of searches for another target; its zero value counts none
-	Home         entity.DataCentre       // data centre of this host, whose replicas are preferred
-	Catalog      func() *catalog.Catalog // returns the configuration in force, nil before the first one
-	Fleet        func() *fleet.Snapshot
-	TargetsAge   func() time.Duration // returns how long ago the targets were last known to be current; nil means unknown
+	Clock      clockwork.Clock         // nil means the real clock
+	Log        *log.Logger             // nil means the default logger
+	Panics     panics.Recorder         // records panics of searches for another target; its zero value counts none
+	Home       entity.DataCentre       // data centre of this host, whose replicas are preferred
+	Catalog    func() *catalog.Catalog // returns the configuration in force, nil before the first one
+	Fleet      func() *fleet.Snapshot
+	TargetsAge func() time.Duration // returns how long ago the targets were last known to be current; nil means unknown
+	// Belief returns what this host believes of a target. A send on the strength of an odd one is logged. Nil means that none is.
+	Belief       func(entity.TargetID) fleet.Belief
 	Board        *placing.Board
 	PromptPlacer PromptPlacer        // nil means that this host places all prompts itself, by Board
 	Retries      *retries.Limiter    // bound on repeated sends
@@ -389,6 +391,22 @@
 	return true
 }
 
+// noteSend logs a send to t, which was chosen before, if this host does not believe now that t serves.
+func (j *job) noteSend(t fleet.Target) {
+	if j.opts.Belief == nil {
+		return
+	}
+
+	b := j.opts.Belief(t.ID)
+	if !b.Odd() {
+		return
+	}
+
+	j.opts.Log.Info().Str("request", string(j.r.ID)).Str("target", string(t.ID)).Bool("listed", b.Listed).Bool("leaving", b.Leaving).
+		Bool("kept", b.Kept).Uint64("revision", b.Revision).Dur("targets-age", b.Age).Str("from", b.Source).Dur("since-arrival", j.now().Sub(j.r.Arrived)).
+		Msg("request sent on the strength of an odd belief")
+}
+
 // noteFailure records that a send to t ended with err, and returns the verdict of err. A cancelled send, or one that the
 // deadline has ended before t was silent for long, only excludes t from further tries, and so does an answer for which this host has no memory.
 func (j *job) noteFailure(t fleet.Target, err error) verdict.Verdict {
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -227,6 +227,8 @@
 		silence = j.watchRun(ctx, target, patience, cancel, func(ctx context.Context) *successor { return j.replaceDecode(ctx, p, target) })
 	}
 
+	j.noteSend(target)
+
 	answer, err := j.opts.Targets.Run(runCtx, j.r, Send{
 		Target: target, Rank: j.rank(), Account: j.account.ID, Timeout: j.remaining(), LastEventID: p.lastEventID, KVCache: s.handle,
 	})
