Take no answer whose length net/http has not understood

A replica's answer of which a field with a space before its colon states the length, or an answer of HTTP/1.0 in chunks, was taken for one that ends with its connection. Callers got the sizes of the chunks as part of the body, or would get bytes beyond the length, framed as whole (MIXED).

Cause: net/http keeps fields with a space in their name and ignores them, and drops Transfer-Encoding from HTTP/1.0, so that nothing is left to tell the length by.

--- a/internal/wire/once/transport.go
+++ b/internal/wire/once/transport.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"regexp"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -161,14 +162,14 @@
 	if err == nil {
 		resp.Body = a.body(resp.Body)
 
-		if !holdsStatusLine(resp) {
+		if !holdsStatusLine(resp) && !hasSpacedField(resp) {
 			return resp, false, nil
 		}
 
 		CloseConnection(resp)
 		_ = resp.Body.Close() // nothing of it is used
 
-		return nil, false, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "the head of the answer goes over into that of another one")
+		return nil, false, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "the head of the answer is broken or holds that of another one")
 	}
 
 	err = Brief(err)
@@ -196,6 +197,17 @@
 	return false
 }
 
+// hasSpacedField reports whether resp has a field with a space in its name. net/http ignores it, also where it states the length.
+func hasSpacedField(resp *http.Response) bool {
+	for name := range resp.Header {
+		if strings.ContainsAny(name, " \t") {
+			return true
+		}
+	}
+
+	return false
+}
+
 // IsEarlierAnswer reports whether resp, an answer that a Transport has returned to the request id, is or may be that to an earlier request
 // on the connection, which the target has sent late or once more. echo is the request id in resp, or "". refusal states that resp says that
 // the request has not run: one without an id counts only as the first answer on its connection.
