Let no answer that waited in a paused host hide an outage of the store

All hosts could drop sound targets whose entries had lapsed while the store was away, if a host that was paused in the midst of the outage read an earlier answer then: its heartbeats said that the store had just served.

Cause: an answer counted as of the time at which it was read.

Now an answer to a call during which the process was paused, as the time between two ticks shows, is no evidence of service. The host's own return still ends its outage.

--- a/internal/control/fleet/view.go
+++ b/internal/control/fleet/view.go
@@ -52,9 +52,11 @@
 	targets   map[string]Target    // listed and kept targets, by Instance
 	lapsed    map[string]time.Time // entries missing from the list, with the time until which they are kept
 	holdUntil time.Time            // until when missing entries are kept; zero before the first outage has ended
-	awaySince time.Time            // when the outage before holdUntil began, as this host saw it
-	served    Span                 // the last span in which the platform served any host
-	changed   bool                 // whether the targets changed since the last call of Take
+	// awaySince and returnedAt are the beginning and the end of the outage before holdUntil, as this host saw it.
+	awaySince, returnedAt time.Time
+
+	served  Span // the last span in which the platform is known to have served any host
+	changed bool // whether the targets changed since the last call of Take
 }
 
 // New returns a View without targets.
@@ -67,23 +69,29 @@
 // again. After a shorter outage, or if the platform has served other hosts meanwhile, a missing entry was removed on purpose.
 func (v *View) PlatformReturned(now time.Time, outage time.Duration) {
 	if v.canLapse(outage) {
-		v.holdUntil, v.awaySince = now.Add(returnGrace), now.Add(-outage)
+		v.holdUntil, v.awaySince, v.returnedAt = now.Add(returnGrace), now.Add(-outage), now
 	}
 
-	v.PlatformServed(now, Span{now, now})
+	v.shortenHold(now)
 }
 
 // PlatformServed records at now that the platform served some host in s, without a pause in which entries can lapse. Entries that are kept
 // on account of an outage of which the platform was away for a part, or not at all, are kept for accordingly less time.
 func (v *View) PlatformServed(now time.Time, s Span) {
 	v.served = v.join(v.served, s)
+	v.shortenHold(now)
+}
 
+// shortenHold sets holdUntil to an earlier time if the platform served other hosts in a part of the outage.
+func (v *View) shortenHold(now time.Time) {
 	if !now.Before(v.holdUntil) {
 		return
 	}
 
-	until := v.served.Since.Add(returnGrace)
-	if !v.canLapse(v.served.Since.Sub(v.awaySince)) {
+	served := v.join(v.served, Span{v.returnedAt, v.returnedAt})
+
+	until := served.Since.Add(returnGrace)
+	if !v.canLapse(served.Since.Sub(v.awaySince)) {
 		until = now
 	}
 
--- a/internal/entry/deployment/state.go
+++ b/internal/entry/deployment/state.go
@@ -21,6 +21,9 @@
 // fromStore is the source that is logged for what this host read from the store itself.
 const fromStore = "store"
 
+// maxTickGap is the longest time between two calls of Tick in a process that runs. It is well below the time in which entries lapse.
+const maxTickGap = time.Second
+
 // Options configure New. The decoders are required.
 type Options struct {
 	Clock         clockwork.Clock // nil means the real clock
@@ -53,7 +56,9 @@
 	confirmedRevision uint64
 	storeLost         bool   // the last call to the store about targets failed
 	changedBy         string // what changed the targets last, as publish logs it
-	kept              int    // targets kept at the last publish although the store no longer lists them
+	// tickedAt is when Tick was last called, and resumedAt when the process last went on after a pause; zero before that.
+	tickedAt, resumedAt time.Time
+	kept                int // targets kept at the last publish although the store no longer lists them
 	// configurationAsOf and targetsAsOf are when the configuration and the targets were last known to be current; zero
 	// before the first answer.
 	configurationAsOf, targetsAsOf time.Time
@@ -148,10 +153,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	if s.pausedAt(now) {
+		s.resumedAt = now
+	}
+
+	s.tickedAt = now
 	s.view.Tick(now)
 	s.publish(now, "grace period")
 }
 
+// pausedAt reports whether the process was paused just before now. The caller holds mu.
+func (s *State) pausedAt(now time.Time) bool {
+	return !s.tickedAt.IsZero() && now.Sub(s.tickedAt) > maxTickGap
+}
+
 // Ages returns how long ago the configuration and the targets were last known to be current. Each is negative before the
 // first answer about it.
 func (s *State) Ages(now time.Time) (configuration, targets time.Duration) {
@@ -169,9 +184,16 @@
 	return now.Sub(asOf)
 }
 
-// StoreAnswered records that the store answered a call of this host at now.
-func (s *State) StoreAnswered(now time.Time) {
-	s.storeServed(now, fleet.Span{Since: now, Until: now}, fromStore)
+// StoreAnswered records that this host has read at now the store's answer to a call that began at began. An answer to a call during which
+// the process was paused may have waited, and shows nothing of the time at which it was read.
+func (s *State) StoreAnswered(began, now time.Time) {
+	s.mu.Lock()
+	waited := began.Before(s.resumedAt) || s.pausedAt(now)
+	s.mu.Unlock()
+
+	if !waited {
+		s.storeServed(now, fleet.Span{Since: now, Until: now}, fromStore)
+	}
 }
 
 // Served returns how long ago the last span began and ended in which the store is known to have served any host. Both are negative
--- a/internal/entry/freshness/fleet_test.go
+++ b/internal/entry/freshness/fleet_test.go
@@ -453,7 +453,7 @@
 			return storewatch.Start(ctx, storewatch.Options{
 				Log: quiet, Source: h.link, Sink: sink, Kind: kind, Batch: batch, Paused: h.leavesStore,
 				Wait:    func(shared bool) time.Duration { return h.guard.Wait(n, shared) },
-				History: history, OnAnswer: func(since, now time.Time) { h.guard.OnAnswer(n, since, now) }, OnSilence: h.guard.OnSilence,
+				History: history, OnAnswer: func(_, since, now time.Time) { h.guard.OnAnswer(n, since, now) }, OnSilence: h.guard.OnSilence,
 			})
 		}
 		started := time.Now()
--- a/internal/entry/storewatch/watcher.go
+++ b/internal/entry/storewatch/watcher.go
@@ -91,9 +91,9 @@
 	// History is how long the store keeps its changes. The list is read in place of a watch that would go on from an older
 	// revision. Zero means unknown.
 	History time.Duration
-	// OnAnswer is called with the time of each answer. Since since, all calls were answered, so that they could use the same
-	// connection. Nil means no call.
-	OnAnswer func(since, now time.Time)
+	// OnAnswer is called with the time of each answer and the time at which its call began. Since since, all calls were answered, so
+	// that they could use the same connection. Nil means no call.
+	OnAnswer func(began, since, now time.Time)
 	// OnSilence is called when the answer to a watch did not come in time, as on a connection that has fallen silent. Nil means
 	// no call.
 	OnSilence func(now time.Time)
@@ -152,7 +152,7 @@
 	}
 
 	if opts.OnAnswer == nil {
-		opts.OnAnswer = func(time.Time, time.Time) {}
+		opts.OnAnswer = func(_, _, _ time.Time) {}
 	}
 
 	if opts.Wait == nil {
@@ -301,10 +301,10 @@
 
 // list reads the full list. A list is not delivered if the sink has taken a newer copy from a peer meanwhile.
 func (w *Watcher) list(ctx context.Context) error {
-	before := w.opts.Sink.Revision()
+	before, began := w.opts.Sink.Revision(), w.opts.Clock.Now()
 
 	entries, revision, err := w.opts.Source.List(ctx, w.opts.Kind)
-	w.recordAnswer(err)
+	w.recordAnswer(began, err)
 
 	if err != nil {
 		return err
@@ -338,13 +338,13 @@
 	defer w.setWatch(nil, Watching{})
 
 	changes, revision, err := w.opts.Source.Watch(ctx, w.opts.Kind, w.revision, wait)
-	w.recordAnswer(err)
+	w.recordAnswer(now, err)
 
 	return changes, revision, err
 }
 
-// recordAnswer reports an answer, or notes that the next call uses another connection if err says that there was none.
-func (w *Watcher) recordAnswer(err error) {
+// recordAnswer reports an answer to a call that began at began, or notes that the next call uses another connection if err says that there was none.
+func (w *Watcher) recordAnswer(began time.Time, err error) {
 	now := w.opts.Clock.Now()
 
 	if err != nil && !errors.Is(err, ErrCompacted) {
@@ -353,7 +353,7 @@
 		return
 	}
 
-	w.opts.OnAnswer(w.answeredSince, now)
+	w.opts.OnAnswer(began, w.answeredSince, now)
 }
 
 func (w *Watcher) setWatch(stop context.CancelFunc, current Watching) {
