Count no outage of the store while others read it for this host

A host whose own read of the store failed and that then left reading to others counted all the time until its next own read as an outage: 44 to 50 s on a play of 85 hosts, where one of them sent requests 3.2 and 4.4 s after the store had acknowledged the removal.

While others read the store, the outage now begins anew. The test failed before: "50.044875922s" is not less than "1s". The play at 85 hosts was not run again with the change.

--- a/internal/entry/storewatch/watcher.go
+++ b/internal/entry/storewatch/watcher.go
@@ -109,8 +109,8 @@
 	unavailable   bool      // the last call failed
 	lastAnswer    time.Time // time of the last answer, or of the last pause
 	answeredSince time.Time // since when no call has failed
-	// silentSince is when the store last answered, or cut a watch, before the calls that have failed since; listFailed tells
-	// whether one of them was more than a watch.
+	// silentSince is when the store last answered, or cut a watch, or when the last pause ended, before the calls that have failed
+	// since; listFailed tells whether one of them was more than a watch.
 	silentSince time.Time
 	listFailed  bool
 	backoff     time.Duration
@@ -232,6 +232,7 @@
 		w.listed = false
 		w.lastAnswer = w.opts.Clock.Now()
 		w.answeredSince = w.lastAnswer
+		w.silentSince = w.lastAnswer // others are answered
 
 		return pausedCheckInterval, nil
 	}
--- a/internal/entry/storewatch/watcher_test.go
+++ b/internal/entry/storewatch/watcher_test.go
@@ -282,3 +282,37 @@
 		require.Equal(t, []uint64{10, 10, 20, 20}, src.watches)
 	})
 }
+
+// A host that leaves reading the store to others after a call of its own has failed would keep targets that were removed meanwhile.
+func TestTimeInWhichOthersReadTheStoreIsNoOutage(t *testing.T) {
+	const failed, paused = 2 * time.Second, 50 * time.Second
+
+	var (
+		out = new(recordingSink)
+		src = &scriptedSource{watch: func(int, uint64) ([]storewatch.Change, uint64, error) { return nil, 0, nil }}
+	)
+
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		src.list = func(int) ([]storewatch.Entry, uint64, error) {
+			if time.Since(began) < failed {
+				return nil, 0, errReset
+			}
+
+			return oneEntry, 3, nil
+		}
+
+		ctx, cancel := context.WithCancel(t.Context())
+		w := storewatch.Start(ctx, storewatch.Options{
+			Source: src, Sink: out, Kind: "config", Log: &log.Logger{Level: log.PanicLevel},
+			Paused: func() bool { return time.Since(began) >= failed/2 && time.Since(began) < paused },
+		})
+
+		time.Sleep(paused + failed)
+		cancel()
+		<-w.Done()
+	})
+
+	require.Len(t, out.outages, 1)
+	require.Less(t, out.outages[0], time.Second, "the store answered the first call after the pause")
+}
