--- a/internal/entry/relay/events.go
+++ b/internal/entry/relay/events.go
@@ -44,8 +44,8 @@
 
 // next returns the bytes of one or more whole events, which are valid until the next call, and the value of their last id
 // field, or "" if they have none. It returns io.EOF at the end of a stream that ended after a whole event, and
-// errPartialEvent for one that ended within an event. An event whose id is a number not greater than the one before is an error. Lines that belong to no event are an error once the events before them have been
-// returned, and so is an event of more than maxEventBytes.
+// errPartialEvent for one that ended within an event. An event whose id is a number not greater than the one before is an error. Lines that
+// belong to no event are an error once the events before them have been returned, and so is an event of more than maxEventBytes.
 func (e *events) next() ([]byte, string, error) {
 	e.discardReturned()
 
