--- a/review/_harness2/eraleave.go
+++ b/review/_harness2/eraleave.go
@@ -12,7 +12,7 @@
 // for a moment and comes back from a copy of some seconds before, in which the entry is still there. The replica removes it again.
 func eraLeave(rec *record, trouble bool) int {
 	const (
-		hosts    = 4
+		hosts    = 7
 		interval = 40 * time.Millisecond   // between two requests to one machine
 		before   = 2 * time.Second         // from the copy to the removal
 		notice   = 500 * time.Millisecond  // from the first answer that says so to the removal of the entry
@@ -33,7 +33,7 @@
 	var replicas []*replica
 
 	for i := range 4 {
-		r := newReplica(s, fmt.Sprintf("i-%d", i), "app", zones[i%2], 15*time.Millisecond)
+		r := newReplica(s, fmt.Sprintf("i-%d", i), "app", zones[i%2], 60*time.Millisecond)
 		r.register()
 		replicas = append(replicas, r)
 
--- a/review/_harness2/fleet.go
+++ b/review/_harness2/fleet.go
@@ -58,12 +58,16 @@
 	peer  string
 	ports int
 	path  string // settings file
+	store string // address of the store for this machine alone; empty for that in the settings of the fleet
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
 }
 
+// storeOfMachine stands in settings for the address of the store, where each machine has another one.
+const storeOfMachine = "@store"
+
 // fleet is the machines of a case.
 type fleet struct {
 	record   *record
@@ -171,7 +175,7 @@
 max_fds = %d
 link_mbps = 1000.0
 disk_mb = 0
-%s`, m.node, m.zone, m.ports, m.ports, strings.Join(seeds, ","), f.top, m.front, m.ready, m.peer, f.memoryMB, f.maxFDs, f.settings), 0o600))
+%s`, m.node, m.zone, m.ports, m.ports, strings.Join(seeds, ","), f.top, m.front, m.ready, m.peer, f.memoryMB, f.maxFDs, strings.ReplaceAll(f.settings, storeOfMachine, m.store)), 0o600))
 	}
 
 	for _, m := range f.machines {
--- a/review/_harness2/main.go
+++ b/review/_harness2/main.go
@@ -28,6 +28,7 @@
 	"crowd":     crowd,
 	"era-leave": eraLeave,
 	"foreign":   foreign,
+	"readers":   readers,
 	"take-up":   takeUp,
 }
 
--- a/review/_harness2/store.go
+++ b/review/_harness2/store.go
@@ -359,3 +359,101 @@
 
 	s.reply(w, status, o)
 }
+
+// endpoint is the path of one machine to the store. It can be cut: nothing passes then, and no end is told.
+type endpoint struct {
+	store   *store
+	address string
+
+	mu      sync.Mutex
+	cut     chan struct{} // closed when the path is whole again; nil while it is
+	watches int           // watches of replicas' entries under way
+}
+
+func (s *store) endpoint() *endpoint {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	check(err)
+
+	e := &endpoint{store: s, address: l.Addr().String()}
+
+	go func() { _ = http.Serve(l, e) }()
+
+	return e
+}
+
+// setCut cuts the path, or mends it.
+func (e *endpoint) setCut(cut bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	switch {
+	case cut && e.cut == nil:
+		e.cut = make(chan struct{})
+	case !cut && e.cut != nil:
+		close(e.cut)
+		e.cut = nil
+	}
+}
+
+// reads reports whether the machine watches the replicas' entries.
+func (e *endpoint) reads() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.watches > 0
+}
+
+// await waits while the path is cut. It ends the call if the machine has given up by then.
+func (e *endpoint) await(r *http.Request) {
+	for {
+		e.mu.Lock()
+		cut := e.cut
+		e.mu.Unlock()
+
+		if cut == nil {
+			return
+		}
+
+		select {
+		case <-cut:
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.await(r)
+
+	if strings.HasSuffix(r.URL.Path, "/servers") && r.URL.Query().Has("watch") {
+		e.mu.Lock()
+		e.watches++
+		e.mu.Unlock()
+
+		defer func() {
+			e.mu.Lock()
+			e.watches--
+			e.mu.Unlock()
+		}()
+	}
+
+	e.store.ServeHTTP(&pathWriter{w, r, e}, r)
+}
+
+// pathWriter sends nothing while the path is cut.
+type pathWriter struct {
+	http.ResponseWriter
+	r *http.Request
+	e *endpoint
+}
+
+func (w *pathWriter) WriteHeader(status int) {
+	w.e.await(w.r)
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *pathWriter) Write(p []byte) (int, error) {
+	w.e.await(w.r)
+
+	return w.ResponseWriter.Write(p)
+}
--- a/review/_harness2/takeup.go
+++ b/review/_harness2/takeup.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -109,11 +110,12 @@
 	}
 }
 
-// takeUp: replicas of two versions serve. All processes are killed in the middle of many streams, and start again; the callers take their
+// takeUp: all processes are killed in the middle of many streams, and start again; the callers take their
 // streams up. Without the trouble, the callers' channels break while the machines live.
 func takeUp(rec *record, trouble bool) int {
 	const (
 		hosts     = 4
+		replicas  = 14
 		down      = 800 * time.Millisecond
 		stability = 3 * time.Second
 	)
@@ -123,8 +125,13 @@
 
 	zones := []string{"waw-a", "lodz-1"}
 
-	for i := range 14 {
-		m := newModel(rec, s, fmt.Sprintf("i-%02d", i), zones[i%2], fmt.Sprintf("v%d", 1+i/7))
+	versions := 1 // of the replicas' software, side by side
+	if os.Getenv("VERSIONS") == "2" {
+		versions = 2
+	}
+
+	for i := range replicas {
+		m := newModel(rec, s, fmt.Sprintf("i-%02d", i), zones[i%2], fmt.Sprint("v", 1+i*versions/replicas))
 		m.pause = 100 * time.Millisecond
 		m.register()
 
