--- a/review/_harness2/erafence.go
+++ b/review/_harness2/erafence.go
@@ -134,6 +134,22 @@
 	return text[:i], text[i:]
 }
 
+// dutyTables are the tables of the platform where there are duties.
+const dutyTables = `[platform]
+address = %q
+form = "objects"
+writes_per_s = 400
+reads_per_s = 2000
+history_s = 20
+value_bytes = 1048576
+ttl_min_ms = 1000
+[cloud]
+address = %q
+rate_per_s = 50.0
+duties = ["usage_report"]
+duty_per_s = 50.0
+`
+
 const apiKey = "key-of-hule930"
 
 func manifest(withAccounts bool) map[string]any {
@@ -223,20 +239,7 @@
 	}
 
 	top, tables := splitTop(dutyBounds)
-	f := newFleet(rec, tables+fmt.Sprintf(`[platform]
-address = %q
-form = "objects"
-writes_per_s = 400
-reads_per_s = 2000
-history_s = 20
-value_bytes = 1048576
-ttl_min_ms = 1000
-[cloud]
-address = %q
-rate_per_s = 50.0
-duties = ["usage_report"]
-duty_per_s = 50.0
-`, s.address, cloud.address))
+	f := newFleet(rec, tables+fmt.Sprintf(dutyTables, s.address, cloud.address))
 	defer f.close()
 
 	f.top = top
--- a/review/_harness2/main.go
+++ b/review/_harness2/main.go
@@ -26,6 +26,7 @@
 	"era-fence": eraFence,
 	"era-drain": eraDrain,
 	"crowd":     crowd,
+	"era-usage": eraUsage,
 	"era-leave": eraLeave,
 	"foreign":   foreign,
 	"readers":   readers,
