Hold the store's era in fencing numbers and versions

Cause: the next fencing number was that of the record in the store plus one, and the record was taken for all of the lease's history. After a drill it is that of an earlier time. Its number was exceeded, its holder may not be the last one, a lease that it shows as released may have been taken since, and its revision may be given out again. Nothing read Store-Era.

The authority's model with a drill, on the old rules: more than one holder at 0.5 s of virtual time, and "two hosts use fence 2 at 32.5s".

The fencing number holds the era above the count of takeovers, so it needs nobody's memory. A missing record is taken for a lost one unless the whole system starts for the first time (bootstrap in the settings), so that the first lease comes as soon as before.

--- a/cmd/dotterelflow-front/signals_test.go
+++ b/cmd/dotterelflow-front/signals_test.go
@@ -141,6 +141,7 @@
 	return fmt.Sprintf(`node = "h0"
 ip = "127.0.0.1"
 zone = "z0"
+bootstrap = true
 [listen]
 front = "127.0.0.1:0"
 ready_address = "127.0.0.1:0"
--- a/internal/control/authority/former.go
+++ b/internal/control/authority/former.go
@@ -26,7 +26,7 @@
 func (m *Machine) mustKeepReading() bool {
 	atAddress := m.opts.Address != "" && m.record.Address == m.opts.Address
 
-	return atAddress || m.isHolder() || m.mustAcknowledge()
+	return atAddress || m.isNamed() || m.mustAcknowledge()
 }
 
 // canAcknowledge reports whether no order can still arrive that this host, or an earlier process at
--- a/internal/control/authority/machine.go
+++ b/internal/control/authority/machine.go
@@ -34,6 +34,8 @@
 	Backoff            time.Duration // longest random wait before a takeover
 	Retry              time.Duration // wait after a failed call
 	ConnectionLifetime time.Duration // time after which nothing that a dead host sent can still arrive
+
+	FirstStart bool // no host has held the lease before this process started, so a missing record is no lost one
 }
 
 func (o Options) withDefaults() Options {
@@ -85,6 +87,7 @@
 // Lease is the holder's view of the lease. The zero value is a lease that is not held.
 type Lease struct {
 	Fence entity.Fence
+	First bool      // no other host has held the lease before
 	Until time.Time // when this host must stop sending orders, by the local monotonic clock
 	// Record is the last record that this host read or wrote as the holder. It shows which former holders are
 	// cleared.
@@ -115,6 +118,9 @@
 	attempt       uint64                     // number of the last write
 	sent          map[uint64]time.Time       // send times, by attempt, of the writes that are or may become the record
 	renewalSentAt time.Time                  // when the write in the record was sent; zero if unknown or not the holder
+	unclaimed     bool                       // no host has taken the lease yet
+	first         bool                       // this host was the first to take the lease, at its last takeover
+	heldUntil     time.Time                  // end of the last lease that this host is known to have held; zero if another one has followed
 	goneSince     map[entity.Fence]time.Time // since when the host list shows the hosts of former holders as gone
 }
 
@@ -140,6 +146,7 @@
 
 	return Lease{
 		Fence:  m.record.Fence,
+		First:  m.first,
 		Until:  m.renewalSentAt.Add(m.opts.Lease - m.opts.Margin),
 		Record: m.record,
 	}
@@ -150,11 +157,22 @@
 	return m.record
 }
 
-// isHolder reports whether the record names this process as the holder.
-func (m *Machine) isHolder() bool {
+// isNamed reports whether the record names this process as the holder.
+func (m *Machine) isNamed() bool {
 	return m.record.Holder == m.opts.Host && m.record.Nonce == m.nonce
 }
 
+// isHolder reports whether this process holds the lease by the record.
+func (m *Machine) isHolder() bool {
+	return m.isNamed() && !m.isRestored()
+}
+
+// isRestored reports whether the store has come back from an older copy since the lease was last taken by the record. The store may
+// have lost later records, so the record does not say who holds the lease.
+func (m *Machine) isRestored() bool {
+	return m.record.Fence.Era() < m.version.Era() && !m.unclaimed
+}
+
 // Tick returns the next action, or nil if there is none at now or the result of the last one is awaited.
 func (m *Machine) Tick(now time.Time, t Tick) Action {
 	if m.inFlight || now.Before(m.nextAction) {
@@ -169,7 +187,7 @@
 
 func (m *Machine) decide(now time.Time, t Tick) Action {
 	if !m.upToDate {
-		if !t.Standby && m.version != 0 && !m.mustKeepReading() {
+		if !t.Standby && m.version.Revision() != 0 && !m.mustKeepReading() {
 			return nil
 		}
 
@@ -190,7 +208,7 @@
 		return nil
 	}
 
-	if m.isFree(now) {
+	if m.isFree(now) || m.isRestored() && now.Before(m.heldUntil) {
 		return m.takeOver(now)
 	}
 
@@ -206,7 +224,8 @@
 
 	// If the lease ends before the next poll, take it over without another read: the conditional write
 	// fails if the holder has renewed it.
-	if end := m.freeAt(); m.record.Holder != "" && end.Before(m.nextAction) && end.After(now) {
+	waits := m.record.Holder != "" || m.isRestored()
+	if end := m.freeAt(); waits && end.Before(m.nextAction) && end.After(now) {
 		m.upToDate = true
 		m.nextAction = end
 	}
@@ -244,20 +263,23 @@
 	return m.renewalSeenAt.Add(m.opts.Lease + m.backoff)
 }
 
+// isFree reports whether no host can hold the lease at now. The record of a store that has come back from an older copy may show a lease as
+// free that was taken since.
 func (m *Machine) isFree(now time.Time) bool {
-	return m.record.Holder == "" || !now.Before(m.freeAt())
+	return m.record.Holder == "" && !m.isRestored() || !now.Before(m.freeAt())
 }
 
 // takeOver returns the write that makes this host the holder, under the next fencing number. A holder that did
-// not release the lease becomes a former holder.
+// not release the lease becomes a former holder, unless it is this process.
 func (m *Machine) takeOver(now time.Time) Action {
 	r := m.record
+	m.first = m.version.Revision() == 0 && !m.isRestored()
 
-	if r.Holder != "" {
+	if r.Holder != "" && !m.isNamed() {
 		r.Former = append(r.Former[:len(r.Former):len(r.Former)], FormerHolder{Fence: r.Fence, Host: r.Holder, Address: r.Address})
 	}
 
-	r.Fence++
+	r.Fence = entity.NextFence(r.Fence, m.version.Era())
 	r.Holder, r.Address, r.Nonce = m.opts.Host, m.opts.Address, m.nonce
 
 	return m.write(now, r)
@@ -320,7 +342,13 @@
 // accept adopts r, at version v, as the present record.
 func (m *Machine) accept(now time.Time, r Record, v platform.Version) {
 	renewed := r.Fence != m.record.Fence || r.Nonce != m.record.Nonce || r.Attempt != m.record.Attempt
-	if renewed || m.renewalSeenAt.IsZero() {
+
+	// A holder may have renewed the lease right before the store lost the renewal.
+	restored := v.Era() != m.version.Era()
+
+	m.unclaimed = v.Revision() == 0 && (m.unclaimed && !restored || m.renewalSeenAt.IsZero() && m.opts.FirstStart)
+
+	if renewed || restored || m.renewalSeenAt.IsZero() {
 		m.renewalSeenAt = now
 		m.backoff = time.Duration(m.rand.Int64N(int64(m.opts.Backoff)))
 	}
@@ -330,11 +358,19 @@
 	if !m.isHolder() {
 		m.renewalSentAt = time.Time{}
 
+		if !m.isRestored() {
+			m.heldUntil = time.Time{}
+		}
+
 		return
 	}
 
 	m.renewalSentAt = m.sent[r.Attempt]
 
+	if !m.renewalSentAt.IsZero() {
+		m.heldUntil = m.renewalSentAt.Add(m.opts.Lease - m.opts.Margin)
+	}
+
 	for attempt := range m.sent {
 		if attempt < r.Attempt {
 			delete(m.sent, attempt)
--- a/internal/control/authority/runner.go
+++ b/internal/control/authority/runner.go
@@ -112,12 +112,12 @@
 	r.lease.Store(&l)
 }
 
-// read returns the lease record at key, or the zero Record and version 0 if there is none.
+// read returns the lease record at key, or the zero Record and a version with the revision 0 if there is none.
 func read(ctx context.Context, s Store, key platform.Key) (Record, platform.Version, error) {
 	var record Record
 
 	o, err := s.Get(ctx, key)
-	if err != nil || o.Version == 0 {
+	if err != nil || o.Version.Revision() == 0 {
 		return record, o.Version, err
 	}
 
--- a/internal/control/authority/sim_test.go
+++ b/internal/control/authority/sim_test.go
@@ -47,6 +47,7 @@
 	down    bool          // cannot reach the platform
 	lose    bool          // the answers to its writes are lost
 	delay   time.Duration // delay before a write takes effect
+	era     uint64        // latest era of the store that an answer has stated
 	pending *call
 }
 
@@ -58,10 +59,29 @@
 	orphans []*call // writes whose hosts no longer wait for them, but which may still take effect
 	record  authority.Record
 	version platform.Version
+	copies  []storeCopy // of each step
 	calls   int
 	started int
 }
 
+// storeCopy is the state of the store at one time.
+type storeCopy struct {
+	record   authority.Record
+	revision uint64
+}
+
+// drill brings the store back from its copy of the given age, in the next era.
+func (s *sim) drill(age time.Duration) {
+	c := storeCopy{s.record, s.version.Revision()}
+
+	if n := len(s.copies); n > 0 {
+		c = s.copies[max(n-1-int(age/step), 0)]
+	}
+
+	s.record, s.version = c.record, platform.VersionAt(s.version.Era()+1, c.revision)
+	s.copies = []storeCopy{c}
+}
+
 func newSim(n int, opts authority.Options) *sim {
 	s := &sim{opts: opts}
 	for range n {
@@ -99,6 +119,7 @@
 func (s *sim) run(d time.Duration, check func()) {
 	for end := s.now + d; s.now < end; {
 		s.now += step
+		s.copies = append(s.copies, storeCopy{s.record, s.version.Revision()})
 		s.serveOrphans()
 
 		for _, h := range s.hosts {
@@ -142,7 +163,13 @@
 	s.calls++
 	c := &call{action: a, serveAt: s.now, answerAt: s.now + step}
 
-	if _, ok := a.(authority.Put); ok {
+	if p, ok := a.(authority.Put); ok {
+		if p.Expect.Era() < h.era {
+			h.HandlePut(s.local(h), p, 0, platform.ErrConflict)
+
+			return
+		}
+
 		c.serveAt += h.delay
 		c.lost = h.lose
 
@@ -164,7 +191,7 @@
 		return
 	}
 
-	if p.Expect != s.version {
+	if p.Expect.Revision() != s.version.Revision() {
 		c.err = platform.ErrConflict
 
 		return
@@ -173,12 +200,21 @@
 	s.version++
 	s.record = p.Record
 	c.version = s.version
+
+	// The revision was given out again, and the client cannot tell what it has overwritten.
+	if p.Expect.Era() != 0 && p.Expect.Era() != s.version.Era() {
+		c.err = platform.ErrUnknown
+	}
 }
 
 // answer passes the result of c to h's Machine.
 func (s *sim) answer(h *host, c *call) {
 	now := s.local(h)
 
+	if c.served && !c.lost {
+		h.era = max(h.era, c.version.Era())
+	}
+
 	p, ok := c.action.(authority.Put)
 	if !ok {
 		if !c.served {
--- a/internal/control/entity/id.go
+++ b/internal/control/entity/id.go
@@ -46,8 +46,22 @@
 // Generation is the version number of an accepted configuration; it only increases.
 type Generation uint64
 
-// Fence is the fencing number of a lease; it increases each time the lease is taken.
+// Fence is the fencing number of a lease; it increases each time the lease is taken. It holds the era of the store in which the lease was
+// taken, above a count of the takeovers, so that a store that has lost the last records gives out no number again. A lease of a store
+// without eras counts from 1.
 type Fence uint64
 
+// fenceEraShift is the position of the era in a Fence. It leaves 24 bits for the takeovers of an era, and 29 bits for the era in a number that
+// decoders of JSON read exactly.
+const fenceEraShift = 24
+
+// NextFence returns the fencing number for a lease that is taken in the given era of the store, after one with the number last.
+func NextFence(last Fence, era uint64) Fence {
+	return max(last, Fence(era<<fenceEraShift)) + 1
+}
+
+// Era returns the era of the store in which the lease was taken.
+func (f Fence) Era() uint64 { return uint64(f >> fenceEraShift) }
+
 // Tokens is a number of prompt or output tokens.
 type Tokens int64
--- a/internal/control/usage/reporter.go
+++ b/internal/control/usage/reporter.go
@@ -102,7 +102,7 @@
 		return nil
 	case !r.known:
 		return Read{}
-	case r.version == 0 || r.plan.Length != r.opts.Window:
+	case r.version.Revision() == 0 || r.plan.Length != r.opts.Window:
 		// Nobody can have sent a report of a window that has not ended. The next one allows for clocks that differ.
 		return Write{r.version, Plan{Length: r.opts.Window, Next: WindowAt(now, r.opts.Window) + 1}}
 	}
--- a/internal/entry/rolecontrol/controller.go
+++ b/internal/entry/rolecontrol/controller.go
@@ -96,6 +96,7 @@
 	Hosts       func() int    // number of entry hosts; nil means that this host hears from all of them
 	HandoverGap time.Duration // least time between the orders of two holders, and between calls of a host before and after another holder's
 	Duties      bool          // calls of duties are made in the terms of this Controller
+	FirstStart  bool          // no host has held the lease before this process started
 	Seed        uint64
 }
 
@@ -148,6 +149,7 @@
 	c := &Controller{opts: opts, done: make(chan struct{}), startedAt: opts.LeaseClock.Now(), splits: map[entity.ServiceName]*rolesplit.Controller{}}
 	c.lease = authority.Start(ctx, opts.LeaseClock, opts.Store, c, authority.Options{
 		DataCentre: "all", Host: opts.Host, Lease: leaseDuration, Renew: renewInterval, Poll: poll, Margin: leaseMargin,
+		FirstStart: opts.FirstStart,
 	}, opts.Seed)
 
 	go c.run(ctx)
@@ -177,8 +179,10 @@
 func (c *Controller) step(ctx context.Context) {
 	now := c.opts.LeaseClock.Now()
 
-	fence, held := c.lease.Held(now)
-	if !held || c.stopping.Load() {
+	lease := c.lease.Lease()
+	fence := lease.Fence
+
+	if !lease.Held(now) || c.stopping.Load() {
 		c.publish(nil)
 		c.term.Store(nil)
 
@@ -193,12 +197,12 @@
 		c.opts.Log.Info().Uint64("fence", uint64(fence)).Msg("holds the lease for orders")
 	}
 
-	if !c.fenced && (fence == 1 || !now.Before(c.callsFrom)) {
+	if !c.fenced && (lease.First || !now.Before(c.callsFrom)) {
 		c.term.Store(&duties.Term{Holder: c.opts.Host, Fence: fence})
 	}
 
 	// Options.HandoverGap must pass between the last orders of a former holder and the first ones of this host.
-	if c.fenced || fence > 1 && now.Sub(c.heldSince) < c.opts.HandoverGap {
+	if c.fenced || !lease.First && now.Sub(c.heldSince) < c.opts.HandoverGap {
 		return
 	}
 
--- a/internal/entry/roster/roster.go
+++ b/internal/entry/roster/roster.go
@@ -139,7 +139,7 @@
 	}
 
 	var old entry
-	if o.Version != 0 && json.Unmarshal(o.Value, &old) == nil && old.Address == r.opts.Address {
+	if o.Version.Revision() != 0 && json.Unmarshal(o.Value, &old) == nil && old.Address == r.opts.Address {
 		return nil
 	}
 
--- a/internal/entry/usagereport/runner.go
+++ b/internal/entry/usagereport/runner.go
@@ -160,8 +160,8 @@
 	var p usage.Plan
 
 	o, err := r.opts.Store.Get(ctx, planKey)
-	if err != nil || o.Version == 0 {
-		return p, 0, err
+	if err != nil || o.Version.Revision() == 0 {
+		return p, o.Version, err
 	}
 
 	// An object that cannot be read says nothing of what was sent, so nothing is sent until an operator has removed it.
--- a/internal/wire/platform/object.go
+++ b/internal/wire/platform/object.go
@@ -28,10 +28,31 @@
 // Key is the name of an object, for example "config/head".
 type Key string
 
-// Version is the platform revision at which an object was last written; it only grows.
-// Zero means that the object does not exist.
+// Version is the position of an object's last write in the history of the platform's store: the store's era, which rises each time that the
+// store comes back from an older copy, and its revision, which grows within an era. Versions compare in the order of the writes.
+// An object that does not exist has the revision zero. The era is zero for a store without eras.
 type Version uint64
 
+// revisionBits is the number of bits of a Version that hold the revision.
+const revisionBits = 40
+
+// Limits of the parts of a Version.
+const (
+	MaxRevision = 1<<revisionBits - 1
+	MaxEra      = 1<<(64-revisionBits) - 1
+)
+
+// VersionAt returns the Version with an era and a revision, which must be within MaxEra and MaxRevision.
+func VersionAt(era, revision uint64) Version {
+	return Version(era<<revisionBits | revision&MaxRevision)
+}
+
+// Era returns the era of the store.
+func (v Version) Era() uint64 { return uint64(v >> revisionBits) }
+
+// Revision returns the revision within the era; zero means that the object does not exist.
+func (v Version) Revision() uint64 { return uint64(v & MaxRevision) }
+
 // Object is a stored value. An absent object has Version zero and no Value.
 type Object struct {
 	Key     Key     `json:"key"`
