Decide no window of usage again after a drill of the store

The plan of the reports in the store was taken for all that was decided, and the holder decided the lost window again, by the counts that had come since.

The plan says in which era of the store it was written. In a later era the host that decided a window sends the same figures again, and another one passes over windows that have ended, of which nobody can know whether they were reported: two at most. A plan of an older build has no era and counts as one of an earlier era where the store states one, so the first holder of the new build passes over two windows at most, once.

--- a/internal/control/usage/reporter.go
+++ b/internal/control/usage/reporter.go
@@ -31,8 +31,9 @@
 
 // Plan is what the holders have decided; it is the value of an object in the platform's store.
 type Plan struct {
-	Length  time.Duration `json:"length-ns"` // length of a window
-	Next    duties.Window `json:"next"`      // first window that is not decided
+	Length  time.Duration `json:"length-ns"`     // length of a window
+	Next    duties.Window `json:"next"`          // first window that is not decided
+	Era     uint64        `json:"era,omitempty"` // era of the store in which the plan was written
 	Intents []Intent      `json:"reports,omitempty"`
 }
 
@@ -79,6 +80,7 @@
 	known   bool // plan and version are those in the store, as far as this host knows
 	plan    Plan
 	version platform.Version
+	made    []Intent  // of the last plan that this host has written, whoever holds the lease now
 	next    time.Time // earliest time of the next action
 }
 
@@ -104,7 +106,9 @@
 		return Read{}
 	case r.version.Revision() == 0 || r.plan.Length != r.opts.Window:
 		// Nobody can have sent a report of a window that has not ended. The next one allows for clocks that differ.
-		return Write{r.version, Plan{Length: r.opts.Window, Next: WindowAt(now, r.opts.Window) + 1}}
+		return Write{r.version, Plan{Length: r.opts.Window, Next: WindowAt(now, r.opts.Window) + 1, Era: r.version.Era()}}
+	case r.plan.Era < r.version.Era():
+		return Write{r.version, r.recover(now)}
 	}
 
 	for _, i := range r.plan.Intents {
@@ -130,9 +134,42 @@
 	return !now.Before(EndOf(w, r.opts.Window).Add(min(settleTime, r.opts.Due/settleDivisor)))
 }
 
+// recover returns the plan for a store that has come back from an older copy since r.plan was written, and may have lost later plans. A
+// window that has ended may have been reported by one of them, with counts that only the host that wrote it may know.
+func (r *Reporter) recover(now time.Time) Plan {
+	p := Plan{Length: r.plan.Length, Next: max(r.plan.Next, WindowAt(now, r.opts.Window)+1), Era: r.version.Era()}
+
+	for _, i := range r.plan.Intents {
+		if !r.isDue(now, i.Window) {
+			p.Intents = append(p.Intents, i)
+		}
+	}
+
+	next := r.plan.Next
+
+	for _, i := range r.made {
+		if i.Window < next || r.isDue(now, i.Window) {
+			continue
+		}
+
+		if i.Window > next {
+			r.opts.Missed(next, i.Window)
+		}
+
+		p.Intents = append(p.Intents, i)
+		next = i.Window + 1
+	}
+
+	if next < p.Next {
+		r.opts.Missed(next, p.Next)
+	}
+
+	return p
+}
+
 // decide returns the plan with the reports of the windows that have settled. It keeps those that can still be sent.
 func (r *Reporter) decide(now time.Time) Plan {
-	p := Plan{Length: r.plan.Length, Next: r.plan.Next}
+	p := Plan{Length: r.plan.Length, Next: r.plan.Next, Era: r.plan.Era}
 
 	for _, i := range r.plan.Intents {
 		if !r.isDue(now, i.Window) {
@@ -173,7 +210,7 @@
 // HandleWrite handles the result of w.
 func (r *Reporter) HandleWrite(now time.Time, w Write, version platform.Version, err error) {
 	if err == nil {
-		r.plan, r.version = w.Plan, version
+		r.plan, r.version, r.made = w.Plan, version, w.Plan.Intents
 
 		return
 	}
--- a/internal/control/usage/reporter_test.go
+++ b/internal/control/usage/reporter_test.go
@@ -45,10 +45,18 @@
 	version platform.Version
 	away    bool
 	writes  int
+	copies  []storeCopy // of each step
 }
 
+// storeCopy is the state of the store at one time.
+type storeCopy struct {
+	value    []byte
+	revision uint64
+}
+
+// write does what platform/store does: the store compares the revision alone, and its client finds out that the era is another one.
 func (s *store) write(expect platform.Version, value []byte) (platform.Version, error) {
-	if s.version != expect {
+	if s.version.Revision() != expect.Revision() {
 		return 0, platform.ErrConflict
 	}
 
@@ -56,9 +64,23 @@
 	s.value = value
 	s.writes++
 
+	if expect.Era() != s.version.Era() {
+		return 0, platform.ErrUnknown
+	}
+
 	return s.version, nil
 }
 
+// drill brings the store back from its copy of the given age, in the next era.
+func (s *store) drill(age time.Duration) {
+	c := storeCopy{s.value, s.version.Revision()}
+	if n := len(s.copies); n > 0 {
+		c = s.copies[max(n-1-int(age/tick), 0)]
+	}
+
+	s.value, s.version, s.copies = c.value, platform.VersionAt(s.version.Era()+1, c.revision), nil
+}
+
 // sent is a report that the platform has received.
 type sent struct {
 	at   time.Time
@@ -128,6 +150,8 @@
 
 func (w *world) run(d time.Duration) {
 	for end := w.now + d; w.now < end; w.now += tick {
+		w.store.copies = append(w.store.copies, storeCopy{w.store.value, w.store.version.Revision()})
+
 		for _, h := range w.hosts {
 			if !h.frozen && !h.dead {
 				h.step()
@@ -322,6 +346,33 @@
 	require.Contains(t, w.reported(), usage.WindowAt(w.clock(), window)-2)
 }
 
+// TestWindowIsNotDecidedAgainAfterADrill guards against two reports of a window with different counts, once the store has lost the plan with
+// the first one. The host that made it sends the same figures again, and another one passes the window over.
+func TestWindowIsNotDecidedAgainAfterADrill(t *testing.T) {
+	for name, stays := range map[string]bool{"the holder goes on": true, "another host follows": false} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(2)
+			w.store.version = platform.VersionAt(1, 0)
+			w.hold(w.hosts[0])
+			w.run(28 * time.Second)
+
+			decided := len(w.received)
+			w.store.drill(4 * time.Second)
+
+			next := w.hosts[1]
+			if stays {
+				next = w.hosts[0]
+			}
+
+			w.hold(next)
+			w.run(30 * time.Second)
+			require.Empty(t, w.contradictions())
+			require.LessOrEqual(t, len(w.missed), 2, "the window under way and the one before it")
+			require.Greater(t, len(w.reported()), decided)
+		})
+	}
+}
+
 // TestFencedHolderStops guards against a holder that calls on under a fence that was refused.
 func TestFencedHolderStops(t *testing.T) {
 	w := newWorld(1)
@@ -359,7 +410,7 @@
 			h := w.hosts[rapid.IntRange(0, len(w.hosts)-1).Draw(rt, "host")]
 
 			switch rapid.SampledFrom([]string{
-				"hold", "lapse", "freeze", "thaw", "kill", "lose", "late", "apply", "away", "back", "busy", "calm",
+				"hold", "lapse", "freeze", "thaw", "kill", "lose", "late", "apply", "away", "back", "busy", "calm", "drill",
 			}).Draw(rt, "fault") {
 			case "hold":
 				w.hold(h)
@@ -391,6 +442,8 @@
 				w.busy = true
 			case "calm":
 				w.busy = false
+			case "drill":
+				w.store.drill(time.Duration(rapid.IntRange(0, 80).Draw(rt, "age")) * tick)
 			}
 		}
 
