Keep in the store at which versions streams may have begun

Cause: which versions served lay in the memory of hosts alone. A version counts as the only one at a host that has seen it alone for as long as streams live, and after the loss of all hosts nobody has.

A register in the store lists the versions of each service at which streams may have begun, each before it is used. If it lists one, streams of which no living host has a record have that one, without a clock.

--- a/internal/control/origins/history.go
+++ b/internal/control/origins/history.go
@@ -25,9 +25,9 @@
 	life     time.Duration                        // the longest life of its streams that was stated so far
 	lastSeen map[entity.SoftwareVersion]time.Time // versions of the last life
 	seenAt   map[entity.SoftwareVersion]time.Time // when each of them was first seen
-	// before is the only version that the service had run when a second one was first seen, at mixedAt. It is nil if the
-	// service was not observed for long enough, or if the versions were not current right before mixedAt: streams of the second
-	// one may have begun before it was seen.
+	// before is the only version that the service had run when a second one was first seen, at mixedAt, or until this host read the
+	// register, at mixedAt. It is nil if the service was not observed for long enough, or if the versions were not current right
+	// before mixedAt: streams of the second one may have begun before it was seen.
 	before  *entity.SoftwareVersion
 	mixedAt time.Time
 	current bool // the versions were current at the last observation
@@ -48,12 +48,7 @@
 	defer h.mu.Unlock()
 
 	for service, list := range versions {
-		s, ok := h.services[service]
-		if !ok {
-			s = &serviceHistory{since: now, lastSeen: map[entity.SoftwareVersion]time.Time{}, seenAt: map[entity.SoftwareVersion]time.Time{}}
-			h.services[service] = s
-		}
-
+		s := h.service(now, service)
 		s.life = max(s.life, life(service))
 		s.observe(now, list, current && s.current)
 		s.current = current
@@ -70,7 +65,7 @@
 	}
 
 	_, alone := s.lone()
-	only, settled := s.sole(now)
+	only, settled := s.unrecorded(now)
 
 	for _, v := range versions {
 		s.lastSeen[v] = now
@@ -90,6 +85,28 @@
 	}
 }
 
+// Adopt records that all streams of service that began before now and have no record have the given version, as the register of the store
+// says, where streams live for life. Hosts are asked for a record before that is used, since streams may have begun at others meanwhile.
+func (h *History) Adopt(now time.Time, service entity.ServiceName, version entity.SoftwareVersion, life time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	s := h.service(now, service)
+	s.life = max(s.life, life)
+	s.before, s.mixedAt = &version, now
+}
+
+// service returns the history of a service, which begins at now if there is none. The caller holds mu.
+func (h *History) service(now time.Time, name entity.ServiceName) *serviceHistory {
+	s, ok := h.services[name]
+	if !ok {
+		s = &serviceHistory{since: now, lastSeen: map[entity.SoftwareVersion]time.Time{}, seenAt: map[entity.SoftwareVersion]time.Time{}}
+		h.services[name] = s
+	}
+
+	return s
+}
+
 // lone returns the only version of the last life, if there was exactly one.
 func (s *serviceHistory) lone() (entity.SoftwareVersion, bool) {
 	if len(s.lastSeen) != 1 {
@@ -160,6 +177,11 @@
 		return "", false
 	}
 
+	return s.unrecorded(now)
+}
+
+// unrecorded is Before of one service.
+func (s *serviceHistory) unrecorded(now time.Time) (entity.SoftwareVersion, bool) {
 	if v, ok := s.sole(now); ok {
 		return v, true
 	}
--- a/internal/entry/originsync/syncer.go
+++ b/internal/entry/originsync/syncer.go
@@ -64,6 +64,8 @@
 	Fleet      func() *fleet.Snapshot
 	TargetsAge func() time.Duration // returns how long ago Fleet was last known to be current; negative for unknown
 	Peers      Peers
+	// Unlisted returns the versions of a service that the register of the store does not list yet; nil means none.
+	Unlisted func(service entity.ServiceName) []entity.SoftwareVersion
 }
 
 // Stats counts what a Syncer has done since its start.
@@ -203,6 +205,21 @@
 	return s.opts.History.New(now, service)
 }
 
+// Unlisted implements relay.Origins.
+func (s *Syncer) Unlisted(service entity.ServiceName) []entity.SoftwareVersion {
+	if s.opts.Unlisted == nil {
+		return nil
+	}
+
+	return s.opts.Unlisted(service)
+}
+
+// UpToDate reports whether this host knows of all versions that other hosts know of.
+func (s *Syncer) UpToDate() bool { return s.upToDate() }
+
+// StreamLife returns how long callers may take up streams of service.
+func (s *Syncer) StreamLife(service entity.ServiceName) time.Duration { return s.streamLife(service) }
+
 // Record implements relay.Origins.
 func (s *Syncer) Record(service entity.ServiceName, began entity.RequestID, version entity.SoftwareVersion) <-chan struct{} {
 	now := s.opts.Clock.Now()
--- a/internal/entry/relay/origins.go
+++ b/internal/entry/relay/origins.go
@@ -16,6 +16,8 @@
 	Record(service entity.ServiceName, began entity.RequestID, version entity.SoftwareVersion) <-chan struct{}
 	// New returns the versions of service that other hosts may not know of yet.
 	New(service entity.ServiceName) []entity.SoftwareVersion
+	// Unlisted returns the versions of service that hosts would not know of which start after all others were killed.
+	Unlisted(service entity.ServiceName) []entity.SoftwareVersion
 	// Find returns the origin of the stream of service that the request began. It reports false if the version is unknown.
 	Find(ctx context.Context, service entity.ServiceName, began entity.RequestID) (Origin, bool)
 }
@@ -51,6 +53,8 @@
 
 func (soleVersion) New(entity.ServiceName) []entity.SoftwareVersion { return nil }
 
+func (soleVersion) Unlisted(entity.ServiceName) []entity.SoftwareVersion { return nil }
+
 func (s soleVersion) Find(_ context.Context, service entity.ServiceName, _ entity.RequestID) (Origin, bool) {
 	versions := s.fleet().Versions()[service]
 	if len(versions) != 1 {
--- a/internal/entry/relay/version.go
+++ b/internal/entry/relay/version.go
@@ -63,16 +63,25 @@
 }
 
 // chooseVersion chooses the version of a stream that has not begun, and reports whether that is possible. Versions that were
-// passed over are not chosen, and those that other hosts may not know of only if there is no other one.
+// passed over are not chosen. Those that other hosts may not know of are chosen only if there is no other one, and of these, those that hosts
+// would not know of after all were killed come last.
 func (j *job) chooseVersion() bool {
 	prefill, decode := j.opts.Fleet().InRole(j.service.Name, entity.Prefill), j.opts.Fleet().InRole(j.service.Name, entity.Decode)
 	if admitted := j.admitted(decode); len(admitted) > 0 {
 		prefill, decode = j.admitted(prefill), admitted
 	}
 
-	version, ok := placing.ChooseVersion(j.placingJob(), prefill, decode, append(j.opts.Origins.New(j.service.Name), j.at.passedOver...))
-	if !ok {
-		version, ok = placing.ChooseVersion(j.placingJob(), prefill, decode, j.at.passedOver)
+	unlisted := j.opts.Origins.Unlisted(j.service.Name)
+
+	var (
+		version entity.SoftwareVersion
+		ok      bool
+	)
+
+	for _, avoided := range [][]entity.SoftwareVersion{slices.Concat(j.opts.Origins.New(j.service.Name), unlisted), unlisted, nil} {
+		if version, ok = placing.ChooseVersion(j.placingJob(), prefill, decode, slices.Concat(avoided, j.at.passedOver)); ok {
+			break
+		}
 	}
 
 	before := j.at
--- a/internal/entry/relay/version_test.go
+++ b/internal/entry/relay/version_test.go
@@ -25,6 +25,7 @@
 	recorded map[entity.RequestID]entity.SoftwareVersion
 	told     chan struct{}
 	new      []entity.SoftwareVersion
+	unlisted []entity.SoftwareVersion
 }
 
 func (f *fakeOrigins) Record(_ entity.ServiceName, began entity.RequestID, version entity.SoftwareVersion) <-chan struct{} {
@@ -35,6 +36,8 @@
 
 func (f *fakeOrigins) New(entity.ServiceName) []entity.SoftwareVersion { return f.new }
 
+func (f *fakeOrigins) Unlisted(entity.ServiceName) []entity.SoftwareVersion { return f.unlisted }
+
 func (f *fakeOrigins) Find(_ context.Context, _ entity.ServiceName, began entity.RequestID) (relay.Origin, bool) {
 	v, ok := f.known[began]
 
@@ -242,3 +245,22 @@
 		require.Equal(t, 200, fx.take(t, "r", "", "").status, "this host has just started")
 	}
 }
+
+// TestVersionThatTheStoreDoesNotListComesLast guards against streams at a version of which hosts know nothing that start after all others were
+// killed.
+func TestVersionThatTheStoreDoesNotListComesLast(t *testing.T) {
+	for _, unlisted := range []entity.SoftwareVersion{"v1", "v2"} {
+		fx := newVersionFixture(t, resumable)
+		fx.origins.new = []entity.SoftwareVersion{"v1", "v2"}
+		fx.origins.unlisted = []entity.SoftwareVersion{unlisted}
+		fx.targets.run = func(int, context.Context, relay.Send) (*relay.Answer, error) {
+			return answer(200, eventsFrom(1, 2)), nil
+		}
+
+		require.Equal(t, 200, fx.take(t, "q", "", "").status)
+		require.NotEqual(t, unlisted, fx.targets.runs[0].Target.Version)
+
+		fx.origins.unlisted = []entity.SoftwareVersion{"v1", "v2"}
+		require.Equal(t, 200, fx.take(t, "r", "", "").status, "the store is away")
+	}
+}
