Take no part of an early answer for the whole one

Cause: the system reports a reset once, to whichever call comes first, and to later ones as the end of the stream, by which such an answer ends. The write of the upload got the report, and the read that waited the end.

The connection notes a write before it begins. The end of an answer without length or chunks counts only if no write can have got the report; one that is under way is waited for. The client closes the connection at that end, so a write that is held up returns at once, with another error. Sound answers stay whole, however early they come.

--- a/internal/wire/once/brief.go
+++ b/internal/wire/once/brief.go
@@ -39,10 +39,19 @@
 
 	conn   *conn // nil if it is not known
 	reused bool  // the connection had carried another request before
+	open   bool  // the answer ends with its connection
+	counts *Counts
 }
 
+// Read implements io.Reader. The end of an answer that ends with its connection is an error unless the target has closed the connection.
 func (b briefBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 
+	if err == io.EOF && b.open && (b.conn == nil || !b.conn.endedByClose()) {
+		b.counts.Cut.Add(1)
+
+		err = io.ErrUnexpectedEOF
+	}
+
 	return n, Brief(err)
 }
--- a/internal/wire/once/conn.go
+++ b/internal/wire/once/conn.go
@@ -2,14 +2,20 @@
 
 import (
 	"context"
+	"errors"
 	"hash/maphash"
 	"net"
 	"slices"
 	"sync"
+	"time"
 )
 
-// maxCarried bounds the request ids that a connection carries.
-const maxCarried = 256
+const (
+	// maxCarried bounds the request ids that a connection carries.
+	maxCarried = 256
+	// writeEndTimeout bounds the time in which a write that was under way at the end of an answer returns, if it does.
+	writeEndTimeout = 100 * time.Millisecond
+)
 
 // idSeed is the seed of the hashes of request ids.
 var idSeed = maphash.MakeSeed()
@@ -20,7 +26,10 @@
 	net.Conn
 
 	mu         sync.Mutex
-	writeCount uint64 // writes begun
+	writeCount uint64        // writes begun
+	writing    int           // writes under way
+	written    chan struct{} // closed once no write is under way; nil while there is none
+	failed     bool          // a write has failed other than by the end of c at this side
 	sealed     bool
 	abandoned  bool     // abandon was called
 	carried    []uint64 // hashes of the ids of its requests
@@ -48,7 +57,10 @@
 		return 0, net.ErrClosed
 	}
 
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.endWrite(err)
+
+	return n, err
 }
 
 // beginWrite counts a write and reports whether c accepts it; a sealed c accepts none and counts none.
@@ -62,9 +74,52 @@
 
 	c.writeCount++
 
+	if c.writing++; c.writing == 1 {
+		c.written = make(chan struct{})
+	}
+
 	return true
 }
 
+// endWrite records the result of a write.
+func (c *conn) endWrite(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	// http.Transport closes c as soon as the answer has ended. A report of the system is another error.
+	c.failed = c.failed || err != nil && !errors.Is(err, net.ErrClosed)
+
+	if c.writing--; c.writing == 0 {
+		close(c.written)
+		c.written = nil
+	}
+}
+
+// endedByClose reports whether the other end has closed its side, after a read has returned the end of the stream. The system reports a reset
+// to a single call, whichever comes first, and to later ones as the end. So a read was told the truth if no write can have got the report: none
+// has failed, and one that is under way ends soon without an error.
+func (c *conn) endedByClose() bool {
+	c.mu.Lock()
+	written := c.written
+	c.mu.Unlock()
+
+	if written != nil {
+		timer := time.NewTimer(writeEndTimeout)
+		defer timer.Stop()
+
+		select {
+		case <-written:
+		case <-timer.C:
+			return false
+		}
+	}
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return !c.failed
+}
+
 // writes returns the number of writes begun.
 func (c *conn) writes() uint64 {
 	c.mu.Lock()
--- a/internal/wire/once/transport.go
+++ b/internal/wire/once/transport.go
@@ -53,6 +53,8 @@
 type Counts struct {
 	Opened   atomic.Int64 // connections
 	Repeated atomic.Int64 // connections that were replaced, since they had carried a request with the id of the next one, or too many others
+	// Cut counts answers that ended with their connection and may be parts, as a write of the request had failed.
+	Cut atomic.Int64
 }
 
 // Transport is an http.RoundTripper over HTTP/1.1 that sends each request to a target at most once.
@@ -168,7 +170,7 @@
 	}
 
 	if err == nil {
-		resp.Body = a.body(resp.Body)
+		resp.Body = a.body(resp)
 
 		if !holdsStatusLine(resp) && !hasSpacedField(resp) {
 			return resp, false, nil
@@ -293,12 +295,14 @@
 	}
 }
 
-// body returns the body of the answer to the request.
-func (a *attempt) body(b io.ReadCloser) briefBody {
+// body returns the body of resp, the answer to the request.
+func (a *attempt) body(resp *http.Response) briefBody {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	return briefBody{b, a.conn, a.reused}
+	open := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+
+	return briefBody{ReadCloser: resp.Body, conn: a.conn, reused: a.reused, open: open, counts: a.counts}
 }
 
 // isAbandoned reports whether the connection of the request was abandoned.
