Judge the heads of answers in one place

What was seen (findings of the users): statuses 600 and 999 were passed on as they came, with their bodies; on other systems 000, and names of fields with a blank or a control byte.

Cause: net/http accepts any three digits and any reason, and ignores fields whose names are none, also where they state the length; each report had added a pattern of its own (a status line, a space in a name).

headProblem holds what HTTP says of a head: a status of 200 to 599 here, names that are tokens, text without control bytes, no second status line. HTTP has a recipient take other statuses for a failure of the server; the caller gets 502, as the request may have run.

--- a/internal/wire/once/transport.go
+++ b/internal/wire/once/transport.go
@@ -3,18 +3,19 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"regexp"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/dotterelflow/dotterelflow/internal/wire/verdict"
 )
@@ -31,6 +32,7 @@
 	defaultIdleConns   = 64
 	keepAlivePeriod    = 15 * time.Second
 	maxHeaderBytes     = 64 << 10
+	maxStatus          = 599 // of HTTP
 )
 
 // Options configures a Transport. The zero value selects the defaults.
@@ -61,7 +63,7 @@
 //
 // Its errors are of type *verdict.Error. The verdict is NotRun if no byte of the request was written to a
 // connection and none can be written later, else MayHaveRun. An answer with a status below 200, such as one that switches
-// the connection to another protocol, is an error. Errors from reading the body of an answer carry no
+// the connection to another protocol, or with a head that HTTP does not have, is an error. Errors from reading the body of an answer carry no
 // verdict; the reader of the body has to decide on one. The texts of errors are short, whatever the target has sent. A Transport is safe for concurrent use.
 type Transport struct {
 	base     *http.Transport
@@ -163,23 +165,18 @@
 		return nil, true, verdict.New(verdict.NotRun, verdict.CodeTargetLost, "request not sent")
 	}
 
-	if err == nil && resp.StatusCode < http.StatusOK {
-		_ = resp.Body.Close() // closes the connection
-
-		return nil, false, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "answer with status %d", resp.StatusCode)
-	}
-
 	if err == nil {
 		resp.Body = a.body(resp)
 
-		if !holdsStatusLine(resp) && !hasSpacedField(resp) {
+		problem := headProblem(resp)
+		if problem == "" {
 			return resp, false, nil
 		}
 
 		CloseConnection(resp)
 		_ = resp.Body.Close() // nothing of it is used
 
-		return nil, false, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "the head of the answer is broken or holds that of another one")
+		return nil, false, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "%s", problem)
 	}
 
 	err = Brief(err)
@@ -191,31 +188,40 @@
 	return nil, false, verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "no answer").WithCause(Error.Wrap(err))
 }
 
-// holdsStatusLine reports whether the head of resp holds the status line of another answer: its own one broke off, and another followed.
-// Its status, its fields and its body are not of one answer then.
-func holdsStatusLine(resp *http.Response) bool {
-	if statusLine.MatchString(resp.Status) {
-		return true
+// headProblem returns what makes the head of resp one that is not used, or "". net/http accepts heads that HTTP does not have: statuses above
+// 599, which a recipient has to take for a failure of the server, control bytes, and fields whose names are none, which it ignores even
+// where they state the length. The status line of another answer is in a head that broke off; its status, its fields and its body are not
+// of one answer then.
+func headProblem(resp *http.Response) string {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		return fmt.Sprintf("answer with status %d", resp.StatusCode)
 	}
 
-	for _, values := range resp.Header {
-		if slices.ContainsFunc(values, statusLine.MatchString) {
-			return true
-		}
+	if !isSoundText(resp.Status) {
+		return "the status line of the answer is broken"
 	}
 
-	return false
-}
+	for name, values := range resp.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return "a field of the answer has a name that is none"
+		}
 
-// hasSpacedField reports whether resp has a field with a space in its name. net/http ignores it, also where it states the length.
-func hasSpacedField(resp *http.Response) bool {
-	for name := range resp.Header {
-		if strings.ContainsAny(name, " \t") {
-			return true
+		if !isAll(values, isSoundText) {
+			return "a field of the answer is broken"
 		}
 	}
 
-	return false
+	return ""
+}
+
+// isSoundText reports whether text, of a head, has no control bytes and does not hold the status line of another answer.
+func isSoundText(text string) bool {
+	return httpguts.ValidHeaderFieldValue(text) && !statusLine.MatchString(text)
+}
+
+// isAll reports whether all of list fulfil f.
+func isAll(list []string, f func(string) bool) bool {
+	return !slices.ContainsFunc(list, func(s string) bool { return !f(s) })
 }
 
 // IsEarlierAnswer reports whether resp, an answer that a Transport has returned to the request id, is or may be that to an earlier request
