Keep the versions of streams in the store while several serve

Cause: which version began a stream was known to the memory of hosts alone.

When the caller of a stream is about to get its first event, the host tells the version to one host of its data centre, which writes them to an object of the data centre, 20 ms after the first and at most each half a second, while a service runs several versions. A host that starts reads them. From the first event on the version stays, so a record is true whatever is lost besides, and needs no time, no fence and no era. Streams from before a second version are told once it comes, and it joins the register a second later, so that what the register no longer says is kept.

Two writes a second for each data centre while versions are mixed, none else.

--- a/internal/control/origins/register.go
+++ b/internal/control/origins/register.go
@@ -16,6 +16,9 @@
 	maxTurnDelay = 2 * time.Second
 	// retryInterval is the time after a call that failed until the next one.
 	retryInterval = time.Second
+	// listDelay is the time after which a version joins others in the register. Streams that began before are kept by then (see package
+	// originsync), and hosts use no version that is newer than LearnTime.
+	listDelay = time.Second
 	// NoEra is the Era of a Register that cannot be read: one that no store states.
 	NoEra = platform.MaxEra + 1
 	// MaxListTime is the longest time for which a host uses a new version only where there is no other one, as the register does not list it.
@@ -150,6 +153,24 @@
 	return list
 }
 
+// Several returns the services that have run several versions lately, by the register or as this host has seen.
+func (r *Registrar) Several() map[entity.ServiceName]bool {
+	all := r.register.clone()
+	for sv := range r.seen {
+		all.add(sv.service, sv.version)
+	}
+
+	list := map[entity.ServiceName]bool{}
+
+	for service, versions := range all.Services {
+		if len(versions) > 1 {
+			list[service] = true
+		}
+	}
+
+	return list
+}
+
 // isComplete reports whether the register lists all versions that were used.
 func (r *Registrar) isComplete() bool {
 	return r.version.Revision() != 0 && r.register.Era == r.version.Era()
@@ -250,7 +271,8 @@
 // addSeen makes w list all versions at which this host may have begun streams that still live.
 func (r *Registrar) addSeen(now time.Time, w Register) {
 	for sv, s := range r.seen {
-		if now.Sub(s.last) < r.opts.Life(sv.service) {
+		joins := len(r.register.Services[sv.service]) > 0 && now.Sub(s.first) < listDelay
+		if !joins && now.Sub(s.last) < r.opts.Life(sv.service) {
 			w.add(sv.service, sv.version)
 		}
 	}
--- a/internal/entry/originsync/fleet_test.go
+++ b/internal/entry/originsync/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,7 +19,9 @@
 	"github.com/dotterelflow/dotterelflow/internal/control/origins"
 	"github.com/dotterelflow/dotterelflow/internal/entry/originsync"
 	"github.com/dotterelflow/dotterelflow/internal/entry/relay"
+	"github.com/dotterelflow/dotterelflow/internal/entry/storewatch"
 	"github.com/dotterelflow/dotterelflow/internal/wire/peer"
+	"github.com/dotterelflow/dotterelflow/internal/wire/platform"
 )
 
 const (
@@ -58,6 +61,7 @@
 	nodes    []*node
 	fleet    atomic.Pointer[fleet.Snapshot]
 	messages atomic.Int64
+	store    fakeStore
 
 	mu     sync.Mutex
 	rand   *rand.Rand
@@ -66,6 +70,69 @@
 	shared []*peer.OriginRecords
 }
 
+// fakeStore is the platform's store. A host that was killed writes no more, but its last write arrives.
+type fakeStore struct {
+	mu      sync.Mutex
+	objects map[platform.Key]platform.Object
+	writes  int
+	down    bool
+}
+
+func (f *fakeStore) Get(ctx context.Context, key platform.Key) (platform.Object, error) {
+	time.Sleep(linkDelay)
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if f.down || ctx.Err() != nil {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+
+	return f.objects[key], nil
+}
+
+func (f *fakeStore) Put(_ context.Context, key platform.Key, expect platform.Version, value []byte) (platform.Version, error) {
+	time.Sleep(linkDelay)
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	switch {
+	case f.down:
+		return 0, platform.ErrUnavailable
+	case f.objects[key].Version != expect:
+		return 0, platform.ErrConflict
+	case f.objects == nil:
+		f.objects = map[platform.Key]platform.Object{}
+	}
+
+	f.writes++
+	f.objects[key] = platform.Object{Key: key, Version: expect + 1, Value: value}
+
+	return expect + 1, nil
+}
+
+func (f *fakeStore) List(_ context.Context, kind string) ([]storewatch.Entry, uint64, error) {
+	time.Sleep(linkDelay)
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if f.down {
+		return nil, 0, platform.ErrUnavailable
+	}
+
+	var list []storewatch.Entry
+
+	for key, o := range f.objects {
+		if name, ok := strings.CutPrefix(string(key), kind+"/"); ok {
+			list = append(list, storewatch.Entry{Name: name, Value: o.Value})
+		}
+	}
+
+	return list, 1, nil
+}
+
 // snapshotOf returns a fleet that runs versions.
 func snapshotOf(versions ...entity.SoftwareVersion) *fleet.Snapshot {
 	var targets []fleet.Target
@@ -118,6 +185,7 @@
 	h.syncer = originsync.New(originsync.Options{
 		Log: &log.Logger{Level: log.PanicLevel}, Host: entity.HostID(h.address), DataCentre: h.dc, Table: origins.NewTable(),
 		History: origins.NewHistory(), Catalog: func() *catalog.Catalog { return c }, Fleet: h.knownFleet, TargetsAge: h.targetsAge, Peers: h,
+		Store: &h.net.store, Several: func(service entity.ServiceName) bool { return len(h.net.fleet.Load().Versions()[service]) > 1 },
 	})
 	h.syncer.Start(ctx)
 
@@ -292,6 +360,8 @@
 	case <-time.After(maxWait):
 	}
 
+	h.current().Begun("s", id)
+
 	return begun{id, version, h}
 }
 
--- a/internal/entry/originsync/ring.go
+++ b/internal/entry/originsync/ring.go
@@ -17,6 +17,8 @@
 	homeQueries = 3
 	// smallFleetHosts is the number of live hosts up to which all data centres hold each record and all hosts are asked.
 	smallFleetHosts = 16
+	// keeperKey stands in for a stream in the choice of the host that keeps records in the store.
+	keeperKey = 0
 	// remoteCopies is the number of other data centres that hold a record in a larger fleet.
 	remoteCopies = 1
 )
@@ -124,6 +126,9 @@
 	return holder{address: best[0].address}, true
 }
 
+// keeper returns the host of this data centre that keeps records in the store. It reports false if that is this host.
+func (r *ring) keeper() (holder, bool) { return r.first(keeperKey) }
+
 // contact returns the host of dc that is told of stream. In a large fleet only some hosts of dc are known here.
 func (r *ring) contact(dc string, stream uint64) holder {
 	return holder{address: ranked(r.remote[dc], stream, 1)[0].address, passOn: !r.small()}
--- a/internal/entry/originsync/syncer.go
+++ b/internal/entry/originsync/syncer.go
@@ -64,6 +64,11 @@
 	Fleet      func() *fleet.Snapshot
 	TargetsAge func() time.Duration // returns how long ago Fleet was last known to be current; negative for unknown
 	Peers      Peers
+	// Store keeps the versions of streams that have begun, for hosts that start after all others were killed; nil means that none are kept.
+	Store Store
+	// Several reports whether a service has run several versions lately, so that the versions of its streams have to be kept. It may be nil
+	// without a Store.
+	Several func(service entity.ServiceName) bool
 	// Unlisted returns the versions of a service that the register of the store does not list yet; nil means none.
 	Unlisted func(service entity.ServiceName) []entity.SoftwareVersion
 }
@@ -84,7 +89,8 @@
 type Syncer struct {
 	opts  Options
 	done  chan struct{}
-	wake  chan struct{}  // receives a value when there is something to send
+	wake  chan struct{} // receives a value when there is something to send
+	keep  *keeper
 	calls sync.WaitGroup // calls under way
 
 	recorded, sent, unsent, fetched, local, remote, inferred, unknown atomic.Int64
@@ -121,7 +127,7 @@
 		opts.Log = &log.DefaultLogger
 	}
 
-	return &Syncer{opts: opts, done: make(chan struct{}), wake: make(chan struct{}, 1), outbox: map[string]*message{}}
+	return &Syncer{opts: opts, done: make(chan struct{}), wake: make(chan struct{}, 1), outbox: map[string]*message{}, keep: newKeeper()}
 }
 
 // Start begins to send records, until ctx ends.
@@ -144,6 +150,7 @@
 func (s *Syncer) Tick(now time.Time) {
 	s.noteTick()
 	s.observe(now)
+	s.keepMine(now)
 }
 
 // noteTick notices that this host was paused.
@@ -309,6 +316,12 @@
 
 		s.opts.Table.Merge(now, record)
 
+		if r.GetBegun() {
+			s.keep.add(now, record)
+
+			continue
+		}
+
 		if !m.GetPassOn() {
 			continue
 		}
@@ -327,6 +340,10 @@
 
 	s.calls.Go(func() { s.catchUp(ctx) })
 
+	if s.opts.Store != nil {
+		s.calls.Go(func() { s.runKeeper(ctx) })
+	}
+
 	for {
 		select {
 		case <-ctx.Done():
@@ -391,6 +408,12 @@
 	defer s.mu.Unlock()
 
 	for _, record := range m.records {
+		if record.GetBegun() {
+			s.addBegun(ring, record, true)
+
+			continue
+		}
+
 		for _, h := range ring.holders(record.GetStream()) {
 			s.add(h, record, true)
 		}
--- a/internal/entry/registrar/runner.go
+++ b/internal/entry/registrar/runner.go
@@ -57,6 +57,7 @@
 	opts      Options
 	registrar *origins.Registrar
 	unlisted  atomic.Pointer[map[entity.ServiceName][]entity.SoftwareVersion]
+	several   atomic.Pointer[map[entity.ServiceName]bool]
 	done      chan struct{}
 }
 
@@ -105,6 +106,13 @@
 	return nil
 }
 
+// Several reports whether service has run several versions lately.
+func (r *Runner) Several(service entity.ServiceName) bool {
+	list := r.several.Load()
+
+	return list != nil && (*list)[service]
+}
+
 // step performs the action that is due.
 func (r *Runner) step(ctx context.Context) {
 	now := r.opts.Clock.Now()
@@ -127,6 +135,9 @@
 
 	unlisted := r.registrar.Unlisted(r.opts.Clock.Now())
 	r.unlisted.Store(&unlisted)
+
+	several := r.registrar.Several()
+	r.several.Store(&several)
 }
 
 // versions returns the versions of the targets of each service whose streams callers take up.
--- a/internal/entry/relay/origins.go
+++ b/internal/entry/relay/origins.go
@@ -14,6 +14,9 @@
 	// Record notes that the stream of service that the request began is generated at version. It does not block. The returned
 	// channel is closed once the record would outlive this host, or if there is no need or no host for that.
 	Record(service entity.ServiceName, began entity.RequestID, version entity.SoftwareVersion) <-chan struct{}
+	// Begun notes that the caller is about to get the first event of the stream of service that the request began, after Record. It does not
+	// block.
+	Begun(service entity.ServiceName, began entity.RequestID)
 	// New returns the versions of service that other hosts may not know of yet.
 	New(service entity.ServiceName) []entity.SoftwareVersion
 	// Unlisted returns the versions of service that hosts would not know of which start after all others were killed.
@@ -51,6 +54,8 @@
 	return nil
 }
 
+func (soleVersion) Begun(entity.ServiceName, entity.RequestID) {}
+
 func (soleVersion) New(entity.ServiceName) []entity.SoftwareVersion { return nil }
 
 func (soleVersion) Unlisted(entity.ServiceName) []entity.SoftwareVersion { return nil }
--- a/internal/entry/relay/version.go
+++ b/internal/entry/relay/version.go
@@ -18,6 +18,7 @@
 	version    entity.SoftwareVersion
 	passedOver []entity.SoftwareVersion // versions that could not serve the stream in time
 	recorded   <-chan struct{}          // closed once other hosts know the version; nil if they need not
+	began      entity.RequestID         // request under which the version was recorded; empty if it was not
 }
 
 // maxRecordWait bounds how long the first event of a stream waits until another host knows the version.
@@ -57,7 +58,7 @@
 			WithRetryAfter(noTargetRetryAfter)
 	}
 
-	j.at = streamVersion{chosen: true, version: origin.Version, recorded: j.opts.Origins.Record(j.service.Name, began, origin.Version)}
+	j.at = streamVersion{chosen: true, version: origin.Version, began: began, recorded: j.opts.Origins.Record(j.service.Name, began, origin.Version)}
 
 	return nil
 }
@@ -88,7 +89,7 @@
 	j.at.chosen, j.at.version = ok, version
 
 	if ok && j.route.Repeat == catalog.Resumable && (!before.chosen || before.version != version) {
-		j.at.recorded = j.opts.Origins.Record(j.service.Name, j.r.ID, version)
+		j.at.recorded, j.at.began = j.opts.Origins.Record(j.service.Name, j.r.ID, version), j.r.ID
 	}
 
 	return ok
@@ -116,6 +117,10 @@
 // awaitRecord waits until another host knows the version of the stream, for maxRecordWait at most, so that its caller can take
 // it up even if this host is lost right after the first event.
 func (j *job) awaitRecord(ctx context.Context) {
+	if j.at.began != "" {
+		j.opts.Origins.Begun(j.service.Name, j.at.began)
+	}
+
 	if j.at.recorded == nil {
 		return
 	}
--- a/internal/entry/relay/version_test.go
+++ b/internal/entry/relay/version_test.go
@@ -26,6 +26,7 @@
 	told     chan struct{}
 	new      []entity.SoftwareVersion
 	unlisted []entity.SoftwareVersion
+	begun    []entity.RequestID
 }
 
 func (f *fakeOrigins) Record(_ entity.ServiceName, began entity.RequestID, version entity.SoftwareVersion) <-chan struct{} {
@@ -34,6 +35,10 @@
 	return f.told
 }
 
+func (f *fakeOrigins) Begun(_ entity.ServiceName, began entity.RequestID) {
+	f.begun = append(f.begun, began)
+}
+
 func (f *fakeOrigins) New(entity.ServiceName) []entity.SoftwareVersion { return f.new }
 
 func (f *fakeOrigins) Unlisted(entity.ServiceName) []entity.SoftwareVersion { return f.unlisted }
