Read the writes of the test's store under its lock

The race detector found TestMostStreamsGoOnAfterAllHostsWereKilledUnderLoad reading the number of writes without the lock; its result was right.

--- a/internal/entry/originsync/fleet_test.go
+++ b/internal/entry/originsync/fleet_test.go
@@ -112,6 +112,14 @@
 	return expect + 1, nil
 }
 
+// written returns the number of writes.
+func (f *fakeStore) written() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.writes
+}
+
 func (f *fakeStore) List(_ context.Context, kind string) ([]storewatch.Entry, uint64, error) {
 	time.Sleep(linkDelay)
 
--- a/internal/entry/originsync/keeper_test.go
+++ b/internal/entry/originsync/keeper_test.go
@@ -58,7 +58,7 @@
 
 				running.Wait()
 
-				writes := n.store.writes
+				writes := n.store.written()
 
 				for _, h := range n.nodes {
 					h.start(ctx)
@@ -93,7 +93,7 @@
 		time.Sleep(time.Second)
 		cancel()
 		time.Sleep(drainTime)
-		require.Zero(t, n.store.writes)
+		require.Zero(t, n.store.written())
 	})
 }
 
