--- a/review/_harness3/engine.go
+++ b/review/_harness3/engine.go
@@ -38,6 +38,8 @@
 	pause  time.Duration // between two events
 	// goesOn: a run does not end when its channel closes, as the pages allow.
 	goesOn bool
+	// unfenced: it takes orders with a fence below one that it has seen.
+	unfenced bool
 }
 
 // engine is a model replica of the pages.
@@ -47,7 +49,6 @@
 	w       *world
 	address string
 	born    int64
-	fenced  bool // it refuses orders with a fence below one that it has seen
 	stop    chan struct{}
 	http    *http.Server
 
@@ -68,7 +69,7 @@
 		panic(err)
 	}
 
-	e := &engine{engineOptions: o, w: w, address: l.Addr().String(), born: time.Now().UnixMilli(), fenced: true, stop: make(chan struct{}), handles: map[string]string{}}
+	e := &engine{engineOptions: o, w: w, address: l.Addr().String(), born: time.Now().UnixMilli(), stop: make(chan struct{}), handles: map[string]string{}}
 	e.http = &http.Server{Handler: e}
 
 	go func() { _ = e.http.Serve(l) }()
@@ -204,7 +205,7 @@
 	defer e.mu.Unlock()
 
 	switch {
-	case e.fenced && *o.Fence < e.fence:
+	case !e.unfenced && *o.Fence < e.fence:
 		return http.StatusPreconditionFailed
 	case e.busy, o.Expect != nil && *o.Expect != e.orders:
 		return http.StatusConflict
--- a/review/_harness3/main.go
+++ b/review/_harness3/main.go
@@ -7,9 +7,16 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
+	"time"
 )
 
+// mostTime bounds the time of a case.
+const mostTime = 115 * time.Second
+
 func main() {
+	runtime.LockOSThread() // processes end with the thread that has started them
+
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: harness3 CASE RECORD")
 		os.Exit(2)
@@ -27,6 +34,12 @@
 		os.Exit(2)
 	}
 
+	// The processes end with this one.
+	time.AfterFunc(mostTime, func() {
+		fmt.Println("not run: it takes too long")
+		os.Exit(2)
+	})
+
 	v := run(w, play)
 	w.note("result: %s", v.text)
 	w.close()
--- a/review/_harness3/restored_list.go
+++ b/review/_harness3/restored_list.go
@@ -43,8 +43,6 @@
 	hosts := w.startHosts(zones, []int{30, 2}, b)
 	w.note("%d hosts are ready", len(hosts))
 
-	load := startLoad(hosts, 5*time.Millisecond, 1500*time.Millisecond)
-
 	time.Sleep(6 * time.Second)
 
 	before := w.store.Copy()
@@ -59,7 +57,11 @@
 		drill(w, before, joined)
 	}
 
-	time.Sleep(stability + 300*time.Millisecond)
+	time.Sleep(stability - 1700*time.Millisecond)
+
+	load := startLoad(hosts, 5*time.Millisecond, 1500*time.Millisecond)
+	w.note("the clients begin")
+	time.Sleep(2 * time.Second)
 
 	leaving := []*server{servers[3], servers[8], servers[13]}
 
@@ -69,7 +71,7 @@
 		w.note("the store has accepted that %s leaves", s.name)
 	}
 
-	time.Sleep(time.Until(acked.Add(drainBound + 800*time.Millisecond)))
+	time.Sleep(time.Until(acked.Add(drainBound + 300*time.Millisecond)))
 
 	for _, s := range leaving {
 		s.exit()
@@ -78,7 +80,10 @@
 
 	time.Sleep(2 * time.Second)
 
-	return judgeDrain(w, load.end(), leaving, acked.Add(drainBound))
+	all := load.end()
+	w.noteRequests(all, append(servers, joined))
+
+	return judgeDrain(w, all, leaving, acked.Add(drainBound))
 }
 
 // drill takes the store away for a moment, and brings it back from the copy before. What the servers wrote is written again.
@@ -93,6 +98,19 @@
 	w.note("the store has come back from its copy")
 }
 
+// noteRequests writes to the record what was sent, answered and run.
+func (w *world) noteRequests(all []sent, servers []*server) {
+	for _, s := range all {
+		w.note("sent %s to %s %s, answered %s: %d", s.id, s.host.name, w.at(s.at), w.at(s.end), s.status)
+	}
+
+	for _, s := range servers {
+		for _, a := range s.arrived() {
+			w.note("run %s at %s %s, whole: %v", a.id, s.name, w.at(a.at), !a.end.IsZero())
+		}
+	}
+}
+
 // judgeDrain checks the rule DRAIN: no request that a client sent after bound reaches one of leaving.
 func judgeDrain(w *world, all []sent, leaving []*server, bound time.Time) verdict {
 	byID := map[string]sent{}
--- a/review/_harness3/silent_engine.go
+++ b/review/_harness3/silent_engine.go
@@ -13,7 +13,9 @@
 
 	zones := []string{"abdali", "sweileh"}
 
-	w.putManifest(map[string]any{"service": service, "target_latency_ms": 500, "gap_target_ms": 200}, service)
+	// The route policy-summary of cptca-quotes-grown, and the bounds of its sheet.
+	b := bounds{StabilityMS: 4000, DrainMS: 3000, ConfigMS: 3000, GraceS: 8, LeaseMS: 3000, RetrySlack: 158, Fence: false}
+	w.putManifest(map[string]any{"name": "policy-summary", "service": service, "target_latency_ms": 500, "gap_target_ms": 200}, service)
 
 	var engines []*engine
 
@@ -25,11 +27,11 @@
 
 		engines = append(engines, w.startEngine(engineOptions{
 			name: fmt.Sprintf("i-%d", i), service: service, zone: zones[i/2%2], version: "v1", phase: phase, events: 80, pause: 40 * time.Millisecond,
-			goesOn: i%2 == 1,
+			goesOn: i%2 == 1, unfenced: true,
 		}))
 	}
 
-	hosts := w.startHosts(zones, []int{2, 2}, smallBounds)
+	hosts := w.startHosts(zones, []int{2, 2}, b)
 	w.note("%d hosts are ready", len(hosts))
 	time.Sleep(14 * time.Second) // traffic starts later than the machines
 
@@ -72,6 +74,8 @@
 		}
 	}
 
+	w.noteStreams(list, engines)
+
 	twice, whole := 0, 0
 
 	for _, s := range list {
@@ -79,21 +83,19 @@
 			whole++
 		}
 
-		for i, g := range runs[s.id] {
-			w.note("stream %s at %s: run %d at %s after event %d, %s to %s, %d events made", s.id, s.host.name, i+1, g.engine.name, g.after, w.at(g.began), w.at(g.ended), g.events)
-		}
-
 		if len(runs[s.id]) < 2 {
 			continue
 		}
 
-		a, b := runs[s.id][0], runs[s.id][1]
-		if b.began.Before(a.began) {
-			a, b = b, a
+		before, after := runs[s.id][0], runs[s.id][1]
+		if after.began.Before(before.began) {
+			before, after = after, before
 		}
 
-		if a.ended.Sub(b.began) > 400*time.Millisecond {
+		if before.ended.Sub(after.began) > 400*time.Millisecond {
 			twice++
+
+			w.note("stream %s: %s works on it until %s, %s since %s", s.id, before.engine.name, w.at(before.ended), after.engine.name, w.at(after.began))
 		}
 	}
 
--- a/review/_harness3/split_streams.go
+++ b/review/_harness3/split_streams.go
@@ -46,6 +46,20 @@
 	})
 }
 
+// noteStreams writes to the record the attempts in list and all runs of the engines.
+func (w *world) noteStreams(list []stream, engines []*engine) {
+	for _, s := range list {
+		w.note("sent %s to %s %s, ended %s: status %d, %d events of %s at %s, whole: %v", s.id, s.host.name, w.at(s.at), w.at(s.end), s.status, len(s.pieces),
+			s.service, s.version, s.whole)
+	}
+
+	for _, e := range engines {
+		for _, g := range e.generations() {
+			w.note("run %s at %s (%s) after event %d, %s to %s, %d events made", g.id, e.name, e.version, g.after, w.at(g.began), w.at(g.ended), g.events)
+		}
+	}
+}
+
 // splitStreams breaks streams of a route that is split between services, whose replicas are of two software versions each. Clients take
 // them up.
 func splitStreams(w *world) verdict {
@@ -56,6 +70,8 @@
 		map[string]any{"service": services[0], "weight": 34}, map[string]any{"service": services[1], "weight": 33}, map[string]any{"service": services[2], "weight": 33},
 	}}, services...)
 
+	var engines []*engine
+
 	for _, service := range services {
 		for _, version := range []string{"v1", "v2"} {
 			for i := range 4 {
@@ -64,10 +80,10 @@
 					phase = phasePrefill
 				}
 
-				w.startEngine(engineOptions{
+				engines = append(engines, w.startEngine(engineOptions{
 					name: fmt.Sprintf("%s-%s-%d", service, version, i), service: service, zone: zones[i%3], version: version, phase: phase,
 					events: 100, pause: 40 * time.Millisecond,
-				})
+				}))
 			}
 		}
 	}
@@ -129,6 +145,8 @@
 
 	all.Wait()
 
+	w.noteStreams(fresh, engines)
+
 	taken, wentOn, foreign, began := 0, 0, 0, 0
 
 	for i := range streams {
