--- a/review/_harness3/engine.go
+++ b/review/_harness3/engine.go
@@ -53,6 +53,7 @@
 	http    *http.Server
 
 	mu          sync.Mutex
+	leaving     bool
 	seq         int    // of its reports to the store
 	orders      uint64 // accepted ones
 	fence       uint64
@@ -99,13 +100,39 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 
+	select {
+	case <-e.stop:
+		return
+	default:
+	}
+
+	state := "ready"
+	if e.leaving {
+		state = "draining"
+	}
+
 	e.seq++
 	e.w.store.Put("servers", e.name, map[string]any{
-		"service": e.service, "address": e.address, "zone": e.zone, "version": e.version, "slots": 64, "state": "ready", "cold_remaining_ms": 0,
+		"service": e.service, "address": e.address, "zone": e.zone, "version": e.version, "slots": 64, "state": state, "cold_remaining_ms": 0,
 		"phase": e.phase, "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}, "seq": e.seq, "born": e.born,
 	})
 }
 
+// drain reports that the engine leaves. It goes on to serve until exit.
+func (e *engine) drain() {
+	e.mu.Lock()
+	e.leaving = true
+	e.mu.Unlock()
+	e.report()
+}
+
+// exit ends the engine.
+func (e *engine) exit() {
+	close(e.stop)
+	_ = e.http.Close()
+	e.w.store.Delete("servers", e.name)
+}
+
 // silence makes the engine send nothing for d. It is sound and goes on afterwards; nothing is lost.
 func (e *engine) silence(d time.Duration) {
 	e.mu.Lock()
@@ -154,6 +181,14 @@
 		w.Header().Set("Request-Id", id)
 	}
 
+	e.mu.Lock()
+	leaving := e.leaving
+	e.mu.Unlock()
+
+	if leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+
 	if x := r.Header.Get("Expect-Instance"); x != "" && x != e.name {
 		e.awaitVoice()
 		w.Header().Set("Instance-Id", e.name)
--- a/review/_harness3/split_streams.go
+++ b/review/_harness3/split_streams.go
@@ -147,9 +147,15 @@
 
 	w.noteStreams(fresh, engines)
 
+	return w.judgeTakenUp(first, next, fresh)
+}
+
+// judgeTakenUp checks the rule LOST on streams that clients take up again: next are the attempts that took those of first up, and have no id
+// where there is none; fresh are new streams.
+func (w *world) judgeTakenUp(first, next, fresh []stream) verdict {
 	taken, wentOn, foreign, began := 0, 0, 0, 0
 
-	for i := range streams {
+	for i := range fresh {
 		if fresh[i].last > 0 {
 			began++
 		}
@@ -172,6 +178,7 @@
 			first[i].version, next[i].id, next[i].host.name, next[i].status, next[i].last, next[i].service, next[i].version)
 	}
 
+	streams := len(fresh)
 	w.note("new streams: %d of %d began; taken up: %d, of which %d went on, %d of these at another service", began, streams, taken, wentOn, foreign)
 
 	if began < streams/2 {
