--- a/review/_harness3/engine.go
+++ b/review/_harness3/engine.go
@@ -38,6 +38,8 @@
 	pause  time.Duration // between two events
 	// goesOn: a run does not end when its channel closes, as the pages allow.
 	goesOn bool
+	// crashPart is the id of a part of prompts that crashes the engine as it begins to write an answer; "" for none.
+	crashPart string
 	// unfenced: it takes orders with a fence below one that it has seen.
 	unfenced bool
 }
@@ -59,6 +61,8 @@
 	fence       uint64
 	busy        bool
 	handles     map[string]string // request by handle
+	down        bool
+	crashes     []time.Time
 	nextHandle  int
 	silentUntil time.Time
 	runs        []*generation
@@ -106,6 +110,10 @@
 	default:
 	}
 
+	if e.down {
+		return
+	}
+
 	state := "ready"
 	if e.leaving {
 		state = "draining"
@@ -133,6 +141,52 @@
 	e.w.store.Delete("servers", e.name)
 }
 
+const downTime = 3 * time.Second // of an engine that has crashed
+
+// crash ends the engine with all its runs. It starts again at the same address, as a new lifetime under the same id.
+func (e *engine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	if e.down {
+		return
+	}
+
+	e.down = true
+	e.crashes = append(e.crashes, time.Now())
+	e.orders, e.fence, e.busy, e.handles = 0, 0, false, map[string]string{}
+	_ = e.http.Close()
+
+	time.AfterFunc(downTime, func() {
+		l, err := net.Listen("tcp4", e.address)
+		if err != nil {
+			panic(err)
+		}
+
+		e.mu.Lock()
+		e.down, e.born, e.http = false, time.Now().UnixMilli(), &http.Server{Handler: e}
+		server := e.http
+		e.mu.Unlock()
+
+		go func() { _ = server.Serve(l) }()
+
+		e.report()
+	})
+}
+
+// hasCrashPart reports whether the prompt of r has the part that crashes the engine, not as the last one.
+func (e *engine) hasCrashPart(r *http.Request) bool {
+	parts := strings.Split(r.Header.Get("Prompt-Prefix"), ",")
+
+	for _, part := range parts[:len(parts)-1] {
+		if id, _, _ := strings.Cut(part, ":"); e.crashPart != "" && id == e.crashPart {
+			return true
+		}
+	}
+
+	return false
+}
+
 // silence makes the engine send nothing for d. It is sound and goes on afterwards; nothing is lost.
 func (e *engine) silence(d time.Duration) {
 	e.mu.Lock()
@@ -359,6 +413,13 @@
 		e.mu.Unlock()
 	}()
 
+	if e.hasCrashPart(r) {
+		time.Sleep(30 * time.Millisecond) // it begins to write
+		e.crash()
+
+		return
+	}
+
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Response-Signature", e.name+"."+id)
 	w.Header().Set("Weight-Versions", "1")
@@ -404,6 +465,8 @@
 }
 
 // stream sends a request for a stream and reads it to its end. attempt is called with each event.
+//
+// The prompt has the client's shared part, if it has one, before its own.
 func (c *client) stream(id, routeHost, path string, limit time.Duration, after int, resumes string, onEvent func(n int)) stream {
 	s := stream{sent: sent{id: id, host: c.host, at: time.Now()}, last: after}
 	s.run(c, routeHost, path, limit, resumes, onEvent)
@@ -426,7 +489,7 @@
 
 	body := "prompt of " + s.id
 	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nModel: m\r\nToken-Usage: 100,%d\r\n"+
-		"Prompt-Prefix: %s:100\r\nContent-Length: %d\r\n", path, routeHost, s.id, limit.Milliseconds(), 200, s.id, len(body))
+		"Prompt-Prefix: %s%s:100\r\nContent-Length: %d\r\n", path, routeHost, s.id, limit.Milliseconds(), 200, c.shared, s.id, len(body))
 
 	if s.last > 0 {
 		head += fmt.Sprintf("Last-Event-Id: %d\r\n", s.last)
--- a/review/_harness3/main.go
+++ b/review/_harness3/main.go
@@ -22,7 +22,7 @@
 		os.Exit(2)
 	}
 
-	play, ok := map[string]func(*world) verdict{"restored-list": restoredList, "split-streams": splitStreams, "silent-engine": silentEngine, "release": release}[os.Args[1]]
+	play, ok := map[string]func(*world) verdict{"restored-list": restoredList, "split-streams": splitStreams, "silent-engine": silentEngine, "release": release, "crash-part": crashPart}[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
 		os.Exit(2)
--- a/review/_harness3/service.go
+++ b/review/_harness3/service.go
@@ -174,12 +174,13 @@
 
 // client sends requests to one host on kept channels.
 type client struct {
-	host *host
-	http *http.Client
+	host   *host
+	http   *http.Client
+	shared string // parts of its prompts that other requests have too, each with a comma after it
 }
 
 func newClient(h *host) *client {
-	return &client{h, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true}}}
+	return &client{host: h, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true}}}
 }
 
 // send sends one request and waits for its answer.
