--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -7,4 +7,4 @@
 	exit 2
 fi
 
-exec target/review3 split-streams review/11/record.txt
+exec target/review3 release review/11/record.txt
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -7,4 +7,4 @@
 	exit 2
 fi
 
-exec target/review3 restored-list review/12/record.txt
+exec target/review3 split-streams review/12/record.txt
