--- a/review/_harness3/engine.go
+++ b/review/_harness3/engine.go
@@ -69,10 +69,7 @@
 }
 
 func (w *world) startEngine(o engineOptions) *engine {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
+	l := listen()
 
 	e := &engine{engineOptions: o, w: w, address: l.Addr().String(), born: time.Now().UnixMilli(), stop: make(chan struct{}), handles: map[string]string{}}
 	e.http = &http.Server{Handler: e}
--- a/review/_harness3/service.go
+++ b/review/_harness3/service.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -36,10 +35,7 @@
 
 // startServer starts a server and its reports to the store.
 func (w *world) startServer(name, service, zone string, work time.Duration) *server {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
+	l := listen()
 
 	s := &server{w: w, name: name, service: service, zone: zone, address: l.Addr().String(), work: work, born: time.Now().UnixMilli(), state: "ready", stop: make(chan struct{})}
 	s.http = &http.Server{Handler: s}
--- a/review/_harness3/world.go
+++ b/review/_harness3/world.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -161,6 +162,21 @@
 	cmd *exec.Cmd
 }
 
+// Ports below those that the system gives to connections, so that none takes a port between two listeners.
+const firstPort, lastPort = 20000, 31999
+
+// listen listens at a free address of loopback.
+func listen() net.Listener {
+	for range lastPort - firstPort {
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.N(lastPort-firstPort+1)))
+		if err == nil {
+			return l
+		}
+	}
+
+	panic("no port is free")
+}
+
 // freePorts returns n addresses of loopback that are free now.
 func freePorts(n int) []string {
 	var (
@@ -169,11 +185,7 @@
 	)
 
 	for range n {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			panic(err)
-		}
-
+		l := listen()
 		listeners = append(listeners, l)
 		addresses = append(addresses, l.Addr().String())
 	}
