--- a/review/_harness3/crash_part.go
+++ b/review/_harness3/crash_part.go
@@ -16,7 +16,7 @@
 
 	// A route as parent-question, which is not resumable.
 	w.putManifest(map[string]any{
-		"name": "parent-question", "target_latency_ms": 600, "timeout_ms": 8000, "max_attempts": 1, "resumable": false,
+		"name": "parent-question", fieldObjective: 600, "timeout_ms": 8000, "max_attempts": 1, "resumable": false,
 		"traffic_split": []any{
 			map[string]any{"service": services[0], "weight": 34}, map[string]any{"service": services[1], "weight": 33}, map[string]any{"service": services[2], "weight": 33},
 		},
--- a/review/_harness3/silent_engine.go
+++ b/review/_harness3/silent_engine.go
@@ -15,7 +15,7 @@
 
 	// The route policy-summary of cptca-quotes-grown, and the bounds of its sheet.
 	b := bounds{StabilityMS: 4000, DrainMS: 3000, ConfigMS: 3000, GraceS: 8, LeaseMS: 3000, RetrySlack: 158, Fence: false}
-	w.putManifest(map[string]any{"name": "policy-summary", "service": service, "target_latency_ms": 500, "gap_target_ms": 200}, service)
+	w.putManifest(map[string]any{"name": "policy-summary", "service": service, fieldObjective: 500, "gap_target_ms": 200}, service)
 
 	var engines []*engine
 
--- a/review/_harness3/split_streams.go
+++ b/review/_harness3/split_streams.go
@@ -28,7 +28,7 @@
 // putManifest writes a manifest with one route of streams.
 func (w *world) putManifest(route map[string]any, services ...string) {
 	r := map[string]any{
-		"name": "survey-draft", "host": streamHost, "path_prefix": streamPath, "kind": "streaming", "timeout_ms": 10000, "target_latency_ms": 800,
+		"name": "survey-draft", "host": streamHost, "path_prefix": streamPath, "kind": "streaming", "timeout_ms": 10000, fieldObjective: 800,
 		"priority": 2, "max_attempts": 2, "sticky": true, "resumable": true, "gap_target_ms": 250,
 	}
 	for k, v := range route {
--- a/review/_harness3/world.go
+++ b/review/_harness3/world.go
@@ -312,7 +312,7 @@
 		}
 
 		_ = conn.SetDeadline(time.Now().Add(time.Second))
-		_, _ = conn.Write([]byte("GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"))
+		_, _ = conn.Write([]byte("GET " + pathReady + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"))
 
 		head := make([]byte, 12)
 		n, _ := conn.Read(head)
